--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -13,7 +13,9 @@
 #include <knapweedfork/settings.h>
 
 #include "../lib/logging.h"
+#include "../net/dialect.h"
 #include "../net/instance.h"
+#include "../platform/platform.h"
 
 enum
 {
@@ -125,7 +127,10 @@
 {
   struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
   kwf_error_t error;
-  instance_t *instance = instance_start (loop, settings, &error);
+  const dialect_t *dialect = strcmp (settings->protocol, "rows") == 0
+                                 ? &platform_dialect
+                                 : &own_dialect;
+  instance_t *instance = instance_start (loop, settings, dialect, &error);
   if (!instance)
     {
       logging_event (12, KWF_LOG_ERROR, "%s: %s: %s", error.step, error.peer,
--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -24,6 +24,7 @@
   int64_t adapter_loads; /* at once */
   int64_t load_ns;       /* expected time of a load */
   bool no_hysteresis;    /* for experiments: each round places anew */
+  int64_t lease_ns;      /* a new holder of the duty waits for this long */
   int64_t copy_load;     /* requests at a copy above which it gets another */
 } kwf_placement_options_t;
 
@@ -43,8 +44,16 @@
   double retry_share;          /* retries and hedges, share of requests */
   int64_t first_token_ns[3];   /* target of each class; 0: 1.3 s */
   int64_t queue_length;        /* most requests that wait; 0: 1024 */
-  int64_t queue_organisation_length;   /* of one organisation; 0: 256 */
-  double preempt_share;                /* preemptions, share of requests */
+  int64_t queue_organisation_length; /* of one organisation; 0: 256 */
+  double preempt_share;              /* preemptions, share of requests */
+  /* Membership, configuration and the state of backend servers come as
+     events; nothing is polled.  */
+  bool pushed;
+  /* Tokens that the fleet may admit above an organisation's burst, for
+     requests that are larger than one instance's part of it.  */
+  double overdraft;
+  int64_t linger_ns; /* a stopping instance takes requests for this long;
+                        0: until the address answers have run out */
   const struct queue_ops *queue_order; /* NULL: weighted fair */
   kwf_placement_options_t placement;
   const kwf_clock_t *clock;
@@ -69,4 +78,11 @@
    act, there is a share of the rates, and no stop has begun.  */
 bool kwf_core_ready (const kwf_core_t *core);
 
+/* Call FN with the caller address of each instance that callers may use
+   now.  */
+typedef void (*kwf_address_fn_t) (const char *address, const char *data_centre,
+                                  void *data);
+void kwf_core_addresses (const kwf_core_t *core, kwf_address_fn_t fn,
+                         void *data);
+
 #endif
--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -47,11 +47,14 @@
 {
   kwf_handle_t request;
   kwf_handle_t attempt;
-  const char *server;  /* id, for logs */
-  const char *address; /* "IP:PORT" */
-  int64_t deadline_ns; /* on the core's clock */
-  int64_t resume_from; /* tokens delivered by earlier attempts */
-  int priority;        /* 0 urgent, 1 interactive, 2 overnight */
+  const char *server;       /* id, for logs */
+  const char *address;      /* "IP:PORT" */
+  int64_t deadline_ns;      /* on the core's clock */
+  int64_t resume_from;      /* tokens delivered by earlier attempts */
+  int priority;             /* 0 urgent, 1 interactive, 2 overnight */
+  bool resumes;             /* something was delivered by earlier attempts */
+  bool repeatable;          /* may be sent again when nothing comes back */
+  const char *organisation; /* "" on open routes */
 } kwf_attempt_start_t;
 
 /* A final answer.  When CODE is NULL, BODY is the whole answer; else the
@@ -90,6 +93,9 @@
   const char *version; /* "" when the model has none */
   const char *adapter; /* "" for the model itself */
   int64_t fence;
+  const char *holder; /* instance whose fence it is */
+  /* Orders that the server must have accepted before; -1: any number.  */
+  int64_t after;
 } kwf_order_t;
 
 typedef enum
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include <knapweedfork/handle.h>
+#include <knapweedfork/lists.h>
 #include <knapweedfork/message.h>
 #include <knapweedfork/store.h>
 
@@ -29,6 +30,7 @@
   KWF_EV_ATTEMPT_END,    /* the answer is complete */
   KWF_EV_ATTEMPT_FAILED, /* the attempt ended without a complete answer */
   KWF_EV_ORDER_REPLY,    /* answer to KWF_FX_ORDER */
+  KWF_EV_CONFIG,         /* lists and keys, read elsewhere */
   KWF_EV_OPERATOR,       /* a command on the operator port */
   KWF_EV_STOP            /* SIGTERM or SIGINT */
 } kwf_event_type_t;
@@ -37,6 +39,7 @@
 {
   KWF_REQUEST_COMPLETION, /* chat or text completion on a model */
   KWF_REQUEST_SERVICE,    /* plain service */
+  KWF_REQUEST_ROUTED,     /* the route is found from host and path */
   KWF_REQUEST_MODELS,     /* list of the models of the organisation */
   KWF_REQUEST_INSTANCES   /* addresses to use */
 } kwf_request_kind_t;
@@ -52,9 +55,13 @@
   const char *model;           /* COMPLETION */
   const char *adapter;         /* NULL when none */
   const char *service;         /* SERVICE */
+  const char *host;            /* ROUTED */
+  const char *path;            /* ROUTED; as sent, without the query */
   const char *idempotency_key; /* NULL when none */
   bool idempotent;             /* may be sent more than once */
   bool stream;
+  bool resuming; /* ROUTED: goes on with a stream that broke */
+  bool counted;  /* ROUTED: the caller told prompt_tokens and max_tokens */
   int64_t prompt_tokens;
   int64_t max_tokens;
   uint64_t fingerprint; /* of kind, model and body */
@@ -82,6 +89,14 @@
   const char *body; /* whole body unless streamed; NULL when streamed */
   size_t body_size;
   const char *content_type;
+  bool not_run;   /* the server tells that it did not run the request */
+  bool misplaced; /* not_run, because the server is another one or does not
+                     hold the model */
+  /* DATA, END: load that came with the answer.  */
+  bool loaded;
+  int running;
+  int waiting;
+  int slots; /* requests that it runs at once */
   /* FAILED only.  */
   kwf_failure_t failure;
 } kwf_attempt_event_t;
@@ -93,30 +108,54 @@
   KWF_MEMBER_ENTRY
 } kwf_member_kind_t;
 
+typedef struct
+{
+  const char *name;
+  const char *version;
+  const char *const *adapters;
+  size_t n_adapters;
+} kwf_resident_t;
+
 typedef struct
 {
   const char *id;
   kwf_member_kind_t kind;
-  const char *name;    /* service name; empty for engines */
+  const char *name;    /* service name; may be empty for engines */
   const char *address; /* "IP:PORT" */
   const char *data_centre;
   bool leaving;
+  /* What the list tells of the server itself, if it does.  */
+  bool described;
+  uint64_t incarnation;
+  int slots; /* requests that it runs at once; 0: not known */
+  const kwf_resident_t *models;
+  size_t n_models;
 } kwf_member_t;
 
 typedef struct
 {
   bool valid; /* false: the list could not be read */
+  /* The list was unreadable until a moment ago: an entry that is missing may
+     have expired meanwhile and come back.  */
+  bool unsure;
   const kwf_member_t *members;
   size_t n_members;
 } kwf_members_event_t;
 
+/* A key that works, and whose it is.  */
 typedef struct
 {
-  const char *name;
-  const char *version;
-  const char *const *adapters;
-  size_t n_adapters;
-} kwf_resident_t;
+  const char *digest; /* hex */
+  const char *organisation;
+} kwf_key_grant_t;
+
+typedef struct
+{
+  int64_t version;     /* only a higher one replaces what is in force */
+  kwf_lists_t **lists; /* set to NULL when they are taken over */
+  const kwf_key_grant_t *keys; /* all keys */
+  size_t n_keys;
+} kwf_config_event_t;
 
 /* Load report of a backend server.  */
 typedef struct
@@ -132,7 +171,9 @@
   int64_t memory_used_mb;
   int running;
   int waiting;
-  int batch; /* requests that it runs at once; 0: not known */
+  int batch;      /* requests that it runs at once; 0: not known */
+  int64_t orders; /* accepted so far */
+  bool busy;      /* carries out an order */
   const kwf_resident_t *models;
   size_t n_models;
 } kwf_report_event_t;
@@ -192,6 +233,7 @@
     kwf_request_event_t request;
     kwf_handle_t gone;
     kwf_attempt_event_t attempt;
+    kwf_config_event_t config;
     kwf_operator_event_t operator_;
     kwf_order_event_t order;
   };
--- a/include/knapweedfork/lists.h
+++ b/include/knapweedfork/lists.h
@@ -29,6 +29,8 @@
   const char *version;
   const char *const *adapters; /* adapters that exist for the model */
   size_t n_adapters;
+  const char *service; /* whose engines may hold it; NULL: all engines */
+  int64_t load_ns;     /* from the weight store; 0: not known */
 } kwf_model_t;
 
 typedef struct
@@ -36,8 +38,38 @@
   const char *name;
   bool open; /* no key is needed */
   bool once; /* calls other than GET and HEAD need an Idempotency-Key */
+  /* Of a service of model engines, each of which has this.  */
+  bool engine;
+  int64_t memory_mb; /* for models and adapters together */
+  int adapter_slots;
+  double loads_per_s; /* of the weight store, for all engines together */
 } kwf_service_t;
 
+/* Part of the requests of a route that goes to one service.  */
+typedef struct
+{
+  const char *service;
+  double weight; /* beside those of the other parts; > 0 */
+} kwf_split_t;
+
+/* A way from a host and path to services.  */
+typedef struct
+{
+  const char *name;
+  const char *host;
+  const char *prefix; /* of the path; begins and ends with a slash */
+  const kwf_split_t *splits;
+  size_t n_splits;      /* at least 1 */
+  bool open;            /* no key is needed */
+  bool idempotent;      /* may run more than once */
+  bool stream;          /* answered by a stream of events */
+  bool resumable;       /* a stream may go on at another backend server */
+  int max_attempts;     /* backend servers that one request may be sent to */
+  int priority;         /* 0 is served first */
+  int64_t timeout_ns;   /* 0: none */
+  int64_t objective_ns; /* wanted time to the first byte; 0: none */
+} kwf_route_t;
+
 /* What an organisation may use after plan and branch are combined.  */
 typedef struct
 {
@@ -53,6 +85,8 @@
   size_t n_adapters;
   const char *const *services;
   size_t n_services;
+  bool by_request;     /* rate and burst count requests, not tokens */
+  double plain_tokens; /* charge of a routed request without token counts */
 } kwf_organisation_t;
 
 typedef struct kwf_lists kwf_lists_t;
@@ -85,6 +119,11 @@
 const kwf_service_t *kwf_lists_service (const kwf_lists_t *lists,
                                         const char *name);
 
+/* Route of the longest prefix that begins PATH; NULL: none.  HOST is
+   compared without regard to case and without a port.  */
+const kwf_route_t *kwf_lists_route (const kwf_lists_t *lists, const char *host,
+                                    const char *path);
+
 /* Items by position, for walks.  */
 size_t kwf_lists_n_organisations (const kwf_lists_t *lists);
 const kwf_organisation_t *kwf_lists_organisation_at (const kwf_lists_t *lists,
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -29,7 +29,9 @@
   KWF_MSG_STATE_ASK,  /* send me the configuration rows you have */
   KWF_MSG_STATE,      /* configuration rows */
   KWF_MSG_CRASH,      /* a request was running when a server crashed */
-  KWF_MSG_WANT        /* calls wait for a model that is resident nowhere */
+  KWF_MSG_WANT,       /* calls wait for a model that is resident nowhere */
+  KWF_MSG_NEWS,       /* the table has rows of this revision */
+  KWF_MSG_PLACED      /* an engine has or lacks a model or adapter now */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -113,6 +115,15 @@
   uint64_t incarnation; /* of the server, or the notice */
 } kwf_crash_t;
 
+typedef struct
+{
+  const char *server;
+  uint64_t incarnation; /* of the server */
+  const char *model;
+  const char *adapter; /* "": the model itself */
+  bool present;
+} kwf_placed_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -129,6 +140,8 @@
     kwf_state_t state;
     kwf_crash_t crash;
     const char *want; /* like demand of RENEW */
+    int64_t news;     /* revision */
+    kwf_placed_t placed;
   };
 } kwf_message_t;
 
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -28,7 +28,10 @@
   char *fleet_secret;          /* [peers] secret_file, contents */
   char *accepted_fleet_secret; /* [peers] accepted_secret_file, contents, or
                                   NULL */
+  char *ready_listen;          /* [callers] ready_listen, or NULL */
+  char *directory_listen;      /* [callers] directory_listen, or NULL */
   char *platform;              /* [platform] address */
+  char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* [keys] pepper_file, contents */
   char *tls_certificate;       /* [callers] tls_certificate, a path, or NULL */
   char *tls_key;               /* [callers] tls_key, a path, or NULL */
@@ -47,6 +50,8 @@
   int64_t max_connections;     /* [callers] max_connections */
   int64_t max_pending_bytes;   /* [callers] max_pending_bytes */
   int64_t stop_limit_ms;       /* [callers] stop_limit_ms; 0: none */
+  double grace_s;              /* [callers] grace_s; 0: none */
+  double overdraft;            /* [limits] overdraft, tokens */
   double retry_share;          /* [backend] retry_share */
   int64_t queue_length;        /* [queue] length */
   int64_t queue_organisation_length; /* [queue] organisation_length */
@@ -57,6 +62,7 @@
   double loads_per_s;     /* [placement] loads_per_s */
   int64_t loads_at_once;  /* [placement] loads_at_once */
   int64_t adapter_loads;  /* [placement] adapter_loads_at_once */
+  int64_t duty_lease_ms;  /* [placement] lease_ms */
   int64_t load_ms;        /* [placement] load_ms */
   int64_t copy_load;      /* [placement] copy_load */
 } kwf_settings_t;
--- a/lib/admit.c
+++ b/lib/admit.c
@@ -14,17 +14,17 @@
   bool once;
 } grant_t;
 
-static void
-refuse (kwf_core_t *core, const kwf_request_event_t *event,
-        const grant_t *grant, code_t code, const char *message,
-        kwf_effects_t *effects)
+void
+admit_refuse (kwf_core_t *core, const kwf_request_event_t *event,
+              const kwf_organisation_t *organisation, code_t code,
+              const char *message, kwf_effects_t *effects)
 {
   series_t *series = NULL;
-  if (grant && grant->organisation)
-    series = metrics_series (core->metrics, grant->name,
-                             grant->organisation->priority);
+  if (organisation)
+    series = metrics_series (core->metrics, organisation->name,
+                             organisation->priority);
   int64_t retry_after_ms = code_status (code) == 503 ? 1000 : -1;
-  refuse_event (core, event->handle, series,
+  refuse_event (core, event, series,
                 &(refusal_t){ .code = code,
                               .run = KWF_RUN_NO,
                               .retry_after_ms = retry_after_ms,
@@ -32,10 +32,18 @@
                 effects);
 }
 
-/* Whether this instance may take requests at all.  */
-static bool
-check_authority (kwf_core_t *core, const kwf_request_event_t *event,
-                 kwf_effects_t *effects)
+static void
+refuse (kwf_core_t *core, const kwf_request_event_t *event,
+        const grant_t *grant, code_t code, const char *message,
+        kwf_effects_t *effects)
+{
+  admit_refuse (core, event, grant ? grant->organisation : NULL, code, message,
+                effects);
+}
+
+bool
+admit_check_authority (kwf_core_t *core, const kwf_request_event_t *event,
+                       kwf_effects_t *effects)
 {
   if (stop_refuses (core, kwf_now_ns (core->options.clock)))
     refuse (core, event, NULL, CODE_STOPPING,
@@ -163,7 +171,7 @@
 proceed (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
 {
   request->series->admitted++;
-  if (request->kind == KWF_REQUEST_COMPLETION)
+  if (request_has_model (request))
     demand_add (core->demand, request->model, request->adapter,
                 request->charged * series_weight (request->series));
   int64_t now_ns = kwf_now_ns (core->options.clock);
@@ -205,7 +213,7 @@
   if (!organisation || tokens <= organisation->burst)
     return true;
   refuse_event (
-      core, event->handle,
+      core, event,
       metrics_series (core->metrics, grant->name, organisation->priority),
       &(refusal_t){ .code = CODE_REQUEST_TOO_LARGE,
                     .run = KWF_RUN_NO,
@@ -218,9 +226,9 @@
   return false;
 }
 
-static void
-charge (kwf_core_t *core, request_t *request, double tokens,
-        kwf_effects_t *effects)
+void
+admit_charge (kwf_core_t *core, request_t *request, double tokens,
+              kwf_effects_t *effects)
 {
   if (tokens <= 0 || !request->organisation[0])
     {
@@ -279,8 +287,13 @@
       directory_instances (core, event, grant.name, effects);
       return;
     }
-  if (!check_authority (core, event, effects))
+  if (!admit_check_authority (core, event, effects))
     return;
+  if (event->kind == KWF_REQUEST_ROUTED)
+    {
+      admit_routed (core, event, effects);
+      return;
+    }
   if (event->kind == KWF_REQUEST_SERVICE)
     {
       if (!check_service (core, event, &grant, effects))
@@ -305,7 +318,7 @@
   request_t *request = request_add (core, event, grant.name, priority,
                                     kwf_now_ns (core->options.clock));
   request->once = grant.once;
-  charge (core, request, tokens, effects);
+  admit_charge (core, request, tokens, effects);
 }
 
 /* Claims.  */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -39,12 +39,11 @@
   request_t *request = attempt->request;
   make_winner (core, attempt, effects);
   backend_answered (core->backend, attempt->server);
-  if (request->kind == KWF_REQUEST_COMPLETION)
+  if (request_has_model (request))
     wait_first_token (core, attempt, now_ns);
-  bool is_service = request->kind == KWF_REQUEST_SERVICE;
-  attempt->late = outlier_is_late (
-      core->backend, attempt->server, is_service ? NULL : request->model,
-      request->prompt_tokens, now_ns - attempt->sent_ns, now_ns);
+  attempt->late = outlier_is_late (core->backend, attempt->server,
+                                   request->model, request->prompt_tokens,
+                                   now_ns - attempt->sent_ns, now_ns);
   request->state = STATE_STREAMING;
   request_set_action (core, request, 0);
   if (request->begun)
@@ -97,6 +96,14 @@
   add_effect (effects, KWF_FX_FORWARD, attempt);
 }
 
+static void
+take_load (const attempt_t *attempt, const kwf_attempt_event_t *event)
+{
+  if (event->loaded)
+    backend_take_load (attempt->server, event->running, event->waiting,
+                       event->slots);
+}
+
 void
 answer_data (kwf_core_t *core, const kwf_attempt_event_t *event,
              kwf_effects_t *effects)
@@ -106,6 +113,7 @@
     return;
   request_t *request = attempt->request;
   int64_t now_ns = now_of (core);
+  take_load (attempt, event);
   if (request->state != STATE_STREAMING)
     take_first_data (core, attempt, now_ns, effects);
   attempt->tokens = event->tokens;
@@ -123,7 +131,8 @@
   request->delivered = attempt->resume_from + attempt->tokens;
   if (!request->detached)
     add_effect (effects, KWF_FX_FORWARD_END, attempt);
-  attempt_remove (core, attempt, OUTCOME_GOOD, now_of (core));
+  attempt_remove (core, attempt, attempt->failed ? OUTCOME_BAD : OUTCOME_GOOD,
+                  now_of (core));
   if (!request->trial)
     crash_finished (core->crash, request->fingerprint, effects);
   request_end (core, request, CODE_OK, effects);
@@ -179,6 +188,50 @@
              effects);
 }
 
+/* The server says that it did not run the request.  */
+static void
+take_not_run (kwf_core_t *core, attempt_t *attempt,
+              const kwf_attempt_event_t *event, kwf_effects_t *effects)
+{
+  request_t *request = attempt->request;
+  request->n_ran--;
+  request->same_server = false;
+  if (event->misplaced && request_has_model (request))
+    backend_misplaced (core->backend, attempt->server, request->model);
+  else if (!event->misplaced && request_has_model (request))
+    wait_busy (core, attempt, now_of (core));
+  try_again (core, attempt, OUTCOME_NEUTRAL, CODE_NO_SERVER, effects);
+}
+
+/* Whether a routed request that failed at its server goes to another one;
+   else the caller gets the server's own failure.  */
+static bool
+may_retry_failure (const kwf_core_t *core, const request_t *request)
+{
+  return request->idempotent && request->n_attempts < request->max_attempts
+         && budget_left (&core->budget);
+}
+
+/* Take an answer to a routed request that is not passed on; false: it is
+   passed on.  */
+static bool
+take_routed_failure (kwf_core_t *core, attempt_t *attempt,
+                     const kwf_attempt_event_t *event, kwf_effects_t *effects)
+{
+  request_t *request = attempt->request;
+  if (event->not_run)
+    take_not_run (core, attempt, event, effects);
+  else if (event->status >= HTTP_SERVER_ERROR
+           && may_retry_failure (core, request))
+    {
+      request->same_server = false;
+      try_again (core, attempt, OUTCOME_BAD, CODE_BACKEND_ERROR, effects);
+    }
+  else
+    return false;
+  return true;
+}
+
 void
 answer_end (kwf_core_t *core, const kwf_attempt_event_t *event,
             kwf_effects_t *effects)
@@ -187,6 +240,10 @@
   if (!attempt)
     return;
   request_t *request = attempt->request;
+  take_load (attempt, event);
+  if (request->kind == KWF_REQUEST_ROUTED && request->state != STATE_STREAMING
+      && take_routed_failure (core, attempt, event, effects))
+    return;
   if (request->state != STATE_STREAMING
       && is_engine_failure (request, event->status))
     {
@@ -208,6 +265,8 @@
       core->stop.linger_ns = now_ns + KWF_NS_PER_S / 2;
     }
   attempt->ended = true;
+  attempt->failed = request->kind == KWF_REQUEST_ROUTED
+                    && event->status >= HTTP_SERVER_ERROR;
   if (session_may_act (core->session))
     finish (core, attempt, effects);
   else
@@ -290,6 +349,12 @@
       give_up_once (core, attempt, OUTCOME_BAD, effects);
       return;
     }
+  if (core->options.pushed)
+    {
+      request->same_server = false;
+      try_again (core, attempt, OUTCOME_BAD, CODE_BACKEND_ERROR, effects);
+      return;
+    }
   if (request->n_tried < ROUTE_MAX_TRIED)
     request->tried_servers[request->n_tried++] = server;
   request->same_server = true;
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -4,8 +4,6 @@
 
 #include "refusal.h"
 
-#define MAX_ATTEMPTS 3
-
 /* Copies of a fingerprint wait for its trial at most this long.  */
 #define TRIAL_WAIT_NS (5 * KWF_NS_PER_S)
 /* A request waits this long for a server that may be available soon.  */
@@ -42,15 +40,27 @@
   request->n_attempts++;
   request->n_ran++;
   core->n_attempts++;
+  kwf_effects_log (
+      effects, 222, KWF_LOG_INFO, request->id,
+      "sent to server=%s attempt=%d/%d load=%d+%d/%d sent_since=%d "
+      "age_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+      server->id, request->n_attempts, request->max_attempts, server->running,
+      server->waiting, server->slots, server->sent,
+      (now_ns - request->arrived_ns) / KWF_NS_PER_MS,
+      (request->deadline_ns - now_ns) / KWF_NS_PER_MS);
   backend_started (core->backend, server, now_ns);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
-  effect->start = (kwf_attempt_start_t){ .request = request->handle,
-                                         .attempt = handle,
-                                         .server = server->id,
-                                         .address = server->address,
-                                         .deadline_ns = request->deadline_ns,
-                                         .resume_from = attempt->resume_from,
-                                         .priority = request->priority };
+  effect->start
+      = (kwf_attempt_start_t){ .request = request->handle,
+                               .attempt = handle,
+                               .server = server->id,
+                               .address = server->address,
+                               .deadline_ns = request->deadline_ns,
+                               .resume_from = attempt->resume_from,
+                               .priority = request->priority,
+                               .resumes = request->begun,
+                               .repeatable = request->idempotent,
+                               .organisation = request->organisation };
 }
 
 /* Spend one extra attempt, or refuse REQUEST and return false.  */
@@ -96,8 +106,8 @@
   request->last_code = CODE_OK;
   start (core, request, server, false, effects);
   int64_t hedge_ns = pace_hedge_ns (&core->paces[pace_kind (request)]);
-  bool may_hedge
-      = hedge_ns && request->idempotent && !request->trial && !request->begun;
+  bool may_hedge = hedge_ns && request->idempotent && !request->trial
+                   && !request->begun && request->kind != KWF_REQUEST_ROUTED;
   request_set_action (core, request,
                       may_hedge ? kwf_now_ns (core->options.clock) + hedge_ns
                                 : 0);
@@ -119,12 +129,12 @@
       if (lost)
         tried[n_tried++] = lost;
     }
-  bool is_service = request->kind == KWF_REQUEST_SERVICE;
   const kwf_lists_t *lists = config_lists (core->config);
-  const kwf_model_t *model
-      = lists && !is_service ? kwf_lists_model (lists, request->model) : NULL;
-  route_query_t query = { .model = is_service ? NULL : request->model,
-                          .adapter = is_service ? NULL : request->adapter,
+  const kwf_model_t *model = lists && request_has_model (request)
+                                 ? kwf_lists_model (lists, request->model)
+                                 : NULL;
+  route_query_t query = { .model = request->model,
+                          .adapter = request->adapter,
                           .version = model ? model->version : NULL,
                           .service = request->service,
                           .key = request->route_key,
@@ -132,7 +142,8 @@
                           .tried = tried,
                           .n_tried = n_tried,
                           .suspect = suspect,
-                          .needs_resume = request->delivered > 0 };
+                          .needs_resume = request->delivered > 0,
+                          .least = request->kind == KWF_REQUEST_ROUTED };
   return policy_choose (core->policy, core->backend, &query, now_ns);
 }
 
@@ -152,7 +163,7 @@
   else if (request->last_code != CODE_OK)
     request_fail (core, request, request->last_code, 1000,
                   "no other server could answer", effects);
-  else if (verdict == ROUTE_NONE && request->kind == KWF_REQUEST_COMPLETION)
+  else if (verdict == ROUTE_NONE && request_has_model (request))
     request_fail (core, request, CODE_MODEL_NOT_RESIDENT, 1000,
                   "no server holds the model now", effects);
   else
@@ -215,16 +226,21 @@
              MIN (request->deadline_ns, now_ns + TRIAL_NS), effects);
 }
 
-/* Whether some server that is there and stays holds MODEL.  */
+/* Whether some server that is there and stays holds the model of REQUEST,
+   and its adapter where calls do not fetch it.  */
 static bool
-is_resident (kwf_core_t *core, const char *model)
+is_resident (kwf_core_t *core, const request_t *request)
 {
+  const char *model = request->model;
+  bool adapter = request->kind == KWF_REQUEST_ROUTED && request->adapter;
   const GPtrArray *holders = backend_of_model (core->backend, model);
   for (guint i = 0; holders && i < holders->len; i++)
     {
       const server_t *server = g_ptr_array_index (holders, i);
       if (server_holds (server, model) && !server->refused
-          && !server_leaving (server))
+          && !server_leaving (server)
+          && (!adapter
+              || server_holds_adapter (server, model, request->adapter)))
         return true;
     }
   return false;
@@ -235,10 +251,9 @@
 static bool
 may_be_loaded (kwf_core_t *core, const request_t *request)
 {
-  return core->options.placement.dynamic
-         && request->kind == KWF_REQUEST_COMPLETION
+  return core->options.placement.dynamic && request_has_model (request)
          && kwf_lists_model (config_lists (core->config), request->model)
-         && !is_resident (core, request->model);
+         && !is_resident (core, request);
 }
 
 void
@@ -267,7 +282,8 @@
       return;
     }
   bool suspect = crash == CRASH_SUSPECT;
-  if (request->n_attempts >= MAX_ATTEMPTS || (suspect && request->tried))
+  if (request->n_attempts >= request->max_attempts
+      || (suspect && request->tried))
     {
       refuse_unrouted (core, request, suspect, ROUTE_UNAVAILABLE, effects);
       return;
@@ -344,7 +360,7 @@
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
   if (request->hedge || !request->attempt || request->trial
-      || request->n_attempts >= MAX_ATTEMPTS
+      || request->n_attempts >= request->max_attempts
       || !session_may_act (core->session)
       || crash_state (core->crash, request->fingerprint) != CRASH_CLEAR)
     return;
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -12,6 +12,14 @@
    crash does not bring in a third candidate (docs/design.md section 7).  */
 #define LOST_NS (60 * KWF_NS_PER_S)
 
+/* A server that refused a connection is asked again after this time when
+   there are no regular load reports.  */
+#define REFUSED_AGAIN_NS (1 * KWF_NS_PER_S)
+
+/* An entry that describes a server is written this long before it is read at
+   most, while the server lives.  */
+#define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
+
 #define MEMBERS_NS (KWF_NS_PER_S / 2)
 #define MEMBERS_TIMEOUT_NS (5 * KWF_NS_PER_S)
 #define PROBE_TIMEOUT_NS (5 * KWF_NS_PER_S)
@@ -20,12 +28,14 @@
 {
   const kwf_clock_t *clock;
   int64_t probe_ns;
+  bool pushed; /* the list comes unasked and describes the servers */
   uint64_t instance_hash;
   GHashTable *by_id;  /* id to server_t, owned */
   GPtrArray *servers; /* the same, for walks */
   GHashTable *by_model;
   GHashTable *by_service;
   bool index_stale;
+  bool placed; /* an engine has or lacks something new */
   int64_t next_members_ns;
   bool members_asked;
   int64_t members_since_ns;
@@ -53,6 +63,7 @@
 {
   server_t *server = data;
   g_free (server->id);
+  g_free (server->removed_model);
   g_free (server->name);
   g_free (server->address);
   g_free (server->data_centre);
@@ -85,6 +96,7 @@
   backend_t *backend = g_new0 (backend_t, 1);
   backend->clock = options->clock;
   backend->probe_ns = options->probe_ns;
+  backend->pushed = options->pushed;
   backend->instance_hash
       = XXH64 (options->instance, strlen (options->instance), 0);
   backend->by_id
@@ -138,11 +150,10 @@
 static void
 index_server (backend_t *backend, server_t *server)
 {
+  if (*server->name)
+    index_add (backend->by_service, server->name, server);
   if (server->kind == KWF_MEMBER_SERVICE)
-    {
-      index_add (backend->by_service, server->name, server);
-      return;
-    }
+    return;
   GHashTableIter iter;
   gpointer name;
   g_hash_table_iter_init (&iter, server->models);
@@ -206,46 +217,6 @@
   return server;
 }
 
-static void
-take_member (backend_t *backend, const kwf_member_t *member, int64_t now_ns)
-{
-  if (member->kind == KWF_MEMBER_ENTRY)
-    return;
-  server_t *server = backend_find (backend, member->id);
-  if (!server)
-    server = add_server (backend, member, now_ns);
-  if (g_strcmp0 (server->address, member->address) != 0)
-    {
-      g_free (server->address);
-      server->address = g_strdup (member->address);
-    }
-  if (g_strcmp0 (server->data_centre, member->data_centre) != 0)
-    {
-      g_free (server->data_centre);
-      server->data_centre = g_strdup (member->data_centre);
-    }
-  server->listed = true;
-  server->member_leaving = member->leaving;
-}
-
-static void
-take_members (backend_t *backend, const kwf_members_event_t *event,
-              int64_t now_ns)
-{
-  backend->members_asked = false;
-  if (!event->valid)
-    return;
-  for (guint i = 0; i < backend->servers->len; i++)
-    {
-      server_t *server = g_ptr_array_index (backend->servers, i);
-      if (server->listed)
-        server->unlisted_ns = now_ns;
-      server->listed = false;
-    }
-  for (size_t i = 0; i < event->n_members; i++)
-    take_member (backend, &event->members[i], now_ns);
-}
-
 /* Forget servers that left the list a minute ago and run nothing of ours;
    end the memory of losses.  */
 static void
@@ -271,12 +242,12 @@
 /* Load reports.  */
 
 static uint64_t
-hash_residents (const kwf_report_event_t *report)
+hash_residents (const kwf_resident_t *models, size_t n_models)
 {
-  uint64_t hash = report->n_models;
-  for (size_t i = 0; i < report->n_models; i++)
+  uint64_t hash = n_models;
+  for (size_t i = 0; i < n_models; i++)
     {
-      const kwf_resident_t *model = &report->models[i];
+      const kwf_resident_t *model = &models[i];
       hash = XXH64 (model->name, strlen (model->name), hash);
       if (model->version)
         hash = XXH64 (model->version, strlen (model->version), hash);
@@ -287,26 +258,82 @@
 }
 
 static void
+add_resident (server_t *server, const kwf_resident_t *model)
+{
+  resident_t *resident = g_new0 (resident_t, 1);
+  resident->version = g_strdup (model->version);
+  resident->adapters
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (size_t k = 0; k < model->n_adapters; k++)
+    g_hash_table_add (resident->adapters, g_strdup (model->adapters[k]));
+  g_hash_table_replace (server->models, g_strdup (model->name), resident);
+}
+
+/* Return whether they changed.  */
+static bool
 take_residents (backend_t *backend, server_t *server,
-                const kwf_report_event_t *report)
+                const kwf_resident_t *models, size_t n_models)
 {
-  uint64_t hash = hash_residents (report);
+  uint64_t hash = hash_residents (models, n_models);
   if (hash == server->models_hash && server->reported)
-    return;
+    return false;
   server->models_hash = hash;
   backend->index_stale = true;
   g_hash_table_remove_all (server->models);
-  for (size_t i = 0; i < report->n_models; i++)
+  for (size_t i = 0; i < n_models; i++)
+    add_resident (server, &models[i]);
+  return true;
+}
+
+void
+backend_misplaced (backend_t *backend, server_t *server, const char *model)
+{
+  if (g_hash_table_remove (server->models, model))
+    backend->index_stale = true;
+  /* The next description is taken even when it is the same again.  */
+  server->models_hash = 0;
+}
+
+void
+backend_take_placed (backend_t *backend, const kwf_placed_t *placed)
+{
+  server_t *server = backend_find (backend, placed->server);
+  if (!server || server->incarnation != placed->incarnation)
+    return;
+  resident_t *resident = g_hash_table_lookup (server->models, placed->model);
+  server->placed_ns = kwf_now_ns (backend->clock);
+  server->models_hash = 0;
+  if (!*placed->adapter)
     {
-      const kwf_resident_t *model = &report->models[i];
-      resident_t *resident = g_new0 (resident_t, 1);
-      resident->version = g_strdup (model->version);
-      resident->adapters
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-      for (size_t k = 0; k < model->n_adapters; k++)
-        g_hash_table_add (resident->adapters, g_strdup (model->adapters[k]));
-      g_hash_table_replace (server->models, g_strdup (model->name), resident);
+      g_free (server->removed_model);
+      server->removed_model
+          = placed->present ? NULL : g_strdup (placed->model);
     }
+  if (!*placed->adapter && !placed->present)
+    backend_misplaced (backend, server, placed->model);
+  else if (*placed->adapter && resident && placed->present)
+    g_hash_table_add (resident->adapters, g_strdup (placed->adapter));
+  else if (*placed->adapter && resident)
+    g_hash_table_remove (resident->adapters, placed->adapter);
+  backend->placed = true;
+}
+
+bool
+backend_take_news (backend_t *backend)
+{
+  bool news = backend->placed;
+  backend->placed = false;
+  return news;
+}
+
+void
+backend_take_load (server_t *server, int running, int waiting, int slots)
+{
+  server->running = running;
+  server->waiting = waiting;
+  server->sent = 0;
+  if (slots > 0)
+    server->slots = slots;
 }
 
 static void
@@ -358,7 +385,7 @@
     window_init (&server->window);
   if (other_process || server->refused)
     close_circuit (server);
-  take_residents (backend, server, report);
+  take_residents (backend, server, report->models, report->n_models);
   server->reported = true;
   server->refused = false;
   server->missed = 0;
@@ -374,6 +401,118 @@
   server->sent = MAX (0, server->sent - server->sent_at_probe);
 }
 
+static const kwf_resident_t *
+find_described (const kwf_member_t *member, const char *model)
+{
+  for (size_t i = 0; i < member->n_models; i++)
+    if (strcmp (member->models[i].name, model) == 0)
+      return &member->models[i];
+  return NULL;
+}
+
+/* The entry may have been written before what was told since: take only
+   models that came or went, not those told of as being removed, and no
+   adapters of the others.  */
+static void
+merge_residents (backend_t *backend, server_t *server,
+                 const kwf_member_t *member)
+{
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, server->models);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!find_described (member, name))
+      {
+        g_hash_table_iter_remove (&iter);
+        backend->index_stale = true;
+      }
+  for (size_t i = 0; i < member->n_models; i++)
+    {
+      const kwf_resident_t *model = &member->models[i];
+      if (g_hash_table_contains (server->models, model->name)
+          || g_strcmp0 (server->removed_model, model->name) == 0)
+        continue;
+      add_resident (server, model);
+      backend->index_stale = true;
+      backend->placed = true;
+    }
+}
+
+/* What the membership list tells of a server stands for a load report.  */
+static void
+take_description (backend_t *backend, server_t *server,
+                  const kwf_member_t *member, int64_t now_ns)
+{
+  bool other_process
+      = server->reported && server->incarnation != member->incarnation;
+  if (other_process)
+    {
+      mark_lost (backend, server, now_ns);
+      window_init (&server->window);
+      server->running = server->waiting = 0;
+    }
+  if (other_process || !server->reported)
+    {
+      close_circuit (server);
+      server->refused = false;
+      server->missed = 0;
+    }
+  bool told = server->placed_ns && !other_process
+              && now_ns - server->placed_ns < ENTRY_LAG_NS;
+  if (told)
+    merge_residents (backend, server, member);
+  else if (take_residents (backend, server, member->models, member->n_models))
+    backend->placed = true;
+  server->incarnation = member->incarnation;
+  server->reported = true;
+  server->resume = true;
+  if (member->slots > 0)
+    server->slots = member->slots;
+  window_set_batch (&server->window, member->slots);
+}
+
+static void
+take_member (backend_t *backend, const kwf_member_t *member, int64_t now_ns)
+{
+  if (member->kind == KWF_MEMBER_ENTRY)
+    return;
+  server_t *server = backend_find (backend, member->id);
+  if (!server)
+    server = add_server (backend, member, now_ns);
+  if (g_strcmp0 (server->address, member->address) != 0)
+    {
+      g_free (server->address);
+      server->address = g_strdup (member->address);
+    }
+  if (g_strcmp0 (server->data_centre, member->data_centre) != 0)
+    {
+      g_free (server->data_centre);
+      server->data_centre = g_strdup (member->data_centre);
+    }
+  server->listed = true;
+  server->member_leaving = member->leaving;
+  if (member->described)
+    take_description (backend, server, member, now_ns);
+}
+
+static void
+take_members (backend_t *backend, const kwf_members_event_t *event,
+              int64_t now_ns)
+{
+  backend->members_asked = false;
+  if (!event->valid)
+    return;
+  for (guint i = 0; i < backend->servers->len; i++)
+    {
+      server_t *server = g_ptr_array_index (backend->servers, i);
+      if (server->listed)
+        server->unlisted_ns = now_ns;
+      server->listed = event->unsure && !server->member_leaving;
+    }
+  for (size_t i = 0; i < event->n_members; i++)
+    take_member (backend, &event->members[i], now_ns);
+}
+
 static void
 start_probe (server_t *server, int64_t now_ns, kwf_effects_t *effects)
 {
@@ -432,7 +571,7 @@
 static void
 tick (backend_t *backend, int64_t now_ns, kwf_effects_t *effects)
 {
-  if (now_ns >= backend->next_members_ns
+  if (now_ns >= backend->next_members_ns && !backend->pushed
       && (!backend->members_asked
           || now_ns - backend->members_since_ns > MEMBERS_TIMEOUT_NS))
     {
@@ -449,11 +588,13 @@
   for (guint i = 0; i < backend->servers->len; i++)
     {
       server_t *server = g_ptr_array_index (backend->servers, i);
-      if (!server->listed)
+      if (!server->listed || (backend->pushed && !server->refused))
         continue;
       if (now_ns >= server->next_probe_ns)
         {
-          server->next_probe_ns = next_probe (backend, server, now_ns);
+          server->next_probe_ns = backend->pushed
+                                      ? now_ns + REFUSED_AGAIN_NS
+                                      : next_probe (backend, server, now_ns);
           if (!server->probing
               || now_ns - server->probe_since_ns > PROBE_TIMEOUT_NS)
             start_probe (server, now_ns, effects);
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -41,6 +41,9 @@
   GHashTable *retiring;    /* set: models that are being unloaded, or NULL */
   GHashTable *lost_models; /* set: names held when it was lost, or NULL */
   int64_t lost_ns;         /* time of the last loss; 0: never */
+  int64_t placed_ns;       /* last time that another instance told what it
+                              holds; 0: never */
+  char *removed_model;     /* told of then as being removed; NULL: none */
   int64_t probe_since_ns;
   int64_t next_probe_ns;
   int64_t open_until_ns; /* of the circuit */
@@ -52,6 +55,7 @@
   kwf_member_kind_t kind;
   circuit_t circuit;
   int missed; /* load reports in a row that did not come */
+  int slots;  /* requests that it runs at once; 0: not known */
   int running;
   int waiting;
   int sent; /* by this instance since the last report */
@@ -131,6 +135,19 @@
 /* Last reported load and what was sent since.  */
 int server_load (const server_t *server);
 
+/* Load that came with an answer of SERVER.  */
+void backend_take_load (server_t *server, int running, int waiting, int slots);
+
+/* Another instance, or this one, tells what an engine has or lacks.  */
+void backend_take_placed (backend_t *backend, const kwf_placed_t *placed);
+
+/* Whether that happened since this was last asked.  */
+bool backend_take_news (backend_t *backend);
+
+/* SERVER turned out not to hold MODEL, whatever its description says.  */
+void backend_misplaced (backend_t *backend, server_t *server,
+                        const char *model);
+
 /* Bookkeeping of attempts.  The first data of one ends the trial of a
    half-open circuit.  */
 void backend_answered (backend_t *backend, server_t *server);
--- a/lib/bucket.c
+++ b/lib/bucket.c
@@ -53,7 +53,14 @@
 static void
 cut (bucket_t *bucket)
 {
-  bucket->level = fmin (bucket->level, bucket_cap (bucket));
+  bucket->level = fmin (bucket->level, bucket_cap (bucket) + bucket->room);
+}
+
+void
+bucket_set_room (bucket_t *bucket, double tokens)
+{
+  bucket->room = fmax (tokens, 0);
+  cut (bucket);
 }
 
 void
@@ -132,6 +139,8 @@
     keep = fmax (keep, cap / 2);
   part.level
       = fmin (fmax (bucket->level - keep, 0), fmax (request->tokens, 0));
+  if (bucket->steady)
+    return part;
   double spare = spare_rate (bucket, equal);
   part.rate = spare / bucket->limit_rate;
   /* The cap follows the rate or an excess of it goes back, as far as the
@@ -157,7 +166,7 @@
       bucket->old_rate = fmax (bucket->old_rate - part->rate, 0);
       bucket->old_cap = fmax (bucket->old_cap - part->cap, 0);
     }
-  bucket->level = fmax (bucket->level - part->level, 0);
+  bucket->level -= fmin (part->level, fmax (bucket->level, 0));
   bucket->reserved += reserved;
   cut (bucket);
   return reserved;
--- a/lib/bucket.h
+++ b/lib/bucket.h
@@ -23,6 +23,9 @@
   double reserved;   /* part of the cap that stands for tokens sent to others
                         and not confirmed; tokens */
   int64_t filled_ns; /* accrued up to here */
+  double room;       /* tokens above the cap that may be held, because
+                        requests wait for them */
+  bool steady;       /* only tokens are given, never rate and cap */
   double demand;     /* tokens a second, recent */
   int64_t demand_ns; /* demand decayed up to here */
 } bucket_t;
@@ -41,6 +44,9 @@
    until bucket_settle.  */
 void bucket_enter (bucket_t *bucket, double share);
 
+/* Hold up to TOKENS above the cap, for requests that wait; 0: no more.  */
+void bucket_set_room (bucket_t *bucket, double tokens);
+
 /* No member uses a share of the former epoch any more.  */
 void bucket_settle (bucket_t *bucket);
 
--- a/lib/budget.c
+++ b/lib/budget.c
@@ -28,6 +28,12 @@
   budget->tokens = fmin (budget->tokens + budget->share, cap);
 }
 
+bool
+budget_left (const budget_t *budget)
+{
+  return budget->tokens >= 1;
+}
+
 bool
 budget_take (budget_t *budget)
 {
--- a/lib/budget.h
+++ b/lib/budget.h
@@ -30,4 +30,7 @@
 /* Take one extra attempt; false when there is none left.  */
 bool budget_take (budget_t *budget);
 
+/* Whether there is one left.  */
+bool budget_left (const budget_t *budget);
+
 #endif
--- a/lib/config-data.h
+++ b/lib/config-data.h
@@ -96,6 +96,7 @@
   kwf_lists_t *lists;
   int64_t version; /* of the lists in force */
   uint64_t generation;
+  bool given;            /* lists and keys come as events, not as rows */
   GHashTable *keys;      /* digest to key_row_t */
   GHashTable *suspended; /* digest to GArray of suspension_t */
   GPtrArray *commands;   /* of command_t */
@@ -123,6 +124,10 @@
 char *key_row_value (const char *organisation, bool withdrawn,
                      int64_t added_ms);
 
+/* config-given.c: lists and keys that were read elsewhere.  */
+void config_take_given (config_t *config, const kwf_config_event_t *event,
+                        kwf_effects_t *effects);
+
 /* config-suspend.c: keys that are refused until an outcome is known.  */
 void config_suspend (config_t *config, const char *digest,
                      const char *instance, int64_t until_ns);
--- /dev/null
+++ b/lib/config-given.c
@@ -0,0 +1,37 @@
+/* Configurations that arrive whole, as lists and all keys.  */
+
+#include "config-data.h"
+
+static void
+add_key (config_t *config, const kwf_key_grant_t *grant, int64_t version)
+{
+  key_row_t *row = g_new0 (key_row_t, 1);
+  *row = (key_row_t){ .seen = version,
+                      .version = version,
+                      .organisation = g_strdup (grant->organisation) };
+  g_hash_table_replace (config->keys, g_strdup (grant->digest), row);
+}
+
+void
+config_take_given (config_t *config, const kwf_config_event_t *event,
+                   kwf_effects_t *effects)
+{
+  if (event->version <= config->version)
+    return;
+  kwf_lists_free (config->lists);
+  config->lists = *event->lists;
+  *event->lists = NULL;
+  config->given = true;
+  config->version = event->version;
+  config->generation++;
+  g_hash_table_remove_all (config->keys);
+  for (size_t i = 0; i < event->n_keys; i++)
+    add_key (config, &event->keys[i], event->version);
+  kwf_effects_log (effects, 400, KWF_LOG_INFO, NULL,
+                   "lists of version %lld are in force: %zu organisations, "
+                   "%zu models, %zu services, %zu keys",
+                   (long long)config->version,
+                   kwf_lists_n_organisations (config->lists),
+                   kwf_lists_n_models (config->lists),
+                   kwf_lists_n_services (config->lists), event->n_keys);
+}
--- a/lib/config.c
+++ b/lib/config.c
@@ -100,6 +100,9 @@
     case KWF_EV_STORE_REPLY:
       return commands_store_reply (config, session, event->store.op,
                                    &event->store.reply, effects);
+    case KWF_EV_CONFIG:
+      config_take_given (config, &event->config, effects);
+      return true;
     case KWF_EV_PEER_MESSAGE:
       if (event->peer.message->type != KWF_MSG_WITHDRAW)
         return false;
--- a/lib/core.c
+++ b/lib/core.c
@@ -138,6 +138,8 @@
 {
   backend_news_t news = { 0 };
   backend_step (core->backend, event, effects, &news);
+  if (backend_take_news (core->backend))
+    waits_kick_all (core);
   if (!news.server)
     return;
   crash_report (core->crash, core->session, news.server->id, news.valid,
@@ -177,6 +179,8 @@
   crash_step (core->crash, core->session, event, &news, effects);
   step_backend (core, event, effects);
   placement_step (core->placement, event, &news, effects);
+  if (backend_take_news (core->backend))
+    waits_kick_all (core);
   look_at_attainment (core);
   int64_t now_ns = kwf_now_ns (core->options.clock);
   requests_tick (core, now_ns, effects);
@@ -293,3 +297,14 @@
   return config_lists (core->config) && session_may_act (core->session)
          && shares_ready (core->shares) && !core->stop.stopping;
 }
+
+void
+kwf_core_addresses (const kwf_core_t *core, kwf_address_fn_t fn, void *data)
+{
+  session_member_t member;
+  size_t at = 0;
+  while (session_next_member (core->session, &at, &member))
+    if (directory_lists (core, &member))
+      fn (member.caller_address, member.data_centre ? member.data_centre : "",
+          data);
+}
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* With trials the second loss is one of a suspect that ran alone.  */
+#define TRIAL_LOSSES 2
+
 /* A crash can follow the closing of the request's connection.  */
 #define CLOSED_NOTE_NS (2 * KWF_NS_PER_S)
 /* Expired rows are deleted by whoever comes first within this time.  */
@@ -41,6 +44,8 @@
 {
   crash_t *crash = g_new0 (crash_t, 1);
   crash->clock = options->clock;
+  crash->trials = !options->pushed;
+  crash->limit = crash->trials ? TRIAL_LOSSES : CRASHROW_MAX_LOST;
   crash->random = options->random;
   crash->instance = g_strdup (options->instance);
   crash->entries
@@ -218,7 +223,7 @@
 static bool
 is_bystander (const crash_t *crash, const entry_t *entry)
 {
-  return entry->finished && entry->n_lost == CRASHROW_MAX_LOST
+  return entry->finished && entry->n_lost >= crash->limit
          && are_losses_explained (crash, entry, true);
 }
 
@@ -238,8 +243,9 @@
                ? CRASH_QUARANTINED
                : CRASH_CLEAR;
   bool expired = entry->state == CRASH_SUSPECT && now_ns >= entry->until_ns;
-  return expired || crash_is_explained (crash, entry) ? CRASH_CLEAR
-                                                      : CRASH_SUSPECT;
+  return expired || !crash->trials || crash_is_explained (crash, entry)
+             ? CRASH_CLEAR
+             : CRASH_SUSPECT;
 }
 
 bool
@@ -324,17 +330,19 @@
   if (is_explained (crash, fingerprint, server, incarnation, false))
     return false;
   entry_t *entry = crash_find_or_add (crash, fingerprint);
-  if (entry->n_lost && crash_state (crash, fingerprint) == CRASH_CLEAR)
+  if (entry->n_lost && crash_state (crash, fingerprint) == CRASH_CLEAR
+      && (crash->trials || crash_now (crash) >= entry->until_ns))
     forget_losses (entry);
   if (here)
     entry->seen_here = true;
-  if (entry->n_lost == CRASHROW_MAX_LOST
+  if (entry->n_lost == crash->limit
       || crash_has_loss (entry, server, incarnation))
     return false;
   entry->lost[entry->n_lost++] = (loss_t){ g_strdup (server), incarnation };
-  if (entry->n_lost == CRASHROW_MAX_LOST)
+  if (entry->n_lost == crash->limit)
     {
-      crash_quarantine (crash, entry, entry->seen_here, effects);
+      crash_quarantine (crash, entry, entry->seen_here && crash->trials,
+                        effects);
       return true;
     }
   entry->state = CRASH_SUSPECT;
--- a/lib/crashrow.h
+++ b/lib/crashrow.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define CRASHROW_MAX_LOST 2
+#define CRASHROW_MAX_LOST 3
 
 typedef struct
 {
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -75,6 +75,11 @@
 
 struct crash
 {
+  /* Losses that quarantine a fingerprint, and whether one that has fewer may
+     run only as a trial.  Without trials nothing is written to the table:
+     peers are told.  */
+  int limit;
+  bool trials;
   const kwf_clock_t *clock;
   kwf_random_t *random;
   char *instance;
--- a/lib/crashtable.c
+++ b/lib/crashtable.c
@@ -115,9 +115,9 @@
 } row_context_t;
 
 static void
-merge_losses (entry_t *entry, const crashrow_t *row)
+merge_losses (const crash_t *crash, entry_t *entry, const crashrow_t *row)
 {
-  for (int i = 0; i < row->n_lost && entry->n_lost < CRASHROW_MAX_LOST; i++)
+  for (int i = 0; i < row->n_lost && entry->n_lost < crash->limit; i++)
     if (!crash_has_loss (entry, row->lost[i].server, row->lost[i].incarnation))
       entry->lost[entry->n_lost++] = (loss_t){ g_strdup (row->lost[i].server),
                                                row->lost[i].incarnation };
@@ -150,8 +150,8 @@
   entry->version = context->version;
   if (entry->own_trial)
     return;
-  merge_losses (entry, row);
-  if (entry->n_lost == CRASHROW_MAX_LOST && entry->state != CRASH_QUARANTINED)
+  merge_losses (crash, entry, row);
+  if (entry->n_lost == crash->limit && entry->state != CRASH_QUARANTINED)
     {
       bool known = strcmp (row->state, "quarantined") == 0;
       crash_quarantine (crash, entry, !known, context->effects);
--- a/lib/demand.c
+++ b/lib/demand.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define DECAY_S 10.0
+/* The sums are made anew after this time; much less than the decay.  */
+#define SUMS_NS (50 * KWF_NS_PER_MS)
 /* A model is cold after this time without a call.  */
 #define COLD_NS (60 * KWF_NS_PER_S)
 
@@ -280,7 +282,7 @@
 {
   demand_sums_t *sums = demand->sums;
   int64_t now_ns = kwf_now_ns (demand->clock);
-  if (!sums->valid || sums->at_ns != now_ns)
+  if (!sums->valid || now_ns - sums->at_ns > SUMS_NS)
     {
       g_hash_table_remove_all (sums->by_name);
       add_items (sums->by_name, demand->own, now_ns);
--- /dev/null
+++ b/lib/desk.c
@@ -0,0 +1,358 @@
+#include "desk.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* Time from the answer to an adapter's load until it can be used, as long as
+   the weight store is not crowded.  */
+#define ADAPTER_NS (15 * KWF_NS_PER_MS)
+/* Pause before a question or order after one that did not succeed.  The
+   engine's reports lag by some hundred milliseconds.  */
+#define AGAIN_NS (200 * KWF_NS_PER_MS)
+/* What the membership list says of an engine is this old at most.  */
+#define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
+/* An engine that carries out an order for longer is asked.  */
+#define CARRY_NS (3 * KWF_NS_PER_S)
+
+static void
+held_free (void *data)
+{
+  held_model_t *held = data;
+  g_hash_table_unref (held->adapters);
+  g_free (held);
+}
+
+static GHashTable *
+new_models (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, held_free);
+}
+
+desk_t *
+desk_new (const server_t *server)
+{
+  desk_t *desk = g_new0 (desk_t, 1);
+  desk->id = g_strdup (server->id);
+  desk->service = g_strdup (server->name);
+  desk->models = new_models ();
+  return desk;
+}
+
+void
+desk_free (void *data)
+{
+  desk_t *desk = data;
+  g_free (desk->id);
+  g_free (desk->address);
+  g_free (desk->service);
+  g_free (desk->order_id);
+  g_free (desk->model);
+  g_free (desk->adapter);
+  g_free (desk->carried);
+  g_hash_table_unref (desk->models);
+  g_free (desk);
+}
+
+held_model_t *
+desk_model (const desk_t *desk, const char *model)
+{
+  return g_hash_table_lookup (desk->models, model);
+}
+
+bool
+desk_has_adapter (const desk_t *desk, const char *model, const char *adapter)
+{
+  const held_model_t *held = desk_model (desk, model);
+  return held && g_hash_table_contains (held->adapters, adapter);
+}
+
+int
+desk_n_adapters (const desk_t *desk)
+{
+  int n = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, desk->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    n += (int)g_hash_table_size (((held_model_t *)value)->adapters);
+  return n;
+}
+
+int64_t
+desk_used_mb (const desk_t *desk, const kwf_lists_t *lists)
+{
+  int64_t mb = 0;
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, desk->models);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const kwf_model_t *model = kwf_lists_model (lists, name);
+      mb += model ? model->memory_mb : 0;
+    }
+  return mb;
+}
+
+static held_model_t *
+add_model (desk_t *desk, const char *name, held_state_t state, int64_t now_ns)
+{
+  held_model_t *held = g_new0 (held_model_t, 1);
+  held->state = state;
+  held->since_ns = now_ns;
+  held->adapters
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_hash_table_replace (desk->models, g_strdup (name), held);
+  return held;
+}
+
+static void
+add_adapter (held_model_t *held, const char *adapter, int64_t since_ns)
+{
+  int64_t *since = g_new (int64_t, 1);
+  *since = since_ns;
+  g_hash_table_replace (held->adapters, g_strdup (adapter), since);
+}
+
+/* Whether a model order that is carried out explains that MODEL is or is not
+   in a description.  */
+static bool
+is_carried (const desk_t *desk, const char *model)
+{
+  return g_strcmp0 (desk->carried, model) == 0;
+}
+
+/* The engine's own account replaces what was concluded from answers.  */
+static void
+begin_account (desk_t *desk, GHashTable **before)
+{
+  *before = desk->models;
+  desk->models = new_models ();
+}
+
+static void
+account_model (desk_t *desk, GHashTable *before, const char *name,
+               int64_t now_ns)
+{
+  const held_model_t *old = g_hash_table_lookup (before, name);
+  bool leaving = is_carried (desk, name) && desk->carried_kind == ORDER_UNLOAD;
+  bool loaded = old && old->state == HELD_LOADING;
+  add_model (desk, name, leaving ? HELD_UNLOADING : HELD_RESIDENT,
+             old && !loaded ? old->since_ns : now_ns);
+}
+
+static void
+end_account (desk_t *desk, GHashTable *before)
+{
+  bool there = desk->carried && desk_model (desk, desk->carried);
+  if (desk->carried && desk->carried_kind == ORDER_LOAD && !there)
+    add_model (desk, desk->carried, HELD_LOADING, desk->carried_ns);
+  else if (desk->carried && there == (desk->carried_kind == ORDER_LOAD))
+    g_clear_pointer (&desk->carried, g_free);
+  g_hash_table_unref (before);
+}
+
+static void
+restart (desk_t *desk, uint64_t incarnation)
+{
+  g_clear_pointer (&desk->order_id, g_free);
+  desk->incarnation = incarnation;
+  g_clear_pointer (&desk->carried, g_free);
+  desk->doubtful = false;
+  desk->orders = 0;
+  desk->accepted_ns = 0;
+}
+
+static const kwf_resident_t *
+find_model (const kwf_member_t *member, const char *model)
+{
+  for (size_t i = 0; i < member->n_models; i++)
+    if (strcmp (member->models[i].name, model) == 0)
+      return &member->models[i];
+  return NULL;
+}
+
+/* Notice the end of a load or unload of a model.  */
+static void
+note_carried (desk_t *desk, const kwf_member_t *member, int64_t now_ns)
+{
+  if (!desk->carried)
+    return;
+  bool there = find_model (member, desk->carried) != NULL;
+  held_model_t *held = desk_model (desk, desk->carried);
+  if (there != (desk->carried_kind == ORDER_LOAD))
+    return;
+  if (!there)
+    g_hash_table_remove (desk->models, desk->carried);
+  else if (held)
+    {
+      held->state = HELD_RESIDENT;
+      held->since_ns = now_ns;
+    }
+  g_clear_pointer (&desk->carried, g_free);
+}
+
+static void
+account_resident (desk_t *desk, GHashTable *before,
+                  const kwf_resident_t *model, int64_t now_ns)
+{
+  account_model (desk, before, model->name, now_ns);
+  for (size_t i = 0; i < model->n_adapters; i++)
+    add_adapter (desk_model (desk, model->name), model->adapters[i], now_ns);
+}
+
+void
+desk_take_member (desk_t *desk, const kwf_member_t *member, int64_t now_ns)
+{
+  if (g_strcmp0 (desk->address, member->address) != 0)
+    {
+      g_free (desk->address);
+      desk->address = g_strdup (member->address);
+    }
+  if (desk->incarnation != member->incarnation)
+    restart (desk, member->incarnation);
+  if (desk->order_id)
+    return;
+  note_carried (desk, member, now_ns);
+  /* The entry may have been written before the last order.  */
+  if (desk->accepted_ns && now_ns - desk->accepted_ns < ENTRY_LAG_NS)
+    return;
+  GHashTable *before;
+  begin_account (desk, &before);
+  for (size_t i = 0; i < member->n_models; i++)
+    account_resident (desk, before, &member->models[i], now_ns);
+  end_account (desk, before);
+}
+
+void
+desk_take_report (desk_t *desk, const kwf_report_event_t *report,
+                  int64_t now_ns)
+{
+  if (!report->valid || desk->order_id
+      || report->incarnation != desk->incarnation)
+    return;
+  desk->again_ns = now_ns + AGAIN_NS;
+  if (report->orders < desk->orders)
+    return;
+  GHashTable *before;
+  begin_account (desk, &before);
+  for (size_t i = 0; i < report->n_models; i++)
+    account_resident (desk, before, &report->models[i], now_ns);
+  if (!report->busy)
+    g_clear_pointer (&desk->carried, g_free);
+  end_account (desk, before);
+  desk->orders = report->orders;
+  desk->doubtful = report->busy && !desk->carried;
+}
+
+bool
+desk_is_free (const desk_t *desk, bool adapter, int64_t now_ns)
+{
+  return desk->usable && !desk->order_id && !desk->doubtful
+         && now_ns >= desk->again_ns && (adapter || !desk->carried);
+}
+
+void
+desk_order (desk_t *desk, order_kind_t kind, const char *model,
+            const char *adapter, const desk_context_t *context)
+{
+  static uint64_t number;
+  g_free (desk->order_id);
+  g_free (desk->model);
+  g_free (desk->adapter);
+  desk->order_id = g_strdup_printf ("%" PRIu64, ++number);
+  desk->kind = kind;
+  desk->model = g_strdup (model);
+  desk->adapter = g_strdup (adapter);
+  desk->sent_ns = context->now_ns;
+  kwf_effects_t *effects = context->effects;
+  kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ORDER);
+  kwf_order_t order = {
+    .server = kwf_effects_strdup (effects, desk->id),
+    .address = kwf_effects_strdup (effects, desk->address),
+    .id = kwf_effects_strdup (effects, desk->order_id),
+    .order = kind == ORDER_LOAD ? "load" : "unload",
+    .model = kwf_effects_strdup (effects, model),
+    .version = "",
+    .adapter = kwf_effects_strdup (effects, adapter),
+    .fence = context->token,
+    .holder = context->holder,
+    .after = desk->orders,
+  };
+  effect->order = order;
+}
+
+static desk_news_t
+accept (desk_t *desk, bool done, int64_t now_ns)
+{
+  bool adapter = *desk->adapter != '\0';
+  held_model_t *held = desk_model (desk, desk->model);
+  if (adapter && desk->kind == ORDER_LOAD)
+    {
+      if (held)
+        add_adapter (held, desk->adapter, now_ns + ADAPTER_NS);
+      return DESK_ADAPTER_IN;
+    }
+  if (adapter)
+    {
+      if (held)
+        g_hash_table_remove (held->adapters, desk->adapter);
+      return DESK_ADAPTER_OUT;
+    }
+  g_free (desk->carried);
+  desk->carried = done ? NULL : g_strdup (desk->model);
+  desk->carried_kind = desk->kind;
+  desk->carried_ns = now_ns;
+  if (desk->kind == ORDER_LOAD)
+    {
+      add_model (desk, desk->model, done ? HELD_RESIDENT : HELD_LOADING,
+                 now_ns);
+      return DESK_MODEL_LOADS;
+    }
+  if (done)
+    g_hash_table_remove (desk->models, desk->model);
+  else if (held)
+    held->state = HELD_UNLOADING;
+  return DESK_MODEL_LEAVES;
+}
+
+desk_news_t
+desk_take_answer (desk_t *desk, const kwf_order_event_t *event, int64_t now_ns)
+{
+  if (!desk->order_id || strcmp (desk->order_id, event->id) != 0)
+    return DESK_NOTHING;
+  g_clear_pointer (&desk->order_id, g_free);
+  if (event->status == 202)
+    {
+      desk->orders++;
+      desk->accepted_ns = now_ns;
+      return accept (desk, false, now_ns);
+    }
+  if (event->status == 200)
+    {
+      /* An adapter that nothing uses is unloaded at once, which counts; a
+         load of what is there does not.  */
+      desk->orders += *desk->adapter && desk->kind == ORDER_UNLOAD;
+      desk->accepted_ns = now_ns;
+      return accept (desk, true, now_ns);
+    }
+  desk->again_ns = now_ns + AGAIN_NS;
+  if (g_strcmp0 (event->code, "stale_fence") == 0)
+    return DESK_STALE_TOKEN;
+  desk->doubtful = true;
+  return DESK_NOTHING;
+}
+
+void
+desk_ask (desk_t *desk, const desk_context_t *context)
+{
+  bool slow = desk->carried && context->now_ns - desk->carried_ns > CARRY_NS;
+  if (!desk->usable || desk->order_id || (!desk->doubtful && !slow)
+      || context->now_ns < desk->again_ns)
+    return;
+  desk->again_ns = context->now_ns + 2 * AGAIN_NS;
+  if (slow)
+    desk->carried_ns = context->now_ns;
+  kwf_effect_t *effect = kwf_effects_add (context->effects, KWF_FX_PROBE);
+  effect->probe.server = kwf_effects_strdup (context->effects, desk->id);
+  effect->probe.address = kwf_effects_strdup (context->effects, desk->address);
+}
--- /dev/null
+++ b/lib/desk.h
@@ -0,0 +1,105 @@
+/* desk.h - one model engine as the instance that gives orders sees it, for
+   engines that check how many orders they have accepted.
+
+   Every order names that number, so an engine carries out at most one of
+   the orders that were made from the same state.  An order that was not
+   answered and arrives later is therefore refused, and needs no record in
+   the table.  At most one order is under way at each engine.  */
+
+#ifndef KNAPWEEDFORK_DESK_H
+#define KNAPWEEDFORK_DESK_H
+
+#include "backend.h"
+#include "ledger-row.h"
+
+typedef enum
+{
+  HELD_RESIDENT,
+  HELD_LOADING,
+  HELD_UNLOADING
+} held_state_t;
+
+typedef struct
+{
+  held_state_t state;
+  int64_t since_ns;
+  GHashTable *adapters; /* name to int64_t, when it is there */
+} held_model_t;
+
+typedef struct
+{
+  char *id;
+  char *address;
+  char *service;
+  uint64_t incarnation;
+  int64_t orders;      /* accepted by the engine, as far as known */
+  int64_t accepted_ns; /* time of the last one; 0: none by this instance */
+  GHashTable *models;  /* name to held_model_t */
+  bool usable;         /* listed and not leaving */
+  /* The order under way.  */
+  char *order_id; /* NULL: none */
+  order_kind_t kind;
+  char *model;
+  char *adapter; /* "" for the model itself */
+  int64_t sent_ns;
+  /* The load or unload of a model that goes on.  */
+  char *carried; /* the model; NULL: none */
+  order_kind_t carried_kind;
+  int64_t carried_ns; /* since then */
+  bool doubtful;      /* a load report is needed before the next order */
+  int64_t again_ns;   /* no order or question before */
+} desk_t;
+
+typedef struct
+{
+  int64_t now_ns;
+  int64_t token;      /* fencing token */
+  const char *holder; /* instance that has it */
+  kwf_effects_t *effects;
+} desk_context_t;
+
+desk_t *desk_new (const server_t *server);
+void desk_free (void *desk);
+
+/* Take what the membership list says of the engine.  */
+void desk_take_member (desk_t *desk, const kwf_member_t *member,
+                       int64_t now_ns);
+
+/* Take a load report that was asked for.  */
+void desk_take_report (desk_t *desk, const kwf_report_event_t *report,
+                       int64_t now_ns);
+
+typedef enum
+{
+  DESK_NOTHING,    /* nothing is known to have changed */
+  DESK_ADAPTER_IN, /* the adapter is there after a moment */
+  DESK_ADAPTER_OUT,
+  DESK_MODEL_LOADS,
+  DESK_MODEL_LEAVES,
+  DESK_STALE_TOKEN /* a higher token was used */
+} desk_news_t;
+
+/* Take the answer to the order under way.  MODEL and ADAPTER of the order are
+   kept in DESK until the next order.  */
+desk_news_t desk_take_answer (desk_t *desk, const kwf_order_event_t *event,
+                              int64_t now_ns);
+
+/* Whether an order may be given: for a model, or for an adapter.  */
+bool desk_is_free (const desk_t *desk, bool adapter, int64_t now_ns);
+
+/* Give an order.  The desk must be free.  */
+void desk_order (desk_t *desk, order_kind_t kind, const char *model,
+                 const char *adapter, const desk_context_t *context);
+
+/* Ask for a load report when one is needed and due.  */
+void desk_ask (desk_t *desk, const desk_context_t *context);
+
+held_model_t *desk_model (const desk_t *desk, const char *model);
+bool desk_has_adapter (const desk_t *desk, const char *model,
+                       const char *adapter);
+int desk_n_adapters (const desk_t *desk);
+
+/* Memory that DESK uses for its models, by LISTS.  */
+int64_t desk_used_mb (const desk_t *desk, const kwf_lists_t *lists);
+
+#endif
--- /dev/null
+++ b/lib/direct.c
@@ -0,0 +1,590 @@
+#include "direct.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "desk.h"
+#include "duty.h"
+#include "rebalance.h"
+
+/* Period of the rounds, and the least time between two that news ask for.  */
+#define ROUND_NS (250 * KWF_NS_PER_MS)
+#define ROUND_LEAST_NS (20 * KWF_NS_PER_MS)
+/* Other instances tell the holder their demand this often.  */
+#define TELL_NS (500 * KWF_NS_PER_MS)
+/* Loads that may begin at once beyond the weight store's rate.  */
+#define LOADS_BURST 2.0
+/* Part of the weight store's rate that is used, so that no window holds more
+   than it allows.  */
+#define LOADS_PART 0.95
+/* Memory that is kept free for each adapter place, beside the models.  */
+#define ADAPTER_MB 128
+/* Adapters of one model that get another copy for their demand.  */
+#define ADAPTER_PART 0.8
+
+struct direct
+{
+  kwf_placement_options_t options;
+  char *instance;
+  const kwf_clock_t *clock;
+  placement_sources_t sources;
+  duty_t *duty;
+  GHashTable *desks; /* id of a server to desk_t */
+  double loads;      /* that may begin now */
+  int64_t loads_ns;  /* time of LOADS */
+  int64_t next_ns;   /* next round */
+  int64_t last_ns;   /* last round */
+  int64_t tell_ns;   /* next time that demand is told */
+  bool held;         /* the duty was held in the last step */
+  uint64_t n_loads;
+  uint64_t n_unloads;
+  uint64_t n_adapter_loads;
+  uint64_t n_adapter_unloads;
+  uint64_t n_refused;
+};
+
+direct_t *
+direct_new (const kwf_core_options_t *options,
+            const placement_sources_t *sources)
+{
+  direct_t *direct = g_new0 (direct_t, 1);
+  direct->options = options->placement;
+  direct->instance = g_strdup (options->instance);
+  direct->clock = options->clock;
+  direct->sources = *sources;
+  direct->duty = duty_new (options, "placement", options->placement.lease_ns);
+  direct->desks
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, desk_free);
+  direct->loads_ns = kwf_now_ns (options->clock);
+  return direct;
+}
+
+void
+direct_free (direct_t *direct)
+{
+  if (!direct)
+    return;
+  duty_free (direct->duty);
+  g_hash_table_unref (direct->desks);
+  g_free (direct->instance);
+  g_free (direct);
+}
+
+/* Desks.  */
+
+static void
+take_member (direct_t *direct, const kwf_member_t *member, int64_t now_ns)
+{
+  const server_t *server = backend_find (direct->sources.backend, member->id);
+  if (!server || !member->described || member->kind != KWF_MEMBER_ENGINE)
+    return;
+  desk_t *desk = g_hash_table_lookup (direct->desks, member->id);
+  if (!desk)
+    {
+      desk = desk_new (server);
+      g_hash_table_insert (direct->desks, desk->id, desk);
+    }
+  desk_take_member (desk, member, now_ns);
+}
+
+static void
+take_members (direct_t *direct, const kwf_members_event_t *members,
+              int64_t now_ns)
+{
+  for (size_t i = 0; i < members->n_members; i++)
+    take_member (direct, &members->members[i], now_ns);
+  GHashTableIter iter;
+  gpointer id;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      const server_t *server = backend_find (direct->sources.backend, id);
+      if (server)
+        ((desk_t *)value)->usable
+            = !server_leaving (server) && !server->refused;
+      else
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* Tell all instances, this one too, what SERVER holds now.  */
+static void
+announce (direct_t *direct, const desk_t *desk, bool present,
+          kwf_effects_t *effects)
+{
+  const session_t *session = direct->sources.session;
+  kwf_placed_t placed
+      = { .server = kwf_effects_strdup (effects, desk->id),
+          .incarnation = desk->incarnation,
+          .model = kwf_effects_strdup (effects, desk->model),
+          .adapter = kwf_effects_strdup (effects, desk->adapter),
+          .present = present };
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  while (session_next_member (session, &at, &member))
+    if (member.linked)
+      session_send (member.instance, KWF_MSG_PLACED, effects)->placed = placed;
+  backend_take_placed (direct->sources.backend, &placed);
+}
+
+static void
+take_answer (direct_t *direct, const kwf_order_event_t *event, int64_t now_ns,
+             kwf_effects_t *effects)
+{
+  desk_t *desk = g_hash_table_lookup (direct->desks, event->server);
+  if (!desk || !desk->order_id)
+    return;
+  const char *verb = desk->kind == ORDER_LOAD ? "load" : "unload";
+  bool good = event->status == 200 || event->status == 202;
+  direct->n_refused += !good;
+  kwf_effects_log (effects, 362, good ? KWF_LOG_INFO : KWF_LOG_WARNING, NULL,
+                   "%s of %s%s%s on %s after_orders=%" G_GINT64_FORMAT
+                   " status=%d",
+                   verb, desk->model, *desk->adapter ? "/" : "", desk->adapter,
+                   desk->id, desk->orders, event->status);
+  switch (desk_take_answer (desk, event, now_ns))
+    {
+    case DESK_ADAPTER_IN:
+      announce (direct, desk, true, effects);
+      break;
+    case DESK_STALE_TOKEN:
+      duty_lost (direct->duty, effects);
+      break;
+    case DESK_NOTHING:
+    case DESK_ADAPTER_OUT:
+    case DESK_MODEL_LOADS:
+    case DESK_MODEL_LEAVES:
+      break;
+    }
+  direct->next_ns = MIN (direct->next_ns, now_ns);
+}
+
+/* Models.  */
+
+typedef struct
+{
+  rebalance_model_t *models;
+  rebalance_engine_t *engines;
+  GPtrArray *desks; /* of desk_t, one for each engine */
+  int n_models;
+  int n_engines;
+} fleet_t;
+
+static const int8_t states_of[] = { [HELD_RESIDENT] = REBALANCE_HELD,
+                                    [HELD_LOADING] = REBALANCE_LOADING,
+                                    [HELD_UNLOADING] = REBALANCE_UNLOADING };
+
+static void
+describe_engine (const direct_t *direct, fleet_t *fleet,
+                 const kwf_service_t *service, int at, int64_t now_ns)
+{
+  const kwf_lists_t *lists = config_lists (direct->sources.config);
+  const desk_t *desk = fleet->desks->pdata[at];
+  int8_t *states = g_new0 (int8_t, fleet->n_models + 1);
+  int64_t *held_for_ns = g_new0 (int64_t, fleet->n_models + 1);
+  for (int i = 0; i < fleet->n_models; i++)
+    {
+      const held_model_t *held = desk_model (desk, fleet->models[i].name);
+      if (!held)
+        continue;
+      states[i] = states_of[held->state];
+      held_for_ns[i] = now_ns - held->since_ns;
+    }
+  fleet->engines[at] = (rebalance_engine_t){
+    .free = desk_is_free (desk, false, now_ns),
+    .free_mb = service->memory_mb - desk_used_mb (desk, lists)
+               - (int64_t)service->adapter_slots * ADAPTER_MB,
+    .states = states,
+    .held_for_ns = held_for_ns,
+  };
+}
+
+static void
+fleet_begin (const direct_t *direct, const kwf_service_t *service,
+             fleet_t *fleet, int64_t now_ns)
+{
+  const kwf_lists_t *lists = config_lists (direct->sources.config);
+  const demand_t *demand = direct->sources.demand;
+  size_t n = kwf_lists_n_models (lists);
+  *fleet = (fleet_t){ .models = g_new0 (rebalance_model_t, n + 1),
+                      .desks = g_ptr_array_new () };
+  for (size_t i = 0; i < n; i++)
+    {
+      const kwf_model_t *model = kwf_lists_model_at (lists, i);
+      if (g_strcmp0 (model->service, service->name) != 0)
+        continue;
+      demand_wait_t wait = demand_waiting (demand, model->name, NULL);
+      fleet->models[fleet->n_models++]
+          = (rebalance_model_t){ .name = model->name,
+                                 .mb = model->memory_mb,
+                                 .rate
+                                 = demand_rate (demand, model->name, NULL),
+                                 .waiting = wait.waiting,
+                                 .priority = wait.priority };
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((desk_t *)value)->usable
+        && strcmp (((desk_t *)value)->service, service->name) == 0)
+      g_ptr_array_add (fleet->desks, value);
+  fleet->n_engines = (int)fleet->desks->len;
+  fleet->engines = g_new0 (rebalance_engine_t, fleet->n_engines + 1);
+  for (int i = 0; i < fleet->n_engines; i++)
+    describe_engine (direct, fleet, service, i, now_ns);
+}
+
+static void
+fleet_end (fleet_t *fleet)
+{
+  for (int i = 0; i < fleet->n_engines; i++)
+    {
+      g_free ((void *)fleet->engines[i].states);
+      g_free ((void *)fleet->engines[i].held_for_ns);
+    }
+  g_free (fleet->engines);
+  g_free (fleet->models);
+  g_ptr_array_free (fleet->desks, TRUE);
+}
+
+static void
+fill_loads (direct_t *direct, const kwf_service_t *service, int64_t now_ns)
+{
+  double passed_s = (double)(now_ns - direct->loads_ns) / (double)KWF_NS_PER_S;
+  double rate = service->loads_per_s * LOADS_PART;
+  direct->loads_ns = now_ns;
+  direct->loads = MIN (direct->loads + passed_s * rate, 1 + LOADS_BURST);
+}
+
+/* Stop sending to what goes, here and elsewhere, before it is ordered.  */
+static void
+begin_unload (direct_t *direct, desk_t *desk, const char *model,
+              const char *adapter, const desk_context_t *context)
+{
+  kwf_effects_t *effects = context->effects;
+  g_free (desk->model);
+  g_free (desk->adapter);
+  desk->model = g_strdup (model);
+  desk->adapter = g_strdup (adapter);
+  announce (direct, desk, false, effects);
+  *(*adapter ? &direct->n_adapter_unloads : &direct->n_unloads) += 1;
+  char *name = g_strdup (model);
+  char *part = g_strdup (adapter);
+  desk_order (desk, ORDER_UNLOAD, name, part, context);
+  g_free (name);
+  g_free (part);
+}
+
+static void
+place_models (direct_t *direct, const kwf_service_t *service,
+              const desk_context_t *context)
+{
+  fill_loads (direct, service, context->now_ns);
+  for (;;)
+    {
+      fleet_t fleet;
+      fleet_begin (direct, service, &fleet, context->now_ns);
+      rebalance_step_t step
+          = rebalance_next (fleet.models, fleet.n_models, fleet.engines,
+                            fleet.n_engines, direct->loads >= 1);
+      if (step.engine >= 0)
+        {
+          desk_t *desk = fleet.desks->pdata[step.engine];
+          const char *model = fleet.models[step.model].name;
+          if (step.load)
+            {
+              direct->loads -= 1;
+              direct->n_loads++;
+              desk_order (desk, ORDER_LOAD, model, "", context);
+            }
+          else
+            begin_unload (direct, desk, model, "", context);
+        }
+      fleet_end (&fleet);
+      if (step.engine < 0)
+        return;
+    }
+}
+
+/* Adapters.  */
+
+typedef struct
+{
+  const kwf_model_t *model;
+  const char *adapter;
+  int wanted; /* copies */
+  int copies;
+  double rate;
+} adapter_t;
+
+/* Copies that the demand for an adapter asks for: its part of the model's
+   demand of the copies of the model.  */
+static int
+copies_wanted (const direct_t *direct, const adapter_t *adapter, int holders)
+{
+  const demand_t *demand = direct->sources.demand;
+  double whole = demand_rate (demand, adapter->model->name, NULL);
+  if (demand_waiting (demand, adapter->model->name, adapter->adapter).waiting)
+    return MAX (1, adapter->copies);
+  if (adapter->rate <= 0 || whole <= 0)
+    return 0;
+  double part = adapter->rate / whole * holders * ADAPTER_PART;
+  return CLAMP ((int)ceil (part), 1, holders);
+}
+
+/* The adapter of DESK with the least demand for each of its copies, less than
+   BOUND; false: none.  */
+static bool
+find_idle_adapter (const direct_t *direct, const desk_t *desk, double bound,
+                   const char **model, const char **adapter)
+{
+  const demand_t *demand = direct->sources.demand;
+  GHashTableIter models;
+  gpointer name;
+  gpointer value;
+  bool found = false;
+  g_hash_table_iter_init (&models, desk->models);
+  while (g_hash_table_iter_next (&models, &name, &value))
+    {
+      GHashTableIter adapters;
+      gpointer part;
+      g_hash_table_iter_init (&adapters, ((held_model_t *)value)->adapters);
+      while (g_hash_table_iter_next (&adapters, &part, NULL))
+        {
+          double rate = demand_rate (demand, name, part);
+          if (rate >= bound)
+            continue;
+          found = true;
+          bound = rate;
+          *model = name;
+          *adapter = part;
+        }
+    }
+  return found;
+}
+
+/* The least busy engine that holds the model and not the adapter.  */
+static desk_t *
+find_desk (const direct_t *direct, const adapter_t *adapter, int64_t now_ns)
+{
+  desk_t *best = NULL;
+  double best_load = 0;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      desk_t *desk = value;
+      const held_model_t *held = desk_model (desk, adapter->model->name);
+      const server_t *server
+          = backend_find (direct->sources.backend, desk->id);
+      if (!held || held->state != HELD_RESIDENT || !server
+          || !desk_is_free (desk, true, now_ns)
+          || g_hash_table_contains (held->adapters, adapter->adapter))
+        continue;
+      double load = server_load (server) + desk_n_adapters (desk);
+      if (best && load >= best_load)
+        continue;
+      best = desk;
+      best_load = load;
+    }
+  return best;
+}
+
+static void
+place_adapter (direct_t *direct, const kwf_service_t *service,
+               const adapter_t *adapter, const desk_context_t *context)
+{
+  desk_t *desk = find_desk (direct, adapter, context->now_ns);
+  if (!desk)
+    return;
+  if (desk_n_adapters (desk) < service->adapter_slots)
+    {
+      direct->n_adapter_loads++;
+      desk_order (desk, ORDER_LOAD, adapter->model->name, adapter->adapter,
+                  context);
+      return;
+    }
+  const char *model;
+  const char *idle;
+  double bound
+      = adapter->copies ? adapter->rate / (adapter->copies + 1) : G_MAXDOUBLE;
+  if (find_idle_adapter (direct, desk, bound, &model, &idle))
+    begin_unload (direct, desk, model, idle, context);
+}
+
+static void
+place_adapters (direct_t *direct, const kwf_service_t *service,
+                const desk_context_t *context)
+{
+  const kwf_lists_t *lists = config_lists (direct->sources.config);
+  const demand_t *demand = direct->sources.demand;
+  for (size_t i = 0; i < kwf_lists_n_models (lists); i++)
+    {
+      const kwf_model_t *model = kwf_lists_model_at (lists, i);
+      if (g_strcmp0 (model->service, service->name) != 0)
+        continue;
+      for (size_t k = 0; k < model->n_adapters; k++)
+        {
+          adapter_t adapter = { .model = model,
+                                .adapter = model->adapters[k],
+                                .rate = demand_rate (demand, model->name,
+                                                     model->adapters[k]) };
+          int holders = 0;
+          GHashTableIter iter;
+          gpointer value;
+          g_hash_table_iter_init (&iter, direct->desks);
+          while (g_hash_table_iter_next (&iter, NULL, &value))
+            {
+              const held_model_t *held = desk_model (value, model->name);
+              if (!held || held->state != HELD_RESIDENT
+                  || !((desk_t *)value)->usable)
+                continue;
+              holders++;
+              adapter.copies
+                  += g_hash_table_contains (held->adapters, adapter.adapter);
+            }
+          adapter.wanted = copies_wanted (direct, &adapter, holders);
+          if (adapter.copies < adapter.wanted)
+            place_adapter (direct, service, &adapter, context);
+        }
+    }
+}
+
+/* Rounds.  */
+
+static void
+run_round (direct_t *direct, int64_t now_ns, kwf_effects_t *effects)
+{
+  const kwf_lists_t *lists = config_lists (direct->sources.config);
+  desk_context_t context = { .now_ns = now_ns,
+                             .token = duty_token (direct->duty),
+                             .holder = direct->instance,
+                             .effects = effects };
+  if (!lists || !context.token)
+    return;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    desk_ask (value, &context);
+  for (size_t i = 0; i < kwf_lists_n_services (lists); i++)
+    {
+      const kwf_service_t *service = kwf_lists_service_at (lists, i);
+      if (!service->engine)
+        continue;
+      place_adapters (direct, service, &context);
+      place_models (direct, service, &context);
+    }
+}
+
+static void
+ask_round (direct_t *direct, int64_t now_ns)
+{
+  direct->next_ns
+      = MIN (direct->next_ns, MAX (now_ns, direct->last_ns + ROUND_LEAST_NS));
+}
+
+static void
+take_message (direct_t *direct, const kwf_peer_event_t *peer, int64_t now_ns)
+{
+  if (peer->message->type == KWF_MSG_WANT)
+    {
+      demand_take_row (direct->sources.demand, peer->instance,
+                       peer->message->want);
+      ask_round (direct, now_ns);
+    }
+  else if (peer->message->type == KWF_MSG_PLACED)
+    backend_take_placed (direct->sources.backend, &peer->message->placed);
+}
+
+/* The holder is told of the demand here.  */
+static void
+tell_demand (direct_t *direct, kwf_effects_t *effects)
+{
+  const char *holder = duty_instance (direct->duty);
+  if (!holder || strcmp (holder, direct->instance) == 0)
+    return;
+  char *text = demand_write (direct->sources.demand);
+  const char *copy = kwf_effects_strdup (effects, text);
+  session_send (holder, KWF_MSG_WANT, effects)->want = copy;
+  g_free (text);
+}
+
+void
+direct_step (direct_t *direct, const kwf_event_t *event,
+             const session_news_t *news, kwf_effects_t *effects)
+{
+  int64_t now_ns = kwf_now_ns (direct->clock);
+  duty_step (direct->duty, direct->sources.session, event, news, effects);
+  bool held = duty_token (direct->duty) != 0;
+  /* A new holder does not know what was begun before.  */
+  if (held && !direct->held)
+    direct->loads = 0;
+  direct->held = held;
+  if (event->type == KWF_EV_MEMBERS)
+    {
+      take_members (direct, &event->members, now_ns);
+      ask_round (direct, now_ns);
+    }
+  else if (event->type == KWF_EV_ORDER_REPLY)
+    take_answer (direct, &event->order, now_ns, effects);
+  else if (event->type == KWF_EV_PEER_MESSAGE)
+    take_message (direct, &event->peer, now_ns);
+  else if (event->type == KWF_EV_REPORT)
+    {
+      desk_t *desk = g_hash_table_lookup (direct->desks, event->report.server);
+      if (desk)
+        desk_take_report (desk, &event->report, now_ns);
+    }
+  if (now_ns >= direct->tell_ns)
+    {
+      direct->tell_ns = now_ns + TELL_NS;
+      tell_demand (direct, effects);
+    }
+  if (now_ns < direct->next_ns)
+    return;
+  direct->last_ns = now_ns;
+  direct->next_ns = now_ns + ROUND_NS;
+  run_round (direct, now_ns, effects);
+}
+
+void
+direct_tell (direct_t *direct, kwf_effects_t *effects)
+{
+  if (!demand_take_news (direct->sources.demand))
+    return;
+  ask_round (direct, kwf_now_ns (direct->clock));
+  tell_demand (direct, effects);
+}
+
+void
+direct_release (direct_t *direct, kwf_effects_t *effects)
+{
+  duty_release (direct->duty, effects);
+}
+
+int64_t
+direct_deadline_ns (const direct_t *direct)
+{
+  int64_t deadline = MIN (direct->tell_ns, duty_deadline_ns (direct->duty));
+  return MIN (deadline, direct->next_ns);
+}
+
+void
+direct_write_metrics (const direct_t *direct, GString *out)
+{
+  g_string_append_printf (
+      out,
+      "# TYPE kwf_orders_total counter\n"
+      "kwf_orders_total{kind=\"load\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_orders_total{kind=\"unload\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_orders_total{kind=\"adapter_load\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_orders_total{kind=\"adapter_unload\"} %" G_GUINT64_FORMAT "\n"
+      "# TYPE kwf_orders_refused_total counter\n"
+      "kwf_orders_refused_total %" G_GUINT64_FORMAT "\n",
+      direct->n_loads, direct->n_unloads, direct->n_adapter_loads,
+      direct->n_adapter_unloads, direct->n_refused);
+}
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -107,6 +107,16 @@
   return (left->score < right->score) - (left->score > right->score);
 }
 
+bool
+directory_lists (const kwf_core_t *core, const session_member_t *member)
+{
+  if (member->leaving || !member->caller_address)
+    return false;
+  if (strcmp (member->instance, core->options.instance) == 0)
+    return !core->stop.stopping;
+  return session_member_live (core->session, member);
+}
+
 static GArray *
 live_members (kwf_core_t *core, const char *organisation)
 {
@@ -116,9 +126,7 @@
   size_t at = 0;
   while (session_next_member (core->session, &at, &member))
     {
-      bool self = strcmp (member.instance, core->options.instance) == 0;
-      if (member.expired || member.leaving || !member.caller_address
-          || (self && core->stop.stopping))
+      if (!directory_lists (core, &member))
         continue;
       choice_t choice = { .member = member };
       g_array_append_val (choices, choice);
--- /dev/null
+++ b/lib/duty.c
@@ -0,0 +1,255 @@
+#include "duty.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "op.h"
+
+/* A holder whose link is down for this long is replaced.  */
+#define ABSENT_NS (1500 * KWF_NS_PER_MS)
+/* Candidates try one after the other.  */
+#define RANK_NS (150 * KWF_NS_PER_MS)
+#define TXN_TIMEOUT_NS (1 * KWF_NS_PER_S)
+/* Pause after a write that did not succeed.  */
+#define AGAIN_NS (500 * KWF_NS_PER_MS)
+
+struct duty
+{
+  const kwf_clock_t *clock;
+  char *key; /* of the row */
+  char *instance;
+  uint64_t incarnation;
+  int64_t lease_ns;
+
+  int64_t version; /* of the row; 0: absent */
+  char *holder;    /* NULL or "": nobody */
+  uint64_t holder_incarnation;
+  int64_t seen_ns; /* holder last known to be there */
+  int64_t act_ns;  /* this instance may act from then on */
+  bool mine;
+  bool refused; /* a higher token was used than this one */
+  bool stopping;
+  kwf_handle_t op; /* write under way; 0: none */
+  bool op_releases;
+  uint64_t next_op;
+  int64_t next_ns; /* no write before */
+  int64_t deadline_ns;
+};
+
+duty_t *
+duty_new (const kwf_core_options_t *options, const char *name,
+          int64_t lease_ns)
+{
+  duty_t *duty = g_new0 (duty_t, 1);
+  duty->clock = options->clock;
+  duty->key = g_strconcat ("duty/", name, NULL);
+  duty->instance = g_strdup (options->instance);
+  duty->incarnation = options->incarnation;
+  duty->lease_ns = lease_ns;
+  duty->deadline_ns = INT64_MAX;
+  return duty;
+}
+
+void
+duty_free (duty_t *duty)
+{
+  if (!duty)
+    return;
+  g_free (duty->key);
+  g_free (duty->instance);
+  g_free (duty->holder);
+  g_free (duty);
+}
+
+int64_t
+duty_token (const duty_t *duty)
+{
+  return duty->mine && !duty->refused && !duty->stopping
+                 && kwf_now_ns (duty->clock) >= duty->act_ns
+             ? duty->version
+             : 0;
+}
+
+const char *
+duty_instance (const duty_t *duty)
+{
+  return duty->holder && *duty->holder ? duty->holder : NULL;
+}
+
+static void
+set_holder (duty_t *duty, int64_t version, const char *holder,
+            uint64_t incarnation, kwf_effects_t *effects)
+{
+  bool was = duty->mine;
+  bool first = !duty->version;
+  bool same = g_strcmp0 (duty->holder, duty->instance) == 0;
+  int64_t now_ns = kwf_now_ns (duty->clock);
+  g_free (duty->holder);
+  duty->holder = g_strdup (holder ? holder : "");
+  duty->holder_incarnation = incarnation;
+  duty->version = version;
+  duty->seen_ns = now_ns;
+  duty->refused = false;
+  duty->mine = g_strcmp0 (holder, duty->instance) == 0
+               && incarnation == duty->incarnation;
+  if (duty->mine == was)
+    return;
+  /* What the process before this one sent came from the same holder.  */
+  duty->act_ns = first || same ? now_ns : now_ns + duty->lease_ns;
+  kwf_effects_log (effects, 357, KWF_LOG_INFO, NULL,
+                   duty->mine ? "this instance has %s, token %" PRId64
+                              : "another instance has %s, token %" PRId64,
+                   duty->key, version);
+}
+
+static void
+take_row (duty_t *duty, const kwf_row_t *row, kwf_effects_t *effects)
+{
+  if (row->version <= duty->version)
+    return;
+  json_t *object = row->value ? json_loads (row->value, 0, NULL) : NULL;
+  const char *holder
+      = json_string_value (json_object_get (object, "instance"));
+  json_int_t incarnation
+      = json_integer_value (json_object_get (object, "incarnation"));
+  set_holder (duty, row->version, holder, (uint64_t)incarnation, effects);
+  json_decref (object);
+}
+
+static void
+write_row (duty_t *duty, const char *holder, kwf_effects_t *effects)
+{
+  json_t *object = json_pack ("{s:s,s:I}", "instance", holder, "incarnation",
+                              (json_int_t)duty->incarnation);
+  char *text = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  kwf_condition_t *condition = kwf_effects_alloc (effects, sizeof *condition);
+  kwf_put_t *put = kwf_effects_alloc (effects, sizeof *put);
+  *condition = (kwf_condition_t){ duty->key, duty->version };
+  *put = (kwf_put_t){ duty->key, kwf_effects_strdup (effects, text) };
+  free (text);
+  duty->op = op_handle (OP_DUTY, ++duty->next_op);
+  duty->op_releases = !*holder;
+  duty->next_ns = kwf_now_ns (duty->clock) + TXN_TIMEOUT_NS + AGAIN_NS;
+  kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
+  effect->store.op = duty->op;
+  effect->store.timeout_ns = TXN_TIMEOUT_NS;
+  effect->store.txn = (kwf_txn_t){
+    .conditions = condition, .n_conditions = 1, .puts = put, .n_puts = 1
+  };
+}
+
+static void
+take_reply (duty_t *duty, session_t *session, const kwf_store_reply_t *reply,
+            kwf_effects_t *effects)
+{
+  duty->op = 0;
+  duty->next_ns = kwf_now_ns (duty->clock) + AGAIN_NS;
+  if (reply->outcome == KWF_STORE_COMMITTED)
+    {
+      set_holder (duty, reply->revision,
+                  duty->op_releases ? "" : duty->instance, duty->incarnation,
+                  effects);
+      session_tell_news (session, reply->revision, effects);
+    }
+  for (size_t i = 0; i < reply->n_conflicts; i++)
+    if (strcmp (reply->conflicts[i].key, duty->key) == 0)
+      take_row (duty, &reply->conflicts[i], effects);
+}
+
+void
+duty_lost (duty_t *duty, kwf_effects_t *effects)
+{
+  if (duty->refused)
+    return;
+  duty->refused = true;
+  kwf_effects_log (effects, 361, KWF_LOG_WARNING, NULL,
+                   "%s: a higher token than %" PRId64 " was used", duty->key,
+                   duty->version);
+}
+
+void
+duty_release (duty_t *duty, kwf_effects_t *effects)
+{
+  if (duty->stopping)
+    return;
+  duty->stopping = true;
+  if (duty->mine && !duty->op)
+    write_row (duty, "", effects);
+}
+
+/* Place of this instance among the live ones, by name.  */
+static int
+rank_of (const duty_t *duty, const session_t *session)
+{
+  int rank = 0;
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  while (session_next_member (session, &at, &member))
+    rank += session_member_live (session, &member) && !member.leaving
+            && strcmp (member.instance, duty->instance) < 0;
+  return rank;
+}
+
+/* Whether the holder is another instance that is there.  */
+static bool
+is_held (const duty_t *duty, const session_t *session)
+{
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  if (duty->mine && !duty->refused)
+    return true;
+  while (session_next_member (session, &at, &member))
+    if (g_strcmp0 (member.instance, duty->holder) == 0)
+      return session_member_live (session, &member);
+  return false;
+}
+
+/* When this instance may take the duty.  */
+static int64_t
+take_at_ns (const duty_t *duty, const session_t *session)
+{
+  bool own = g_strcmp0 (duty->holder, duty->instance) == 0;
+  int64_t absent_ns = own || !duty_instance (duty) ? 0 : ABSENT_NS;
+  int64_t wait_ns = own ? 0 : rank_of (duty, session) * RANK_NS;
+  return MAX (duty->next_ns, duty->seen_ns + absent_ns + wait_ns);
+}
+
+void
+duty_step (duty_t *duty, session_t *session, const kwf_event_t *event,
+           const session_news_t *news, kwf_effects_t *effects)
+{
+  int64_t now_ns = kwf_now_ns (duty->clock);
+  for (size_t i = 0; news->fresh && i < news->n_rows; i++)
+    if (strcmp (news->rows[i].key, duty->key) == 0)
+      take_row (duty, &news->rows[i], effects);
+  if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->op
+      && duty->op)
+    take_reply (duty, session, &event->store.reply, effects);
+  duty->deadline_ns = INT64_MAX;
+  if (duty->stopping || !session_revision (session))
+    return;
+  if (!duty->seen_ns || is_held (duty, session))
+    {
+      duty->seen_ns = now_ns;
+      duty->deadline_ns = duty->mine ? INT64_MAX : now_ns + ABSENT_NS;
+      if (duty->version)
+        return;
+    }
+  int64_t at_ns = take_at_ns (duty, session);
+  if (duty->op)
+    return;
+  if (now_ns >= at_ns)
+    write_row (duty, duty->instance, effects);
+  else
+    duty->deadline_ns = at_ns;
+}
+
+int64_t
+duty_deadline_ns (const duty_t *duty)
+{
+  return duty->deadline_ns;
+}
--- /dev/null
+++ b/lib/duty.h
@@ -0,0 +1,39 @@
+/* duty.h - a duty that one instance has at a time, such as giving orders to
+   model engines.
+
+   The holder is a row of the table.  Its version is the fencing token: each
+   new holder has a higher one.  A holder that does not answer is replaced;
+   its successor first waits until orders that it may still have sent have
+   arrived.  */
+
+#ifndef KNAPWEEDFORK_DUTY_H
+#define KNAPWEEDFORK_DUTY_H
+
+#include "session.h"
+
+typedef struct duty duty_t;
+
+/* NAME names the row.  LEASE_NS: what a successor waits.  */
+duty_t *duty_new (const kwf_core_options_t *options, const char *name,
+                  int64_t lease_ns);
+void duty_free (duty_t *duty);
+
+/* Take rows, answers of the table and ticks.  */
+void duty_step (duty_t *duty, session_t *session, const kwf_event_t *event,
+                const session_news_t *news, kwf_effects_t *effects);
+
+/* Fencing token of this instance; 0: it may not act.  */
+int64_t duty_token (const duty_t *duty);
+
+/* The instance that holds the duty; NULL: none that is known.  */
+const char *duty_instance (const duty_t *duty);
+
+/* A server has seen a higher token than this instance's.  */
+void duty_lost (duty_t *duty, kwf_effects_t *effects);
+
+/* This instance is stopping: let go of the duty.  */
+void duty_release (duty_t *duty, kwf_effects_t *effects);
+
+int64_t duty_deadline_ns (const duty_t *duty);
+
+#endif
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -48,6 +48,21 @@
   return NULL;
 }
 
+holder_t *
+shares_holder_of (const shares_t *shares, const GPtrArray *holders,
+                  const char *instance, uint64_t incarnation)
+{
+  if (!shares->steady)
+    return holder_find (holders, instance, incarnation);
+  for (guint i = 0; i < holders->len; i++)
+    {
+      holder_t *holder = holders->pdata[i];
+      if (strcmp (holder->instance, instance) == 0)
+        return holder;
+    }
+  return NULL;
+}
+
 static void
 add_holder (GPtrArray *holders, const char *instance, uint64_t incarnation)
 {
@@ -96,6 +111,7 @@
     return;
   account->fresh = false;
   if (shares->share > 0
+      && holder_find (shares->holders, shares->instance, shares->incarnation)
       && (shares->epoch == 1 || shares->list_version > shares->row_version))
     account->bucket.level = bucket_cap (&account->bucket);
 }
@@ -104,8 +120,8 @@
 enter (shares_t *shares, int64_t epoch, kwf_effects_t *effects)
 {
   bool next = epoch == shares->epoch + 1;
-  bool member
-      = holder_find (shares->holders, shares->instance, shares->incarnation);
+  bool member = shares_holder_of (shares, shares->holders, shares->instance,
+                                  shares->incarnation);
   shares->old_share = next ? shares->share : 0;
   shares->share = member ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
@@ -161,25 +177,37 @@
   json_decref (object);
 }
 
+/* Whether HOLDER can no longer use its share; see session_is_gone.  */
+static bool
+is_gone (const shares_t *shares, const holder_t *holder, int64_t *version)
+{
+  session_member_t member;
+  size_t at = 0;
+  while (shares->steady && session_next_member (shares->session, &at, &member))
+    if (strcmp (member.instance, holder->instance) == 0 && !member.expired)
+      return false;
+  return session_is_gone (shares->session, holder->instance,
+                          holder->incarnation, version);
+}
+
 /* Whether HOLDER no longer uses a share of the epoch before.  */
 static bool
 has_left (const shares_t *shares, const holder_t *holder)
 {
   if (strcmp (holder->instance, shares->instance) == 0
-      && holder->incarnation == shares->incarnation)
+      && (shares->steady || holder->incarnation == shares->incarnation))
     return true;
   session_member_t member;
   size_t at = SESSION_OTHERS;
   while (session_next_member (shares->session, &at, &member))
     {
       if (strcmp (member.instance, holder->instance) == 0
-          && member.incarnation == holder->incarnation
+          && (shares->steady || member.incarnation == holder->incarnation)
           && member.epoch_left >= shares->epoch - 1)
         return true;
     }
   int64_t version;
-  return session_is_gone (shares->session, holder->instance,
-                          holder->incarnation, &version);
+  return is_gone (shares, holder, &version);
 }
 
 static void
@@ -188,7 +216,9 @@
   for (guint i = 0; i < shares->previous->len; i++)
     if (!has_left (shares, shares->previous->pdata[i]))
       {
-        session_renew_soon (shares->session);
+        /* The row that is missing is told of when it is written.  */
+        if (!shares->steady)
+          session_renew_soon (shares->session);
         return;
       }
   shares->settled = true;
@@ -222,8 +252,7 @@
       const holder_t *holder = shares->holders->pdata[i];
       int64_t version;
       bool gone = session_may_reclaim (shares->session)
-                  && session_is_gone (shares->session, holder->instance,
-                                      holder->incarnation, &version);
+                  && is_gone (shares, holder, &version);
       if (!gone)
         {
           add_holder (plan->holders, holder->instance, holder->incarnation);
@@ -389,12 +418,18 @@
 }
 
 void
-epoch_reply (shares_t *shares, const kwf_store_reply_t *reply, int64_t now_ns)
+epoch_reply (shares_t *shares, const kwf_store_reply_t *reply, int64_t now_ns,
+             kwf_effects_t *effects)
 {
   shares->op = 0;
   shares->need_ns = 0;
-  if (reply->outcome == KWF_STORE_COMMITTED
-      || reply->outcome == KWF_STORE_CONFLICT)
+  if (shares->steady && reply->outcome == KWF_STORE_COMMITTED)
+    session_tell_news (shares->session, reply->revision, effects);
+  bool answered = reply->outcome == KWF_STORE_COMMITTED
+                  || reply->outcome == KWF_STORE_CONFLICT;
+  if (answered && shares->steady)
+    session_take_news (shares->session, reply->revision);
+  else if (answered)
     session_renew_soon (shares->session);
   shares->next_write_ns = now_ns + RETRY_NS;
 }
--- a/lib/lists-data.h
+++ b/lib/lists-data.h
@@ -8,6 +8,7 @@
 #include <knapweedfork/lists.h>
 
 #include "finding.h"
+#include "lists-build.h"
 
 #define LISTS_MAX_RATE 1e9
 #define LISTS_MAX_BURST 1e10
@@ -34,11 +35,14 @@
 struct kwf_lists
 {
   GStringChunk *strings;
-  GPtrArray *blocks;        /* arrays of names */
-  GPtrArray *models;        /* of kwf_model_t */
-  GPtrArray *services;      /* of kwf_service_t */
-  GPtrArray *plans;         /* of plan_t */
-  GPtrArray *organisations; /* of kwf_organisation_t */
+  GPtrArray *blocks;          /* arrays of names */
+  GPtrArray *models;          /* of kwf_model_t */
+  GPtrArray *services;        /* of kwf_service_t */
+  GPtrArray *plans;           /* of plan_t */
+  GPtrArray *organisations;   /* of kwf_organisation_t */
+  GPtrArray *routes;          /* of kwf_route_t */
+  GHashTable *routes_by_host; /* name in lower case to GPtrArray of
+                                 kwf_route_t, the longest prefix first */
   GHashTable *model_by_name;
   GHashTable *service_by_name;
   GHashTable *plan_by_name;
@@ -48,8 +52,6 @@
 
 extern const char *const lists_priority_names[3];
 
-kwf_lists_t *lists_new (void);
-
 /* Copy TEXT, or an array of N names, into the lists.  */
 const char *lists_string (kwf_lists_t *lists, const char *text);
 const char **lists_names (kwf_lists_t *lists, size_t n);
--- a/lib/lists.c
+++ b/lib/lists.c
@@ -17,6 +17,9 @@
   lists->services = g_ptr_array_new_with_free_func (g_free);
   lists->plans = g_ptr_array_new_with_free_func (g_free);
   lists->organisations = g_ptr_array_new_with_free_func (g_free);
+  lists->routes = g_ptr_array_new_with_free_func (g_free);
+  lists->routes_by_host = g_hash_table_new_full (
+      g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   lists->model_by_name = g_hash_table_new (g_str_hash, g_str_equal);
   lists->service_by_name = g_hash_table_new (g_str_hash, g_str_equal);
   lists->plan_by_name = g_hash_table_new (g_str_hash, g_str_equal);
@@ -36,6 +39,8 @@
   g_hash_table_destroy (lists->plan_by_name);
   g_hash_table_destroy (lists->service_by_name);
   g_hash_table_destroy (lists->model_by_name);
+  g_hash_table_destroy (lists->routes_by_host);
+  g_ptr_array_free (lists->routes, TRUE);
   g_ptr_array_free (lists->organisations, TRUE);
   g_ptr_array_free (lists->plans, TRUE);
   g_ptr_array_free (lists->services, TRUE);
--- a/lib/op.h
+++ b/lib/op.h
@@ -17,7 +17,8 @@
   OP_CLAIM,
   OP_CONFIG,
   OP_CRASH,
-  OP_LEDGER
+  OP_LEDGER,
+  OP_DUTY
 } op_owner_t;
 
 static inline kwf_handle_t
--- a/lib/pace.c
+++ b/lib/pace.c
@@ -50,7 +50,7 @@
 pace_kind_t
 pace_kind (const request_t *request)
 {
-  if (request->kind == KWF_REQUEST_SERVICE)
+  if (!request_has_model (request))
     return PACE_SERVICE;
   return request->stream ? PACE_STREAM : PACE_WHOLE;
 }
--- a/lib/placement-state.h
+++ b/lib/placement-state.h
@@ -28,6 +28,7 @@
   char *instance;
   const kwf_clock_t *clock;
   placement_sources_t sources;
+  struct direct *direct; /* NULL: the rest is used */
   ledger_t *ledger;
   weights_t *weights;
   GHashTable *plans;    /* name of a model -> plan_t */
--- a/lib/placement-status.c
+++ b/lib/placement-status.c
@@ -2,6 +2,7 @@
 
 #include "placement-state.h"
 
+#include "direct.h"
 #include "metric.h"
 
 static json_t *
@@ -43,6 +44,8 @@
 json_t *
 placement_json (const placement_t *placement)
 {
+  if (placement->direct)
+    return json_pack ("{s:s}", "mode", "direct");
   json_t *engines = json_array ();
   for (size_t i = 0; i < ledger_n_servers (placement->ledger); i++)
     {
@@ -58,6 +61,11 @@
 void
 placement_write_metrics (const placement_t *placement, GString *out)
 {
+  if (placement->direct)
+    {
+      direct_write_metrics (placement->direct, out);
+      return;
+    }
   const placement_counts_t *counts = &placement->counts;
   int64_t reserved_mb = 0;
   size_t orders = 0;
--- a/lib/placement.c
+++ b/lib/placement.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "direct.h"
 #include "op.h"
 
 #define ROUND_NS (1 * KWF_NS_PER_S)
@@ -119,6 +120,11 @@
   placement->instance = g_strdup (options->instance);
   placement->clock = options->clock;
   placement->sources = *sources;
+  if (options->pushed)
+    {
+      placement->direct = direct_new (options, sources);
+      return placement;
+    }
   placement->ledger
       = ledger_new (&(ledger_options_t){ .instance = options->instance,
                                          .incarnation = options->incarnation,
@@ -148,11 +154,17 @@
 {
   if (!placement)
     return;
+  direct_free (placement->direct);
+  g_free (placement->instance);
+  if (placement->direct)
+    {
+      g_free (placement);
+      return;
+    }
   ledger_free (placement->ledger);
   weights_free (placement->weights);
   g_hash_table_unref (placement->plans);
   g_hash_table_unref (placement->unplaced);
-  g_free (placement->instance);
   g_free (placement);
 }
 
@@ -315,6 +327,11 @@
 {
   if (!placement->options.dynamic)
     return;
+  if (placement->direct)
+    {
+      direct_step (placement->direct, event, news, effects);
+      return;
+    }
   int64_t now_ns = kwf_now_ns (placement->clock);
   take_rows (placement, news);
   choose_decider (placement, effects);
@@ -336,6 +353,11 @@
 placement_tell (placement_t *placement, kwf_effects_t *effects)
 {
   demand_t *demand = placement->sources.demand;
+  if (placement->options.dynamic && placement->direct)
+    {
+      direct_tell (placement->direct, effects);
+      return;
+    }
   if (!placement->options.dynamic || !demand_take_news (demand))
     return;
   if (placement->decides)
@@ -357,9 +379,18 @@
 {
   if (!placement->options.dynamic)
     return INT64_MAX;
+  if (placement->direct)
+    return direct_deadline_ns (placement->direct);
   if (placement->decides)
     return MIN (placement->next_ns, ledger_deadline_ns (placement->ledger));
   return ledger_is_idle (placement->ledger)
              ? INT64_MAX
              : ledger_deadline_ns (placement->ledger);
 }
+
+void
+placement_release (placement_t *placement, kwf_effects_t *effects)
+{
+  if (placement->direct && placement->options.dynamic)
+    direct_release (placement->direct, effects);
+}
--- a/lib/placement.h
+++ b/lib/placement.h
@@ -35,6 +35,9 @@
 /* Tell the decider of calls that began to wait in this step.  */
 void placement_tell (placement_t *placement, kwf_effects_t *effects);
 
+/* This instance is stopping: another one may decide at once.  */
+void placement_release (placement_t *placement, kwf_effects_t *effects);
+
 int64_t placement_deadline_ns (const placement_t *placement);
 
 /* For the status page and the metrics.  */
--- /dev/null
+++ b/lib/rebalance.c
@@ -0,0 +1,225 @@
+#include "rebalance.h"
+
+#include <knapweedfork/clock.h>
+#include <math.h>
+
+/* A model that is not waited for counts as called from this rate on, in
+   tokens a second.  */
+#define CALLED_RATE 1.0
+/* A copy moves only when the demand on each copy of the model that gets it is
+   this many times that on each copy of the model that loses it
+   (hysteresis).  */
+#define MOVE_FACTOR 1.5
+/* A copy stays at least this long after it came, unless its model is not
+   called.  */
+#define STAY_NS (4 * KWF_NS_PER_S)
+
+typedef struct
+{
+  const rebalance_model_t *models;
+  const rebalance_engine_t *engines;
+  int n_models;
+  int n_engines;
+  int *copies;  /* held or on their way in */
+  int *settled; /* held */
+} view_t;
+
+static rebalance_state_t
+state_of (const view_t *view, int engine, int model)
+{
+  return (rebalance_state_t)view->engines[engine].states[model];
+}
+
+static bool
+is_called (const rebalance_model_t *model)
+{
+  return model->waiting || model->rate >= CALLED_RATE;
+}
+
+static double
+pressure (const view_t *view, int model)
+{
+  return view->models[model].rate / MAX (1, view->copies[model]);
+}
+
+/* Demand on each copy of MODEL when one of them is gone; INFINITY: its last
+   copy must stay.  */
+static double
+pressure_without (const view_t *view, int engine, int model)
+{
+  const rebalance_model_t *item = &view->models[model];
+  bool called = is_called (item);
+  if (called && view->settled[model] < 2)
+    return INFINITY;
+  if (called && view->engines[engine].held_for_ns[model] < STAY_NS)
+    return INFINITY;
+  return called ? item->rate / (view->copies[model] - 1) : 0;
+}
+
+/* Demand of the models that ENGINE holds.  */
+static double
+engine_pressure (const view_t *view, int engine)
+{
+  double sum = 0;
+  for (int i = 0; i < view->n_models; i++)
+    if (state_of (view, engine, i) != REBALANCE_ABSENT)
+      sum += pressure (view, i);
+  return sum;
+}
+
+/* What has to go from ENGINE for MODEL.  */
+typedef struct
+{
+  double cost; /* highest pressure that it leaves; INFINITY: no way */
+  int first;   /* to go; -1: there is room */
+} room_t;
+
+static room_t
+make_room (const view_t *view, int engine, int model)
+{
+  room_t room = { .first = -1 };
+  int64_t free_mb = view->engines[engine].free_mb;
+  bool *gone = g_newa (bool, view->n_models);
+  for (int i = 0; i < view->n_models; i++)
+    gone[i] = false;
+  while (free_mb < view->models[model].mb)
+    {
+      int least = -1;
+      double least_cost = INFINITY;
+      for (int i = 0; i < view->n_models; i++)
+        {
+          if (gone[i] || state_of (view, engine, i) != REBALANCE_HELD)
+            continue;
+          double cost = pressure_without (view, engine, i);
+          if (cost >= least_cost)
+            continue;
+          least = i;
+          least_cost = cost;
+        }
+      if (least < 0)
+        return (room_t){ .cost = INFINITY, .first = -1 };
+      gone[least] = true;
+      free_mb += view->models[least].mb;
+      room.cost = MAX (room.cost, least_cost);
+      if (room.first < 0)
+        room.first = least;
+    }
+  return room;
+}
+
+/* The engine on which a copy of MODEL costs least.  */
+static int
+find_engine (const view_t *view, int model, double bound, room_t *best)
+{
+  int found = -1;
+  double found_load = 0;
+  for (int i = 0; i < view->n_engines; i++)
+    {
+      if (!view->engines[i].free
+          || state_of (view, i, model) != REBALANCE_ABSENT)
+        continue;
+      room_t room = make_room (view, i, model);
+      if (!(room.cost <= bound) || isinf (room.cost))
+        continue;
+      double load = engine_pressure (view, i);
+      if (found >= 0
+          && (room.cost > best->cost
+              || (room.cost >= best->cost && load >= found_load)))
+        continue;
+      found = i;
+      found_load = load;
+      *best = room;
+    }
+  return found;
+}
+
+static rebalance_step_t
+step_for (const view_t *view, int model, double bound, bool may_load)
+{
+  room_t room = { 0 };
+  int engine = find_engine (view, model, bound, &room);
+  if (engine < 0 || (room.first < 0 && !may_load))
+    return (rebalance_step_t){ .engine = -1 };
+  return (rebalance_step_t){ .engine = engine,
+                             .load = room.first < 0,
+                             .model = room.first < 0 ? model : room.first };
+}
+
+static void
+count_copies (view_t *view)
+{
+  for (int i = 0; i < view->n_engines; i++)
+    for (int k = 0; k < view->n_models; k++)
+      {
+        rebalance_state_t state = state_of (view, i, k);
+        view->settled[k] += state == REBALANCE_HELD;
+        view->copies[k]
+            += state == REBALANCE_HELD || state == REBALANCE_LOADING;
+      }
+}
+
+/* The called model without a copy that is most urgent; -1: none.  */
+static int
+find_missing (const view_t *view, const bool *skipped)
+{
+  int best = -1;
+  for (int i = 0; i < view->n_models; i++)
+    {
+      const rebalance_model_t *model = &view->models[i];
+      if (skipped[i] || view->copies[i] || !is_called (model))
+        continue;
+      const rebalance_model_t *other = best < 0 ? NULL : &view->models[best];
+      if (!other || (model->waiting && !other->waiting)
+          || (model->waiting == other->waiting
+              && (model->priority < other->priority
+                  || (model->priority == other->priority
+                      && model->rate > other->rate))))
+        best = i;
+    }
+  return best;
+}
+
+/* The model whose copies carry most demand; -1: none.  */
+static int
+find_pressed (const view_t *view, const bool *skipped)
+{
+  int best = -1;
+  for (int i = 0; i < view->n_models; i++)
+    if (!skipped[i] && view->copies[i] && is_called (&view->models[i])
+        && view->copies[i] < view->n_engines
+        && (best < 0 || pressure (view, i) > pressure (view, best)))
+      best = i;
+  return best;
+}
+
+rebalance_step_t
+rebalance_next (const rebalance_model_t *models, int n_models,
+                const rebalance_engine_t *engines, int n_engines,
+                bool may_load)
+{
+  rebalance_step_t step = { .engine = -1 };
+  view_t view = { .models = models,
+                  .engines = engines,
+                  .n_models = n_models,
+                  .n_engines = n_engines,
+                  .copies = g_new0 (int, n_models + 1),
+                  .settled = g_new0 (int, n_models + 1) };
+  bool *skipped = g_new0 (bool, n_models + 1);
+  count_copies (&view);
+  int model;
+  while (step.engine < 0 && (model = find_missing (&view, skipped)) >= 0)
+    {
+      skipped[model] = true;
+      step = step_for (&view, model, G_MAXDOUBLE, may_load);
+    }
+  while (step.engine < 0 && (model = find_pressed (&view, skipped)) >= 0)
+    {
+      skipped[model] = true;
+      step = step_for (&view, model, pressure (&view, model) / MOVE_FACTOR,
+                       may_load);
+    }
+  g_free (skipped);
+  g_free (view.copies);
+  g_free (view.settled);
+  return step;
+}
--- a/lib/refusal.c
+++ b/lib/refusal.c
@@ -15,6 +15,7 @@
   [CODE_SERVICE_NOT_ALLOWED] = { "service_not_allowed", 403 },
   [CODE_MODEL_NOT_FOUND] = { "model_not_found", 404 },
   [CODE_SERVICE_NOT_FOUND] = { "service_not_found", 404 },
+  [CODE_ROUTE_NOT_FOUND] = { "route_not_found", 404 },
   [CODE_RATE_LIMITED] = { "rate_limited", 429 },
   [CODE_REQUEST_TOO_LARGE] = { "request_too_large", 413 },
   [CODE_IDEMPOTENCY_KEY_REQUIRED] = { "idempotency_key_required", 400 },
--- a/lib/renewal.c
+++ b/lib/renewal.c
@@ -7,8 +7,19 @@
 #include "op.h"
 #include "session-state.h"
 
+/* An answer that takes longer counts as lost.  */
+#define TIMEOUT_MOST_NS (2 * KWF_NS_PER_S)
+/* A silent table is asked at least this often.  */
+#define RETRY_MOST_NS (1 * KWF_NS_PER_S)
+/* Pause before a read that was not answered is repeated.  */
+#define READ_AGAIN_NS (1 * KWF_NS_PER_S)
+/* Least time between two reads that news ask for, so that those of several
+   instances are read together.  */
+#define READ_LEAST_NS (100 * KWF_NS_PER_MS)
+
 static const char *const prefixes[]
-    = { "list/", "key/", "session/", "shares", "crash/", "trial/", "ledger/" };
+    = { "list/",  "key/",   "session/", "shares",
+        "crash/", "trial/", "ledger/",  "duty/" };
 
 void
 relay_free (void *data)
@@ -132,6 +143,37 @@
     }
 }
 
+int64_t
+renewal_timeout_ns (const session_t *session)
+{
+  return MIN ((session->lease_ns - session->renew_ns) * 7 / 8,
+              TIMEOUT_MOST_NS);
+}
+
+bool
+renewal_wants_read (const session_t *session)
+{
+  return session->revision
+         && (session->news_revision > session->revision || session->strangers);
+}
+
+/* Read what changed, without renewing the lease.  */
+static void
+send_read (session_t *session, int64_t now_ns, kwf_effects_t *effects)
+{
+  session->op = op_handle (OP_SESSION, ++session->next_op);
+  session->op_reads = true;
+  session->op_sent_ns = now_ns;
+  session->strangers = false;
+  session->next_read_ns = now_ns + READ_LEAST_NS;
+  kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
+  effect->store.op = session->op;
+  effect->store.timeout_ns = renewal_timeout_ns (session);
+  effect->store.txn = (kwf_txn_t){ .prefixes = prefixes,
+                                   .n_prefixes = G_N_ELEMENTS (prefixes),
+                                   .after = session->revision };
+}
+
 static void
 send_renewal (session_t *session, int64_t now_ns, kwf_effects_t *effects)
 {
@@ -156,11 +198,12 @@
       };
     }
   session->op = op_handle (OP_SESSION, ++session->next_op);
+  session->op_reads = false;
   session->op_sent_ns = now_ns;
   session->next_renew_ns = now_ns + session->renew_ns;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
   effect->store.op = session->op;
-  effect->store.timeout_ns = (session->lease_ns - session->renew_ns) * 7 / 8;
+  effect->store.timeout_ns = renewal_timeout_ns (session);
   effect->store.txn = (kwf_txn_t){ .conditions = conditions,
                                    .n_conditions = n,
                                    .puts = puts,
@@ -177,13 +220,12 @@
   session->failures++;
   /* One lost answer is made up for at once; a silent platform is asked
      once a period.  */
-  int64_t wait
-      = session->failures == 1 ? session->renew_ns / 4 : session->renew_ns;
-  session->next_renew_ns = MAX (
-      now_ns, MIN (session->op_sent_ns + session->renew_ns, now_ns + wait));
+  int64_t period_ns = MIN (session->renew_ns, RETRY_MOST_NS);
+  int64_t wait_ns = session->failures == 1 ? period_ns / 4 : period_ns;
+  session->next_renew_ns
+      = MAX (now_ns, MIN (session->op_sent_ns + period_ns, now_ns + wait_ns));
   if (session->failures > 1)
-    session->next_renew_ns
-        = MAX (now_ns, session->op_sent_ns + session->renew_ns);
+    session->next_renew_ns = MAX (now_ns, session->op_sent_ns + period_ns);
   if (session->failures == 1)
     kwf_effects_log (effects, 102, KWF_LOG_WARNING, NULL,
                      "the table did not answer a renewal");
@@ -263,6 +305,9 @@
       member_restart_judging (session, now_ns);
     }
   member_judge (session, sent_ns, effects);
+  if (session->epoch_told != session->epoch_left)
+    session_tell_news (session, reply->revision, effects);
+  session->epoch_told = session->epoch_left;
   answer_sent_relays (session, reply->revision, effects);
 }
 
@@ -283,6 +328,20 @@
       = session->conflicts < 4 ? now_ns : now_ns + session->renew_ns / 4;
 }
 
+/* REPLY NULL: the table did not answer.  */
+static void
+take_read (session_t *session, const kwf_store_reply_t *reply, int64_t now_ns,
+           kwf_effects_t *effects, session_news_t *news)
+{
+  session->op = 0;
+  session->op_reads = false;
+  if (reply)
+    session_take_rows (session, reply->rows, reply->n_rows, reply->revision,
+                       now_ns, effects, news);
+  else
+    session->next_read_ns = now_ns + READ_AGAIN_NS;
+}
+
 void
 renewal_reply (session_t *session, const kwf_store_reply_t *reply,
                int64_t now_ns, kwf_effects_t *effects, session_news_t *news)
@@ -297,7 +356,9 @@
                        reply->revision, session->revision);
       definite = false;
     }
-  if (!definite)
+  if (session->op_reads)
+    take_read (session, definite ? reply : NULL, now_ns, effects, news);
+  else if (!definite)
     take_failure (session, now_ns, effects);
   else if (reply->outcome == KWF_STORE_COMMITTED)
     take_commit (session, reply, now_ns, effects, news);
@@ -352,11 +413,19 @@
 void
 renewal_run (session_t *session, int64_t now_ns, kwf_effects_t *effects)
 {
-  int64_t limit = (session->lease_ns - session->renew_ns) * 7 / 8;
-  if (session->op && now_ns - session->op_sent_ns >= limit)
-    take_failure (session, now_ns, effects);
+  if (session->op
+      && now_ns - session->op_sent_ns >= renewal_timeout_ns (session))
+    {
+      if (session->op_reads)
+        session->op = 0;
+      else
+        take_failure (session, now_ns, effects);
+    }
   if (!session->op && now_ns >= session->next_renew_ns)
     send_renewal (session, now_ns, effects);
+  else if (!session->op && renewal_wants_read (session)
+           && now_ns >= session->next_read_ns)
+    send_read (session, now_ns, effects);
   if (outage_is_silent (session, now_ns))
     ask_peer (session, now_ns, effects);
 }
--- a/lib/request.c
+++ b/lib/request.c
@@ -4,6 +4,16 @@
 
 #include "refusal.h"
 
+/* Servers to which a request is sent at most, unless its route says
+   otherwise.  */
+#define MAX_ATTEMPTS 3
+
+bool
+request_has_model (const request_t *request)
+{
+  return request->model != NULL;
+}
+
 request_t *
 request_find (const kwf_core_t *core, kwf_handle_t handle)
 {
@@ -77,6 +87,8 @@
     .idempotency_key = put_text (&end, event->idempotency_key),
     .idempotent = event->idempotent,
     .stream = event->stream,
+    .resuming = event->resuming,
+    .max_attempts = MAX_ATTEMPTS,
     .prompt_tokens = event->prompt_tokens,
     .fingerprint = crash_fingerprint (organisation, event->fingerprint),
     .priority = priority,
@@ -85,9 +97,8 @@
     .wake_ns = now_ns + timeout_ns,
     .series = metrics_series (core->metrics, organisation, priority),
   };
-  bool is_service = event->kind == KWF_REQUEST_SERVICE;
   request->route_key
-      = route_key (organisation, is_service ? event->service : event->model,
+      = route_key (organisation, event->model ? event->model : event->service,
                    event->prefix ? event->prefix : request->fingerprint);
   g_hash_table_insert (core->requests, &request->handle, request);
   request->wake
@@ -100,6 +111,9 @@
 {
   if (!request->n_ran)
     return 0;
+  /* Its limit counts what was sent, not what was generated.  */
+  if (request->kind == KWF_REQUEST_ROUTED)
+    return request->charged;
   bool own_doing = code == CODE_OK || code == CODE_CALLER_GONE
                    || code == CODE_DEADLINE_EXCEEDED
                    || code == CODE_KEY_WITHDRAWN;
@@ -136,6 +150,15 @@
   if (request->state == STATE_SHARE)
     shares_forget (core->shares, request->handle);
   settle_claim (core, request, effects);
+  int64_t age_ns = kwf_now_ns (core->options.clock) - request->arrived_ns;
+  kwf_effects_log (
+      effects, 223, KWF_LOG_INFO, request->id,
+      "ended code=%s organisation=%s target=%s adapter=%s priority=%d "
+      "attempts=%d ran=%d age_ms=%" G_GINT64_FORMAT,
+      code_name (code), request->organisation,
+      request->model ? request->model : request->service,
+      request->adapter ? request->adapter : "-", request->priority,
+      request->n_attempts, request->n_ran, age_ns / KWF_NS_PER_MS);
   double unused = request->charged - used_tokens (request, code);
   if (unused > 0)
     shares_refund (core->shares, request->organisation, unused);
@@ -167,12 +190,18 @@
 }
 
 void
-refuse_event (kwf_core_t *core, kwf_handle_t handle, series_t *series,
-              const refusal_t *refusal, kwf_effects_t *effects)
+refuse_event (kwf_core_t *core, const kwf_request_event_t *event,
+              series_t *series, const refusal_t *refusal,
+              kwf_effects_t *effects)
 {
+  kwf_handle_t handle = event->handle;
+  const char *id = event->id;
   if (!series)
     series = metrics_series (core->metrics, "", KWF_PRIORITY_INTERACTIVE);
   series->codes[refusal->code]++;
+  kwf_effects_log (effects, 221, KWF_LOG_INFO, id,
+                   "refused code=%s lists_version=%" G_GINT64_FORMAT,
+                   code_name (refusal->code), config_version (core->config));
   reply (handle, refusal, effects);
 }
 
--- a/lib/route.c
+++ b/lib/route.c
@@ -53,6 +53,10 @@
 {
   return server && server_usable (server, now_ns)
          && (!query->model || server_holds (server, query->model))
+         && (!query->model || !query->service
+             || strcmp (server->name, query->service) == 0)
+         && (!query->least || !query->adapter
+             || server_holds_adapter (server, query->model, query->adapter))
          && (!query->needs_resume || server->resume)
          && !was_tried (query, server);
 }
@@ -219,6 +223,44 @@
                       : backend_of_service (backend, query->service);
 }
 
+/* The holder with the least expected load for its size, of those with
+   room.  */
+static route_result_t
+choose_least (const GPtrArray *holders, const route_query_t *query,
+              int64_t now_ns)
+{
+  route_result_t result = { .verdict = ROUTE_UNAVAILABLE };
+  const server_t *full = NULL;
+  double least = 0;
+  uint64_t least_rank = 0;
+  for (guint i = 0; i < holders->len; i++)
+    {
+      server_t *server = g_ptr_array_index (holders, i);
+      if (!route_may_take (query, server, now_ns))
+        continue;
+      double load = expected_load (query, server);
+      if (server->slots > 0)
+        load /= server->slots;
+      uint64_t rank = rank_of (server, query->key);
+      if (!has_room (server))
+        {
+          full = full ? full : server;
+          continue;
+        }
+      if (result.server
+          && (load > least || (load >= least && rank < least_rank)))
+        continue;
+      result.server = server;
+      least = load;
+      least_rank = rank;
+    }
+  if (result.server)
+    result.verdict = ROUTE_FOUND;
+  else if (full)
+    result = (route_result_t){ .verdict = ROUTE_FULL, .full = { full } };
+  return result;
+}
+
 static route_result_t
 choose_holder (const GPtrArray *holders, const route_query_t *query,
                int64_t now_ns)
@@ -228,8 +270,8 @@
     return result;
   server_t *candidates[2];
   find_candidates (holders, query->key, candidates);
-  bool first = route_may_take (query, candidates[0], now_ns);
-  bool second = route_may_take (query, candidates[1], now_ns);
+  bool first = candidates[0] && route_may_take (query, candidates[0], now_ns);
+  bool second = candidates[1] && route_may_take (query, candidates[1], now_ns);
   if (first || second)
     {
       take_candidate (query, candidates, first, second, &result);
@@ -269,6 +311,8 @@
   const GPtrArray *holders = route_holders (backend, query);
   if (!holders)
     return (route_result_t){ .verdict = ROUTE_NONE };
+  if (query->least)
+    return choose_least (holders, query, now_ns);
   if (!query->version)
     return choose_holder (holders, query, now_ns);
   GPtrArray *kept = keep_holders (holders, query, now_ns);
--- a/lib/route.h
+++ b/lib/route.h
@@ -15,13 +15,14 @@
   const char *model;   /* NULL for services */
   const char *version; /* preferred; NULL: any */
   const char *adapter; /* NULL when none */
-  const char *service; /* NULL for models */
+  const char *service; /* of the server; NULL: any, for models */
   uint64_t key;        /* hash that ranks the servers */
   const char *data_centre;
   server_t *const *tried; /* not to be taken again */
   int n_tried;
   bool suspect;      /* only the two candidates may be taken */
   bool needs_resume; /* only servers that can resume a stream */
+  bool least;        /* the least loaded of all holders, not two candidates */
 } route_query_t;
 
 typedef enum
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -69,6 +69,7 @@
   int64_t lease_ns;
   int64_t renew_ns;
   const kwf_clock_t *clock;
+  bool pushed; /* rows are read when another instance tells of news */
 
   rows_t *rows;
   int64_t revision;
@@ -77,12 +78,18 @@
   GPtrArray *waiting_relays; /* of relay_t, for the next transaction */
   GPtrArray *sent_relays;    /* of relay_t, in the transaction under way */
 
+  int64_t news_revision; /* that others told of */
+  int64_t next_read_ns;  /* no read of the table before */
+  bool op_reads;         /* the transaction under way only reads */
+  bool strangers;        /* a linked instance has no known row */
+
   bool fenced;
   bool had_lease;
   bool leaving;
   bool write_open;
   int64_t epoch_left;
-  double load; /* requests under way, averaged up to load_ns */
+  int64_t epoch_told; /* that others were told of */
+  double load;        /* requests under way, averaged up to load_ns */
   int64_t load_ns;
   session_demand_fn_t demand_fn; /* NULL: none */
   void *demand_data;
@@ -140,6 +147,9 @@
                         kwf_effects_t *effects, session_news_t *news);
 
 /* Renewals.  */
+/* Whether rows are known to be missing.  */
+bool renewal_wants_read (const session_t *session);
+int64_t renewal_timeout_ns (const session_t *session);
 void renewal_run (session_t *session, int64_t now_ns, kwf_effects_t *effects);
 void renewal_reply (session_t *session, const kwf_store_reply_t *reply,
                     int64_t now_ns, kwf_effects_t *effects,
--- a/lib/session.c
+++ b/lib/session.c
@@ -5,6 +5,9 @@
 
 #include "op.h"
 
+/* Least time between renewals that are asked for, where they are rare.  */
+#define SOON_MOST_NS (KWF_NS_PER_S / 5)
+
 /* The load in the session row is averaged over this time.  */
 #define LOAD_NS (10 * KWF_NS_PER_S)
 
@@ -22,6 +25,7 @@
   session->renew_ns
       = options->renew_ns ? options->renew_ns : 800 * KWF_NS_PER_MS;
   session->clock = options->clock;
+  session->pushed = options->pushed;
   session->rows = rows_new ();
   session->members = g_ptr_array_new_with_free_func (member_free);
   session->waiting_relays = g_ptr_array_new_with_free_func (relay_free);
@@ -95,6 +99,9 @@
   member->hears = false;
   member->state_asked = false;
   member->ahead_sent = 0;
+  if (session->pushed
+      && (!member->version || member->incarnation != event->incarnation))
+    session->strangers = true;
   if (session->revision)
     return;
   member->state_asked = true;
@@ -170,6 +177,9 @@
     case KWF_MSG_STATE:
       take_state (session, peer, &message->state, now_ns, effects, news);
       return true;
+    case KWF_MSG_NEWS:
+      session_take_news (session, message->news);
+      return true;
     default:
       return false;
     }
@@ -260,6 +270,35 @@
   return state == SESSION_VALID || state == SESSION_OUTAGE;
 }
 
+bool
+session_member_live (const session_t *session, const session_member_t *member)
+{
+  if (strcmp (member->instance, session->instance) == 0)
+    return true;
+  return session->pushed ? member->linked : !member->expired;
+}
+
+void
+session_take_news (session_t *session, int64_t revision)
+{
+  session->news_revision = MAX (session->news_revision, revision);
+}
+
+void
+session_tell_news (const session_t *session, int64_t revision,
+                   kwf_effects_t *effects)
+{
+  if (!session->pushed)
+    return;
+  for (guint i = 0; i < session->members->len; i++)
+    {
+      const member_t *member = session->members->pdata[i];
+      if (member->linked)
+        session_send (member->instance, KWF_MSG_NEWS, effects)->news
+            = revision;
+    }
+}
+
 void
 session_set_epoch_left (session_t *session, int64_t epoch)
 {
@@ -273,10 +312,10 @@
 void
 session_renew_soon (session_t *session)
 {
-  session->next_renew_ns
-      = MIN (session->next_renew_ns,
-             MAX (kwf_now_ns (session->clock),
-                  session->op_sent_ns + session->renew_ns / 4));
+  session->next_renew_ns = MIN (
+      session->next_renew_ns,
+      MAX (kwf_now_ns (session->clock),
+           session->op_sent_ns + MIN (session->renew_ns / 4, SOON_MOST_NS)));
 }
 
 void
@@ -396,11 +435,13 @@
     return INT64_MAX;
   int64_t now_ns = session->stepped_ns;
   int64_t deadline = session->next_renew_ns;
+  if (!session->op && renewal_wants_read (session))
+    deadline = MIN (deadline, MAX (session->next_read_ns, now_ns));
   if (session->op)
-    deadline = session->op_sent_ns + session->renew_ns * 3 / 4;
-  if (session->op && deadline <= now_ns)
     deadline = session->op_sent_ns
-               + (session->lease_ns - session->renew_ns) * 7 / 8;
+               + MIN (session->renew_ns * 3 / 4, renewal_timeout_ns (session));
+  if (session->op && deadline <= now_ns)
+    deadline = session->op_sent_ns + renewal_timeout_ns (session);
   if (outage_is_silent (session, now_ns))
     deadline
         = MIN (deadline, MIN (session->next_peer_ns, session->next_round_ns));
--- a/lib/session.h
+++ b/lib/session.h
@@ -109,6 +109,19 @@
 kwf_message_t *session_send (const char *peer, kwf_message_type_t type,
                              kwf_effects_t *effects);
 
+/* Whether MEMBER is there, as far as this instance can tell: its lease is
+   valid, or, where leases are long because nothing is polled, its link is
+   up.  */
+bool session_member_live (const session_t *session,
+                          const session_member_t *member);
+
+/* Read the table soon: another instance has written REVISION.  */
+void session_take_news (session_t *session, int64_t revision);
+
+/* Tell the other instances that the table has rows of REVISION.  */
+void session_tell_news (const session_t *session, int64_t revision,
+                        kwf_effects_t *effects);
+
 /* Where session_next_member starts for members other than this instance.  */
 #define SESSION_OTHERS ((size_t)1)
 
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -7,11 +7,11 @@
 static const char *const formats[] = { "text", "json", NULL };
 static const char *const modes[] = { "dynamic", "static", NULL };
 static const char *const weights[] = { "worst_served", "attainment", NULL };
+static const char *const protocols[] = { "table", "rows", NULL };
 static const char *const levels[]
     = { "debug", "info", "warning", "error", NULL };
 
-/* A key must be refused within 3 s of its withdrawal, so a lease may not be
-   longer than the 2.4 s of docs/design.md section 4; a backend server that
+/* A backend server that
    leaves must be noticed within 3 s, so probes are at most 1 s apart; all
    attempts together must stay below 1.2 times the requests, so the retry
    share is at most 0.2.  */
@@ -45,10 +45,17 @@
     .most = 67108864 },
   { "callers", "stop_limit_ms", SETTING_INTEGER, AT (stop_limit_ms),
     .unit = "ms", .default_number = 0, .least = 0, .most = 86400000 },
+  { "callers", "ready_listen", SETTING_LISTEN, AT (ready_listen), .unit = "" },
+  { "callers", "directory_listen", SETTING_LISTEN, AT (directory_listen),
+    .unit = "" },
+  { "callers", "grace_s", SETTING_REAL, AT (grace_s), .unit = "s",
+    .default_number = 0, .least = 0, .most = 86400 },
+  { "limits", "overdraft", SETTING_REAL, AT (overdraft), .unit = "tokens",
+    .default_number = 0, .least = 0, .most = 1e9 },
   { "operator", "listen", SETTING_LISTEN, AT (operator_listen),
     .required = true, .unit = "" },
   { "operator", "token_file", SETTING_SECRET, AT (operator_token),
-    .required = true, .unit = "" },
+    .unit = "" },
   { "operator", "read_token_file", SETTING_SECRET, AT (reading_token),
     .unit = "" },
   { "operator", "tls_certificate", SETTING_PATH, AT (operator_certificate),
@@ -57,18 +64,18 @@
   { "peers", "listen", SETTING_LISTEN, AT (peer_listen), .required = true,
     .unit = "" },
   { "peers", "address", SETTING_ADDRESS, AT (peer_address), .unit = "" },
-  { "peers", "secret_file", SETTING_SECRET, AT (fleet_secret),
-    .required = true, .unit = "" },
+  { "peers", "secret_file", SETTING_SECRET, AT (fleet_secret), .unit = "" },
   { "peers", "accepted_secret_file", SETTING_SECRET,
     AT (accepted_fleet_secret), .unit = "" },
   { "platform", "address", SETTING_ADDRESS, AT (platform), .required = true,
     .unit = "" },
-  { "keys", "pepper_file", SETTING_SECRET, AT (key_pepper), .required = true,
-    .unit = "" },
+  { "platform", "protocol", SETTING_CHOICE, AT (protocol), .unit = "",
+    .default_text = "table", .names = protocols },
+  { "keys", "pepper_file", SETTING_SECRET, AT (key_pepper), .unit = "" },
   { "session", "lease_ms", SETTING_INTEGER, AT (lease_ms), .unit = "ms",
-    .default_number = 2400, .least = 300, .most = 2400 },
+    .default_number = 2400, .least = 300, .most = 600000 },
   { "session", "renew_ms", SETTING_INTEGER, AT (renew_ms), .unit = "ms",
-    .default_number = 800, .least = 50, .most = 1200 },
+    .default_number = 800, .least = 50, .most = 300000 },
   { "backend", "probe_ms", SETTING_INTEGER, AT (probe_ms), .unit = "ms",
     .default_number = 500, .least = 50, .most = 1000 },
   { "backend", "connect_ms", SETTING_INTEGER, AT (connect_ms), .unit = "ms",
@@ -103,6 +110,8 @@
     .unit = "", .default_number = 2, .least = 1, .most = 1000 },
   { "placement", "adapter_loads_at_once", SETTING_INTEGER, AT (adapter_loads),
     .unit = "", .default_number = 16, .least = 1, .most = 10000 },
+  { "placement", "lease_ms", SETTING_INTEGER, AT (duty_lease_ms), .unit = "ms",
+    .default_number = 3000, .least = 0, .most = 600000 },
   { "placement", "load_ms", SETTING_INTEGER, AT (load_ms), .unit = "ms",
     .default_number = 2000, .least = 1, .most = 600000 },
   { "placement", "copy_load", SETTING_INTEGER, AT (copy_load), .unit = "",
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -9,6 +9,9 @@
 #include "settings-table.h"
 #include "text.h"
 
+/* Longest lease with the protocol "table".  */
+#define TABLE_LEASE_MOST_MS 2400
+
 #define SECRET_MIN_BYTES 16
 #define SECRET_MAX_BYTES 4096
 
@@ -292,12 +295,42 @@
                     "both \"tls_certificate\" and \"tls_key\", or neither");
 }
 
+static void
+check_present (const reading_t *reading, const char *table, const char *key,
+               const char *value)
+{
+  place_t place = place_of (reading, table);
+  if (!value && (!place.table || toml_type (place.table, key) == TOML_ABSENT))
+    finding_report (&place, key, NULL, "nothing", "a value (required)");
+}
+
+/* With protocol "rows" the fleet secret is kept by the platform, keys come
+   with the configuration, and operators change nothing here.  */
+static void
+check_protocol (const reading_t *reading)
+{
+  const kwf_settings_t *s = reading->settings;
+  place_t session = place_of (reading, "session");
+  if (s->protocol && strcmp (s->protocol, "rows") == 0)
+    return;
+  check_present (reading, "operator", "token_file", s->operator_token);
+  check_present (reading, "peers", "secret_file", s->fleet_secret);
+  check_present (reading, "keys", "pepper_file", s->key_pepper);
+  /* A withdrawn key must be refused within 3 s (docs/design.md section 4),
+     and with this protocol its withdrawal is read with the renewals.  */
+  if (s->lease_ms > TABLE_LEASE_MOST_MS)
+    finding_report (&session, "lease_ms", NULL,
+                    finding_value (&session, "lease_ms"), "%d to %d ms", 300,
+                    TABLE_LEASE_MOST_MS);
+}
+
 /* Rules between fields.  */
 static void
 check_together (const reading_t *reading)
 {
   kwf_settings_t *s = reading->settings;
   place_t session = place_of (reading, "session");
+  check_protocol (reading);
   check_tls (reading, "callers", s->tls_certificate, s->tls_key);
   check_tls (reading, "operator", s->operator_certificate, s->operator_key);
   /* One lost renewal must not end the lease.  */
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -79,6 +79,12 @@
   const kwf_clock_t *clock;
   session_t *session; /* of the last step */
 
+  /* Members keep their shares over a restart, and give tokens only.  A new
+     process of a member starts with no tokens, so what the one before it
+     may have spent needs no proof.  */
+  bool steady;
+  double overdraft; /* tokens, over the fleet */
+
   int64_t epoch;
   int64_t row_version;
   int64_t list_version;
@@ -124,6 +130,13 @@
 holder_t *holder_find (const GPtrArray *holders, const char *instance,
                        uint64_t incarnation);
 
+/* The member of HOLDERS that INCARNATION of INSTANCE is; NULL: none.  */
+holder_t *shares_holder_of (const shares_t *shares, const GPtrArray *holders,
+                            const char *instance, uint64_t incarnation);
+
+/* Tokens that this instance may owe after a charge.  */
+double shares_allowance (const shares_t *shares);
+
 /* Epochs.  */
 void epoch_take_row (shares_t *shares, const kwf_row_t *row,
                      kwf_effects_t *effects);
@@ -131,7 +144,7 @@
 void epoch_run (shares_t *shares, bool fresh, int64_t now_ns,
                 kwf_effects_t *effects);
 void epoch_reply (shares_t *shares, const kwf_store_reply_t *reply,
-                  int64_t now_ns);
+                  int64_t now_ns, kwf_effects_t *effects);
 int64_t epoch_deadline_ns (const shares_t *shares);
 
 /* Set the share of a new account under the present epoch.  */
--- a/lib/share.c
+++ b/lib/share.c
@@ -19,6 +19,8 @@
   shares->instance = g_strdup (options->instance);
   shares->incarnation = options->incarnation;
   shares->clock = options->clock;
+  shares->steady = options->pushed;
+  shares->overdraft = options->overdraft;
   shares->holders = g_ptr_array_new_with_free_func (holder_free);
   shares->previous = g_ptr_array_new_with_free_func (holder_free);
   shares->accounts
@@ -70,12 +72,22 @@
   g_ptr_array_add (shares->busy, account);
 }
 
+/* Instances that may give tokens to others owe at most this in all.  */
+double
+shares_allowance (const shares_t *shares)
+{
+  return shares->share > 0 && shares->holders->len
+             ? shares->overdraft / shares->holders->len
+             : 0;
+}
+
 static account_t *
 add_account (shares_t *shares, const char *name)
 {
   account_t *account = g_new0 (account_t, 1);
   account->name = g_strdup (name);
   account->fresh = true;
+  account->bucket.steady = shares->steady;
   account->waiters = g_array_new (FALSE, TRUE, sizeof (waiter_t));
   account->asked = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_insert (shares->accounts, account->name, account);
@@ -158,7 +170,7 @@
   while (account->waiters->len)
     {
       waiter_t waiter = g_array_index (account->waiters, waiter_t, 0);
-      if (waiter.tokens > account->bucket.level)
+      if (waiter.tokens > account->bucket.level + shares_allowance (shares))
         return;
       account->bucket.level -= waiter.tokens;
       report (shares, &waiter, SHARE_GRANTED, 0);
@@ -188,7 +200,10 @@
   if (!account->asked->len && !account->waiters->len)
     account->round = 0;
   if (!account->waiters->len)
-    return;
+    {
+      bucket_set_room (&account->bucket, 0);
+      return;
+    }
   if (session_may_act (shares->session))
     grant_waiters (shares, account);
   refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS);
@@ -243,7 +258,7 @@
     {
     case KWF_EV_STORE_REPLY:
       if (event->store.op == shares->op)
-        epoch_reply (shares, &event->store.reply, now_ns);
+        epoch_reply (shares, &event->store.reply, now_ns, effects);
       break;
     case KWF_EV_PEER_UP:
       transfer_peer_down (shares, event->peer.instance);
@@ -326,10 +341,11 @@
   bucket_t *bucket = &account->bucket;
   bucket_fill (bucket, shares->valid_ns);
   result.retry_after_ms = retry_after_ms (account, tokens);
-  if (tokens > bucket->limit_burst)
+  double allowance = shares_allowance (shares);
+  if (tokens > bucket->limit_burst + allowance)
     return result;
   bucket_demand (bucket, tokens, now_ns);
-  if (!account->waiters->len && tokens <= bucket->level)
+  if (!account->waiters->len && tokens <= bucket->level + allowance)
     {
       bucket->level -= tokens;
       ask_ahead (shares, account, now_ns, effects);
@@ -339,6 +355,8 @@
     return result;
   waiter_t waiter = { request, tokens, now_ns };
   g_array_append_val (account->waiters, waiter);
+  if (shares->steady)
+    bucket_set_room (bucket, tokens);
   note_busy (shares, account);
   if (!account->round)
     transfer_ask (shares, account, now_ns, effects);
@@ -404,7 +422,8 @@
 bool
 shares_ready (const shares_t *shares)
 {
-  return shares->share > 0;
+  /* Without a share of its own, an instance may still get tokens.  */
+  return shares->share > 0 || (shares->steady && shares->epoch);
 }
 
 int64_t
--- a/lib/stop.c
+++ b/lib/stop.c
@@ -19,12 +19,16 @@
       return;
     }
   stop->stopping = true;
-  stop->serve_until_ns = now_ns + core->options.address_lifetime_ns
-                         + core->options.renew_ns + MARGIN_NS;
+  stop->serve_until_ns
+      = now_ns
+        + (core->options.linger_ns ? core->options.linger_ns
+                                   : core->options.address_lifetime_ns
+                                         + core->options.renew_ns + MARGIN_NS);
   stop->limit_ns = core->options.stop_limit_ns
                        ? now_ns + core->options.stop_limit_ns
                        : INT64_MAX;
   session_set_leaving (core->session);
+  placement_release (core->placement, effects);
   kwf_effects_log (effects, 240, KWF_LOG_INFO, NULL,
                    "stopping: %u requests are open, serving for another "
                    "%" G_GINT64_FORMAT " ms",
--- a/lib/transfer.c
+++ b/lib/transfer.c
@@ -32,8 +32,8 @@
   while (session_next_member (shares->session, &at, &member))
     {
       if (member.linked
-          && holder_find (shares->holders, member.instance,
-                          member.incarnation))
+          && shares_holder_of (shares, shares->holders, member.instance,
+                               member.incarnation))
         g_ptr_array_add (peers, g_strdup (member.instance));
     }
 }
@@ -49,6 +49,8 @@
   double first = account->waiters->len
                      ? g_array_index (account->waiters, waiter_t, 0).tokens
                      : 0;
+  if (bucket->steady && account->waiters->len)
+    return need / fmin (fmax (n, 1), 3);
   if (first - bucket->level > room)
     return bucket->level - first;
   return fmin (fmax (need, room / n), room / fmin (n, 3));
@@ -85,7 +87,9 @@
     session_renew_soon (shares->session);
   if (account && account->present && ask->epoch == shares->epoch
       && shares->share > 0 && session_may_act (shares->session)
-      && holder_find (shares->holders, event->instance, event->incarnation))
+      && (shares->steady
+          || holder_find (shares->holders, event->instance,
+                          event->incarnation)))
     {
       bucket_fill (&account->bucket, shares->valid_ns);
       bucket_demand (&account->bucket, 0, now_ns);
@@ -146,8 +150,8 @@
     return;
   if (give->number == account->round)
     strike_off (account, event->instance);
-  holder_t *holder
-      = holder_find (shares->holders, event->instance, event->incarnation);
+  holder_t *holder = shares_holder_of (shares, shares->holders,
+                                       event->instance, event->incarnation);
   if (!holder || give->epoch != shares->epoch || !is_part_sound (give)
       || give->number <= holder->last_give
       || give->number > shares->next_number)
@@ -177,8 +181,16 @@
 }
 
 static void
-note_lost (shares_t *shares, const char *instance, kwf_effects_t *effects)
+note_lost (shares_t *shares, const pending_give_t *pending,
+           kwf_effects_t *effects)
 {
+  const char *instance = pending->instance;
+  /* The tokens are lost and accrue again.  */
+  if (shares->steady)
+    {
+      bucket_release (&pending->account->bucket, pending->reserved);
+      return;
+    }
   if (!shares->want_epoch)
     kwf_effects_log (effects, 152, KWF_LOG_WARNING, NULL,
                      "a transfer to %s was not confirmed; "
@@ -197,7 +209,7 @@
       const pending_give_t *pending = shares->pending_gives->pdata[i];
       if (strcmp (pending->instance, instance) != 0)
         continue;
-      note_lost (shares, instance, effects);
+      note_lost (shares, pending, effects);
       g_ptr_array_remove_index_fast (shares->pending_gives, i);
     }
 }
@@ -220,7 +232,7 @@
       const pending_give_t *pending = shares->pending_gives->pdata[i];
       if (now_ns - pending->sent_ns < SHARE_CONFIRM_NS)
         continue;
-      note_lost (shares, pending->instance, effects);
+      note_lost (shares, pending, effects);
       g_ptr_array_remove_index_fast (shares->pending_gives, i);
     }
 }
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -54,7 +54,10 @@
 waits_for (const request_t *request, const server_t *server)
 {
   if (!request->full[0])
-    return server_holds (server, request->model);
+    return server_holds (server, request->model)
+           && (request->kind != KWF_REQUEST_ROUTED || !request->adapter
+               || server_holds_adapter (server, request->model,
+                                        request->adapter));
   return request->full[0] == server || request->full[1] == server;
 }
 
@@ -274,6 +277,14 @@
   core->waits.kicked = true;
 }
 
+void
+waits_kick_all (kwf_core_t *core)
+{
+  const GPtrArray *servers = backend_servers (core->backend);
+  for (guint i = 0; i < servers->len; i++)
+    waits_kick (core, g_ptr_array_index (servers, i));
+}
+
 static bool
 is_for (queue_item_t *item, void *data)
 {
--- a/net/caller.c
+++ b/net/caller.c
@@ -52,8 +52,11 @@
   return text;
 }
 
+/* EXACT: Retry-After has milliseconds, which callers of routes read; others
+   expect whole seconds.  */
 static void
-reply_error (instance_t *instance, const kwf_reply_t *reply, const char *id)
+reply_error (instance_t *instance, const kwf_reply_t *reply, const char *id,
+             bool exact)
 {
   char *body = error_body (reply);
   char retry[24];
@@ -61,8 +64,13 @@
   size_t n_headers = 1;
   if (reply->retry_after_ms >= 0)
     {
-      g_snprintf (retry, sizeof retry, "%lld",
-                  (long long)((reply->retry_after_ms + 999) / 1000));
+      if (exact)
+        g_snprintf (retry, sizeof retry, "%lld.%03lld",
+                    (long long)(reply->retry_after_ms / 1000),
+                    (long long)(reply->retry_after_ms % 1000));
+      else
+        g_snprintf (retry, sizeof retry, "%lld",
+                    (long long)((reply->retry_after_ms + 999) / 1000));
       headers[n_headers++] = (header_t){ "Retry-After", retry };
     }
   server_reply (instance->callers, reply->request, reply->status,
@@ -90,10 +98,13 @@
   if (!caller)
     return;
   header_t id = { "X-Request-Id", caller->id };
-  if (reply->code && caller->begun)
+  bool routed = caller->kind == KWF_REQUEST_ROUTED;
+  if (reply->code && caller->begun && routed)
+    server_abort (instance->callers, reply->request);
+  else if (reply->code && caller->begun)
     end_stream_with_error (instance, reply);
   else if (reply->code)
-    reply_error (instance, reply, caller->id);
+    reply_error (instance, reply, caller->id, routed);
   else
     server_reply (instance->callers, reply->request, reply->status,
                   reply->content_type, &id, 1, reply->body, reply->body_size);
@@ -110,7 +121,7 @@
                         .message = message,
                         .run = KWF_RUN_NO,
                         .retry_after_ms = -1 };
-  reply_error (instance, &reply, id);
+  reply_error (instance, &reply, id, false);
 }
 
 void
@@ -118,6 +129,8 @@
 {
   caller_t *caller = data;
   call_clear (&caller->call);
+  g_free (caller->id);
+  g_free (caller->first_event);
   g_free (caller->service);
   g_free (caller->target);
   if (caller->headers)
@@ -138,29 +151,45 @@
   g_hash_table_remove (instance->requests, &request);
 }
 
-static caller_t *
-new_caller (const server_request_t *request)
+caller_t *
+caller_new (const server_request_t *request, const char *given)
 {
   caller_t *caller = g_new0 (caller_t, 1);
   caller->handle = request->handle;
+  caller->last_id = -1;
   caller->ended = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
+  if (given)
+    {
+      caller->id = g_strdup (given);
+      return caller;
+    }
   uint64_t id[2];
   kwf_random_t *random = kwf_random_system ();
   random->ops->fill (random, id, sizeof id);
-  g_snprintf (caller->id, sizeof caller->id, "%016llx%08llx",
-              (unsigned long long)id[0],
-              (unsigned long long)(id[1] & 0xffffffff));
+  caller->id = g_strdup_printf ("%016llx%08llx", (unsigned long long)id[0],
+                                (unsigned long long)(id[1] & 0xffffffff));
   return caller;
 }
 
-/* Feed the request to the core and remember CALLER until the answer.  */
 static void
 accept_request (instance_t *instance, caller_t *caller,
                 const server_request_t *request, const char *key,
                 kwf_request_event_t *event)
+{
+  const char *timeout = server_header (request, "X-Request-Timeout-Ms");
+  if (timeout)
+    event->timeout_ns
+        = CLAMP (g_ascii_strtoll (timeout, NULL, 10), 0, MAX_TIMEOUT_MS)
+          * KWF_NS_PER_MS;
+  caller_accept (instance, caller, key, event);
+}
+
+void
+caller_accept (instance_t *instance, caller_t *caller, const char *key,
+               kwf_request_event_t *event)
 {
   char digest[KEY_DIGEST_SIZE];
-  const char *pepper = instance->settings->key_pepper;
+  const char *pepper = instance->pepper;
   if (key)
     {
       key_digest ((const unsigned char *)pepper, strlen (pepper), key, digest);
@@ -169,11 +198,6 @@
   event->handle = caller->handle;
   event->kind = caller->kind;
   event->id = caller->id;
-  const char *timeout = server_header (request, "X-Request-Timeout-Ms");
-  if (timeout)
-    event->timeout_ns
-        = CLAMP (g_ascii_strtoll (timeout, NULL, 10), 0, MAX_TIMEOUT_MS)
-          * KWF_NS_PER_MS;
   g_hash_table_insert (instance->requests, &caller->handle, caller);
   instance_step (instance,
                  &(kwf_event_t){ .type = KWF_EV_REQUEST, .request = *event });
@@ -370,7 +394,7 @@
 {
   (void)server;
   instance_t *instance = data;
-  caller_t *caller = new_caller (request);
+  caller_t *caller = caller_new (request, NULL);
   const char *key
       = key_from_authorization (server_header (request, "Authorization"));
   path_t path = classify (request->path);
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -30,6 +30,12 @@
   struct curl_slist *headers;
   ev_timer limit;
   char address[64];
+  char *echo_name; /* NULL: none is asked for */
+  char *echo_value;
+  bool echoed;
+  bool crossed; /* the answer is one to another request */
+  bool headed;  /* head() was called */
+  bool close_ends;
   bool fresh;
   bool head;
   bool sent; /* the request was put on a connection */
--- a/net/client-request.c
+++ b/net/client-request.c
@@ -74,6 +74,7 @@
 {
   char line[512];
   bool has_type = false;
+  bool has_accept = false;
   for (size_t i = 0; i < request->n_headers; i++)
     {
       const header_t *header = &request->headers[i];
@@ -81,6 +82,8 @@
         continue;
       if (g_ascii_strcasecmp (header->name, "content-type") == 0)
         has_type = true;
+      if (g_ascii_strcasecmp (header->name, "accept") == 0)
+        has_accept = true;
       /* libcurl takes "Name:" as a wish to leave the header out.  */
       const char *value = header->value + strspn (header->value, " \t");
       const char *format = *value ? "%s: %s" : "%s;%s";
@@ -95,6 +98,8 @@
       add_header (transfer, text);
       g_free (text);
     }
+  if (!has_accept)
+    add_header (transfer, "Accept:");
   if (transfer->body)
     {
       add_header (transfer, "Expect:");
@@ -156,6 +161,12 @@
   curl_easy_setopt (transfer->easy->curl, CURLOPT_URL, url);
   curl_easy_setopt (transfer->easy->curl, CURLOPT_REQUEST_TARGET,
                     request->target);
+  if (request->echo)
+    {
+      transfer->echo_name = g_strdup (request->echo->name);
+      transfer->echo_value = g_strdup (request->echo->value);
+    }
+  transfer->close_ends = request->close_ends;
   set_method (transfer, request);
   set_headers (transfer, request);
   set_limits (transfer, request);
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -7,6 +7,8 @@
 #include "client-internal.h"
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -130,6 +132,28 @@
   return 0;
 }
 
+/* A peer that lost power or is behind a partition does not answer; without
+   these options its connections would stay open for minutes.  */
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBES 2
+#define UNACKNOWLEDGED_MS 3000
+
+static void
+watch_peer (int fd)
+{
+  int on = 1;
+  int idle_s = PROBE_IDLE_S;
+  int interval_s = PROBE_INTERVAL_S;
+  int probes = PROBES;
+  int limit_ms = UNACKNOWLEDGED_MS;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+}
+
 static curl_socket_t
 open_socket (void *data, curlsocktype purpose, struct curl_sockaddr *address)
 {
@@ -142,6 +166,7 @@
                    address->protocol);
   if (fd < 0)
     return CURL_SOCKET_BAD;
+  watch_peer (fd);
   add_socket (easy->transfer->client, fd, true);
   return fd;
 }
--- a/net/client.c
+++ b/net/client.c
@@ -47,14 +47,48 @@
 }
 
 /* The types of the parameters are those of libcurl.  */
+/* Whether the line BYTES is the header that must be echoed, with its value;
+ *NAMED: it has the name.  */
+static bool
+is_echo (const transfer_t *transfer, const char *bytes, size_t size,
+         bool *named)
+{
+  size_t name = strlen (transfer->echo_name);
+  *named = size > name && bytes[name] == ':'
+           && g_ascii_strncasecmp (bytes, transfer->echo_name, name) == 0;
+  if (!*named)
+    return false;
+  const char *from = bytes + name + 1;
+  const char *end = bytes + size;
+  while (from < end && g_ascii_isspace (*from))
+    from++;
+  while (end > from && g_ascii_isspace (end[-1]))
+    end--;
+  return (size_t)(end - from) == strlen (transfer->echo_value)
+         && memcmp (from, transfer->echo_value, (size_t)(end - from)) == 0;
+}
+
+static bool
+check_echo (transfer_t *transfer, const char *bytes, size_t size)
+{
+  bool named;
+  bool end = size <= 2 && (*bytes == '\r' || *bytes == '\n');
+  if (is_echo (transfer, bytes, size, &named))
+    transfer->echoed = true;
+  else
+    transfer->crossed |= named || (end && !transfer->echoed);
+  return !transfer->crossed;
+}
+
 static size_t
 /* NOLINTNEXTLINE(readability-non-const-parameter) */
 on_header (char *bytes, size_t one, size_t size, void *data)
 {
-  (void)bytes;
   (void)one;
   easy_t *easy = data;
   easy->transfer->header_bytes += size;
+  if (easy->transfer->echo_name && !check_echo (easy->transfer, bytes, size))
+    return 0;
   if (easy->transfer->header_bytes <= MAX_HEADER_BYTES)
     return size;
   easy->transfer->oversized = true;
@@ -196,6 +230,8 @@
       easy_release (client, transfer->easy);
     }
   g_free (transfer->body);
+  g_free (transfer->echo_name);
+  g_free (transfer->echo_value);
   curl_slist_free_all (transfer->headers);
   kwf_slots_remove (client->transfers, transfer->handle);
 }
@@ -365,6 +401,8 @@
 {
   if (!transfer->easy)
     return "the request is not valid";
+  if (transfer->crossed)
+    return "the answer is one to another request";
   if (transfer->oversized)
     return "the answer is larger than the limit";
   return transfer->easy->error[0] ? transfer->easy->error
@@ -385,6 +423,32 @@
   return headers;
 }
 
+/* Call head() unless that was done; false: the handler cancelled.  */
+static bool
+deliver_head (transfer_t *transfer)
+{
+  client_t *client = transfer->client;
+  kwf_handle_t handle = transfer->handle;
+  if (transfer->headed || !transfer->handler->head)
+    return true;
+  transfer->headed = true;
+  long status = 0;
+  char *type = NULL;
+  CURL *curl = transfer->easy->curl;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &type);
+  GArray *headers = answer_headers (curl);
+  client_answer_t answer = {
+    .headers = (const header_t *)(void *)headers->data,
+    .n_headers = headers->len,
+    .status = (int)status,
+    .content_type = type,
+  };
+  transfer->handler->head (transfer->data, handle, &answer);
+  g_array_free (headers, TRUE);
+  return kwf_slots_get (client->transfers, handle) != NULL;
+}
+
 static void
 deliver_end (transfer_t *transfer)
 {
@@ -398,13 +462,15 @@
   CURL *curl = transfer->easy->curl;
   curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
   curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &type);
-  if (!is_delimited (transfer, (int)status))
+  if (!transfer->close_ends && !is_delimited (transfer, (int)status))
     {
       deliver_failure (transfer, "the answer has no length of its own");
       return;
     }
   client_t *client = transfer->client;
   kwf_handle_t handle = transfer->handle;
+  if (!deliver_head (transfer))
+    return;
   GArray *headers = answer_headers (curl);
   client_answer_t answer = {
     .headers = (const header_t *)(void *)headers->data,
@@ -428,6 +494,8 @@
   easy_t *easy = transfer->easy;
   client_t *client = transfer->client;
   kwf_handle_t handle = transfer->handle;
+  if (!deliver_head (transfer))
+    return;
   long status = 0;
   char *type = NULL;
   curl_easy_getinfo (easy->curl, CURLINFO_RESPONSE_CODE, &status);
--- a/net/client.h
+++ b/net/client.h
@@ -43,6 +43,10 @@
 
 typedef struct
 {
+  /* The head of the answer arrived; may be NULL.  Called once before data()
+     or done().  The body is empty.  */
+  void (*head) (void *data, kwf_handle_t transfer,
+                const client_answer_t *answer);
   /* Streaming: bytes arrived.  NULL: the body is collected.  STATUS is the
      HTTP status of the answer.  */
   void (*data) (void *data, kwf_handle_t transfer, int status,
@@ -65,8 +69,14 @@
   const void *body; /* copied; NULL: none */
   size_t body_size;
   int64_t timeout_ns; /* for the whole transfer; 0: none */
-  bool fresh;         /* never on a kept connection, which the server may be
-                         closing: for requests that may not be repeated */
+  /* A header that the answer must have with this value, else the answer is
+     one to another request: the transfer fails with KWF_FAIL_BROKEN and its
+     connection is closed.  NULL: none.  */
+  const header_t *echo;
+  bool close_ends; /* an answer without a length ends with a regular end
+                      of the connection */
+  bool fresh;      /* never on a kept connection, which the server may be
+                      closing: for requests that may not be repeated */
 } client_request_t;
 
 /* Start a transfer.  HANDLER must outlive it.  A request is sent at most
--- a/net/instance-parts.h
+++ b/net/instance-parts.h
@@ -8,19 +8,24 @@
 #include <knapweedfork/core.h>
 
 #include "../lib/call.h"
+#include "../lib/logging.h"
 #include "client.h"
+#include "dialect.h"
+#include "events.h"
 #include "instance.h"
 #include "peer.h"
-#include "platform.h"
 #include "server.h"
+#include "store.h"
 #include "stream.h"
 
 struct instance
 {
   struct ev_loop *loop;
+  const dialect_t *dialect;
   const kwf_settings_t *settings;
   const kwf_settings_t *access; /* newest: tokens of operators */
   uint64_t incarnation;
+  char *pepper;         /* of the digests of keys */
   char *caller_address; /* with the ports in use */
   char *operator_address;
   char *peer_address;
@@ -29,9 +34,11 @@
   bool stepping; /* effects are being carried out */
   server_t *callers;
   server_t *operators;
+  server_t *ready;     /* NULL: none */
+  server_t *directory; /* NULL: none */
   client_t *client;
   client_t *control; /* platform calls and load reports */
-  platform_t *platform;
+  store_t *store;
   peers_t *peers;
   GHashTable *requests; /* callers' handle -> caller_t */
   GHashTable *attempts; /* core's attempt handle -> transfer_t */
@@ -50,15 +57,17 @@
 {
   kwf_handle_t handle;
   kwf_request_kind_t kind;
-  char id[32];
+  char *id;
   call_t call;     /* COMPLETION */
   char *service;   /* SERVICE */
   char *target;    /* path and query for the backend server */
   GArray *headers; /* of header_t, for the backend server; strings live in
                       the server's request */
   bool idempotent;
-  bool begun;    /* the answer's head was sent */
-  GArray *ended; /* of kwf_handle_t: attempts with a complete answer */
+  bool begun;        /* the answer's head was sent */
+  char *first_event; /* ROUTED: that the caller had already; NULL: none */
+  int64_t last_id;   /* ROUTED: of the last event passed on; -1: none */
+  GArray *ended;     /* of kwf_handle_t: attempts with a complete answer */
 } caller_t;
 
 /* One transfer to a backend server.  */
@@ -73,16 +82,28 @@
   int status;
   char *content_type;
   GPtrArray *headers; /* names and values in turn, of a plain service */
+  /* ROUTED only.  */
+  events_t events;
+  answer_facts_t facts;
 } transfer_t;
 
 /* Feed one event to the core and carry out the effects.  */
 void instance_step (instance_t *instance, const kwf_event_t *event);
 
+/* A new secret in hex digits; free with g_free.  */
+char *random_text (void);
+
 /* Whether a header belongs to one connection and is not passed on.  */
 bool header_is_hop_by_hop (const char *name);
 
 /* Callers' port.  */
 extern const server_handler_t caller_handler;
+/* CALLER_NEW takes ID; NULL: a new one is made.  */
+caller_t *caller_new (const server_request_t *request, const char *id);
+/* Feed the request to the core and remember CALLER until the answer.  KEY
+   NULL: none.  */
+void caller_accept (instance_t *instance, caller_t *caller, const char *key,
+                    kwf_request_event_t *event);
 void caller_free (void *caller);
 /* Forget the request with the transfers that ended for it.  */
 void caller_forget (instance_t *instance, kwf_handle_t request);
@@ -98,6 +119,22 @@
 void transfer_discard (instance_t *instance, kwf_handle_t attempt);
 void transfer_free (void *transfer);
 
+/* The transfer ended; tell the core with FEED.  */
+typedef void (*transfer_feed_fn_t) (transfer_t *transfer,
+                                    kwf_event_type_t type,
+                                    kwf_attempt_event_t event);
+void transfer_finish (transfer_t *transfer, kwf_event_type_t type,
+                      kwf_attempt_event_t event, transfer_feed_fn_t feed);
+
+/* relay.c: transfers of routed requests.  */
+void relay_start (instance_t *instance, transfer_t *transfer,
+                  const kwf_attempt_start_t *start, caller_t *caller,
+                  const server_request_t *request);
+void relay_forward (instance_t *instance, transfer_t *transfer,
+                    caller_t *caller);
+void relay_forward_end (instance_t *instance, transfer_t *transfer,
+                        caller_t *caller);
+
 /* Load reports of backend servers.  */
 void probe_start (instance_t *instance, const char *server,
                   const char *address);
--- a/net/instance.c
+++ b/net/instance.c
@@ -7,8 +7,13 @@
 
 #include "../lib/logging.h"
 
-/* Time for the platform to answer a read of the membership list.  */
-#define MEMBERS_TIMEOUT_NS (2 * KWF_NS_PER_S)
+/* A stopping instance takes requests until this long before it is killed, so
+   that what it took can end.  */
+#define GRACE_KEPT_S 4.0
+/* What is still open this long before it is killed, is cut.  */
+#define GRACE_MARGIN_S 0.3
+/* Random bytes of a secret that this instance makes.  */
+#define SECRET_BYTES 32
 
 /* After the core has ended every request, bytes may still wait in the
    server; the loop goes on for at most this many polls of 50 ms.  */
@@ -31,6 +36,30 @@
       data, &(kwf_event_t){ .type = KWF_EV_MEMBERS, .members = *members });
 }
 
+static void
+on_config (void *data, const kwf_config_event_t *config)
+{
+  instance_step (data,
+                 &(kwf_event_t){ .type = KWF_EV_CONFIG, .config = *config });
+}
+
+/* Links that were made before it was known could not be.  */
+static void
+on_secret (void *data, const char *secret)
+{
+  instance_t *instance = data;
+  kwf_error_t error;
+  const char *const secrets[PEERS_MAX_SECRETS] = { secret, NULL };
+  if (peers_set_secrets (instance->peers, secrets, &error) != KWF_OK)
+    logging_event (20, KWF_LOG_ERROR, "fleet secret: %s: %s", error.step,
+                   error.message);
+}
+
+static const store_handler_t store_handler = { .reply = on_store_reply,
+                                               .members = on_members,
+                                               .config = on_config,
+                                               .secret = on_secret };
+
 static void
 on_peer_up (void *data, const char *peer, uint64_t incarnation)
 {
@@ -135,12 +164,11 @@
       set_tick (instance, effect->timer_ns);
       break;
     case KWF_FX_STORE:
-      platform_txn (instance->platform, effect->store.op, &effect->store.txn,
-                    effect->store.timeout_ns, on_store_reply, instance);
+      instance->store->ops->txn (instance->store, effect->store.op,
+                                 &effect->store.txn, effect->store.timeout_ns);
       break;
     case KWF_FX_MEMBERS:
-      platform_members (instance->platform, MEMBERS_TIMEOUT_NS, on_members,
-                        instance);
+      instance->store->ops->ask_members (instance->store);
       break;
     case KWF_FX_PROBE:
       probe_start (instance, effect->probe.server, effect->probe.address);
@@ -210,6 +238,25 @@
   return g_strdup_printf ("%.*s:%d", (int)(colon - address), address, port);
 }
 
+/* Time after SIGTERM at which what is left is cut: the end of it must still
+   reach the callers.  */
+static int64_t
+stop_limit_ns (const kwf_settings_t *settings)
+{
+  if (settings->grace_s > 0)
+    return (int64_t)((settings->grace_s - GRACE_MARGIN_S) * KWF_NS_PER_S);
+  return settings->stop_limit_ms * KWF_NS_PER_MS;
+}
+
+/* Time after SIGTERM during which requests are taken; 0: as long as address
+   answers hold.  */
+static int64_t
+linger_ns (const kwf_settings_t *settings)
+{
+  double linger_s = settings->grace_s - GRACE_KEPT_S;
+  return linger_s > 0 ? (int64_t)(linger_s * KWF_NS_PER_S) : 0;
+}
+
 static kwf_core_t *
 new_core (const instance_t *instance)
 {
@@ -225,7 +272,10 @@
       .probe_ns = settings->probe_ms * KWF_NS_PER_MS,
       .address_lifetime_ns = settings->address_lifetime_ms * KWF_NS_PER_MS,
       .default_timeout_ns = settings->default_timeout_ms * KWF_NS_PER_MS,
-      .stop_limit_ns = settings->stop_limit_ms * KWF_NS_PER_MS,
+      .stop_limit_ns = stop_limit_ns (settings),
+      .linger_ns = linger_ns (settings),
+      .pushed = instance->dialect->pushed,
+      .overdraft = settings->overdraft,
       .retry_share = settings->retry_share,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
                           settings->first_token_ms[1] * KWF_NS_PER_MS,
@@ -241,6 +291,7 @@
         .loads_at_once = settings->loads_at_once,
         .adapter_loads = settings->adapter_loads,
         .load_ns = settings->load_ms * KWF_NS_PER_MS,
+        .lease_ns = settings->duty_lease_ms * KWF_NS_PER_MS,
         .copy_load = settings->copy_load,
       },
       .clock = kwf_clock_system (),
@@ -299,7 +350,7 @@
           .tls_certificate = pem.certificate,
           .tls_key = pem.key,
       },
-      &caller_handler, instance, error);
+      instance->dialect->callers, instance, error);
   pem_clear (&pem);
   return server;
 }
@@ -346,7 +397,8 @@
   const char *const secrets[PEERS_MAX_SECRETS]
       = { settings->fleet_secret, settings->accepted_fleet_secret };
   instance->access = settings;
-  return peers_set_secrets (instance->peers, secrets, error) == KWF_OK
+  return (!settings->fleet_secret
+          || peers_set_secrets (instance->peers, secrets, error) == KWF_OK)
          && reload_certificate (instance->callers, settings->tls_certificate,
                                 settings->tls_key, error)
          && reload_certificate (instance->operators,
@@ -354,27 +406,64 @@
                                 settings->operator_key, error);
 }
 
+char *
+random_text (void)
+{
+  unsigned char bytes[SECRET_BYTES];
+  char text[2 * SECRET_BYTES + 1];
+  randombytes_buf (bytes, sizeof bytes);
+  return g_strdup (sodium_bin2hex (text, sizeof text, bytes, sizeof bytes));
+}
+
+/* A listener without bodies, at ADDRESS; NULL HANDLER: none.  */
+static bool
+open_small (instance_t *instance, server_t **server, const char *address,
+            const server_handler_t *handler, kwf_error_t *error)
+{
+  if (!handler || !address)
+    return true;
+  const kwf_settings_t *settings = instance->settings;
+  *server = server_start (
+      instance->loop,
+      &(server_options_t){
+          .address = address,
+          .max_header_bytes = (size_t)settings->max_header_bytes,
+          .max_body_bytes = (size_t)settings->max_body_bytes,
+          .max_connections = (unsigned)settings->max_connections,
+      },
+      handler, instance, error);
+  return *server != NULL;
+}
+
 /* Open the listeners; the order puts the callers' port last, so that no
    request arrives before its answers can be carried out.  */
 static bool
 open_ports (instance_t *instance, kwf_error_t *error)
 {
   const kwf_settings_t *settings = instance->settings;
+  char *made = settings->fleet_secret ? NULL : random_text ();
   instance->peers
       = peers_start (instance->loop,
                      &(peers_options_t){
                          .instance = settings->instance,
                          .incarnation = instance->incarnation,
                          .address = settings->peer_listen,
-                         .secrets = { settings->fleet_secret,
+                         .secrets = { made ? made : settings->fleet_secret,
                                       settings->accepted_fleet_secret },
                      },
                      &peer_handler, instance, error);
+  g_free (made);
   if (!instance->peers)
     return false;
   instance->operators = start_operators (instance, error);
   if (!instance->operators)
     return false;
+  if (!open_small (instance, &instance->ready, settings->ready_listen,
+                   instance->dialect->ready, error)
+      || !open_small (instance, &instance->directory,
+                      settings->directory_listen, instance->dialect->directory,
+                      error))
+    return false;
   instance->callers = start_callers (instance, error);
   if (!instance->callers)
     return false;
@@ -389,10 +478,13 @@
 
 instance_t *
 instance_start (struct ev_loop *loop, const kwf_settings_t *settings,
-                kwf_error_t *error)
+                const dialect_t *dialect, kwf_error_t *error)
 {
   instance_t *instance = g_new0 (instance_t, 1);
   instance->loop = loop;
+  instance->dialect = dialect;
+  instance->pepper = settings->key_pepper ? g_strdup (settings->key_pepper)
+                                          : random_text ();
   instance->settings = settings;
   instance->access = settings;
   instance->incarnation = (uint64_t)kwf_wall_ms (kwf_clock_system ());
@@ -417,8 +509,7 @@
   client_options_t control = { .connect_ms = (unsigned)settings->connect_ms,
                                .max_answer_bytes = CONTROL_ANSWER_BYTES };
   instance->control = client_new (loop, &control);
-  instance->platform = platform_new (instance->control, settings->platform,
-                                     settings->instance);
+  instance->store = dialect->new_store (instance, &store_handler);
   if (!open_ports (instance, error))
     {
       instance_free (instance);
@@ -446,11 +537,12 @@
   ev_timer_stop (instance->loop, &instance->exit_poll);
   if (instance->callers)
     server_stop (instance->callers);
-  if (instance->operators)
-    server_stop (instance->operators);
+  server_stop (instance->operators);
+  server_stop (instance->ready);
+  server_stop (instance->directory);
   if (instance->peers)
     peers_stop (instance->peers);
-  platform_free (instance->platform);
+  instance->store->ops->free (instance->store);
   g_hash_table_destroy (instance->attempts);
   g_hash_table_destroy (instance->requests);
   g_hash_table_destroy (instance->commands);
@@ -460,6 +552,7 @@
   if (instance->core)
     kwf_core_free (instance->core);
   kwf_effects_free (instance->effects);
+  g_free (instance->pepper);
   g_free (instance->caller_address);
   g_free (instance->operator_address);
   g_free (instance->peer_address);
--- a/net/instance.h
+++ b/net/instance.h
@@ -14,11 +14,14 @@
 
 typedef struct instance instance_t;
 
-/* Start serving on LOOP.  Return NULL and fill ERROR on failure.  The loop
-   is broken when the instance has stopped.  SETTINGS must outlive it.  */
+struct dialect;
+
+/* Start serving on LOOP, speaking DIALECT.  Return NULL and fill ERROR on
+   failure.  The loop is broken when the instance has stopped.  SETTINGS must
+   outlive it.  */
 instance_t *instance_start (struct ev_loop *loop,
                             const kwf_settings_t *settings,
-                            kwf_error_t *error);
+                            const struct dialect *dialect, kwf_error_t *error);
 
 /* Take over fleet secrets, operator tokens and TLS files from SETTINGS, which
    must live as long as the instance or until the next call.  False: not
--- a/net/message.c
+++ b/net/message.c
@@ -154,6 +154,7 @@
     case KWF_MSG_GOT:
     case KWF_MSG_STATE_ASK:
     case KWF_MSG_WANT:
+    case KWF_MSG_NEWS:
       return 1;
     case KWF_MSG_SILENT:
     case KWF_MSG_WITHDRAW:
@@ -162,6 +163,8 @@
     case KWF_MSG_ASK:
     case KWF_MSG_GIVE:
       return 6;
+    case KWF_MSG_PLACED:
+      return 5;
     case KWF_MSG_CRASH:
       return 3;
     default:
@@ -211,12 +214,22 @@
       break;
     case KWF_MSG_CRASH:
       wire_put_uint (writer, message->crash.fingerprint);
-      wire_put_text (writer, message->crash.server);
+      wire_put_text_or_empty (writer, message->crash.server);
       wire_put_uint (writer, message->crash.incarnation);
       break;
     case KWF_MSG_WANT:
       wire_put_value (writer, message->want);
       break;
+    case KWF_MSG_NEWS:
+      wire_put_int (writer, message->news);
+      break;
+    case KWF_MSG_PLACED:
+      wire_put_text (writer, message->placed.server);
+      wire_put_uint (writer, message->placed.incarnation);
+      wire_put_text (writer, message->placed.model);
+      wire_put_text_or_empty (writer, message->placed.adapter);
+      wire_put_bool (writer, message->placed.present);
+      break;
     }
 }
 
@@ -262,12 +275,22 @@
       break;
     case KWF_MSG_CRASH:
       message->crash.fingerprint = wire_uint (reader);
-      message->crash.server = wire_text (reader);
+      message->crash.server = wire_text_or_empty (reader);
       message->crash.incarnation = wire_uint (reader);
       break;
     case KWF_MSG_WANT:
       message->want = wire_value (reader);
       break;
+    case KWF_MSG_NEWS:
+      message->news = wire_int (reader);
+      break;
+    case KWF_MSG_PLACED:
+      message->placed.server = wire_text (reader);
+      message->placed.incarnation = wire_uint (reader);
+      message->placed.model = wire_text (reader);
+      message->placed.adapter = wire_text_or_empty (reader);
+      message->placed.present = wire_bool (reader);
+      break;
     }
 }
 
--- a/net/operator.c
+++ b/net/operator.c
@@ -74,6 +74,9 @@
 static access_t
 access_of (const instance_t *instance, const server_request_t *request)
 {
+  /* Where operators change nothing here, there is no token.  */
+  if (!instance->access->operator_token)
+    return ACCESS_READ;
   const char *shown
       = key_from_authorization (server_header (request, "Authorization"));
   if (is_token (shown, instance->access->operator_token))
@@ -115,7 +118,7 @@
 digest_of (const instance_t *instance, const char *key,
            char digest[KEY_DIGEST_SIZE])
 {
-  const char *pepper = instance->settings->key_pepper;
+  const char *pepper = instance->pepper;
   key_digest ((const unsigned char *)pepper, strlen (pepper), key, digest);
 }
 
@@ -189,6 +192,8 @@
   char *core = kwf_core_metrics (instance->core);
   GString *text = g_string_new (core);
   process_metrics (text, instance->peers);
+  if (instance->store->ops->write_metrics)
+    instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, request, 200, "text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   free (core);
--- a/net/order.c
+++ b/net/order.c
@@ -1,6 +1,5 @@
 #include "instance-parts.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -25,26 +24,16 @@
   g_hash_table_remove (order->instance->controls, order);
 }
 
-static const char *
-text_of (const json_t *object, const char *name)
-{
-  return json_string_value (json_object_get (object, name));
-}
-
 static void
 on_done (void *data, kwf_handle_t transfer, const client_answer_t *answer)
 {
   (void)transfer;
-  json_t *root = answer->body
-                     ? json_loadb (answer->body, answer->body_size, 0, NULL)
-                     : NULL;
-  kwf_order_event_t event = {
-    .status = answer->status,
-    .code = text_of (json_object_get (root, "error"), "code"),
-    .running = g_strcmp0 (text_of (root, "state"), "running") == 0,
-  };
+  const order_t *order = data;
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  kwf_order_event_t event = { .status = answer->status };
+  order->instance->dialect->read_order (&event, texts, answer);
   feed (data, &event);
-  json_decref (root);
+  g_ptr_array_free (texts, TRUE);
 }
 
 static void
@@ -61,14 +50,8 @@
 {
   static const client_handler_t handler
       = { .done = on_done, .failed = on_failed };
-  json_t *object
-      = json_pack ("{s:s,s:s,s:s,s:s,s:I}", "id", order->id, "order",
-                   order->order, "model", order->model, "version",
-                   order->version, "fence", (json_int_t)order->fence);
-  if (*order->adapter)
-    json_object_set_new (object, "adapter", json_string (order->adapter));
-  char *body = json_dumps (object, JSON_COMPACT);
-  json_decref (object);
+  const dialect_t *dialect = instance->dialect;
+  char *body = dialect->order_body (order);
   size_t server_size = strlen (order->server) + 1;
   size_t id_size = strlen (order->id) + 1;
   order_t *pending = g_malloc (sizeof *pending + server_size + id_size);
@@ -77,13 +60,14 @@
   memcpy (pending->server, order->server, server_size);
   memcpy (pending->server + server_size, order->id, id_size);
   g_hash_table_add (instance->controls, pending);
-  const header_t type = { "Content-Type", "application/json" };
+  const header_t headers[] = { { "Content-Type", "application/json" },
+                               { dialect->expect_name, pending->server } };
   client_start (instance->control,
                 &(client_request_t){ .method = "POST",
                                      .address = order->address,
-                                     .target = "/orders",
-                                     .headers = &type,
-                                     .n_headers = 1,
+                                     .target = dialect->order_target,
+                                     .headers = headers,
+                                     .n_headers = dialect->expect_name ? 2 : 1,
                                      .body = body,
                                      .body_size = strlen (body),
                                      .timeout_ns = ORDER_TIMEOUT_NS,
--- /dev/null
+++ b/net/relay.c
@@ -0,0 +1,197 @@
+/* Routed requests: the attempt on the backend server and its answer, which
+   is passed on as it is.  */
+
+#include "instance-parts.h"
+
+#include <string.h>
+#include <strings.h>
+
+static void
+feed (transfer_t *transfer, kwf_event_type_t type, kwf_attempt_event_t event)
+{
+  const answer_facts_t *facts = &transfer->facts;
+  event.attempt = transfer->attempt;
+  event.request = transfer->request;
+  event.tokens = transfer->events.count;
+  event.loaded = facts->loaded;
+  event.running = facts->running;
+  event.waiting = facts->waiting;
+  event.slots = facts->slots;
+  transfer->facts.loaded = false;
+  instance_step (transfer->instance,
+                 &(kwf_event_t){ .type = type, .attempt = event });
+}
+
+static bool
+is_event_stream (const transfer_t *transfer)
+{
+  return transfer->status == 200 && transfer->content_type
+         && g_str_has_prefix (transfer->content_type, "text/event-stream");
+}
+
+/* Whether a header of a server's answer is made anew here.  */
+static bool
+is_own_header (const char *name)
+{
+  return header_is_hop_by_hop (name) || strcasecmp (name, "Content-Type") == 0
+         || strcasecmp (name, "Date") == 0;
+}
+
+static void
+on_head (void *data, kwf_handle_t handle, const client_answer_t *answer)
+{
+  (void)handle;
+  transfer_t *transfer = data;
+  transfer->status = answer->status;
+  transfer->content_type = g_strdup (answer->content_type);
+  transfer->instance->dialect->read_facts (&transfer->facts, answer);
+  transfer->headers = g_ptr_array_new_with_free_func (g_free);
+  for (size_t i = 0; i < answer->n_headers; i++)
+    if (!is_own_header (answer->headers[i].name))
+      {
+        g_ptr_array_add (transfer->headers,
+                         g_strdup (answer->headers[i].name));
+        g_ptr_array_add (transfer->headers,
+                         g_strdup (answer->headers[i].value));
+      }
+}
+
+static void
+on_data (void *data, kwf_handle_t handle, int status, const char *content_type,
+         const char *bytes, size_t size)
+{
+  (void)handle;
+  (void)status;
+  (void)content_type;
+  transfer_t *transfer = data;
+  if (is_event_stream (transfer))
+    {
+      if (events_add (&transfer->events, bytes, size))
+        feed (transfer, KWF_EV_ATTEMPT_DATA, (kwf_attempt_event_t){ 0 });
+      return;
+    }
+  if (!transfer->body)
+    transfer->body = g_string_new (NULL);
+  g_string_append_len (transfer->body, bytes, (gssize)size);
+}
+
+static void
+on_done (void *data, kwf_handle_t handle, const client_answer_t *answer)
+{
+  (void)handle;
+  transfer_t *transfer = data;
+  if (answer->body_size)
+    on_data (transfer, handle, answer->status, answer->content_type,
+             answer->body, answer->body_size);
+  kwf_attempt_event_t event = { .status = transfer->status,
+                                .not_run = transfer->facts.not_run,
+                                .misplaced = transfer->facts.misplaced,
+                                .content_type = transfer->content_type };
+  transfer_finish (transfer, KWF_EV_ATTEMPT_END, event, feed);
+}
+
+static void
+on_failed (void *data, kwf_handle_t handle, kwf_failure_t failure,
+           const kwf_error_t *error)
+{
+  (void)handle;
+  transfer_t *transfer = data;
+  logging_event (250, KWF_LOG_INFO, "attempt on %s: %s: %s", error->peer,
+                 error->step, error->message);
+  transfer_finish (transfer, KWF_EV_ATTEMPT_FAILED,
+                   (kwf_attempt_event_t){ .failure = failure }, feed);
+}
+
+void
+relay_start (instance_t *instance, transfer_t *transfer,
+             const kwf_attempt_start_t *start, caller_t *caller,
+             const server_request_t *request)
+{
+  static const client_handler_t handler = {
+    .head = on_head, .data = on_data, .done = on_done, .failed = on_failed
+  };
+  int64_t left_ns = MAX (start->deadline_ns - kwf_now_ns (kwf_clock_system ()),
+                         KWF_NS_PER_MS);
+  char last_event[24];
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
+  g_array_append_vals (headers, caller->headers->data, caller->headers->len);
+  bool resumes = start->resumes && caller->last_id >= 0;
+  g_snprintf (last_event, sizeof last_event, "%" G_GINT64_FORMAT,
+              caller->last_id);
+  instance->dialect->add_headers (headers, texts, start,
+                                  left_ns / KWF_NS_PER_MS,
+                                  resumes ? last_event : caller->first_event);
+  events_init (&transfer->events, caller->last_id);
+  header_t echo = { instance->dialect->echo_name, caller->id };
+  client_request_t out = {
+    .method = request->method,
+    .address = start->address,
+    .target = caller->target,
+    .headers = (const header_t *)(void *)headers->data,
+    .n_headers = headers->len,
+    .body = request->body_size ? request->body : NULL,
+    .body_size = request->body_size,
+    .timeout_ns = left_ns,
+    .echo = &echo,
+    .close_ends = true,
+    .fresh = !start->repeatable,
+  };
+  transfer->handle = client_start (instance->client, &out, &handler, transfer);
+  g_array_free (headers, TRUE);
+  g_ptr_array_free (texts, TRUE);
+}
+
+static GArray *
+answer_headers (const transfer_t *transfer)
+{
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
+  for (guint i = 0; transfer->headers && i < transfer->headers->len; i += 2)
+    {
+      header_t header
+          = { transfer->headers->pdata[i], transfer->headers->pdata[i + 1] };
+      g_array_append_val (headers, header);
+    }
+  return headers;
+}
+
+void
+relay_forward (instance_t *instance, transfer_t *transfer, caller_t *caller)
+{
+  events_t *events = &transfer->events;
+  if (!caller->begun)
+    {
+      GArray *headers = answer_headers (transfer);
+      caller->begun = true;
+      server_begin (instance->callers, caller->handle, transfer->status,
+                    transfer->content_type,
+                    (const header_t *)(void *)headers->data, headers->len);
+      g_array_free (headers, TRUE);
+    }
+  caller->last_id = MAX (caller->last_id, events->last_id);
+  server_write (instance->callers, caller->handle, events->bytes->str,
+                events->whole);
+  events_take (events, events->whole);
+}
+
+void
+relay_forward_end (instance_t *instance, transfer_t *transfer,
+                   caller_t *caller)
+{
+  if (is_event_stream (transfer))
+    {
+      /* Bytes after the last whole event belong to the answer too.  */
+      events_t *events = &transfer->events;
+      events->whole = events->bytes->len;
+      relay_forward (instance, transfer, caller);
+      server_end (instance->callers, caller->handle);
+      return;
+    }
+  GArray *headers = answer_headers (transfer);
+  const GString *body = transfer->body;
+  server_reply (instance->callers, caller->handle, transfer->status,
+                transfer->content_type,
+                (const header_t *)(void *)headers->data, headers->len,
+                body ? body->str : "", body ? body->len : 0);
+  g_array_free (headers, TRUE);
+}
--- /dev/null
+++ b/net/store.h
@@ -0,0 +1,44 @@
+/* store.h - what the platform keeps for the fleet: table rows, and, where it
+   tells of them unasked, the membership list and the configuration.
+
+   Callbacks are made from the loop, never from within a call.  */
+
+#ifndef KNAPWEEDFORK_NET_STORE_H
+#define KNAPWEEDFORK_NET_STORE_H
+
+#include <glib.h>
+
+#include <knapweedfork/event.h>
+#include <knapweedfork/store.h>
+
+typedef struct store store_t;
+
+typedef struct
+{
+  /* Answer to txn().  */
+  void (*reply) (void *data, kwf_handle_t op, const kwf_store_reply_t *reply);
+  void (*members) (void *data, const kwf_members_event_t *members);
+  void (*config) (void *data, const kwf_config_event_t *config);
+  /* The fleet secret that the platform keeps.  */
+  void (*secret) (void *data, const char *secret);
+} store_handler_t;
+
+typedef struct
+{
+  /* Run TXN.  An answer after TIMEOUT_NS counts as UNKNOWN for a write and
+     FAILED for a read.  */
+  void (*txn) (store_t *store, kwf_handle_t op, const kwf_txn_t *txn,
+               int64_t timeout_ns);
+  /* Read the membership list; NULL: it comes unasked.  */
+  void (*ask_members) (store_t *store);
+  /* Append metrics of the calls made; may be NULL.  */
+  void (*write_metrics) (const store_t *store, GString *out);
+  void (*free) (store_t *store);
+} store_ops_t;
+
+struct store
+{
+  const store_ops_t *ops;
+};
+
+#endif
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -10,6 +10,7 @@
 {
   transfer_t *transfer = data;
   stream_clear (&transfer->stream);
+  events_clear (&transfer->events);
   if (transfer->body)
     g_string_free (transfer->body, TRUE);
   g_free (transfer->content_type);
@@ -64,8 +65,9 @@
 /* The transfer ended.  A complete answer is kept while its request is open,
    because the core may pass it on later than in this step; transfer_discard
    removes it at the latest when the request ends.  */
-static void
-finish (transfer_t *transfer, kwf_event_type_t type, kwf_attempt_event_t event)
+void
+transfer_finish (transfer_t *transfer, kwf_event_type_t type,
+                 kwf_attempt_event_t event, transfer_feed_fn_t feed_fn)
 {
   instance_t *instance = transfer->instance;
   kwf_handle_t attempt = transfer->attempt;
@@ -75,11 +77,17 @@
   transfer->handle = 0;
   if (keep)
     g_array_append_val (caller->ended, attempt);
-  feed (transfer, type, event);
+  feed_fn (transfer, type, event);
   if (!keep)
     g_hash_table_remove (instance->attempts, &attempt);
 }
 
+static void
+finish (transfer_t *transfer, kwf_event_type_t type, kwf_attempt_event_t event)
+{
+  transfer_finish (transfer, type, event, feed);
+}
+
 /* Tokens that a completion in one piece used, as its usage tells.  Without
    that the whole charge counts, so that no answer is free.  */
 static int64_t
@@ -241,14 +249,16 @@
 void
 transfer_start (instance_t *instance, const kwf_attempt_start_t *start)
 {
-  const caller_t *caller
-      = g_hash_table_lookup (instance->requests, &start->request);
+  caller_t *caller = g_hash_table_lookup (instance->requests, &start->request);
   const server_request_t *request
       = server_request (instance->callers, start->request);
   if (!caller || !request)
     return;
   transfer_t *transfer = new_transfer (instance, start);
-  send_request (instance, transfer, start, caller, request);
+  if (caller->kind == KWF_REQUEST_ROUTED)
+    relay_start (instance, transfer, start, caller, request);
+  else
+    send_request (instance, transfer, start, caller, request);
 }
 
 void
@@ -291,6 +301,14 @@
 transfer_forward (instance_t *instance, kwf_handle_t attempt)
 {
   transfer_t *transfer = g_hash_table_lookup (instance->attempts, &attempt);
+  if (transfer && transfer->events.bytes)
+    {
+      caller_t *routed
+          = g_hash_table_lookup (instance->requests, &transfer->request);
+      if (routed)
+        relay_forward (instance, transfer, routed);
+      return;
+    }
   if (!transfer || !transfer->stream.bytes)
     return;
   caller_t *caller = begin_answer (instance, transfer);
@@ -333,7 +351,9 @@
       = g_hash_table_lookup (instance->requests, &transfer->request);
   if (!caller)
     return;
-  if (transfer->body)
+  if (caller->kind == KWF_REQUEST_ROUTED)
+    relay_forward_end (instance, transfer, caller);
+  else if (transfer->body)
     reply_whole (instance, transfer, caller);
   else
     {
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 
 /* Sources that write log events.  These two only pass numbers on.  */
-static const char *const directories[] = { "lib", "net", "cmd" };
+static const char *const directories[] = { "lib", "net", "platform", "cmd" };
 static const char *const passing[] = { "lib/effect.c", "lib/logging.c" };
 
 /* A call, and its number when that is written out.  */
