--- a/test/test_message.c
+++ b/test/test_message.c
@@ -35,6 +35,16 @@
                .after = INT64_MAX,
                .demand = "{\"demand\":{\"m/x\":0.5}}" } },
   { .type = KWF_MSG_WANT, .want = "{}" },
+  { .type = KWF_MSG_NEWS, .news = 41 },
+  { .type = KWF_MSG_PLACED,
+    .placed = { .server = "s1",
+                .incarnation = 3,
+                .model = "m",
+                .adapter = "a1",
+                .present = true } },
+  { .type = KWF_MSG_CRASH,
+    .crash
+    = { .fingerprint = 7, .server = "", .incarnation = KWF_CRASH_FINISHED } },
   { .type = KWF_MSG_RENEWED,
     .renewed = { .counter = 17,
                  .renewed = true,
@@ -159,6 +169,16 @@
       assert_string_equal (a->crash.server, b->crash.server);
       assert_true (a->crash.incarnation == b->crash.incarnation);
       break;
+    case KWF_MSG_PLACED:
+      assert_string_equal (a->placed.server, b->placed.server);
+      assert_true (a->placed.incarnation == b->placed.incarnation);
+      assert_string_equal (a->placed.model, b->placed.model);
+      assert_string_equal (a->placed.adapter, b->placed.adapter);
+      assert_int_equal (a->placed.present, b->placed.present);
+      break;
+    case KWF_MSG_NEWS:
+      assert_true (a->news == b->news);
+      break;
     case KWF_MSG_WANT:
       assert_int_equal (g_strcmp0 (a->want, b->want), 0);
       break;
@@ -202,7 +222,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_WANT + 1 },
+    { .type = KWF_MSG_PLACED + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
