--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -126,6 +126,7 @@
   bool leaving;
   /* What the list tells of the server itself, if it does.  */
   bool described;
+  int64_t revision; /* rises with each change of the entry */
   uint64_t incarnation;
   int slots; /* requests that it runs at once; 0: not known */
   const kwf_resident_t *models;
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -197,7 +197,8 @@
   request->n_ran--;
   request->same_server = false;
   if (event->misplaced && request_has_model (request))
-    backend_misplaced (core->backend, attempt->server, request->model);
+    backend_misplaced (core->backend, attempt->server, request->model,
+                       request->adapter);
   else if (!event->misplaced && request_has_model (request))
     wait_busy (core, attempt, now_of (core));
   try_again (core, attempt, OUTCOME_NEUTRAL, CODE_NO_SERVER, effects);
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -16,6 +16,10 @@
    there are no regular load reports.  */
 #define REFUSED_AGAIN_NS (1 * KWF_NS_PER_S)
 
+/* An unload waits for the requests that use the model, this long at most as
+   far as entries that still show the model are concerned.  */
+#define REMOVAL_NS (10 * KWF_NS_PER_S)
+
 /* An entry that describes a server is written this long before it is read at
    most, while the server lives.  */
 #define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
@@ -285,13 +289,29 @@
   return true;
 }
 
-void
-backend_misplaced (backend_t *backend, server_t *server, const char *model)
+/* Leave MODEL out until an entry that is read later shows it.  */
+static void
+remove_model (backend_t *backend, server_t *server, const char *model)
 {
   if (g_hash_table_remove (server->models, model))
     backend->index_stale = true;
-  /* The next description is taken even when it is the same again.  */
+  g_free (server->removed_model);
+  server->removed_model = g_strdup (model);
+  server->removed_ns = kwf_now_ns (backend->clock);
+}
+
+void
+backend_misplaced (backend_t *backend, server_t *server, const char *model,
+                   const char *adapter)
+{
+  resident_t *resident = g_hash_table_lookup (server->models, model);
+  /* The present entry is taken again after a while.  */
+  server->placed_ns = kwf_now_ns (backend->clock);
   server->models_hash = 0;
+  server->revision = 0;
+  if (adapter && resident && g_hash_table_remove (resident->adapters, adapter))
+    return;
+  remove_model (backend, server, model);
 }
 
 void
@@ -303,14 +323,10 @@
   resident_t *resident = g_hash_table_lookup (server->models, placed->model);
   server->placed_ns = kwf_now_ns (backend->clock);
   server->models_hash = 0;
-  if (!*placed->adapter)
-    {
-      g_free (server->removed_model);
-      server->removed_model
-          = placed->present ? NULL : g_strdup (placed->model);
-    }
   if (!*placed->adapter && !placed->present)
-    backend_misplaced (backend, server, placed->model);
+    remove_model (backend, server, placed->model);
+  else if (!*placed->adapter)
+    g_clear_pointer (&server->removed_model, g_free);
   else if (*placed->adapter && resident && placed->present)
     g_hash_table_add (resident->adapters, g_strdup (placed->adapter));
   else if (*placed->adapter && resident)
@@ -415,8 +431,10 @@
    adapters of the others.  */
 static void
 merge_residents (backend_t *backend, server_t *server,
-                 const kwf_member_t *member)
+                 const kwf_member_t *member, int64_t now_ns)
 {
+  if (now_ns - server->removed_ns > REMOVAL_NS)
+    g_clear_pointer (&server->removed_model, g_free);
   GHashTableIter iter;
   gpointer name;
   g_hash_table_iter_init (&iter, server->models);
@@ -459,10 +477,16 @@
     }
   bool told = server->placed_ns && !other_process
               && now_ns - server->placed_ns < ENTRY_LAG_NS;
+  bool known = !other_process && server->revision == member->revision
+               && server->reported;
   if (told)
-    merge_residents (backend, server, member);
-  else if (take_residents (backend, server, member->models, member->n_models))
-    backend->placed = true;
+    merge_residents (backend, server, member, now_ns);
+  else if (!known)
+    {
+      server->revision = member->revision;
+      if (take_residents (backend, server, member->models, member->n_models))
+        backend->placed = true;
+    }
   server->incarnation = member->incarnation;
   server->reported = true;
   server->resume = true;
@@ -479,6 +503,11 @@
   server_t *server = backend_find (backend, member->id);
   if (!server)
     server = add_server (backend, member, now_ns);
+  if (server->kind != member->kind)
+    {
+      server->kind = member->kind;
+      backend->index_stale = true;
+    }
   if (g_strcmp0 (server->address, member->address) != 0)
     {
       g_free (server->address);
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -43,7 +43,9 @@
   int64_t lost_ns;         /* time of the last loss; 0: never */
   int64_t placed_ns;       /* last time that another instance told what it
                               holds; 0: never */
-  char *removed_model;     /* told of then as being removed; NULL: none */
+  char *removed_model;     /* told of as being removed; NULL: none */
+  int64_t removed_ns;      /* when */
+  int64_t revision;        /* of the entry that was taken whole last */
   int64_t probe_since_ns;
   int64_t next_probe_ns;
   int64_t open_until_ns; /* of the circuit */
@@ -144,9 +146,10 @@
 /* Whether that happened since this was last asked.  */
 bool backend_take_news (backend_t *backend);
 
-/* SERVER turned out not to hold MODEL, whatever its description says.  */
+/* SERVER turned out not to hold ADAPTER (NULL: none) of MODEL, or MODEL,
+   whatever its description says.  */
 void backend_misplaced (backend_t *backend, server_t *server,
-                        const char *model);
+                        const char *model, const char *adapter);
 
 /* Bookkeeping of attempts.  The first data of one ends the trial of a
    half-open circuit.  */
--- a/lib/demand.c
+++ b/lib/demand.c
@@ -320,3 +320,15 @@
   return last_ns == INT64_MIN
          || kwf_now_ns (demand->clock) - last_ns >= COLD_NS;
 }
+
+int64_t
+demand_last_ns (const demand_t *demand, const char *model)
+{
+  return sum_of (demand, model, NULL).last_ns;
+}
+
+bool
+demand_any (const demand_t *demand)
+{
+  return g_hash_table_size (demand->own) || g_hash_table_size (demand->others);
+}
--- a/lib/demand.h
+++ b/lib/demand.h
@@ -57,6 +57,13 @@
 demand_wait_t demand_waiting (const demand_t *demand, const char *model,
                               const char *adapter);
 
+/* When the model or one of its adapters was last asked for; INT64_MIN: not
+   lately.  */
+int64_t demand_last_ns (const demand_t *demand, const char *model);
+
+/* Whether anything is asked for.  */
+bool demand_any (const demand_t *demand);
+
 /* Whether nothing was asked of the model in the last 60 s.  */
 bool demand_is_cold (const demand_t *demand, const char *model,
                      const char *adapter);
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -11,8 +11,10 @@
 #define AGAIN_NS (200 * KWF_NS_PER_MS)
 /* What the membership list says of an engine is this old at most.  */
 #define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
-/* An engine that carries out an order for longer is asked.  */
-#define CARRY_NS (3 * KWF_NS_PER_S)
+/* An engine is asked whether it has carried out an order this long after the
+   order should be done, and again after the same time.  Its entry in the
+   list tells the same later, and not at all while the platform is away.  */
+#define CARRY_AGAIN_NS (400 * KWF_NS_PER_MS)
 
 static void
 held_free (void *data)
@@ -49,6 +51,7 @@
   g_free (desk->model);
   g_free (desk->adapter);
   g_free (desk->carried);
+  g_free (desk->promised);
   g_hash_table_unref (desk->models);
   g_free (desk);
 }
@@ -78,6 +81,15 @@
   return n;
 }
 
+void
+desk_promise (desk_t *desk, const char *model, int64_t now_ns)
+{
+  char *copy = g_strdup (model);
+  g_free (desk->promised);
+  desk->promised = copy;
+  desk->promised_ns = now_ns;
+}
+
 int64_t
 desk_used_mb (const desk_t *desk, const kwf_lists_t *lists)
 {
@@ -157,6 +169,7 @@
   g_clear_pointer (&desk->order_id, g_free);
   desk->incarnation = incarnation;
   g_clear_pointer (&desk->carried, g_free);
+  g_clear_pointer (&desk->promised, g_free);
   desk->doubtful = false;
   desk->orders = 0;
   desk->accepted_ns = 0;
@@ -210,8 +223,11 @@
     }
   if (desk->incarnation != member->incarnation)
     restart (desk, member->incarnation);
-  if (desk->order_id)
+  /* An entry that was looked at before may be older than what was concluded
+     since from answers to orders.  */
+  if (desk->order_id || member->revision == desk->revision)
     return;
+  desk->revision = member->revision;
   note_carried (desk, member, now_ns);
   /* The entry may have been written before the last order.  */
   if (desk->accepted_ns && now_ns - desk->accepted_ns < ENTRY_LAG_NS)
@@ -264,6 +280,7 @@
   desk->model = g_strdup (model);
   desk->adapter = g_strdup (adapter);
   desk->sent_ns = context->now_ns;
+  desk->expected_ns = context->expected_ns;
   kwf_effects_t *effects = context->effects;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ORDER);
   kwf_order_t order = {
@@ -302,6 +319,7 @@
   desk->carried = done ? NULL : g_strdup (desk->model);
   desk->carried_kind = desk->kind;
   desk->carried_ns = now_ns;
+  desk->carry_again_ns = now_ns + desk->expected_ns + CARRY_AGAIN_NS;
   if (desk->kind == ORDER_LOAD)
     {
       add_model (desk, desk->model, done ? HELD_RESIDENT : HELD_LOADING,
@@ -345,13 +363,12 @@
 void
 desk_ask (desk_t *desk, const desk_context_t *context)
 {
-  bool slow = desk->carried && context->now_ns - desk->carried_ns > CARRY_NS;
+  bool slow = desk->carried && context->now_ns >= desk->carry_again_ns;
   if (!desk->usable || desk->order_id || (!desk->doubtful && !slow)
       || context->now_ns < desk->again_ns)
     return;
   desk->again_ns = context->now_ns + 2 * AGAIN_NS;
-  if (slow)
-    desk->carried_ns = context->now_ns;
+  desk->carry_again_ns = context->now_ns + CARRY_AGAIN_NS;
   kwf_effect_t *effect = kwf_effects_add (context->effects, KWF_FX_PROBE);
   effect->probe.server = kwf_effects_strdup (context->effects, desk->id);
   effect->probe.address = kwf_effects_strdup (context->effects, desk->address);
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -32,6 +32,7 @@
   char *address;
   char *service;
   uint64_t incarnation;
+  int64_t revision; /* of the entry that was looked at last */
   int64_t orders;      /* accepted by the engine, as far as known */
   int64_t accepted_ns; /* time of the last one; 0: none by this instance */
   GHashTable *models;  /* name to held_model_t */
@@ -42,10 +43,15 @@
   char *model;
   char *adapter; /* "" for the model itself */
   int64_t sent_ns;
+  int64_t expected_ns; /* time that it should take */
   /* The load or unload of a model that goes on.  */
   char *carried; /* the model; NULL: none */
   order_kind_t carried_kind;
-  int64_t carried_ns; /* since then */
+  int64_t carried_ns;     /* since then */
+  int64_t carry_again_ns; /* when to ask whether it is done */
+  /* Model for which room is being made; NULL: none.  */
+  char *promised;
+  int64_t promised_ns;
   bool doubtful;      /* a load report is needed before the next order */
   int64_t again_ns;   /* no order or question before */
 } desk_t;
@@ -55,6 +61,7 @@
   int64_t now_ns;
   int64_t token;      /* fencing token */
   const char *holder; /* instance that has it */
+  int64_t expected_ns; /* time that the next order should take */
   kwf_effects_t *effects;
 } desk_context_t;
 
@@ -99,6 +106,9 @@
                        const char *adapter);
 int desk_n_adapters (const desk_t *desk);
 
+/* Make room for MODEL, or for none.  */
+void desk_promise (desk_t *desk, const char *model, int64_t now_ns);
+
 /* Memory that DESK uses for its models, by LISTS.  */
 int64_t desk_used_mb (const desk_t *desk, const kwf_lists_t *lists);
 
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -17,6 +17,14 @@
 /* Part of the weight store's rate that is used, so that no window holds more
    than it allows.  */
 #define LOADS_PART 0.95
+/* An adapter that came is not taken away sooner than this: the call that it
+   came for has not begun.  */
+#define ADAPTER_STAY_NS (1 * KWF_NS_PER_S)
+/* Copies are moved after the demand once it was watched for this long.  */
+#define WATCH_NS (3 * KWF_NS_PER_S)
+/* Room that is being made on an engine is kept for its model for this
+   long: an unload waits for the requests that use the model.  */
+#define PROMISE_NS (10 * KWF_NS_PER_S)
 /* Memory that is kept free for each adapter place, beside the models.  */
 #define ADAPTER_MB 128
 /* Adapters of one model that get another copy for their demand.  */
@@ -35,6 +43,7 @@
   int64_t next_ns;   /* next round */
   int64_t last_ns;   /* last round */
   int64_t tell_ns;   /* next time that demand is told */
+  int64_t watch_ns;  /* the demand is watched since then; 0: none yet */
   bool held;         /* the duty was held in the last step */
   uint64_t n_loads;
   uint64_t n_unloads;
@@ -146,6 +155,7 @@
   switch (desk_take_answer (desk, event, now_ns))
     {
     case DESK_ADAPTER_IN:
+    case DESK_MODEL_LOADS:
       announce (direct, desk, true, effects);
       break;
     case DESK_STALE_TOKEN:
@@ -153,7 +163,6 @@
       break;
     case DESK_NOTHING:
     case DESK_ADAPTER_OUT:
-    case DESK_MODEL_LOADS:
     case DESK_MODEL_LEAVES:
       break;
     }
@@ -191,8 +200,12 @@
       states[i] = states_of[held->state];
       held_for_ns[i] = now_ns - held->since_ns;
     }
+  for (int i = 0; desk->promised && i < fleet->n_models; i++)
+    if (strcmp (fleet->models[i].name, desk->promised) == 0
+        && states[i] == REBALANCE_ABSENT)
+      states[i] = REBALANCE_LOADING;
   fleet->engines[at] = (rebalance_engine_t){
-    .free = desk_is_free (desk, false, now_ns),
+    .free = desk_is_free (desk, false, now_ns) && !desk->promised,
     .free_mb = service->memory_mb - desk_used_mb (desk, lists)
                - (int64_t)service->adapter_slots * ADAPTER_MB,
     .states = states,
@@ -200,6 +213,14 @@
   };
 }
 
+/* Time since MODEL was last asked for, or since the demand is watched.  */
+static int64_t
+idle_ns (const direct_t *direct, const char *model, int64_t now_ns)
+{
+  int64_t last_ns = demand_last_ns (direct->sources.demand, model);
+  return direct->watch_ns ? now_ns - MAX (last_ns, direct->watch_ns) : 0;
+}
+
 static void
 fleet_begin (const direct_t *direct, const kwf_service_t *service,
              fleet_t *fleet, int64_t now_ns)
@@ -221,7 +242,9 @@
                                  .rate
                                  = demand_rate (demand, model->name, NULL),
                                  .waiting = wait.waiting,
-                                 .priority = wait.priority };
+                                 .priority = wait.priority,
+                                 .idle_ns = idle_ns (direct, model->name,
+                                                     now_ns) };
     }
   GHashTableIter iter;
   gpointer value;
@@ -277,30 +300,108 @@
   g_free (part);
 }
 
+static void
+order_load (direct_t *direct, desk_t *desk, const char *name,
+            const desk_context_t *context)
+{
+  const kwf_model_t *model
+      = kwf_lists_model (config_lists (direct->sources.config), name);
+  desk_context_t timed = *context;
+  timed.expected_ns = model ? model->load_ns : 0;
+  direct->loads -= 1;
+  direct->n_loads++;
+  desk_order (desk, ORDER_LOAD, name, "", &timed);
+}
+
+/* What decided STEP: the demand for the model, and what DESK holds.  */
+static void
+log_step (const fleet_t *fleet, const rebalance_step_t *step,
+          const desk_t *desk, kwf_effects_t *effects)
+{
+  GString *held = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, desk->models);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    g_string_append_printf (held, "%s%s:%d", held->len ? "," : "",
+                            (const char *)name,
+                            (int)((held_model_t *)value)->state);
+  const rebalance_model_t *model = &fleet->models[step->model];
+  kwf_effects_log (effects, step->load ? 358 : 359, KWF_LOG_INFO, NULL,
+                   "%s of model %s on %s begins: rate=%.0f waiting=%d "
+                   "free_mb=%" G_GINT64_FORMAT " holds=%s",
+                   step->load ? "load" : "unload", model->name, desk->id,
+                   model->rate, model->waiting,
+                   fleet->engines[step->engine].free_mb, held->str);
+  g_string_free (held, TRUE);
+}
+
+/* Load what room was made for; where that does not come about, the engine is
+   free for another plan.  */
+static void
+keep_promise (direct_t *direct, const kwf_service_t *service, desk_t *desk,
+              const desk_context_t *context)
+{
+  const kwf_lists_t *lists = config_lists (direct->sources.config);
+  const kwf_model_t *model
+      = desk->promised ? kwf_lists_model (lists, desk->promised) : NULL;
+  bool late = context->now_ns - desk->promised_ns > PROMISE_NS;
+  if (!desk->promised)
+    return;
+  if (!model || late || !desk->usable || desk_model (desk, desk->promised))
+    {
+      g_clear_pointer (&desk->promised, g_free);
+      return;
+    }
+  int64_t free_mb = service->memory_mb - desk_used_mb (desk, lists)
+                    - (int64_t)service->adapter_slots * ADAPTER_MB;
+  if (!desk_is_free (desk, false, context->now_ns) || direct->loads < 1)
+    return;
+  /* More than one model has to go: the next one is found anew.  */
+  if (free_mb >= model->memory_mb)
+    {
+      order_load (direct, desk, model->name, context);
+    }
+  g_clear_pointer (&desk->promised, g_free);
+}
+
 static void
 place_models (direct_t *direct, const kwf_service_t *service,
               const desk_context_t *context)
 {
   fill_loads (direct, service, context->now_ns);
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((desk_t *)value)->service, service->name) == 0)
+      keep_promise (direct, service, value, context);
   for (;;)
     {
       fleet_t fleet;
       fleet_begin (direct, service, &fleet, context->now_ns);
       rebalance_step_t step
           = rebalance_next (fleet.models, fleet.n_models, fleet.engines,
-                            fleet.n_engines, direct->loads >= 1);
+                            fleet.n_engines, direct->loads >= 1,
+                            direct->watch_ns
+                                && context->now_ns - direct->watch_ns
+                                       > WATCH_NS);
       if (step.engine >= 0)
         {
           desk_t *desk = fleet.desks->pdata[step.engine];
           const char *model = fleet.models[step.model].name;
+          log_step (&fleet, &step, desk, context->effects);
           if (step.load)
             {
-              direct->loads -= 1;
-              direct->n_loads++;
-              desk_order (desk, ORDER_LOAD, model, "", context);
+              order_load (direct, desk, model, context);
             }
           else
-            begin_unload (direct, desk, model, "", context);
+            {
+              desk_promise (desk, fleet.models[step.purpose].name,
+                            context->now_ns);
+              begin_unload (direct, desk, model, "", context);
+            }
         }
       fleet_end (&fleet);
       if (step.engine < 0)
@@ -338,7 +439,7 @@
    BOUND; false: none.  */
 static bool
 find_idle_adapter (const direct_t *direct, const desk_t *desk, double bound,
-                   const char **model, const char **adapter)
+                   int64_t now_ns, const char **model, const char **adapter)
 {
   const demand_t *demand = direct->sources.demand;
   GHashTableIter models;
@@ -351,10 +452,11 @@
       GHashTableIter adapters;
       gpointer part;
       g_hash_table_iter_init (&adapters, ((held_model_t *)value)->adapters);
-      while (g_hash_table_iter_next (&adapters, &part, NULL))
+      gpointer since_ns;
+      while (g_hash_table_iter_next (&adapters, &part, &since_ns))
         {
           double rate = demand_rate (demand, name, part);
-          if (rate >= bound)
+          if (rate >= bound || now_ns - *(int64_t *)since_ns < ADAPTER_STAY_NS)
             continue;
           found = true;
           bound = rate;
@@ -411,7 +513,8 @@
   const char *idle;
   double bound
       = adapter->copies ? adapter->rate / (adapter->copies + 1) : G_MAXDOUBLE;
-  if (find_idle_adapter (direct, desk, bound, &model, &idle))
+  if (find_idle_adapter (direct, desk, bound, context->now_ns, &model,
+                         &idle))
     begin_unload (direct, desk, model, idle, context);
 }
 
@@ -465,6 +568,8 @@
                              .effects = effects };
   if (!lists || !context.token)
     return;
+  if (!direct->watch_ns && demand_any (direct->sources.demand))
+    direct->watch_ns = now_ns;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, direct->desks);
@@ -513,6 +618,20 @@
   g_free (text);
 }
 
+/* A new holder does not know what was begun before, nor how many orders the
+   engines have accepted.  */
+static void
+begin_duty (direct_t *direct)
+{
+  GHashTableIter iter;
+  gpointer value;
+  direct->loads = 0;
+  direct->watch_ns = 0;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((desk_t *)value)->doubtful = true;
+}
+
 void
 direct_step (direct_t *direct, const kwf_event_t *event,
              const session_news_t *news, kwf_effects_t *effects)
@@ -520,9 +639,8 @@
   int64_t now_ns = kwf_now_ns (direct->clock);
   duty_step (direct->duty, direct->sources.session, event, news, effects);
   bool held = duty_token (direct->duty) != 0;
-  /* A new holder does not know what was begun before.  */
   if (held && !direct->held)
-    direct->loads = 0;
+    begin_duty (direct);
   direct->held = held;
   if (event->type == KWF_EV_MEMBERS)
     {
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -123,6 +123,14 @@
   bool member = shares_holder_of (shares, shares->holders, shares->instance,
                                   shares->incarnation);
   shares->old_share = next ? shares->share : 0;
+  /* A process that was started since has what the one before it had.  */
+  if (shares->steady)
+    shares->old_share = shares->before > 0
+                                && shares_holder_of (shares, shares->previous,
+                                                     shares->instance,
+                                                     shares->incarnation)
+                            ? 1.0 / (double)shares->before
+                            : 0;
   shares->share = member ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
   shares->settled = epoch == 1;
@@ -138,7 +146,12 @@
       bucket_fill (&account->bucket, shares->valid_ns);
       /* When an epoch was missed, the share under the last one seen was
          given to others.  */
-      if (!next)
+      if (shares->steady)
+        {
+          account->bucket.rate = account->bucket.cap = shares->old_share;
+          account->bucket.bounded = false;
+        }
+      else if (!next)
         account->bucket.rate = account->bucket.cap = 0;
       bucket_enter (&account->bucket, shares->share);
       if (shares->settled)
@@ -172,6 +185,8 @@
     {
       read_holders (shares->holders, members);
       read_holders (shares->previous, json_object_get (object, "previous"));
+      shares->before
+          = json_integer_value (json_object_get (object, "before"));
       enter (shares, epoch, effects);
     }
   json_decref (object);
@@ -323,9 +338,11 @@
 {
   kwf_condition_t own = { ROW_KEY, shares->row_version };
   g_array_append_val (plan->conditions, own);
-  json_t *object = json_pack (
-      "{s:I,s:o,s:o}", "epoch", (json_int_t)shares->epoch + 1, "members",
-      write_holders (plan->holders), "previous", write_holders (plan->kept));
+  json_t *object = json_pack ("{s:I,s:o,s:o,s:I}", "epoch",
+                              (json_int_t)shares->epoch + 1, "members",
+                              write_holders (plan->holders), "previous",
+                              write_holders (plan->kept), "before",
+                              (json_int_t)shares->holders->len);
   char *text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   kwf_put_t *put = kwf_effects_alloc (effects, sizeof *put);
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -14,6 +14,9 @@
    called.  */
 #define STAY_NS (4 * KWF_NS_PER_S)
 
+/* A model that nobody asked for in this time is given up.  */
+#define IDLE_NS (10 * KWF_NS_PER_S)
+
 typedef struct
 {
   const rebalance_model_t *models;
@@ -45,10 +48,15 @@
 /* Demand on each copy of MODEL when one of them is gone; INFINITY: its last
    copy must stay.  */
 static double
-pressure_without (const view_t *view, int engine, int model)
+pressure_without (const view_t *view, int engine, int model, bool missing)
 {
   const rebalance_model_t *item = &view->models[model];
   bool called = is_called (item);
+  /* The last copy of a model that may be asked for again goes at once only
+     for one that is asked for and has none.  */
+  if (!called && !missing && view->settled[model] < 2
+      && item->idle_ns < IDLE_NS)
+    return INFINITY;
   if (called && view->settled[model] < 2)
     return INFINITY;
   if (called && view->engines[engine].held_for_ns[model] < STAY_NS)
@@ -77,6 +85,7 @@
 static room_t
 make_room (const view_t *view, int engine, int model)
 {
+  bool missing = !view->copies[model];
   room_t room = { .first = -1 };
   int64_t free_mb = view->engines[engine].free_mb;
   bool *gone = g_newa (bool, view->n_models);
@@ -90,8 +99,12 @@
         {
           if (gone[i] || state_of (view, engine, i) != REBALANCE_HELD)
             continue;
-          double cost = pressure_without (view, engine, i);
-          if (cost >= least_cost)
+          double cost = pressure_without (view, engine, i, missing);
+          if (cost > least_cost
+              || (least >= 0 && cost >= least_cost
+                  && view->models[i].idle_ns <= view->models[least].idle_ns))
+            continue;
+          if (isinf (cost))
             continue;
           least = i;
           least_cost = cost;
@@ -142,7 +155,8 @@
     return (rebalance_step_t){ .engine = -1 };
   return (rebalance_step_t){ .engine = engine,
                              .load = room.first < 0,
-                             .model = room.first < 0 ? model : room.first };
+                             .model = room.first < 0 ? model : room.first,
+                             .purpose = model };
 }
 
 static void
@@ -195,7 +209,7 @@
 rebalance_step_t
 rebalance_next (const rebalance_model_t *models, int n_models,
                 const rebalance_engine_t *engines, int n_engines,
-                bool may_load)
+                bool may_load, bool may_move)
 {
   rebalance_step_t step = { .engine = -1 };
   view_t view = { .models = models,
@@ -212,7 +226,8 @@
       skipped[model] = true;
       step = step_for (&view, model, G_MAXDOUBLE, may_load);
     }
-  while (step.engine < 0 && (model = find_pressed (&view, skipped)) >= 0)
+  while (may_move && step.engine < 0
+         && (model = find_pressed (&view, skipped)) >= 0)
     {
       skipped[model] = true;
       step = step_for (&view, model, pressure (&view, model) / MOVE_FACTOR,
--- a/lib/rebalance.h
+++ b/lib/rebalance.h
@@ -20,6 +20,7 @@
   double rate;  /* tokens a second asked for, over the fleet */
   bool waiting; /* calls wait for a copy */
   int priority; /* of the most urgent of them */
+  int64_t idle_ns; /* since it was last asked for, as far as known */
 } rebalance_model_t;
 
 typedef struct
@@ -45,11 +46,13 @@
   int engine; /* -1: nothing is due */
   bool load;  /* else unload */
   int model;
+  int purpose; /* model for which it is done */
 } rebalance_step_t;
 
-/* The next step; MAY_LOAD: the weight store allows a load now.  */
+/* The next step; MAY_LOAD: the weight store allows a load now; MAY_MOVE: the
+   demand has been watched for long enough to move copies after it.  */
 rebalance_step_t rebalance_next (const rebalance_model_t *models, int n_models,
                                  const rebalance_engine_t *engines,
-                                 int n_engines, bool may_load);
+                                 int n_engines, bool may_load, bool may_move);
 
 #endif
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -89,6 +89,7 @@
   int64_t row_version;
   int64_t list_version;
   GPtrArray *holders;  /* of holder_t, members of the epoch */
+  int64_t before;      /* members of the epoch before */
   GPtrArray *previous; /* of holder_t, may still use the epoch before */
   double share;        /* first share under the epoch, 0: not a member */
   double old_share;
--- a/net/instance.c
+++ b/net/instance.c
@@ -9,7 +9,7 @@
 
 /* A stopping instance takes requests until this long before it is killed, so
    that what it took can end.  */
-#define GRACE_KEPT_S 4.0
+#define GRACE_KEPT_S 5.2
 /* What is still open this long before it is killed, is cut.  */
 #define GRACE_MARGIN_S 0.3
 /* Random bytes of a secret that this instance makes.  */
