--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -52,6 +52,8 @@
   /* Tokens that the fleet may admit above an organisation's burst, for
      requests that are larger than one instance's part of it.  */
   double overdraft;
+  bool finish_withdrawn; /* requests under way when their key is withdrawn go
+                            on to their end */
   int64_t linger_ns; /* a stopping instance takes requests for this long;
                         0: until the address answers have run out */
   const struct queue_ops *queue_order; /* NULL: weighted fair */
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -33,6 +33,7 @@
   char *platform;              /* [platform] address */
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* [keys] pepper_file, contents */
+  char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
   char *tls_certificate;       /* [callers] tls_certificate, a path, or NULL */
   char *tls_key;               /* [callers] tls_key, a path, or NULL */
   char *log_format;            /* [log] format: "text" or "json" */
--- a/lib/request.c
+++ b/lib/request.c
@@ -305,6 +305,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const request_t *request = value;
+      if (core->options.finish_withdrawn && request->attempt)
+        continue;
       if (request->organisation[0]
           && !config_key_organisation (core->config, request->digest))
         g_ptr_array_add (cut, value);
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -7,6 +7,7 @@
 static const char *const formats[] = { "text", "json", NULL };
 static const char *const modes[] = { "dynamic", "static", NULL };
 static const char *const weights[] = { "worst_served", "attainment", NULL };
+static const char *const endings[] = { "cut", "finish", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
 static const char *const levels[]
     = { "debug", "info", "warning", "error", NULL };
@@ -72,6 +73,8 @@
   { "platform", "protocol", SETTING_CHOICE, AT (protocol), .unit = "",
     .default_text = "table", .names = protocols },
   { "keys", "pepper_file", SETTING_SECRET, AT (key_pepper), .unit = "" },
+  { "keys", "withdrawn", SETTING_CHOICE, AT (withdrawn), .unit = "",
+    .default_text = "cut", .names = endings },
   { "session", "lease_ms", SETTING_INTEGER, AT (lease_ms), .unit = "ms",
     .default_number = 2400, .least = 300, .most = 600000 },
   { "session", "renew_ms", SETTING_INTEGER, AT (renew_ms), .unit = "ms",
--- a/net/instance.c
+++ b/net/instance.c
@@ -275,6 +275,7 @@
       .stop_limit_ns = stop_limit_ns (settings),
       .linger_ns = linger_ns (settings),
       .pushed = instance->dialect->pushed,
+      .finish_withdrawn = strcmp (settings->withdrawn, "finish") == 0,
       .overdraft = settings->overdraft,
       .retry_share = settings->retry_share,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
--- /dev/null
+++ b/test/common-core.c
@@ -0,0 +1,253 @@
+#include "common-core.h"
+
+#include <string.h>
+
+#include "lib/lists-build.h"
+
+static struct timespec
+elapsed (const kwf_clock_t *clock)
+{
+  int64_t now_ns = ((const core_clock_t *)clock)->now_ns;
+  return (struct timespec){ .tv_sec = now_ns / KWF_NS_PER_S,
+                            .tv_nsec = now_ns % KWF_NS_PER_S };
+}
+
+static void
+fill (kwf_random_t *random, void *buffer, size_t size)
+{
+  (void)random;
+  memset (buffer, 7, size);
+}
+
+static const kwf_clock_ops_t clock_ops
+    = { .elapsed = elapsed, .wall = elapsed };
+static const kwf_random_ops_t random_ops = { .fill = fill };
+static kwf_random_t fixed_random = { .ops = &random_ops };
+
+static kwf_lists_t *
+make_lists (void)
+{
+  static const kwf_split_t desk = { "desk", 1 };
+  static const kwf_split_t models = { "models", 1 };
+  static const kwf_route_t routes[] = {
+    { .name = "book",
+      .host = "h.example",
+      .prefix = "/book/",
+      .splits = &desk,
+      .n_splits = 1,
+      .max_attempts = 2,
+      .timeout_ns = 2 * KWF_NS_PER_S },
+    { .name = "read",
+      .host = "h.example",
+      .prefix = "/read/",
+      .splits = &desk,
+      .n_splits = 1,
+      .idempotent = true,
+      .max_attempts = 2,
+      .timeout_ns = 2 * KWF_NS_PER_S },
+    { .name = "draft",
+      .host = "h.example",
+      .prefix = "/draft/",
+      .splits = &models,
+      .n_splits = 1,
+      .stream = true,
+      .resumable = true,
+      .max_attempts = 2,
+      .timeout_ns = 10 * KWF_NS_PER_S },
+  };
+  kwf_lists_t *lists = lists_new ();
+  lists_add_service (lists, &(kwf_service_t){ .name = "desk" });
+  lists_add_service (lists, &(kwf_service_t){ .name = "models",
+                                              .engine = true,
+                                              .memory_mb = 200000,
+                                              .adapter_slots = 8,
+                                              .loads_per_s = 2 });
+  lists_add_model (lists, &(kwf_model_t){ .name = "m",
+                                          .service = "models",
+                                          .memory_mb = 70000 });
+  lists_add_model (lists, &(kwf_model_t){ .name = "n",
+                                          .service = "models",
+                                          .memory_mb = 70000 });
+  lists_add_organisation (lists,
+                          &(kwf_organisation_t){ .name = "o",
+                                                 .plan = "",
+                                                 .branch = "",
+                                                 .rate = 1000,
+                                                 .burst = 1000,
+                                                 .plain_tokens = 10 });
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    lists_add_route (lists, &routes[i]);
+  return lists;
+}
+
+static void
+answer_transactions (core_world_t *world)
+{
+  GArray *ops = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type == KWF_FX_STORE)
+        g_array_append_val (ops, effect->store.op);
+    }
+  for (guint i = 0; i < ops->len; i++)
+    {
+      kwf_event_t event = { .type = KWF_EV_STORE_REPLY };
+      event.store.op = g_array_index (ops, kwf_handle_t, i);
+      event.store.reply
+          = (kwf_store_reply_t){ .outcome = KWF_STORE_COMMITTED,
+                                 .revision = ++world->revision };
+      kwf_core_step (world->core, &event, world->effects);
+    }
+  g_array_free (ops, TRUE);
+}
+
+void
+core_world_step (core_world_t *world, const kwf_event_t *event)
+{
+  kwf_effects_clear (world->effects);
+  kwf_core_step (world->core, event, world->effects);
+  answer_transactions (world);
+}
+
+void
+core_world_pass (core_world_t *world, int64_t ms)
+{
+  world->clock.now_ns += ms * KWF_NS_PER_MS;
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_TICK });
+}
+
+static void
+give_row (core_world_t *world, const char *key, const char *value)
+{
+  kwf_row_t row = { key, ++world->revision, value };
+  kwf_message_t up = { .type = KWF_MSG_STATE,
+                       .state = { world->revision, &row, 1 } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "b",
+                                                    .incarnation = 1,
+                                                    .message = &up } });
+}
+
+void
+core_world_start (core_world_t *world)
+{
+  *world = (core_world_t){ .clock = { .clock = { &clock_ops },
+                                      .now_ns = KWF_NS_PER_S } };
+  world->effects = kwf_effects_new ();
+  world->core = kwf_core_new (&(kwf_core_options_t){
+      .instance = "a",
+      .incarnation = 1,
+      .data_centre = "c",
+      .caller_address = "127.0.0.1:1",
+      .peer_address = "127.0.0.1:2",
+      .lease_ns = 300 * KWF_NS_PER_S,
+      .renew_ns = 100 * KWF_NS_PER_S,
+      .address_lifetime_ns = KWF_NS_PER_S,
+      .default_timeout_ns = 60 * KWF_NS_PER_S,
+      .retry_share = 0.2,
+      .pushed = true,
+      .linger_ns = 3 * KWF_NS_PER_S,
+      .placement = { .dynamic = true, .lease_ns = 0 },
+      .clock = &world->clock.clock,
+      .random = &fixed_random });
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
+                                          .peer = { .instance = "b",
+                                                    .incarnation = 1 } });
+  give_row (world, "shares",
+            "{\"epoch\":1,\"members\":[{\"instance\":\"a\","
+            "\"incarnation\":1}],\"previous\":[],\"before\":0}");
+  core_world_pass (world, 10);
+  static const kwf_key_grant_t key = { "k", "o" };
+  kwf_lists_t *lists = make_lists ();
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_CONFIG,
+                                          .config = { .version = 1,
+                                                      .lists = &lists,
+                                                      .keys = &key,
+                                                      .n_keys = 1 } });
+  core_world_pass (world, 2000);
+}
+
+void
+core_world_stop (core_world_t *world)
+{
+  kwf_core_free (world->core);
+  kwf_effects_free (world->effects);
+}
+
+void
+core_world_servers (core_world_t *world)
+{
+  static const kwf_resident_t model = { .name = "m", .version = "" };
+  static const kwf_member_t members[] = {
+    { .id = "d1",
+      .kind = KWF_MEMBER_SERVICE,
+      .name = "desk",
+      .address = "127.0.0.1:11",
+      .data_centre = "c",
+      .described = true,
+      .revision = 1,
+      .incarnation = 1,
+      .slots = 6 },
+    { .id = "d2",
+      .kind = KWF_MEMBER_SERVICE,
+      .name = "desk",
+      .address = "127.0.0.1:12",
+      .data_centre = "c",
+      .described = true,
+      .revision = 2,
+      .incarnation = 1,
+      .slots = 6 },
+    { .id = "e1",
+      .kind = KWF_MEMBER_ENGINE,
+      .name = "models",
+      .address = "127.0.0.1:21",
+      .data_centre = "c",
+      .described = true,
+      .revision = 3,
+      .incarnation = 1,
+      .slots = 8,
+      .models = &model,
+      .n_models = 1 },
+    { .id = "e2",
+      .kind = KWF_MEMBER_ENGINE,
+      .name = "models",
+      .address = "127.0.0.1:22",
+      .data_centre = "c",
+      .described = true,
+      .revision = 4,
+      .incarnation = 1,
+      .slots = 8,
+      .models = &model,
+      .n_models = 1 },
+  };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_MEMBERS,
+                                          .members = { .valid = true,
+                                                       .members = members,
+                                                       .n_members = 4 } });
+}
+
+void
+core_world_request (core_world_t *world, kwf_handle_t handle, const char *path,
+                    const char *model)
+{
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_REQUEST,
+                             .request = { .handle = handle,
+                                          .kind = KWF_REQUEST_ROUTED,
+                                          .id = "r",
+                                          .key_digest = "k",
+                                          .host = "H.example:80",
+                                          .path = path,
+                                          .model = model,
+                                          .fingerprint = handle } });
+}
+
+const kwf_effect_t *
+core_world_effect (const core_world_t *world, kwf_effect_type_t type)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    if (kwf_effects_at (world->effects, i)->type == type)
+      return kwf_effects_at (world->effects, i);
+  return NULL;
+}
--- /dev/null
+++ b/test/common-core.h
@@ -0,0 +1,48 @@
+/* common-core.h - one core on a fake clock, in the mode in which membership
+   and configuration come as events.  */
+
+#ifndef KNAPWEEDFORK_TEST_COMMON_CORE_H
+#define KNAPWEEDFORK_TEST_COMMON_CORE_H
+
+#include <glib.h>
+#include <knapweedfork/core.h>
+
+typedef struct
+{
+  kwf_clock_t clock; /* first member */
+  int64_t now_ns;
+} core_clock_t;
+
+typedef struct
+{
+  core_clock_t clock;
+  kwf_core_t *core;
+  kwf_effects_t *effects;
+  int64_t revision; /* of the fake table */
+} core_world_t;
+
+/* A core of instance "a" that has a lease, a share and a configuration with:
+   organisation "o" (key digest "k", 1,000 tokens/s), service "desk" (route
+   /book/ once, /read/ idempotent, two attempts each) and the engine service
+   "models" (route /draft/, a resumable stream) with models "m" and "n".  */
+void core_world_start (core_world_t *world);
+void core_world_stop (core_world_t *world);
+
+/* Feed EVENT; the effects of the step are in world->effects.  Transactions
+   are answered at once.  */
+void core_world_step (core_world_t *world, const kwf_event_t *event);
+/* Let time pass and feed a tick.  */
+void core_world_pass (core_world_t *world, int64_t ms);
+
+/* Two desks "d1" and "d2" and two engines "e1" and "e2" with model "m".  */
+void core_world_servers (core_world_t *world);
+
+/* Request HANDLE to PATH with the key; MODEL NULL: none.  */
+void core_world_request (core_world_t *world, kwf_handle_t handle,
+                         const char *path, const char *model);
+
+/* The first effect of TYPE since the last call; NULL: none.  */
+const kwf_effect_t *core_world_effect (const core_world_t *world,
+                                       kwf_effect_type_t type);
+
+#endif
--- /dev/null
+++ b/test/test_desk.c
@@ -0,0 +1,216 @@
+/* Orders to engines that count them.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "lib/desk.h"
+
+typedef struct
+{
+  server_t server;
+  desk_t *desk;
+  kwf_effects_t *effects;
+  kwf_resident_t models[3];
+  kwf_member_t member;
+  int64_t now_ns;
+} fixture_t;
+
+static void
+give_entry (fixture_t *f, size_t n_models)
+{
+  f->member.revision++;
+  f->member.n_models = n_models;
+  desk_take_member (f->desk, &f->member, f->now_ns);
+}
+
+static int
+start (void **state)
+{
+  static const char *const adapters[] = { "a1" };
+  fixture_t *f = g_new0 (fixture_t, 1);
+  f->server = (server_t){ .id = "e1", .name = "models" };
+  f->desk = desk_new (&f->server);
+  f->desk->usable = true;
+  f->effects = kwf_effects_new ();
+  f->models[0] = (kwf_resident_t){ "m", "", adapters, 1 };
+  f->models[1] = (kwf_resident_t){ "n", "", NULL, 0 };
+  f->member = (kwf_member_t){ .id = "e1",
+                              .address = "127.0.0.1:1",
+                              .described = true,
+                              .incarnation = 5,
+                              .models = f->models };
+  f->now_ns = 100 * KWF_NS_PER_S;
+  give_entry (f, 1);
+  *state = f;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  fixture_t *f = *state;
+  desk_free (f->desk);
+  kwf_effects_free (f->effects);
+  g_free (f);
+  return 0;
+}
+
+/* Give an order and return its effect.  */
+static const kwf_order_t *
+order (fixture_t *f, order_kind_t kind, const char *model, const char *adapter)
+{
+  desk_context_t context = { .now_ns = f->now_ns,
+                             .token = 7,
+                             .holder = "a",
+                             .expected_ns = KWF_NS_PER_S,
+                             .effects = f->effects };
+  kwf_effects_clear (f->effects);
+  desk_order (f->desk, kind, model, adapter, &context);
+  return &kwf_effects_at (f->effects, 0)->order;
+}
+
+static desk_news_t
+answer (fixture_t *f, int status, const char *code)
+{
+  char id[32];
+  g_strlcpy (id, f->desk->order_id, sizeof id);
+  kwf_order_event_t event = { .id = id, .status = status, .code = code };
+  return desk_take_answer (f->desk, &event, f->now_ns);
+}
+
+/* Guards against two orders from the same state that are both carried out.  */
+static void
+each_order_names_the_number_before_it (void **state)
+{
+  fixture_t *f = *state;
+  const kwf_order_t *first = order (f, ORDER_LOAD, "m", "a2");
+  assert_int_equal (first->after, 0);
+  assert_int_equal (first->fence, 7);
+  assert_string_equal (first->holder, "a");
+  assert_false (desk_is_free (f->desk, true, f->now_ns));
+  assert_int_equal (answer (f, 202, NULL), DESK_ADAPTER_IN);
+  assert_true (desk_has_adapter (f->desk, "m", "a2"));
+  assert_int_equal (order (f, ORDER_UNLOAD, "m", "a1")->after, 1);
+  assert_int_equal (answer (f, 200, NULL), DESK_ADAPTER_OUT);
+  assert_int_equal (order (f, ORDER_LOAD, "n", "")->after, 2);
+}
+
+/* Guards against going on from a state that an unanswered order may have
+   changed.  */
+static void
+unanswered_order_needs_a_report (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  answer (f, 0, NULL);
+  f->now_ns += KWF_NS_PER_S;
+  assert_false (desk_is_free (f->desk, false, f->now_ns));
+  desk_context_t context
+      = { .now_ns = f->now_ns, .token = 7, .effects = f->effects };
+  kwf_effects_clear (f->effects);
+  desk_ask (f->desk, &context);
+  assert_int_equal (kwf_effects_count (f->effects), 1);
+  assert_int_equal (kwf_effects_at (f->effects, 0)->type, KWF_FX_PROBE);
+  kwf_report_event_t report = { .valid = true,
+                                .incarnation = 5,
+                                .orders = 3,
+                                .models = f->models,
+                                .n_models = 2 };
+  desk_take_report (f->desk, &report, f->now_ns);
+  f->now_ns += KWF_NS_PER_S;
+  assert_true (desk_is_free (f->desk, false, f->now_ns));
+  assert_int_equal (f->desk->orders, 3);
+  assert_non_null (desk_model (f->desk, "n"));
+}
+
+/* Guards against memory that is given twice: an entry that was read before,
+   or written before the last order, does not show what was loaded since.  */
+static void
+older_entry_changes_nothing (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  assert_int_equal (answer (f, 202, NULL), DESK_MODEL_LOADS);
+  f->now_ns += KWF_NS_PER_S;
+  give_entry (f, 1);
+  assert_int_equal (desk_model (f->desk, "n")->state, HELD_LOADING);
+  f->now_ns += 10 * KWF_NS_PER_S;
+  desk_take_member (f->desk, &f->member, f->now_ns);
+  assert_non_null (desk_model (f->desk, "n"));
+  give_entry (f, 2);
+  assert_int_equal (desk_model (f->desk, "n")->state, HELD_RESIDENT);
+  assert_true (desk_is_free (f->desk, false, f->now_ns));
+}
+
+/* Guards against a second order for a model while one is carried out, and
+   against waiting for ever when the list cannot be read.  */
+static void
+engine_is_asked_whether_a_load_is_done (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  answer (f, 202, NULL);
+  assert_false (desk_is_free (f->desk, false, f->now_ns));
+  assert_true (desk_is_free (f->desk, true, f->now_ns));
+  desk_context_t context = { .token = 7, .effects = f->effects };
+  kwf_effects_clear (f->effects);
+  context.now_ns = f->now_ns + KWF_NS_PER_S;
+  desk_ask (f->desk, &context);
+  assert_int_equal (kwf_effects_count (f->effects), 0);
+  context.now_ns = f->now_ns + 2 * KWF_NS_PER_S;
+  desk_ask (f->desk, &context);
+  assert_int_equal (kwf_effects_count (f->effects), 1);
+  kwf_report_event_t report = { .valid = true,
+                                .incarnation = 5,
+                                .orders = 1,
+                                .models = f->models,
+                                .n_models = 2 };
+  desk_take_report (f->desk, &report, context.now_ns);
+  assert_int_equal (desk_model (f->desk, "n")->state, HELD_RESIDENT);
+}
+
+/* Guards against a holder that goes on with an old token.  */
+static void
+stale_token_is_told (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  assert_int_equal (answer (f, 412, "stale_fence"), DESK_STALE_TOKEN);
+  assert_null (desk_model (f->desk, "n"));
+}
+
+/* Guards against a count of the process before.  */
+static void
+restarted_engine_counts_anew (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  answer (f, 202, NULL);
+  f->member.incarnation = 6;
+  give_entry (f, 0);
+  assert_int_equal (f->desk->orders, 0);
+  assert_null (desk_model (f->desk, "n"));
+  assert_true (desk_is_free (f->desk, false, f->now_ns));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (each_order_names_the_number_before_it,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (unanswered_order_needs_a_report, start,
+                                     stop),
+    cmocka_unit_test_setup_teardown (older_entry_changes_nothing, start, stop),
+    cmocka_unit_test_setup_teardown (engine_is_asked_whether_a_load_is_done,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (stale_token_is_told, start, stop),
+    cmocka_unit_test_setup_teardown (restarted_engine_counts_anew, start,
+                                     stop),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_platform_words.c
@@ -0,0 +1,302 @@
+/* What the users' platform says, as the product's data: configuration,
+   entries of servers, rows, headers; also when it is odd.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "lib/key.h"
+#include "net/events.h"
+#include "platform/parts.h"
+#include "platform/platform.h"
+#include "platform/wire.h"
+
+#define CONFIG                                                                \
+  "{\"version\":7,\"routes\":["                                               \
+  "{\"name\":\"r1\",\"hostname\":\"h\",\"path_prefix\":\"/a/\",\"kind\":"     \
+  "\"stream\",\"timeout_ms\":15000,\"target_latency_ms\":800,\"priority\":1," \
+  "\"traffic_split\":[{\"backend\":\"s1\",\"weight\":90},{\"backend\":"       \
+  "\"s2\",\"weight\":10}],\"max_attempts\":2,\"public\":false,"               \
+  "\"resumable\":true},"                                                      \
+  "{\"name\":\"r2\",\"hostname\":\"h\",\"path_prefix\":\"/b/\",\"kind\":"     \
+  "\"idempotent\",\"backend\":\"s2\",\"public\":true}],"                      \
+  "\"services\":[{\"name\":\"s1\",\"engine\":{\"models\":[{\"name\":\"m\","   \
+  "\"weights_mb\":72700.0,\"load_s\":1.2,\"adapters\":2}],\"weights_mb\":"    \
+  "200000.0,\"adapter_slots\":8,\"loads_per_s\":1.9}},{\"name\":\"s2\"}],"    \
+  "\"tenants\":[{\"name\":\"o\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":2," \
+  "\"unit\":\"tokens\",\"plain_tokens\":200,\"rate_per_s\":50,\"burst\":70}]}"
+
+/* Guards against fields that are read into the wrong place.  */
+static void
+configuration_is_read (void **state)
+{
+  (void)state;
+  static const char pepper[] = "pepper";
+  decoded_config_t config;
+  assert_true (config_decode (CONFIG, pepper, &config));
+  const kwf_route_t *route = kwf_lists_route (config.lists, "h", "/a/x");
+  assert_string_equal (route->name, "r1");
+  assert_int_equal (route->n_splits, 2);
+  assert_string_equal (route->splits[1].service, "s2");
+  assert_true (route->splits[1].weight == 10);
+  assert_true (route->stream && route->resumable && !route->idempotent);
+  assert_int_equal (route->timeout_ns, 15 * KWF_NS_PER_S);
+  assert_int_equal (route->objective_ns, 800 * KWF_NS_PER_MS);
+  assert_int_equal (route->max_attempts, 2);
+  route = kwf_lists_route (config.lists, "h", "/b/");
+  assert_true (route->open && route->idempotent);
+  assert_string_equal (route->splits[0].service, "s2");
+  const kwf_service_t *service = kwf_lists_service (config.lists, "s1");
+  assert_true (service->engine);
+  assert_int_equal (service->memory_mb, 200000);
+  assert_int_equal (service->adapter_slots, 8);
+  assert_false (kwf_lists_service (config.lists, "s2")->engine);
+  const kwf_model_t *model = kwf_lists_model (config.lists, "m");
+  assert_int_equal (model->memory_mb, 72700);
+  assert_int_equal (model->load_ns, 1200 * KWF_NS_PER_MS);
+  assert_string_equal (model->adapters[1], "a2");
+  const kwf_organisation_t *organisation
+      = kwf_lists_organisation (config.lists, "o");
+  assert_true (organisation->rate == 50 && organisation->burst == 70);
+  assert_true (organisation->plain_tokens == 200);
+  assert_false (organisation->by_request);
+  assert_int_equal (organisation->priority, 2);
+  char digest[KEY_DIGEST_SIZE];
+  key_digest ((const unsigned char *)pepper, strlen (pepper), "k2", digest);
+  assert_int_equal (config.keys->len, 2);
+  assert_string_equal (g_array_index (config.keys, kwf_key_grant_t, 1).digest,
+                       digest);
+  config_decoded_clear (&config);
+}
+
+/* Guards against a crash or a half-read configuration.  Each prefix of the
+   text is cut off, and each byte in turn is replaced.  */
+static void
+odd_configurations_are_survived (void **state)
+{
+  (void)state;
+  char *text = g_strdup (CONFIG);
+  size_t size = strlen (text);
+  decoded_config_t config;
+  for (size_t i = 0; i < size; i++)
+    {
+      char byte = text[i];
+      text[i] = '\0';
+      assert_false (config_decode (text, "p", &config));
+      static const char others[] = "0\"[{,x";
+      for (const char *c = others; *c; c++)
+        {
+          text[i] = *c;
+          if (config_decode (text, "p", &config))
+            config_decoded_clear (&config);
+        }
+      text[i] = byte;
+    }
+  g_free (text);
+  assert_false (config_decode (NULL, "p", &config));
+  assert_false (config_decode ("[]", "p", &config));
+}
+
+#define ENTRY(rest)                                                           \
+  "{\"backend\":\"s1\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","           \
+  "\"state\":\"ready\",\"slots\":64,\"born\":1783137771186" rest "}"
+
+/* Guards against an entry that is used although it names no server, and
+   against one odd field that hides a good server.  */
+static void
+odd_entries_name_no_server (void **state)
+{
+  (void)state;
+  static const char *const bad[] = {
+    "",
+    "null",
+    "[]",
+    "\xff\xfe",
+    "{\"backend\":\"s1\"}",
+    "{\"backend\":7,\"address\":\"10.0.0.1:80\",\"state\":\"ready\"}",
+    "{\"backend\":\"s1\",\"address\":\"nowhere\",\"state\":\"ready\"}",
+    "{\"backend\":\"s1\",\"address\":\"10.0.0.1:80\",\"state\":\"asleep\"}",
+    "{\"backend\":\"s1\",\"address\":\"10.0.0.1:80\",\"state\":true}",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    assert_null (described_decode (bad[i]));
+  assert_null (described_decode (NULL));
+  described_t *server = described_decode (
+      ENTRY (",\"models\":[{\"name\":\"m\",\"adapters\":[\"a1\",7]},3,{}]"));
+  assert_non_null (server);
+  assert_int_equal (server->models->len, 1);
+  const kwf_resident_t *model
+      = &g_array_index (server->models, kwf_resident_t, 0);
+  assert_string_equal (model->name, "m");
+  assert_int_equal (model->n_adapters, 1);
+  assert_true (server->incarnation == 1783137771186);
+  assert_false (server->leaving);
+  described_free (server);
+  server = described_decode (
+      "{\"backend\":\"s1\",\"address\":\"10.0.0.1:80\",\"state\":\"draining\","
+      "\"slots\":\"many\",\"zone\":4,\"models\":{}}");
+  assert_true (server->leaving);
+  assert_int_equal (server->slots, 0);
+  described_free (server);
+}
+
+/* Guards against rows that are taken from a malformed answer.  */
+static void
+rows_are_read (void **state)
+{
+  (void)state;
+  static const char body[]
+      = "{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"value\":"
+        "\"bm9kZS0x\",\"ver\":412},{\"key\":\"gone\",\"removed\":true,"
+        "\"ver\":413},{\"key\":\"absent\",\"ver\":0}],\"truncated\":true,"
+        "\"ver\":530}";
+  client_answer_t answer = { .body = body, .body_size = strlen (body) };
+  rows_answer_t rows;
+  assert_true (rows_answer_read (&rows, &answer));
+  assert_int_equal (rows.rows->len, 2);
+  assert_string_equal (g_array_index (rows.rows, kwf_row_t, 0).value,
+                       "node-1");
+  assert_null (g_array_index (rows.rows, kwf_row_t, 1).value);
+  assert_int_equal (rows.version, 530);
+  assert_true (rows.more);
+  rows_answer_clear (&rows);
+  static const char *const bad[] = { "", "[]", "{\"rows\":[{\"ver\":3}]}" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      answer = (client_answer_t){ .body = bad[i],
+                                  .body_size = strlen (bad[i]) };
+      assert_false (rows_answer_read (&rows, &answer));
+      rows_answer_clear (&rows);
+    }
+}
+
+/* Guards against a wrong promise: only these tell that nothing ran.  */
+static void
+answers_tell_whether_the_request_ran (void **state)
+{
+  (void)state;
+  header_t headers[] = { { "x-server-load", "3,1,64" }, { "A", "b" } };
+  client_answer_t answer
+      = { .status = 503, .headers = headers, .n_headers = 2 };
+  answer_facts_t facts = { 0 };
+  platform_dialect.read_facts (&facts, &answer);
+  assert_false (facts.not_run);
+  assert_true (facts.loaded);
+  assert_int_equal (facts.running, 3);
+  assert_int_equal (facts.slots, 64);
+  headers[1] = (header_t){ "X-Not-Run", "1" };
+  facts = (answer_facts_t){ 0 };
+  platform_dialect.read_facts (&facts, &answer);
+  assert_true (facts.not_run && !facts.misplaced);
+  answer = (client_answer_t){ .status = 421 };
+  platform_dialect.read_facts (&facts, &answer);
+  assert_true (facts.not_run && facts.misplaced);
+  headers[0].value = "3,x,64";
+  answer = (client_answer_t){ .headers = headers, .n_headers = 1 };
+  facts = (answer_facts_t){ 0 };
+  platform_dialect.read_facts (&facts, &answer);
+  assert_false (facts.loaded);
+}
+
+static const char *
+find (const GArray *headers, const char *name)
+{
+  for (guint i = 0; i < headers->len; i++)
+    if (strcmp (g_array_index (headers, header_t, i).name, name) == 0)
+      return g_array_index (headers, header_t, i).value;
+  return NULL;
+}
+
+/* Guards against a request that another server or organisation answers.  */
+static void
+attempts_name_server_and_organisation (void **state)
+{
+  (void)state;
+  GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  kwf_attempt_start_t start
+      = { .server = "i-1", .organisation = "o", .priority = 0 };
+  platform_dialect.add_headers (headers, texts, &start, 250, "7");
+  assert_string_equal (find (headers, "X-Expect-Instance"), "i-1");
+  assert_string_equal (find (headers, "X-Tenant"), "o");
+  assert_string_equal (find (headers, "X-Deadline-Ms"), "250");
+  assert_string_equal (find (headers, "Last-Event-Id"), "7");
+  assert_string_equal (find (headers, "X-Request-Priority"), "2");
+  g_array_set_size (headers, 0);
+  start.organisation = "";
+  platform_dialect.add_headers (headers, texts, &start, 250, NULL);
+  assert_null (find (headers, "X-Tenant"));
+  assert_null (find (headers, "Last-Event-Id"));
+  g_array_free (headers, TRUE);
+  g_ptr_array_free (texts, TRUE);
+}
+
+/* Guards against an order that is carried out from another state.  */
+static void
+order_names_the_number_before_it (void **state)
+{
+  (void)state;
+  kwf_order_t order = { .order = "load",
+                        .model = "m",
+                        .adapter = "a3",
+                        .holder = "node",
+                        .fence = 41,
+                        .after = 2 };
+  char *body = platform_dialect.order_body (&order);
+  json_t *root = json_loads (body, 0, NULL);
+  assert_string_equal (text_at (root, "operation"), "load");
+  assert_string_equal (text_at (root, "adapter"), "a3");
+  assert_true (number_at (root, "expected", -1) == 2);
+  assert_true (number_at (root, "fencing_token", -1) == 41);
+  assert_string_equal (text_at (root, "holder"), "node");
+  json_decref (root);
+  free (body);
+}
+
+/* Guards against pieces that are passed on twice or half when a stream goes
+   on at another server, wherever the bytes are cut.  */
+static void
+events_are_cut_at_their_ends (void **state)
+{
+  (void)state;
+  static const char text[]
+      = "x-weight-versions: 2\nid: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+        "data: none\n\nid: 3\ndata: half";
+  size_t size = strlen (text);
+  for (size_t cut = 0; cut <= size; cut++)
+    {
+      events_t events;
+      events_init (&events, 1);
+      events_add (&events, text, cut);
+      events_add (&events, text + cut, size - cut);
+      assert_int_equal (events.last_id, 2);
+      assert_int_equal (events.count, 2);
+      assert_int_equal (
+          strncmp (events.bytes->str, "id: 2\r\ndata: b\r\n\r\ndata: none\n\n",
+                   events.whole),
+          0);
+      events_take (&events, events.whole);
+      assert_string_equal (events.bytes->str, "id: 3\ndata: half");
+      events_clear (&events);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (configuration_is_read),
+    cmocka_unit_test (odd_configurations_are_survived),
+    cmocka_unit_test (odd_entries_name_no_server),
+    cmocka_unit_test (rows_are_read),
+    cmocka_unit_test (answers_tell_whether_the_request_ran),
+    cmocka_unit_test (attempts_name_server_and_organisation),
+    cmocka_unit_test (order_names_the_number_before_it),
+    cmocka_unit_test (events_are_cut_at_their_ends),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_rebalance.c
@@ -0,0 +1,177 @@
+/* Which loads and unloads of models are due.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <knapweedfork/clock.h>
+
+#include "lib/rebalance.h"
+
+#define MOST 8
+
+/* Engines of 200 GB and models of 70 GB, two to an engine.  */
+typedef struct
+{
+  rebalance_model_t models[MOST];
+  rebalance_engine_t engines[MOST];
+  int8_t states[MOST][MOST];
+  int64_t held_for_ns[MOST][MOST];
+  int n_models;
+  int n_engines;
+} fleet_t;
+
+static void
+make_fleet (fleet_t *fleet, int n_models, int n_engines)
+{
+  memset (fleet, 0, sizeof *fleet);
+  fleet->n_models = n_models;
+  fleet->n_engines = n_engines;
+  for (int i = 0; i < n_models; i++)
+    fleet->models[i] = (rebalance_model_t){ .name = "m", .mb = 70000 };
+  for (int i = 0; i < n_engines; i++)
+    {
+      fleet->engines[i]
+          = (rebalance_engine_t){ .free = true,
+                                  .free_mb = 200000,
+                                  .states = fleet->states[i],
+                                  .held_for_ns = fleet->held_for_ns[i] };
+      for (int k = 0; k < MOST; k++)
+        fleet->held_for_ns[i][k] = 60 * KWF_NS_PER_S;
+    }
+}
+
+static void
+hold (fleet_t *fleet, int engine, int model)
+{
+  fleet->states[engine][model] = REBALANCE_HELD;
+  fleet->engines[engine].free_mb -= fleet->models[model].mb;
+}
+
+static rebalance_step_t
+next (const fleet_t *fleet, bool may_load, bool may_move)
+{
+  return rebalance_next (fleet->models, fleet->n_models, fleet->engines,
+                         fleet->n_engines, may_load, may_move);
+}
+
+static void
+assert_step (rebalance_step_t step, bool load, int model, int engine)
+{
+  assert_int_equal (step.engine, engine);
+  assert_int_equal (step.load, load);
+  assert_int_equal (step.model, model);
+}
+
+/* Guards against a called model that stays unreachable.  */
+static void
+missing_model_comes_first (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 3, 2);
+  hold (&fleet, 0, 0);
+  hold (&fleet, 1, 1);
+  fleet.models[0].rate = 9000;
+  fleet.models[2] = (rebalance_model_t){ .mb = 70000, .waiting = true };
+  rebalance_step_t step = next (&fleet, true, true);
+  assert_true (step.load);
+  assert_int_equal (step.model, 2);
+  assert_int_equal (next (&fleet, false, true).engine, -1);
+}
+
+/* Guards against giving up the only copy of a model that is asked for.  */
+static void
+last_copy_of_a_called_model_stays (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 3, 1);
+  hold (&fleet, 0, 0);
+  hold (&fleet, 0, 1);
+  fleet.models[0].rate = 5;
+  fleet.models[1].rate = 5;
+  fleet.models[2] = (rebalance_model_t){ .mb = 70000, .waiting = true };
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+  fleet.models[1].rate = 0;
+  assert_step (next (&fleet, true, true), false, 1, 0);
+}
+
+/* Guards against moves for a load that is not known yet: with the first
+   requests of a day the busiest models were unloaded everywhere.  */
+static void
+idle_model_stays_until_it_was_watched (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 3, 2);
+  hold (&fleet, 0, 0);
+  hold (&fleet, 0, 1);
+  hold (&fleet, 1, 0);
+  hold (&fleet, 1, 2);
+  fleet.models[0].rate = 9000;
+  fleet.models[1].idle_ns = KWF_NS_PER_S;
+  fleet.models[2].idle_ns = KWF_NS_PER_S;
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+}
+
+/* Guards against copies that do not follow the demand, and against moves back
+   and forth.  */
+static void
+copy_moves_only_for_a_clear_gain (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 2, 3);
+  for (int i = 0; i < 3; i++)
+    {
+      fleet.engines[i].free_mb = 100000;
+      hold (&fleet, i, i == 0 ? 0 : 1);
+    }
+  fleet.models[0].rate = 3000;
+  fleet.models[1].rate = 3000;
+  /* 3,000 on the one copy of the first, 1,500 on each of the second; taking
+     one away leaves 3,000.  */
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+  fleet.models[0].rate = 9000;
+  rebalance_step_t step = next (&fleet, true, true);
+  assert_false (step.load);
+  assert_int_equal (step.model, 1);
+  assert_int_equal (step.purpose, 0);
+  assert_int_equal (next (&fleet, true, false).engine, -1);
+  for (int i = 1; i < 3; i++)
+    fleet.held_for_ns[i][1] = KWF_NS_PER_S;
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+}
+
+/* Guards against orders for an engine that carries one out.  */
+static void
+busy_engine_gets_no_order (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 1, 2);
+  fleet.models[0].waiting = true;
+  fleet.engines[0].free = false;
+  assert_step (next (&fleet, true, true), true, 0, 1);
+  fleet.states[0][0] = REBALANCE_LOADING;
+  fleet.models[0].rate = 1;
+  fleet.engines[1].free = false;
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (missing_model_comes_first),
+    cmocka_unit_test (last_copy_of_a_called_model_stays),
+    cmocka_unit_test (idle_model_stays_until_it_was_watched),
+    cmocka_unit_test (copy_moves_only_for_a_clear_gain),
+    cmocka_unit_test (busy_engine_gets_no_order),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_routed.c
@@ -0,0 +1,390 @@
+/* Requests whose route is found from host and path: admission, attempts,
+   answers that say "not run", keys, stop.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-core.h"
+#include "lib/lists-build.h"
+
+static int
+start (void **state)
+{
+  core_world_t *world = g_new0 (core_world_t, 1);
+  core_world_start (world);
+  *state = world;
+  return 0;
+}
+
+static int
+stop (void **state)
+{
+  core_world_stop (*state);
+  g_free (*state);
+  return 0;
+}
+
+static void
+assert_refused (const core_world_t *world, int status, const char *code)
+{
+  const kwf_effect_t *effect = core_world_effect (world, KWF_FX_REPLY);
+  assert_non_null (effect);
+  assert_int_equal (effect->reply.status, status);
+  assert_string_equal (effect->reply.code, code);
+}
+
+static kwf_handle_t
+assert_sent (const core_world_t *world)
+{
+  const kwf_effect_t *effect = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  assert_non_null (effect);
+  return effect->start.attempt;
+}
+
+static void
+end_attempt (core_world_t *world, kwf_handle_t request, kwf_handle_t attempt,
+             int status, bool not_run)
+{
+  core_world_step (world,
+                   &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                   .attempt = { .attempt = attempt,
+                                                .request = request,
+                                                .status = status,
+                                                .not_run = not_run } });
+}
+
+static void
+fail_attempt (core_world_t *world, kwf_handle_t request, kwf_handle_t attempt)
+{
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                             .attempt = { .attempt = attempt,
+                                          .request = request,
+                                          .failure = KWF_FAIL_BROKEN } });
+}
+
+/* Guards against a path that falls to the wrong route, or to none.  */
+static void
+longest_prefix_wins (void **state)
+{
+  (void)state;
+  static const kwf_split_t split = { "s", 1 };
+  kwf_lists_t *lists = lists_new ();
+  const char *const prefixes[] = { "/", "/a/", "/a/b/" };
+  for (size_t i = 0; i < G_N_ELEMENTS (prefixes); i++)
+    assert_true (lists_add_route (lists, &(kwf_route_t){ .name = prefixes[i],
+                                                         .host = "Host.X",
+                                                         .prefix = prefixes[i],
+                                                         .splits = &split,
+                                                         .n_splits = 1 }));
+  assert_false (lists_add_route (lists, &(kwf_route_t){ .name = "twin",
+                                                        .host = "host.x",
+                                                        .prefix = "/a/",
+                                                        .splits = &split,
+                                                        .n_splits = 1 }));
+  const struct
+  {
+    const char *host;
+    const char *path;
+    const char *route;
+  } cases[] = {
+    { "host.x", "/a/b/c", "/a/b/" }, { "HOST.X:80", "/a/bc", "/a/" },
+    { "host.x", "/ab", "/" },        { "host.x", "/a/b", "/a/" },
+    { "other.x", "/a/", NULL },      { NULL, "/a/", NULL },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const kwf_route_t *route
+          = kwf_lists_route (lists, cases[i].host, cases[i].path);
+      if (cases[i].route)
+        assert_string_equal (route->name, cases[i].route);
+      else
+        assert_null (route);
+    }
+  kwf_lists_free (lists);
+}
+
+/* Guards against a denial before the configuration is known, and against a
+   pass afterwards.  */
+static void
+admission_answers_what_the_lists_say (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/none/", NULL);
+  assert_refused (world, 404, "route_not_found");
+  kwf_event_t event = { .type = KWF_EV_REQUEST,
+                        .request = { .handle = 2,
+                                     .kind = KWF_REQUEST_ROUTED,
+                                     .id = "r",
+                                     .key_digest = "other",
+                                     .host = "h.example",
+                                     .path = "/read/" } };
+  core_world_step (world, &event);
+  assert_refused (world, 401, "unknown_key");
+  event.request.key_digest = NULL;
+  core_world_step (world, &event);
+  assert_refused (world, 401, "missing_key");
+  kwf_core_t *empty = kwf_core_new (&(kwf_core_options_t){
+      .instance = "b",
+      .data_centre = "c",
+      .caller_address = "",
+      .peer_address = "",
+      .pushed = true,
+      .clock = &world->clock.clock,
+      .random = kwf_random_system () });
+  kwf_effects_clear (world->effects);
+  kwf_core_step (empty, &event, world->effects);
+  assert_refused (world, 503, "no_configuration");
+  kwf_core_free (empty);
+}
+
+/* Guards against a second run of what may run once.  */
+static void
+broken_call_that_may_run_once_is_not_repeated (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/book/x", NULL);
+  kwf_handle_t attempt = assert_sent (world);
+  assert_false (
+      core_world_effect (world, KWF_FX_ATTEMPT_START)->start.repeatable);
+  fail_attempt (world, 1, attempt);
+  assert_null (core_world_effect (world, KWF_FX_ATTEMPT_START));
+  assert_refused (world, 502, "outcome_unknown");
+}
+
+/* Guards against giving up what another server can do, and against asking
+   more servers than the route allows.  */
+static void
+not_run_goes_to_another_server_within_the_attempts (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/book/x", NULL);
+  const kwf_effect_t *first = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  char server[8];
+  g_strlcpy (server, first->start.server, sizeof server);
+  end_attempt (world, 1, assert_sent (world), 503, true);
+  const kwf_effect_t *second = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  assert_non_null (second);
+  assert_string_not_equal (second->start.server, server);
+  end_attempt (world, 1, second->start.attempt, 503, true);
+  assert_null (core_world_effect (world, KWF_FX_ATTEMPT_START));
+  assert_refused (world, 503, "no_server");
+  assert_int_equal (core_world_effect (world, KWF_FX_REPLY)->reply.run,
+                    KWF_RUN_NO);
+}
+
+/* Guards against replacing a server's own failure.  */
+static void
+last_failure_of_a_server_is_passed_on (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/read/x", NULL);
+  end_attempt (world, 1, assert_sent (world), 500, false);
+  kwf_handle_t second = assert_sent (world);
+  end_attempt (world, 1, second, 500, false);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+  assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
+}
+
+/* Guards against a stream that is not gone on with elsewhere.  */
+static void
+broken_stream_resumes_at_another_engine (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/draft/x", "m");
+  kwf_handle_t attempt = assert_sent (world);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_DATA,
+                                          .attempt = { .attempt = attempt,
+                                                       .request = 1,
+                                                       .tokens = 3 } });
+  assert_non_null (core_world_effect (world, KWF_FX_FORWARD));
+  fail_attempt (world, 1, attempt);
+  const kwf_effect_t *again = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  assert_non_null (again);
+  assert_true (again->start.resumes);
+}
+
+/* Guards against a request that waits for a model that an engine has.  When
+   an adapter was missing, the model itself counted as missing.  */
+static void
+missing_adapter_leaves_the_model (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/draft/x", "m");
+  kwf_handle_t attempt = assert_sent (world);
+  kwf_event_t placed = { .type = KWF_EV_PEER_MESSAGE };
+  kwf_message_t message
+      = { .type = KWF_MSG_PLACED,
+          .placed
+          = { "e1", 1, .model = "m", .adapter = "a1", .present = true } };
+  placed.peer = (kwf_peer_event_t){ .instance = "b", .message = &message };
+  core_world_step (world, &placed);
+  kwf_event_t request = { .type = KWF_EV_REQUEST,
+                          .request = { .handle = 2,
+                                       .kind = KWF_REQUEST_ROUTED,
+                                       .id = "r2",
+                                       .key_digest = "k",
+                                       .host = "h.example",
+                                       .path = "/draft/",
+                                       .model = "m",
+                                       .adapter = "a1",
+                                       .fingerprint = 2 } };
+  core_world_step (world, &request);
+  const kwf_effect_t *sent = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  assert_non_null (sent);
+  assert_string_equal (sent->start.server, "e1");
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                          .attempt
+                                          = { .attempt = sent->start.attempt,
+                                              .request = 2,
+                                              .status = 421,
+                                              .not_run = true,
+                                              .misplaced = true } });
+  /* Fill e2, so that only e1 is left.  */
+  (void)attempt;
+  int to_first = 0;
+  for (kwf_handle_t i = 3; i < 9; i++)
+    {
+      core_world_request (world, i, "/draft/x", "m");
+      const kwf_effect_t *start
+          = core_world_effect (world, KWF_FX_ATTEMPT_START);
+      assert_non_null (start);
+      to_first += strcmp (start->start.server, "e1") == 0;
+    }
+  assert_true (to_first > 0);
+}
+
+/* Guards against engines that count as plain services for ever, because they
+   were listed before the configuration told what they are.  */
+static void
+server_may_turn_out_to_be_an_engine (void **state)
+{
+  core_world_t *world = *state;
+  static const kwf_resident_t model = { .name = "n", .version = "" };
+  kwf_member_t member = { .id = "e3",
+                          .kind = KWF_MEMBER_SERVICE,
+                          .name = "models",
+                          .address = "127.0.0.1:23",
+                          .data_centre = "c",
+                          .described = true,
+                          .revision = 9,
+                          .incarnation = 1,
+                          .slots = 8,
+                          .models = &model,
+                          .n_models = 1 };
+  kwf_event_t event
+      = { .type = KWF_EV_MEMBERS,
+          .members = { .valid = true, .members = &member, .n_members = 1 } };
+  core_world_step (world, &event);
+  member.kind = KWF_MEMBER_ENGINE;
+  core_world_step (world, &event);
+  core_world_request (world, 1, "/draft/x", "n");
+  assert_sent (world);
+}
+
+/* Guards against servers that are dropped because their entries expired while
+   the list could not be read.  */
+static void
+unsure_list_drops_no_server (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  kwf_event_t event = { .type = KWF_EV_MEMBERS,
+                        .members = { .valid = true, .unsure = true } };
+  core_world_step (world, &event);
+  core_world_request (world, 1, "/read/x", NULL);
+  assert_sent (world);
+  event.members.unsure = false;
+  core_world_step (world, &event);
+  core_world_request (world, 2, "/read/x", NULL);
+  assert_refused (world, 503, "no_server");
+}
+
+/* Guards against a rate that is not held, or that counts what did not run.  */
+static void
+requests_count_against_the_rate_once_they_run (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  /* 10 tokens each, 1,000 in the bucket.  */
+  for (kwf_handle_t i = 1; i <= 150; i++)
+    {
+      core_world_request (world, i, "/book/x", NULL);
+      kwf_handle_t attempt = assert_sent (world);
+      end_attempt (world, i, attempt, 503, true);
+      const kwf_effect_t *again
+          = core_world_effect (world, KWF_FX_ATTEMPT_START);
+      if (again)
+        end_attempt (world, i, again->start.attempt, 503, true);
+    }
+  int granted = 0;
+  for (kwf_handle_t i = 1000; i < 1150; i++)
+    {
+      core_world_request (world, i, "/read/x", NULL);
+      const kwf_effect_t *sent
+          = core_world_effect (world, KWF_FX_ATTEMPT_START);
+      granted += sent != NULL;
+      if (sent)
+        end_attempt (world, i, sent->start.attempt, 200, false);
+      else
+        assert_refused (world, 429, "rate_limited");
+    }
+  assert_int_equal (granted, 100);
+}
+
+/* Guards against requests that are taken when they cannot be finished any
+   more.  */
+static void
+stopping_instance_takes_requests_for_a_while (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
+  assert_false (kwf_core_ready (world->core));
+  core_world_pass (world, 2900);
+  core_world_request (world, 1, "/read/x", NULL);
+  kwf_handle_t attempt = assert_sent (world);
+  core_world_pass (world, 200);
+  core_world_request (world, 2, "/read/x", NULL);
+  assert_refused (world, 503, "stopping");
+  end_attempt (world, 1, attempt, 200, false);
+  assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (longest_prefix_wins),
+    cmocka_unit_test_setup_teardown (admission_answers_what_the_lists_say,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (
+        broken_call_that_may_run_once_is_not_repeated, start, stop),
+    cmocka_unit_test_setup_teardown (
+        not_run_goes_to_another_server_within_the_attempts, start, stop),
+    cmocka_unit_test_setup_teardown (last_failure_of_a_server_is_passed_on,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (broken_stream_resumes_at_another_engine,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (missing_adapter_leaves_the_model, start,
+                                     stop),
+    cmocka_unit_test_setup_teardown (server_may_turn_out_to_be_an_engine,
+                                     start, stop),
+    cmocka_unit_test_setup_teardown (unsure_list_drops_no_server, start, stop),
+    cmocka_unit_test_setup_teardown (
+        requests_count_against_the_rate_once_they_run, start, stop),
+    cmocka_unit_test_setup_teardown (
+        stopping_instance_takes_requests_for_a_while, start, stop),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
