--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -80,8 +80,12 @@
       strlen (text), text, MHD_RESPMEM_MUST_COPY);
   g_free (text);
   if (response)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                             "application/json");
+    {
+      MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                               "application/json");
+      /* What follows on the connection may be a part of this request.  */
+      MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
   return response;
 }
 
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -117,6 +117,71 @@
                  "the body exceeds the limit of this server");
 }
 
+/* What the headers say of the message's end.  */
+typedef struct
+{
+  int n_hosts;
+  int n_lengths;
+  int n_codings;
+  bool odd; /* a name or value that another reader may take differently */
+} framing_t;
+
+static bool
+is_token (const char *name, size_t size)
+{
+  static const char others[] = "!#$%&'*+-.^_`|~";
+  for (size_t i = 0; i < size; i++)
+    if (!g_ascii_isalnum (name[i]) && !strchr (others, name[i]))
+      return false;
+  return size > 0;
+}
+
+static bool
+is_digits (const char *text, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    if (!g_ascii_isdigit (text[i]))
+      return false;
+  return size > 0;
+}
+
+/* The types of the parameters are those of libmicrohttpd.  */
+static enum MHD_Result
+note_header (void *data, enum MHD_ValueKind kind, const char *name,
+             size_t name_size, const char *value, size_t value_size)
+{
+  (void)kind;
+  framing_t *framing = data;
+  bool good = is_token (name, name_size) && (!value_size || value)
+              && (!value_size || strlen (value) == value_size);
+  if (good && strcasecmp (name, MHD_HTTP_HEADER_HOST) == 0)
+    framing->n_hosts++;
+  else if (good && strcasecmp (name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
+    {
+      framing->n_lengths++;
+      good = is_digits (value, value_size);
+    }
+  else if (good && strcasecmp (name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0)
+    {
+      framing->n_codings++;
+      good = value_size && strcasecmp (value, "chunked") == 0;
+    }
+  framing->odd |= !good;
+  return MHD_YES;
+}
+
+/* Whether the end of the message and its host can be read in one way only.
+   libmicrohttpd accepts messages that others read differently; a request
+   could be hidden in their bodies.  */
+static bool
+is_unambiguous (struct MHD_Connection *mhd)
+{
+  framing_t framing = { 0 };
+  MHD_get_connection_values_n (mhd, MHD_HEADER_KIND, note_header, &framing);
+  return !framing.odd && framing.n_hosts == 1
+         && framing.n_lengths + framing.n_codings <= 1;
+}
+
 /* The headers were read.  A body that is too large is refused here when the
    caller waits for permission to send it or when it is far too large; else
    it is read and discarded first, because closing with unread bytes may
@@ -127,6 +192,9 @@
   server_request_t *public = &request->public;
   public->method = method;
   public->path = path;
+  if (!is_unambiguous (request->mhd))
+    return refuse (request, MHD_HTTP_BAD_REQUEST, "ambiguous_message",
+                   "the headers can be read in more than one way");
   if (strcasestr (public->raw_path, "%00"))
     return refuse (request, MHD_HTTP_BAD_REQUEST, "invalid_path",
                    "the path contains a zero byte");
