Keep the place of an adapter that leaves or comes

Reports' adapters on their way count too, and so do those ordered in the last 10 s that an entry does not list yet. A load that was not answered keeps its memory for 15 s over a restart of the engine.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -54,8 +54,8 @@
   double overdraft;
   bool finish_withdrawn; /* requests under way when their key is withdrawn go
                             on to their end */
-  int64_t linger_ns; /* a stopping instance takes requests for this long;
-                        0: until the address answers have run out */
+  int64_t linger_ns;     /* a stopping instance takes requests for this long;
+                            0: until the address answers have run out */
   const struct queue_ops *queue_order; /* NULL: weighted fair */
   kwf_placement_options_t placement;
   const kwf_clock_t *clock;
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -11,16 +11,22 @@
 #define AGAIN_NS (200 * KWF_NS_PER_MS)
 /* What the membership list says of an engine is this old at most.  */
 #define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
+/* An order that was not answered is carried out this long after it was sent
+   at most.  */
+#define LATE_NS (15 * KWF_NS_PER_S)
 /* An engine is asked whether it has carried out an order this long after the
    order should be done, and again after the same time.  Its entry in the
    list tells the same later, and not at all while the platform is away.  */
 #define CARRY_AGAIN_NS (400 * KWF_NS_PER_MS)
+/* A crowded weight store delivers an adapter within this time.  */
+#define COMING_NS (10 * KWF_NS_PER_S)
 
 static void
 held_free (void *data)
 {
   held_model_t *held = data;
   g_hash_table_unref (held->adapters);
+  g_hash_table_unref (held->leaving);
   g_free (held);
 }
 
@@ -30,6 +36,13 @@
   return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, held_free);
 }
 
+static void
+late_clear (void *data)
+{
+  late_order_t *late = data;
+  g_free (late->model);
+}
+
 desk_t *
 desk_new (const server_t *server)
 {
@@ -37,6 +50,8 @@
   desk->id = g_strdup (server->id);
   desk->service = g_strdup (server->name);
   desk->models = new_models ();
+  desk->late = g_array_new (FALSE, FALSE, sizeof (late_order_t));
+  g_array_set_clear_func (desk->late, late_clear);
   return desk;
 }
 
@@ -52,6 +67,7 @@
   g_free (desk->adapter);
   g_free (desk->carried);
   g_free (desk->promised);
+  g_array_free (desk->late, TRUE);
   g_hash_table_unref (desk->models);
   g_free (desk);
 }
@@ -77,7 +93,11 @@
   gpointer value;
   g_hash_table_iter_init (&iter, desk->models);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    n += (int)g_hash_table_size (((held_model_t *)value)->adapters);
+    {
+      const held_model_t *held = value;
+      n += (int)g_hash_table_size (held->adapters);
+      n += (int)g_hash_table_size (held->leaving);
+    }
   return n;
 }
 
@@ -90,10 +110,36 @@
   desk->promised_ns = now_ns;
 }
 
-int64_t
-desk_used_mb (const desk_t *desk, const kwf_lists_t *lists)
+/* Remember the order under way, which was not answered.  */
+static void
+note_late (desk_t *desk)
+{
+  late_order_t late = { .model = g_strdup (desk->model),
+                        .sent_ns = desk->sent_ns,
+                        .incarnation = desk->incarnation };
+  g_array_append_val (desk->late, late);
+}
+
+static int64_t
+late_mb (const desk_t *desk, const kwf_lists_t *lists, int64_t now_ns)
 {
   int64_t mb = 0;
+  for (guint i = 0; i < desk->late->len; i++)
+    {
+      const late_order_t *late = &g_array_index (desk->late, late_order_t, i);
+      const kwf_model_t *model = kwf_lists_model (lists, late->model);
+      if (late->incarnation != desk->incarnation && model
+          && now_ns - late->sent_ns < LATE_NS
+          && !desk_model (desk, late->model))
+        mb += model->memory_mb;
+    }
+  return mb;
+}
+
+int64_t
+desk_used_mb (const desk_t *desk, const kwf_lists_t *lists, int64_t now_ns)
+{
+  int64_t mb = late_mb (desk, lists, now_ns);
   GHashTableIter iter;
   gpointer name;
   g_hash_table_iter_init (&iter, desk->models);
@@ -113,6 +159,8 @@
   held->since_ns = now_ns;
   held->adapters
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  held->leaving
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_hash_table_replace (desk->models, g_strdup (name), held);
   return held;
 }
@@ -204,13 +252,49 @@
   g_clear_pointer (&desk->carried, g_free);
 }
 
+static void
+account_adapter (held_model_t *held, const held_model_t *old,
+                 const char *adapter, int64_t now_ns)
+{
+  const int64_t *since
+      = old ? g_hash_table_lookup (old->adapters, adapter) : NULL;
+  if (old && g_hash_table_contains (old->leaving, adapter))
+    g_hash_table_add (held->leaving, g_strdup (adapter));
+  else
+    add_adapter (held, adapter, since ? *since : now_ns);
+}
+
 static void
 account_resident (desk_t *desk, GHashTable *before,
                   const kwf_resident_t *model, int64_t now_ns)
 {
+  const held_model_t *old = g_hash_table_lookup (before, model->name);
   account_model (desk, before, model->name, now_ns);
+  held_model_t *held = desk_model (desk, model->name);
   for (size_t i = 0; i < model->n_adapters; i++)
-    add_adapter (desk_model (desk, model->name), model->adapters[i], now_ns);
+    account_adapter (held, old, model->adapters[i], now_ns);
+}
+
+/* An entry does not list adapters that are on their way: keep those that were
+   ordered lately.  */
+static void
+keep_coming (desk_t *desk, GHashTable *before, int64_t now_ns)
+{
+  GHashTableIter models;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&models, before);
+  while (g_hash_table_iter_next (&models, &name, &value))
+    {
+      held_model_t *held = desk_model (desk, name);
+      GHashTableIter adapters;
+      gpointer adapter;
+      gpointer since_ns;
+      g_hash_table_iter_init (&adapters, ((held_model_t *)value)->adapters);
+      while (held && g_hash_table_iter_next (&adapters, &adapter, &since_ns))
+        if (now_ns - *(int64_t *)since_ns < COMING_NS)
+          add_adapter (held, adapter, *(int64_t *)since_ns);
+    }
 }
 
 void
@@ -236,6 +320,7 @@
   begin_account (desk, &before);
   for (size_t i = 0; i < member->n_models; i++)
     account_resident (desk, before, &member->models[i], now_ns);
+  keep_coming (desk, before, now_ns);
   end_account (desk, before);
 }
 
@@ -261,10 +346,10 @@
 }
 
 bool
-desk_is_free (const desk_t *desk, bool adapter, int64_t now_ns)
+desk_is_free (const desk_t *desk, int64_t now_ns)
 {
   return desk->usable && !desk->order_id && !desk->doubtful
-         && now_ns >= desk->again_ns && (adapter || !desk->carried);
+         && now_ns >= desk->again_ns && !desk->carried;
 }
 
 void
@@ -313,6 +398,11 @@
     {
       if (held)
         g_hash_table_remove (held->adapters, desk->adapter);
+      if (held && !done)
+        {
+          g_hash_table_add (held->leaving, g_strdup (desk->adapter));
+          desk->carry_again_ns = now_ns + CARRY_AGAIN_NS;
+        }
       return DESK_ADAPTER_OUT;
     }
   g_free (desk->carried);
@@ -354,16 +444,31 @@
       return accept (desk, true, now_ns);
     }
   desk->again_ns = now_ns + AGAIN_NS;
+  if (!event->status && desk->kind == ORDER_LOAD && !*desk->adapter)
+    note_late (desk);
   if (g_strcmp0 (event->code, "stale_fence") == 0)
     return DESK_STALE_TOKEN;
   desk->doubtful = true;
   return DESK_NOTHING;
 }
 
+static bool
+is_leaving_adapters (const desk_t *desk)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, desk->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (g_hash_table_size (((held_model_t *)value)->leaving))
+      return true;
+  return false;
+}
+
 void
 desk_ask (desk_t *desk, const desk_context_t *context)
 {
-  bool slow = desk->carried && context->now_ns >= desk->carry_again_ns;
+  bool slow = (desk->carried || is_leaving_adapters (desk))
+              && context->now_ns >= desk->carry_again_ns;
   if (!desk->usable || desk->order_id || (!desk->doubtful && !slow)
       || context->now_ns < desk->again_ns)
     return;
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -24,15 +24,26 @@
   held_state_t state;
   int64_t since_ns;
   GHashTable *adapters; /* name to int64_t, when it is there */
+  /* Adapters whose unload waits for the requests that use them.  Each still
+     takes a place.  */
+  GHashTable *leaving;
 } held_model_t;
 
+/* A load of a model that was not answered and may still be carried out.  */
+typedef struct
+{
+  char *model;
+  int64_t sent_ns;
+  uint64_t incarnation; /* of the engine then */
+} late_order_t;
+
 typedef struct
 {
   char *id;
   char *address;
   char *service;
   uint64_t incarnation;
-  int64_t revision; /* of the entry that was looked at last */
+  int64_t revision;    /* of the entry that was looked at last */
   int64_t orders;      /* accepted by the engine, as far as known */
   int64_t accepted_ns; /* time of the last one; 0: none by this instance */
   GHashTable *models;  /* name to held_model_t */
@@ -52,15 +63,16 @@
   /* Model for which room is being made; NULL: none.  */
   char *promised;
   int64_t promised_ns;
-  bool doubtful;      /* a load report is needed before the next order */
-  int64_t again_ns;   /* no order or question before */
+  GArray *late;     /* of late_order_t */
+  bool doubtful;    /* a load report is needed before the next order */
+  int64_t again_ns; /* no order or question before */
 } desk_t;
 
 typedef struct
 {
   int64_t now_ns;
-  int64_t token;      /* fencing token */
-  const char *holder; /* instance that has it */
+  int64_t token;       /* fencing token */
+  const char *holder;  /* instance that has it */
   int64_t expected_ns; /* time that the next order should take */
   kwf_effects_t *effects;
 } desk_context_t;
@@ -91,8 +103,9 @@
 desk_news_t desk_take_answer (desk_t *desk, const kwf_order_event_t *event,
                               int64_t now_ns);
 
-/* Whether an order may be given: for a model, or for an adapter.  */
-bool desk_is_free (const desk_t *desk, bool adapter, int64_t now_ns);
+/* Whether an order may be given.  An engine refuses every order, also for an
+   adapter, while it loads or unloads a model.  */
+bool desk_is_free (const desk_t *desk, int64_t now_ns);
 
 /* Give an order.  The desk must be free.  */
 void desk_order (desk_t *desk, order_kind_t kind, const char *model,
@@ -109,7 +122,10 @@
 /* Make room for MODEL, or for none.  */
 void desk_promise (desk_t *desk, const char *model, int64_t now_ns);
 
-/* Memory that DESK uses for its models, by LISTS.  */
-int64_t desk_used_mb (const desk_t *desk, const kwf_lists_t *lists);
+/* Memory that DESK uses for its models, by LISTS, and what a load may use
+   that was not answered: after a restart of the engine its number may fit
+   again.  */
+int64_t desk_used_mb (const desk_t *desk, const kwf_lists_t *lists,
+                      int64_t now_ns);
 
 #endif
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -205,8 +205,8 @@
         && states[i] == REBALANCE_ABSENT)
       states[i] = REBALANCE_LOADING;
   fleet->engines[at] = (rebalance_engine_t){
-    .free = desk_is_free (desk, false, now_ns) && !desk->promised,
-    .free_mb = service->memory_mb - desk_used_mb (desk, lists)
+    .free = desk_is_free (desk, now_ns) && !desk->promised,
+    .free_mb = service->memory_mb - desk_used_mb (desk, lists, now_ns)
                - (int64_t)service->adapter_slots * ADAPTER_MB,
     .states = states,
     .held_for_ns = held_for_ns,
@@ -236,15 +236,14 @@
       if (g_strcmp0 (model->service, service->name) != 0)
         continue;
       demand_wait_t wait = demand_waiting (demand, model->name, NULL);
-      fleet->models[fleet->n_models++]
-          = (rebalance_model_t){ .name = model->name,
-                                 .mb = model->memory_mb,
-                                 .rate
-                                 = demand_rate (demand, model->name, NULL),
-                                 .waiting = wait.waiting,
-                                 .priority = wait.priority,
-                                 .idle_ns = idle_ns (direct, model->name,
-                                                     now_ns) };
+      fleet->models[fleet->n_models++] = (rebalance_model_t){
+        .name = model->name,
+        .mb = model->memory_mb,
+        .rate = demand_rate (demand, model->name, NULL),
+        .waiting = wait.waiting,
+        .priority = wait.priority,
+        .idle_ns = idle_ns (direct, model->name, now_ns)
+      };
     }
   GHashTableIter iter;
   gpointer value;
@@ -354,9 +353,10 @@
       g_clear_pointer (&desk->promised, g_free);
       return;
     }
-  int64_t free_mb = service->memory_mb - desk_used_mb (desk, lists)
+  int64_t free_mb = service->memory_mb
+                    - desk_used_mb (desk, lists, context->now_ns)
                     - (int64_t)service->adapter_slots * ADAPTER_MB;
-  if (!desk_is_free (desk, false, context->now_ns) || direct->loads < 1)
+  if (!desk_is_free (desk, context->now_ns) || direct->loads < 1)
     return;
   /* More than one model has to go: the next one is found anew.  */
   if (free_mb >= model->memory_mb)
@@ -381,12 +381,10 @@
     {
       fleet_t fleet;
       fleet_begin (direct, service, &fleet, context->now_ns);
-      rebalance_step_t step
-          = rebalance_next (fleet.models, fleet.n_models, fleet.engines,
-                            fleet.n_engines, direct->loads >= 1,
-                            direct->watch_ns
-                                && context->now_ns - direct->watch_ns
-                                       > WATCH_NS);
+      rebalance_step_t step = rebalance_next (
+          fleet.models, fleet.n_models, fleet.engines, fleet.n_engines,
+          direct->loads >= 1,
+          direct->watch_ns && context->now_ns - direct->watch_ns > WATCH_NS);
       if (step.engine >= 0)
         {
           desk_t *desk = fleet.desks->pdata[step.engine];
@@ -483,7 +481,7 @@
       const server_t *server
           = backend_find (direct->sources.backend, desk->id);
       if (!held || held->state != HELD_RESIDENT || !server
-          || !desk_is_free (desk, true, now_ns)
+          || !desk_is_free (desk, now_ns)
           || g_hash_table_contains (held->adapters, adapter->adapter))
         continue;
       double load = server_load (server) + desk_n_adapters (desk);
@@ -513,8 +511,7 @@
   const char *idle;
   double bound
       = adapter->copies ? adapter->rate / (adapter->copies + 1) : G_MAXDOUBLE;
-  if (find_idle_adapter (direct, desk, bound, context->now_ns, &model,
-                         &idle))
+  if (find_idle_adapter (direct, desk, bound, context->now_ns, &model, &idle))
     begin_unload (direct, desk, model, idle, context);
 }
 
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -125,12 +125,12 @@
   shares->old_share = next ? shares->share : 0;
   /* A process that was started since has what the one before it had.  */
   if (shares->steady)
-    shares->old_share = shares->before > 0
-                                && shares_holder_of (shares, shares->previous,
-                                                     shares->instance,
-                                                     shares->incarnation)
-                            ? 1.0 / (double)shares->before
-                            : 0;
+    shares->old_share
+        = shares->before > 0
+                  && shares_holder_of (shares, shares->previous,
+                                       shares->instance, shares->incarnation)
+              ? 1.0 / (double)shares->before
+              : 0;
   shares->share = member ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
   shares->settled = epoch == 1;
@@ -185,8 +185,7 @@
     {
       read_holders (shares->holders, members);
       read_holders (shares->previous, json_object_get (object, "previous"));
-      shares->before
-          = json_integer_value (json_object_get (object, "before"));
+      shares->before = json_integer_value (json_object_get (object, "before"));
       enter (shares, epoch, effects);
     }
   json_decref (object);
@@ -338,11 +337,10 @@
 {
   kwf_condition_t own = { ROW_KEY, shares->row_version };
   g_array_append_val (plan->conditions, own);
-  json_t *object = json_pack ("{s:I,s:o,s:o,s:I}", "epoch",
-                              (json_int_t)shares->epoch + 1, "members",
-                              write_holders (plan->holders), "previous",
-                              write_holders (plan->kept), "before",
-                              (json_int_t)shares->holders->len);
+  json_t *object = json_pack (
+      "{s:I,s:o,s:o,s:I}", "epoch", (json_int_t)shares->epoch + 1, "members",
+      write_holders (plan->holders), "previous", write_holders (plan->kept),
+      "before", (json_int_t)shares->holders->len);
   char *text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   kwf_put_t *put = kwf_effects_alloc (effects, sizeof *put);
--- a/lib/rebalance.h
+++ b/lib/rebalance.h
@@ -17,9 +17,9 @@
 {
   const char *name;
   int64_t mb;
-  double rate;  /* tokens a second asked for, over the fleet */
-  bool waiting; /* calls wait for a copy */
-  int priority; /* of the most urgent of them */
+  double rate;     /* tokens a second asked for, over the fleet */
+  bool waiting;    /* calls wait for a copy */
+  int priority;    /* of the most urgent of them */
   int64_t idle_ns; /* since it was last asked for, as far as known */
 } rebalance_model_t;
 
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -265,10 +265,9 @@
       count.n += server_holds (server, request->model);
       count.refused += server->refused;
       count.leaving += server_leaving (server);
-      count.without_adapter
-          += request->adapter
-             && !server_holds_adapter (server, request->model,
-                                       request->adapter);
+      count.without_adapter += request->adapter
+                               && !server_holds_adapter (
+                                   server, request->model, request->adapter);
     }
   return count;
 }
@@ -292,16 +291,15 @@
     return;
   const server_t *full = request->full[0];
   holders_t holders = count_holders (core, request);
-  kwf_effects_log (effects, 224, KWF_LOG_INFO, request->id,
-                   "waits for %s%s target=%s adapter=%s limit=%.0f under_way=%d"
-                   " queued=%zu holders=%d refused=%d leaving=%d without_adapter=%d",
-                   full ? "room at server=" : "a copy", full ? full->id : "",
-                   request->model ? request->model : request->service,
-                   request->adapter ? request->adapter : "-",
-                   full ? full->window.limit : 0,
-                   full ? full->open_attempts : 0, core->waits.queue.length,
-                   holders.n, holders.refused, holders.leaving,
-                   holders.without_adapter);
+  kwf_effects_log (
+      effects, 224, KWF_LOG_INFO, request->id,
+      "waits for %s%s target=%s adapter=%s limit=%.0f under_way=%d"
+      " queued=%zu holders=%d refused=%d leaving=%d without_adapter=%d",
+      full ? "room at server=" : "a copy", full ? full->id : "",
+      request->model ? request->model : request->service,
+      request->adapter ? request->adapter : "-", full ? full->window.limit : 0,
+      full ? full->open_attempts : 0, core->waits.queue.length, holders.n,
+      holders.refused, holders.leaving, holders.without_adapter);
   count_t count = { .request = request };
   if (request->full[0])
     queue_walk (&core->waits.queue, count_ahead, &count);
