Load models where their weights are, and keep the last copies

The log shows that all copies of models not asked for yet went within 0.1 s of the first requests, that engines were emptied seconds before the store allowed the next load, and that engines with the weights on their disk waited for the store like others. Ruled out: refused orders (1 in 95).

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -131,6 +131,9 @@
   int slots; /* requests that it runs at once; 0: not known */
   const kwf_resident_t *models;
   size_t n_models;
+  /* Models that it can load without the weight store.  */
+  const char *const *near;
+  size_t n_near;
 } kwf_member_t;
 
 typedef struct
@@ -177,6 +180,9 @@
   bool busy;      /* carries out an order */
   const kwf_resident_t *models;
   size_t n_models;
+  /* As in kwf_member_t; n_near 0: not told.  */
+  const char *const *near;
+  size_t n_near;
 } kwf_report_event_t;
 
 typedef struct
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -50,6 +50,7 @@
   desk->id = g_strdup (server->id);
   desk->service = g_strdup (server->name);
   desk->models = new_models ();
+  desk->near = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   desk->late = g_array_new (FALSE, FALSE, sizeof (late_order_t));
   g_array_set_clear_func (desk->late, late_clear);
   return desk;
@@ -69,6 +70,7 @@
   g_free (desk->promised);
   g_array_free (desk->late, TRUE);
   g_hash_table_unref (desk->models);
+  g_hash_table_unref (desk->near);
   g_free (desk);
 }
 
@@ -101,6 +103,20 @@
   return n;
 }
 
+bool
+desk_is_near (const desk_t *desk, const char *model)
+{
+  return g_hash_table_contains (desk->near, model);
+}
+
+static void
+take_near (desk_t *desk, const char *const *near, size_t n_near)
+{
+  g_hash_table_remove_all (desk->near);
+  for (size_t i = 0; i < n_near; i++)
+    g_hash_table_add (desk->near, g_strdup (near[i]));
+}
+
 void
 desk_promise (desk_t *desk, const char *model, int64_t now_ns)
 {
@@ -312,6 +328,7 @@
   if (desk->order_id || member->revision == desk->revision)
     return;
   desk->revision = member->revision;
+  take_near (desk, member->near, member->n_near);
   note_carried (desk, member, now_ns);
   /* The entry may have been written before the last order.  */
   if (desk->accepted_ns && now_ns - desk->accepted_ns < ENTRY_LAG_NS)
@@ -341,6 +358,8 @@
   if (!report->busy)
     g_clear_pointer (&desk->carried, g_free);
   end_account (desk, before);
+  if (report->n_near)
+    take_near (desk, report->near, report->n_near);
   desk->orders = report->orders;
   desk->doubtful = report->busy && !desk->carried;
 }
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -47,6 +47,7 @@
   int64_t orders;      /* accepted by the engine, as far as known */
   int64_t accepted_ns; /* time of the last one; 0: none by this instance */
   GHashTable *models;  /* name to held_model_t */
+  GHashTable *near;    /* names of models that it loads without the store */
   bool usable;         /* listed and not leaving */
   /* The order under way.  */
   char *order_id; /* NULL: none */
@@ -119,6 +120,9 @@
                        const char *adapter);
 int desk_n_adapters (const desk_t *desk);
 
+/* Whether the engine can load MODEL without the weight store.  */
+bool desk_is_near (const desk_t *desk, const char *model);
+
 /* Make room for MODEL, or for none.  */
 void desk_promise (desk_t *desk, const char *model, int64_t now_ns);
 
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -25,6 +25,9 @@
 /* Room that is being made on an engine is kept for its model for this
    long: an unload waits for the requests that use the model.  */
 #define PROMISE_NS (10 * KWF_NS_PER_S)
+/* A model that is near loads in less than the time from the store divided by
+   this.  */
+#define NEAR_PART 2
 /* Memory that is kept free for each adapter place, beside the models.  */
 #define ADAPTER_MB 128
 /* Adapters of one model that get another copy for their demand.  */
@@ -192,9 +195,11 @@
   const desk_t *desk = fleet->desks->pdata[at];
   int8_t *states = g_new0 (int8_t, fleet->n_models + 1);
   int64_t *held_for_ns = g_new0 (int64_t, fleet->n_models + 1);
+  bool *near = g_new0 (bool, fleet->n_models + 1);
   for (int i = 0; i < fleet->n_models; i++)
     {
       const held_model_t *held = desk_model (desk, fleet->models[i].name);
+      near[i] = desk_is_near (desk, fleet->models[i].name);
       if (!held)
         continue;
       states[i] = states_of[held->state];
@@ -210,6 +215,7 @@
                - (int64_t)service->adapter_slots * ADAPTER_MB,
     .states = states,
     .held_for_ns = held_for_ns,
+    .near = near,
   };
 }
 
@@ -265,6 +271,7 @@
     {
       g_free ((void *)fleet->engines[i].states);
       g_free ((void *)fleet->engines[i].held_for_ns);
+      g_free ((void *)fleet->engines[i].near);
     }
   g_free (fleet->engines);
   g_free (fleet->models);
@@ -306,8 +313,9 @@
   const kwf_model_t *model
       = kwf_lists_model (config_lists (direct->sources.config), name);
   desk_context_t timed = *context;
-  timed.expected_ns = model ? model->load_ns : 0;
-  direct->loads -= 1;
+  bool near = desk_is_near (desk, name);
+  timed.expected_ns = model ? model->load_ns / (near ? NEAR_PART : 1) : 0;
+  direct->loads -= near ? 0 : 1;
   direct->n_loads++;
   desk_order (desk, ORDER_LOAD, name, "", &timed);
 }
@@ -356,7 +364,8 @@
   int64_t free_mb = service->memory_mb
                     - desk_used_mb (desk, lists, context->now_ns)
                     - (int64_t)service->adapter_slots * ADAPTER_MB;
-  if (!desk_is_free (desk, context->now_ns) || direct->loads < 1)
+  bool may_load = direct->loads >= 1 || desk_is_near (desk, desk->promised);
+  if (!desk_is_free (desk, context->now_ns) || !may_load)
     return;
   /* More than one model has to go: the next one is found anew.  */
   if (free_mb >= model->memory_mb)
@@ -366,6 +375,23 @@
   g_clear_pointer (&desk->promised, g_free);
 }
 
+/* Loads from the store that may begin beside those that room is being made
+   for.  */
+static double
+spare_loads (const direct_t *direct)
+{
+  double loads = direct->loads;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const desk_t *desk = value;
+      loads -= desk->promised && !desk_is_near (desk, desk->promised);
+    }
+  return loads;
+}
+
 static void
 place_models (direct_t *direct, const kwf_service_t *service,
               const desk_context_t *context)
@@ -383,7 +409,7 @@
       fleet_begin (direct, service, &fleet, context->now_ns);
       rebalance_step_t step = rebalance_next (
           fleet.models, fleet.n_models, fleet.engines, fleet.n_engines,
-          direct->loads >= 1,
+          spare_loads (direct) >= 1,
           direct->watch_ns && context->now_ns - direct->watch_ns > WATCH_NS);
       if (step.engine >= 0)
         {
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -14,6 +14,10 @@
    called.  */
 #define STAY_NS (4 * KWF_NS_PER_S)
 
+/* A load from the store costs as much as this many times the mean demand on a
+   copy: it takes up to ten times as long as one of a model that is near.  */
+#define FAR_FACTOR 1.0
+
 /* A model that nobody asked for in this time is given up.  */
 #define IDLE_NS (10 * KWF_NS_PER_S)
 
@@ -25,6 +29,7 @@
   int n_engines;
   int *copies;  /* held or on their way in */
   int *settled; /* held */
+  double mean;  /* demand on a copy, over all */
 } view_t;
 
 static rebalance_state_t
@@ -54,9 +59,12 @@
   bool called = is_called (item);
   /* The last copy of a model that may be asked for again goes at once only
      for one that is asked for and has none.  */
-  if (!called && !missing && view->settled[model] < 2
-      && item->idle_ns < IDLE_NS)
+  bool last = view->settled[model] < 2;
+  if (!called && !missing && last && item->idle_ns < IDLE_NS)
     return INFINITY;
+  /* It may be asked for again the sooner, the later it was asked for.  */
+  if (!called && last && item->idle_ns < IDLE_NS)
+    return view->mean * (1 - (double)MAX (item->idle_ns, 0) / (double)IDLE_NS);
   if (called && view->settled[model] < 2)
     return INFINITY;
   if (called && view->engines[engine].held_for_ns[model] < STAY_NS)
@@ -122,24 +130,30 @@
 
 /* The engine on which a copy of MODEL costs least.  */
 static int
-find_engine (const view_t *view, int model, double bound, room_t *best)
+find_engine (const view_t *view, int model, double bound, bool may_load,
+             room_t *best)
 {
   int found = -1;
   double found_load = 0;
+  double found_cost = 0;
   for (int i = 0; i < view->n_engines; i++)
     {
       if (!view->engines[i].free
           || state_of (view, i, model) != REBALANCE_ABSENT)
         continue;
+      bool near = view->engines[i].near && view->engines[i].near[model];
+      if (!near && !may_load)
+        continue;
       room_t room = make_room (view, i, model);
       if (!(room.cost <= bound) || isinf (room.cost))
         continue;
       double load = engine_pressure (view, i);
+      double cost = room.cost + (near ? 0 : FAR_FACTOR * view->mean);
       if (found >= 0
-          && (room.cost > best->cost
-              || (room.cost >= best->cost && load >= found_load)))
+          && (cost > found_cost || (cost >= found_cost && load >= found_load)))
         continue;
       found = i;
+      found_cost = cost;
       found_load = load;
       *best = room;
     }
@@ -150,8 +164,8 @@
 step_for (const view_t *view, int model, double bound, bool may_load)
 {
   room_t room = { 0 };
-  int engine = find_engine (view, model, bound, &room);
-  if (engine < 0 || (room.first < 0 && !may_load))
+  int engine = find_engine (view, model, bound, may_load, &room);
+  if (engine < 0)
     return (rebalance_step_t){ .engine = -1 };
   return (rebalance_step_t){ .engine = engine,
                              .load = room.first < 0,
@@ -170,6 +184,14 @@
         view->copies[k]
             += state == REBALANCE_HELD || state == REBALANCE_LOADING;
       }
+  double rate = 0;
+  int copies = 0;
+  for (int k = 0; k < view->n_models; k++)
+    {
+      rate += view->models[k].rate;
+      copies += view->copies[k];
+    }
+  view->mean = rate / MAX (1, copies);
 }
 
 /* The called model without a copy that is most urgent; -1: none.  */
--- a/lib/rebalance.h
+++ b/lib/rebalance.h
@@ -31,6 +31,7 @@
      out.  */
   const int8_t *states; /* of rebalance_state_t, one for each model */
   const int64_t *held_for_ns;
+  const bool *near; /* for each model: it needs no load from the store */
 } rebalance_engine_t;
 
 typedef enum
@@ -49,7 +50,8 @@
   int purpose; /* model for which it is done */
 } rebalance_step_t;
 
-/* The next step; MAY_LOAD: the weight store allows a load now; MAY_MOVE: the
+/* The next step; MAY_LOAD: the weight store allows a load now, else only
+   models that are near an engine are moved to it; MAY_MOVE: the
    demand has been watched for long enough to move copies after it.  */
 rebalance_step_t rebalance_next (const rebalance_model_t *models, int n_models,
                                  const rebalance_engine_t *engines,
--- a/test/test_platform_words.c
+++ b/test/test_platform_words.c
@@ -93,6 +93,15 @@
   assert_string_equal (model->adapters[0], "a1");
   assert_string_equal (model->adapters[2], "a3");
   g_array_free (models, TRUE);
+  json_decref (root);
+  root = json_loads ("{\"at_hand\":{\"in_memory\":[\"m\"],\"on_disk\":"
+                     "[\"n\",3]}}",
+                     0, NULL);
+  GPtrArray *near = g_ptr_array_new ();
+  near_decode (root, near, texts);
+  assert_int_equal (near->len, 2);
+  assert_string_equal (near->pdata[1], "n");
+  g_ptr_array_free (near, TRUE);
   g_ptr_array_free (texts, TRUE);
   json_decref (root);
 }
--- a/test/test_rebalance.c
+++ b/test/test_rebalance.c
@@ -163,6 +163,48 @@
   assert_int_equal (next (&fleet, true, true).engine, -1);
 }
 
+/* Guards against loads that wait for the weight store while another engine has
+   the weights.  */
+static void
+engine_that_has_the_weights_is_preferred (void **state)
+{
+  (void)state;
+  static const bool near[MOST] = { true };
+  fleet_t fleet;
+  make_fleet (&fleet, 2, 3);
+  fleet.models[0].waiting = true;
+  fleet.models[1].rate = 100;
+  for (int i = 0; i < 3; i++)
+    hold (&fleet, i, 1);
+  fleet.engines[2].near = near;
+  assert_step (next (&fleet, true, true), true, 0, 2);
+  assert_step (next (&fleet, false, true), true, 0, 2);
+  fleet.engines[2].free = false;
+  assert_int_equal (next (&fleet, false, true).engine, -1);
+  assert_true (next (&fleet, true, true).engine >= 0);
+}
+
+/* Guards against the loss of all copies of a model that was not asked for yet,
+   while spare copies of others could go.  */
+static void
+spare_copy_goes_before_a_last_one (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 4, 2);
+  hold (&fleet, 0, 0);
+  hold (&fleet, 0, 1);
+  hold (&fleet, 1, 0);
+  hold (&fleet, 1, 2);
+  fleet.models[0].rate = 10;
+  fleet.models[3] = (rebalance_model_t){ .mb = 70000, .waiting = true };
+  fleet.models[1].rate = 100;
+  fleet.models[2].idle_ns = KWF_NS_PER_S;
+  assert_step (next (&fleet, true, true), false, 0, 0);
+  fleet.models[2].idle_ns = 20 * KWF_NS_PER_S;
+  assert_step (next (&fleet, true, true), false, 2, 1);
+}
+
 int
 main (void)
 {
@@ -172,6 +214,8 @@
     cmocka_unit_test (idle_model_stays_until_it_was_watched),
     cmocka_unit_test (copy_moves_only_for_a_clear_gain),
     cmocka_unit_test (busy_engine_gets_no_order),
+    cmocka_unit_test (engine_that_has_the_weights_is_preferred),
+    cmocka_unit_test (spare_copy_goes_before_a_last_one),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
