--- a/lib/demand.c
+++ b/lib/demand.c
@@ -7,7 +7,7 @@
 
 /* On both deployments the models asked for most change within seconds; with
    10 s one engine got most requests of the next hot model for 6 s.  */
-#define DECAY_S 5.0
+#define DECAY_S 3.0
 /* The sums are made anew after this time; much less than the decay.  */
 #define SUMS_NS (50 * KWF_NS_PER_MS)
 /* A model is cold after this time without a call.  */
--- a/lib/demand.h
+++ b/lib/demand.h
@@ -1,7 +1,7 @@
 /* demand.h - what is asked of each model: tokens a second over the fleet,
    and the calls that wait for a copy (docs/design.md section 13).
 
-   ADAPTER is NULL or "" for the model itself.  Rates decay over 5 s.  */
+   ADAPTER is NULL or "" for the model itself.  Rates decay over 3 s.  */
 
 #ifndef KNAPWEEDFORK_DEMAND_H
 #define KNAPWEEDFORK_DEMAND_H
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -12,7 +12,7 @@
 #define MOVE_FACTOR 1.5
 /* A copy stays at least this long after it came, unless its model is not
    called.  */
-#define STAY_NS (4 * KWF_NS_PER_S)
+#define STAY_NS (2 * KWF_NS_PER_S)
 
 /* A load from the store costs as much as this many times the mean demand on a
    copy: it takes up to ten times as long as one of a model that is near.  */
