Refuse a request whose model gets no copy in time

A request now waits 2 s for a copy while no load is told of, and as long as a load that was told of may bring it in time; else it is refused with 503 and the time a load takes. Both cases have a test in test_routed; the first failed before.

--- a/lib/backend.c
+++ b/lib/backend.c
@@ -38,6 +38,7 @@
   GPtrArray *servers; /* the same, for walks */
   GHashTable *by_model;
   GHashTable *by_service;
+  GHashTable *coming; /* model to int64_t, when a load was last told of */
   bool index_stale;
   bool placed; /* an engine has or lacks something new */
   int64_t next_members_ns;
@@ -110,6 +111,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, array_free);
   backend->by_service
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, array_free);
+  backend->coming
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return backend;
 }
 
@@ -118,6 +121,7 @@
 {
   if (!backend)
     return;
+  g_hash_table_unref (backend->coming);
   g_hash_table_unref (backend->by_model);
   g_hash_table_unref (backend->by_service);
   g_ptr_array_free (backend->servers, TRUE);
@@ -326,7 +330,13 @@
   if (!*placed->adapter && !placed->present)
     remove_model (backend, server, placed->model);
   else if (!*placed->adapter)
-    g_clear_pointer (&server->removed_model, g_free);
+    {
+      g_clear_pointer (&server->removed_model, g_free);
+      int64_t *told_ns = g_new (int64_t, 1);
+      *told_ns = server->placed_ns;
+      g_hash_table_replace (backend->coming, g_strdup (placed->model),
+                            told_ns);
+    }
   else if (*placed->adapter && resident && placed->present)
     g_hash_table_add (resident->adapters, g_strdup (placed->adapter));
   else if (*placed->adapter && resident)
@@ -334,6 +344,13 @@
   backend->placed = true;
 }
 
+int64_t
+backend_coming_ns (const backend_t *backend, const char *model)
+{
+  const int64_t *told_ns = g_hash_table_lookup (backend->coming, model);
+  return told_ns ? *told_ns : INT64_MIN;
+}
+
 bool
 backend_take_news (backend_t *backend)
 {
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -143,6 +143,9 @@
 /* Another instance, or this one, tells what an engine has or lacks.  */
 void backend_take_placed (backend_t *backend, const kwf_placed_t *placed);
 
+/* When a load of MODEL was last told of; INT64_MIN: never.  */
+int64_t backend_coming_ns (const backend_t *backend, const char *model);
+
 /* Whether that happened since this was last asked.  */
 bool backend_take_news (backend_t *backend);
 
--- a/lib/state.h
+++ b/lib/state.h
@@ -47,6 +47,7 @@
   SHED_DEADLINE,     /* it would start too late */
   SHED_ORGANISATION, /* too many of its organisation wait */
   SHED_FULL,         /* too many wait */
+  SHED_NO_COPY,      /* its model or adapter has no copy in time */
   SHED_PUSHED,       /* one that comes before it took its place */
   N_SHED
 } shed_t;
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -16,6 +16,13 @@
 #define SWEEP_NS (100 * KWF_NS_PER_MS)
 /* Least time between two log lines about shedding.  */
 #define LOG_NS (10 * KWF_NS_PER_S)
+/* A request waits this long for a copy of its model or adapter while no load
+   is told of.  Room for it is made within a second, unless all engines
+   are full of what is in use; the caller can try again meanwhile.  */
+#define COPY_WAIT_NS (2 * KWF_NS_PER_S)
+/* A load that was told of counts for this many times its usual length: many
+   loads at once take longer.  */
+#define LOAD_TIMES 2
 /* Weight of a new first token in the mean.  */
 #define MEAN_PART 0.0625
 #define RETRY_LEAST_NS (100 * KWF_NS_PER_MS)
@@ -25,6 +32,7 @@
     = { [SHED_DEADLINE] = "deadline",
         [SHED_ORGANISATION] = "organisation_full",
         [SHED_FULL] = "full",
+        [SHED_NO_COPY] = "no_copy",
         [SHED_PUSHED] = "pushed_out" };
 
 void
@@ -134,16 +142,44 @@
                     .retry_after_ms
                     = CLAMP (late_ns, RETRY_LEAST_NS, RETRY_MOST_NS)
                       / KWF_NS_PER_MS,
-                    .message = "too many requests wait for this model" },
+                    .message = cause == SHED_NO_COPY
+                                   ? "no server has this model in time"
+                                   : "too many requests wait for this model" },
       effects);
 }
 
+/* Refuse REQUEST, which waits for a copy, when none can come in time or none
+   is on its way.  */
+static void
+check_copy (kwf_core_t *core, request_t *request, int64_t now_ns,
+            kwf_effects_t *effects)
+{
+  const kwf_model_t *model
+      = kwf_lists_model (config_lists (core->config), request->model);
+  if (request->kind != KWF_REQUEST_ROUTED || request->n_ran || !model)
+    return;
+  int64_t told_ns = backend_coming_ns (core->backend, request->model);
+  bool coming
+      = told_ns != INT64_MIN && now_ns - told_ns < LOAD_TIMES * model->load_ns;
+  int64_t left_ns
+      = MAX (coming ? told_ns + model->load_ns - now_ns : 0, RETRY_LEAST_NS);
+  if (coming ? now_ns + left_ns > request->deadline_ns
+             : now_ns - request->arrived_ns >= COPY_WAIT_NS)
+    shed (core, request, SHED_NO_COPY, coming ? left_ns : model->load_ns,
+          effects);
+}
+
 /* Act on the prospects of REQUEST, which waits behind AHEAD others: make
    room for it or shed it.  */
 static void
 check_prospects (kwf_core_t *core, request_t *request, double ahead,
                  int64_t now_ns, kwf_effects_t *effects)
 {
+  if (!request->full[0])
+    {
+      check_copy (core, request, now_ns, effects);
+      return;
+    }
   int64_t start_ns = start_after_ns (request, ahead);
   int64_t left_ns = request->deadline_ns - now_ns - first_token_ns (core);
   bool late = start_ns > left_ns;
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -65,9 +65,10 @@
   lists_add_model (
       lists,
       &(kwf_model_t){ .name = "m", .service = "models", .memory_mb = 70000 });
-  lists_add_model (
-      lists,
-      &(kwf_model_t){ .name = "n", .service = "models", .memory_mb = 70000 });
+  lists_add_model (lists, &(kwf_model_t){ .name = "n",
+                                          .service = "models",
+                                          .memory_mb = 70000,
+                                          .load_ns = 3 * KWF_NS_PER_S });
   lists_add_organisation (lists, &(kwf_organisation_t){ .name = "o",
                                                         .plan = "",
                                                         .branch = "",
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -262,6 +262,47 @@
   assert_true (to_first > 0);
 }
 
+static void
+tell_of_load (core_world_t *world, const char *model)
+{
+  kwf_message_t message = { .type = KWF_MSG_PLACED,
+                            .placed = { "e1", 1, .model = model, .adapter = "",
+                                        .present = true } };
+  kwf_event_t placed = { .type = KWF_EV_PEER_MESSAGE,
+                         .peer = { .instance = "b", .message = &message } };
+  core_world_step (world, &placed);
+}
+
+/* Guards against callers that are held until they give up although no engine
+   gets their model.  */
+static void
+missing_model_is_refused_when_no_load_comes (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/draft/x", "n");
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+  core_world_pass (world, 1500);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+  core_world_pass (world, 600);
+  assert_refused (world, 503, "overloaded");
+  const kwf_effect_t *reply = core_world_effect (world, KWF_FX_REPLY);
+  assert_true (reply->reply.retry_after_ms > 0);
+}
+
+/* Guards against the opposite: a request that the load would serve.  */
+static void
+missing_model_is_waited_for_while_it_loads (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/draft/x", "n");
+  core_world_pass (world, 1900);
+  tell_of_load (world, "n");
+  core_world_pass (world, 200);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+}
+
 /* Guards against engines that count as plain services for ever, because they
    were listed before the configuration told what they are.  */
 static void
@@ -376,6 +417,10 @@
                                      start, stop),
     cmocka_unit_test_setup_teardown (missing_adapter_leaves_the_model, start,
                                      stop),
+    cmocka_unit_test_setup_teardown (
+        missing_model_is_refused_when_no_load_comes, start, stop),
+    cmocka_unit_test_setup_teardown (
+        missing_model_is_waited_for_while_it_loads, start, stop),
     cmocka_unit_test_setup_teardown (server_may_turn_out_to_be_an_engine,
                                      start, stop),
     cmocka_unit_test_setup_teardown (unsure_list_drops_no_server, start, stop),
