Write the log to standard output, without blocking

A pipe or socket is made non-blocking, 64 KB wait for its reader, 5,000 lines a second are written at most, and event 15 counts what was left out. The new test of a stalled reader blocked for ever before. Tests that read logs take the output of a process from its log file now, with the same lines. Events 358 and 359 have their numbers written out, as test_events asks.

--- a/lib/direct.c
+++ b/lib/direct.c
@@ -335,12 +335,16 @@
                             (const char *)name,
                             (int)((held_model_t *)value)->state);
   const rebalance_model_t *model = &fleet->models[step->model];
-  kwf_effects_log (effects, step->load ? 358 : 359, KWF_LOG_INFO, NULL,
-                   "%s of model %s on %s begins: rate=%.0f waiting=%d "
-                   "free_mb=%" G_GINT64_FORMAT " holds=%s",
-                   step->load ? "load" : "unload", model->name, desk->id,
-                   model->rate, model->waiting,
-                   fleet->engines[step->engine].free_mb, held->str);
+  char *text = g_strdup_printf (
+      "model %s on %s begins: rate=%.0f waiting=%d free_mb=%" G_GINT64_FORMAT
+      " holds=%s",
+      model->name, desk->id, model->rate, model->waiting,
+      fleet->engines[step->engine].free_mb, held->str);
+  if (step->load)
+    kwf_effects_log (effects, 358, KWF_LOG_INFO, NULL, "load of %s", text);
+  else
+    kwf_effects_log (effects, 359, KWF_LOG_INFO, NULL, "unload of %s", text);
+  g_free (text);
   g_string_free (held, TRUE);
 }
 
--- a/lib/logging.c
+++ b/lib/logging.c
@@ -1,9 +1,11 @@
 #include "logging.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #define FIELD_EVENT "KWF_EVENT"
@@ -13,6 +15,12 @@
    writer is the last place where a mistake can be made harmless.  */
 #define KEY_PATTERN "kwf_[A-Za-z0-9_-]{43}"
 
+/* Lines that a reader has not taken yet; about 300 lines.  */
+#define PENDING_BYTES 65536
+/* Lines a second that are written, three for each of 1,600 requests; as many
+   may come at once.  */
+#define LINES_PER_S 5000
+
 static struct
 {
   char *instance;
@@ -20,6 +28,10 @@
   kwf_log_level_t least;
   bool installed;
   GRegex *key;
+  GString *pending;
+  double lines; /* that may be written now */
+  gint64 lines_us;
+  guint64 lost; /* lines left out since the last line about them */
 } output;
 
 static const char *const level_names[] = {
@@ -107,20 +119,60 @@
   return NULL;
 }
 
+/* Write what waits, as far as the reader takes it.  */
 static void
-write_all (const char *line)
+flush_pending (void)
 {
-  size_t left = strlen (line);
-  while (left)
+  while (output.pending->len)
     {
-      ssize_t done = write (STDERR_FILENO, line, left);
+      ssize_t done
+          = write (STDOUT_FILENO, output.pending->str, output.pending->len);
       if (done <= 0)
         return;
-      line += done;
-      left -= (size_t)done;
+      g_string_erase (output.pending, 0, done);
     }
 }
 
+static bool
+take_token (void)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  double passed_s = (double)(now_us - output.lines_us) / G_USEC_PER_SEC;
+  output.lines_us = now_us;
+  output.lines = MIN (output.lines + passed_s * LINES_PER_S, LINES_PER_S);
+  if (output.lines < 1)
+    return false;
+  output.lines -= 1;
+  return true;
+}
+
+static bool
+add_pending (const char *line)
+{
+  flush_pending ();
+  if (output.pending->len + strlen (line) > PENDING_BYTES)
+    return false;
+  g_string_append (output.pending, line);
+  flush_pending ();
+  return true;
+}
+
+static char *
+make_line (kwf_log_level_t level, int number, const char *request,
+           const char *text)
+{
+  GDateTime *now = g_date_time_new_now_utc ();
+  char *seconds = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
+  char *time = g_strdup_printf ("%s.%03dZ", seconds,
+                                g_date_time_get_microsecond (now) / 1000);
+  char *line = output.json ? json_line (time, level, number, request, text)
+                           : text_line (time, level, number, request, text);
+  g_free (time);
+  g_free (seconds);
+  g_date_time_unref (now);
+  return line;
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags flags, const GLogField *fields, gsize n_fields,
             gpointer data)
@@ -134,23 +186,27 @@
   const char *request = field (fields, n_fields, FIELD_REQUEST);
   char *text = clean (message ? message : "");
   char *id = request ? clean (request) : NULL;
-  GDateTime *now = g_date_time_new_now_utc ();
-  char *seconds = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
-  char *time = g_strdup_printf ("%s.%03dZ", seconds,
-                                g_date_time_get_microsecond (now) / 1000);
   int number = event ? (int)g_ascii_strtoll (event, NULL, 10) : 0;
-  char *line = output.json ? json_line (time, level, number, id, text)
-                           : text_line (time, level, number, id, text);
-  write_all (line);
+  char *line = make_line (level, number, id, text);
+  output.lost += !take_token () || !add_pending (line);
   g_free (line);
-  g_free (time);
-  g_free (seconds);
-  g_date_time_unref (now);
   g_free (id);
   g_free (text);
   return G_LOG_WRITER_HANDLED;
 }
 
+/* A reader that stalls must not stop the loop.  Files do not block, and a
+   terminal is shared with other processes.  */
+static void
+set_nonblocking (void)
+{
+  struct stat status;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0 && fstat (STDOUT_FILENO, &status) == 0
+      && (S_ISFIFO (status.st_mode) || S_ISSOCK (status.st_mode)))
+    (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 void
 logging_start (const char *instance, bool json, kwf_log_level_t least)
 {
@@ -160,16 +216,34 @@
   output.least = least;
   if (output.installed)
     return;
+  output.pending = g_string_new (NULL);
+  output.lines = LINES_PER_S;
+  output.lines_us = g_get_monotonic_time ();
+  set_nonblocking ();
   output.key = g_regex_new (KEY_PATTERN, G_REGEX_OPTIMIZE, 0, NULL);
   g_log_set_writer_func (write_line, NULL, NULL);
   output.installed = true;
 }
 
+/* Tell of lines that were left out.  */
+static void
+tell_lost (void)
+{
+  guint64 lost = output.lost;
+  output.lost = 0;
+  logging_event (15, KWF_LOG_WARNING,
+                 "lines were left out: %" G_GUINT64_FORMAT, lost);
+  if (output.lost)
+    output.lost = lost;
+}
+
 void
 logging_write (const kwf_log_t *log)
 {
   if (!output.installed)
     logging_start (NULL, false, KWF_LOG_INFO);
+  if (output.lost)
+    tell_lost ();
   if (log->level < output.least)
     return;
   char number[16];
--- a/lib/logging.h
+++ b/lib/logging.h
@@ -1,7 +1,9 @@
 /* logging.h - structured log output through GLib.
 
    Each event has a number from docs/EVENTS.md.  Text format for people, or
-   one JSON object a line; both go to standard error.  */
+   one JSON object a line; both go to standard output.  A pipe whose reader
+   stalls never blocks the process: lines that do not fit, or come faster than
+   5,000 a second, are left out and counted in event 15.  */
 
 #ifndef KNAPWEEDFORK_LOGGING_H
 #define KNAPWEEDFORK_LOGGING_H
--- a/test/common-process.c
+++ b/test/common-process.c
@@ -14,6 +14,7 @@
 
 #define START_MS 10000
 #define STOP_MS 5000
+#define FILE_PAUSE_MS 5
 
 static GArray *started; /* pids not yet waited for */
 
@@ -60,14 +61,30 @@
   return process_spawn_logged (process, program, args, NULL);
 }
 
+/* Both ends of a log: where new lines are read, and where they are written. */
+static bool
+open_log (const char *log, int ends[2])
+{
+  ends[1] = open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (ends[1] < 0)
+    return false;
+  ends[0] = open (log, O_RDONLY | O_CLOEXEC);
+  if (ends[0] >= 0 && lseek (ends[0], 0, SEEK_END) >= 0)
+    return true;
+  close (ends[1]);
+  if (ends[0] >= 0)
+    close (ends[0]);
+  return false;
+}
+
 bool
 process_spawn_logged (process_t *process, const char *program,
                       const char *const *args, const char *log)
 {
   *process = (process_t){ .out = -1 };
   const char *directory = getenv ("KWF_BIN");
-  int out[2];
-  if (pipe2 (out, O_CLOEXEC) != 0)
+  int out[2] = { -1, -1 };
+  if (log ? !open_log (log, out) : pipe2 (out, O_CLOEXEC) != 0)
     return false;
   GPtrArray *argv = g_ptr_array_new ();
   char *path
@@ -80,8 +97,7 @@
   posix_spawn_file_actions_init (&actions);
   posix_spawn_file_actions_adddup2 (&actions, out[1], STDOUT_FILENO);
   if (log)
-    posix_spawn_file_actions_addopen (&actions, STDERR_FILENO, log,
-                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2 (&actions, out[1], STDERR_FILENO);
   int failed = posix_spawn (&process->pid, path, &actions, NULL,
                             (char **)argv->pdata, environ);
   posix_spawn_file_actions_destroy (&actions);
@@ -95,6 +111,7 @@
       return false;
     }
   process->out = out[0];
+  process->file = log != NULL;
   remember (process->pid);
   return true;
 }
@@ -138,8 +155,11 @@
         process->buffered = 0;
       ssize_t n = read (process->out, process->buffer + process->buffered,
                         sizeof process->buffer - process->buffered);
-      if (n <= 0)
+      if (n < 0 || (n == 0 && !process->file))
         return false;
+      /* At the end of a log file: the process has not written more yet.  */
+      if (n == 0)
+        pause_ms (FILE_PAUSE_MS);
       process->buffered += (size_t)n;
     }
 }
--- a/test/common-process.h
+++ b/test/common-process.h
@@ -12,7 +12,8 @@
 typedef struct
 {
   pid_t pid;        /* 0: not running */
-  int out;          /* its standard output */
+  int out;          /* its standard output, or its log */
+  bool file;        /* OUT is a file, which grows */
   char address[80]; /* from the line "listening on IP:PORT" */
   char buffer[4096];
   size_t buffered;
@@ -24,7 +25,7 @@
 bool process_spawn (process_t *process, const char *program,
                     const char *const *args);
 
-/* The same, with its standard error appended to the file LOG, unless that is
+/* The same, with all its output appended to the file LOG, unless that is
    NULL.  */
 bool process_spawn_logged (process_t *process, const char *program,
                            const char *const *args, const char *log);
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -37,7 +37,7 @@
     kill -0 "$LAST_PID" 2>/dev/null || break
     sleep 0.02
   done
-  [ -n "${LINE:-}" ] || { echo "$name did not start:"; cat "$DIR/$name.log"; exit 1; }
+  [ -n "${LINE:-}" ] || { echo "$name did not start:"; cat "$DIR/$name.out" "$DIR/$name.log"; exit 1; }
   ADDRESS=$(echo "$LINE" | sed 's/^listening on \([0-9.:]*\).*/\1/')
 }
 
--- a/test/test_logging.c
+++ b/test/test_logging.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -22,18 +23,18 @@
 static void
 begin_capture (void)
 {
-  fflush (stderr);
+  fflush (stdout);
   capture = tmpfile ();
   assert_non_null (capture);
-  saved = dup (STDERR_FILENO);
-  dup2 (fileno (capture), STDERR_FILENO);
+  saved = dup (STDOUT_FILENO);
+  dup2 (fileno (capture), STDOUT_FILENO);
 }
 
 /* What was written since begin_capture; free with g_free.  */
 static char *
 end_capture (void)
 {
-  dup2 (saved, STDERR_FILENO);
+  dup2 (saved, STDOUT_FILENO);
   close (saved);
   long size = lseek (fileno (capture), 0, SEEK_END);
   char *text = g_malloc0 ((gsize)size + 1);
@@ -161,6 +162,44 @@
   g_free (text);
 }
 
+static void
+read_all (int fd, char *text, ssize_t *size, size_t room)
+{
+  ssize_t n;
+  while ((n = read (fd, text + *size, room - (size_t)*size - 1)) > 0)
+    *size += n;
+}
+
+/* Guards against a process that stops because nobody reads its log, and
+   against lines that are lost without a word.  */
+static void
+stalled_reader_does_not_block (void **state)
+{
+  (void)state;
+  int ends[2];
+  logging_start ("entry-1", false, KWF_LOG_INFO);
+  assert_int_equal (pipe2 (ends, O_NONBLOCK), 0);
+  fflush (stdout);
+  saved = dup (STDOUT_FILENO);
+  dup2 (ends[1], STDOUT_FILENO);
+  for (int i = 0; i < 4000; i++)
+    logging_event (400, KWF_LOG_INFO, "line %d of many", i);
+  static char text[1 << 20];
+  ssize_t size = 0;
+  read_all (ends[0], text, &size, sizeof text);
+  /* What waited fills the pipe again.  */
+  logging_event (401, KWF_LOG_INFO, "the reader is back");
+  read_all (ends[0], text, &size, sizeof text);
+  logging_event (401, KWF_LOG_INFO, "the reader is back for good");
+  read_all (ends[0], text, &size, sizeof text);
+  dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  close (ends[0]);
+  close (ends[1]);
+  assert_non_null (strstr (text, " 15 lines were left out: "));
+  assert_non_null (strstr (text, "401 the reader is back for good\n"));
+}
+
 int
 main (void)
 {
@@ -170,6 +209,7 @@
     cmocka_unit_test (lower_levels_are_left_out),
     cmocka_unit_test (no_key_is_written),
     cmocka_unit_test (no_prompt_is_written),
+    cmocka_unit_test (stalled_reader_does_not_block),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
