Tell of lost log lines only once the reader goes on

The line about lost lines used up the rate itself when it was tried for each line; found by the new test. test_events now reads the numbers of the two files that pass numbers on as well.

--- a/lib/logging.c
+++ b/lib/logging.c
@@ -225,10 +225,13 @@
   output.installed = true;
 }
 
-/* Tell of lines that were left out.  */
+/* Tell of lines that were left out, once the reader goes on.  */
 static void
 tell_lost (void)
 {
+  flush_pending ();
+  if (output.pending->len)
+    return;
   guint64 lost = output.lost;
   output.lost = 0;
   logging_event (15, KWF_LOG_WARNING,
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdlib.h>
 
-/* Sources that write log events.  These two only pass numbers on.  */
+/* Sources that write log events.  These two also pass numbers on.  */
 static const char *const directories[] = { "lib", "net", "platform", "cmd" };
 static const char *const passing[] = { "lib/effect.c", "lib/logging.c" };
 
@@ -40,9 +40,10 @@
   for (; g_match_info_matches (match); g_match_info_next (match, NULL))
     {
       char *number = g_match_info_fetch (match, 1);
-      if (!number || !*number)
+      bool written = number && *number;
+      if (!written && !passes_on (path))
         fail_msg ("%s: a log event whose number is not written out", path);
-      else
+      if (written)
         g_hash_table_add (numbers, GINT_TO_POINTER (atoi (number)));
       g_free (number);
     }
@@ -63,7 +64,7 @@
       while (directory && (name = g_dir_read_name (directory)))
         {
           char *path = g_build_filename (directories[i], name, NULL);
-          if (g_str_has_suffix (name, ".c") && !passes_on (path))
+          if (g_str_has_suffix (name, ".c"))
             add_calls (numbers, path);
           g_free (path);
         }
