Wait for an adapter while one more copy of its model loads

The load of a model counts only where no engine holds it; the time to come back is that of an adapter. The new test failed before.

--- a/lib/wait.c
+++ b/lib/wait.c
@@ -20,6 +20,9 @@
    is told of.  Room for it is made within a second, unless all engines
    are full of what is in use; the caller can try again meanwhile.  */
 #define COPY_WAIT_NS (2 * KWF_NS_PER_S)
+/* An engine that loads or unloads a model takes no order for an adapter; this
+   is a part of the time that a load takes.  */
+#define ADAPTER_RETRY_NS (500 * KWF_NS_PER_MS)
 /* A load that was told of counts for this many times its usual length: many
    loads at once take longer.  */
 #define LOAD_TIMES 2
@@ -148,6 +151,35 @@
       effects);
 }
 
+/* Why none of the holders of a model takes a request.  */
+typedef struct
+{
+  int n;
+  int refused;
+  int leaving;
+  int without_adapter;
+} holders_t;
+
+static holders_t
+count_holders (const kwf_core_t *core, const request_t *request)
+{
+  holders_t count = { 0 };
+  const GPtrArray *servers
+      = request->model ? backend_of_model (core->backend, request->model)
+                       : NULL;
+  for (guint i = 0; servers && i < servers->len; i++)
+    {
+      const server_t *server = servers->pdata[i];
+      count.n += server_holds (server, request->model);
+      count.refused += server->refused;
+      count.leaving += server_leaving (server);
+      count.without_adapter += request->adapter
+                               && !server_holds_adapter (
+                                   server, request->model, request->adapter);
+    }
+  return count;
+}
+
 /* Refuse REQUEST, which waits for a copy, when none can come in time or none
    is on its way.  */
 static void
@@ -158,15 +190,19 @@
       = kwf_lists_model (config_lists (core->config), request->model);
   if (request->kind != KWF_REQUEST_ROUTED || request->n_ran || !model)
     return;
+  /* Where the model is there, its adapter is missing, which takes
+     milliseconds to load.  */
+  bool adapter = count_holders (core, request).n > 0;
   int64_t told_ns = backend_coming_ns (core->backend, request->model);
-  bool coming
-      = told_ns != INT64_MIN && now_ns - told_ns < LOAD_TIMES * model->load_ns;
+  bool coming = !adapter && told_ns != INT64_MIN
+                && now_ns - told_ns < LOAD_TIMES * model->load_ns;
   int64_t left_ns
       = MAX (coming ? told_ns + model->load_ns - now_ns : 0, RETRY_LEAST_NS);
-  if (coming ? now_ns + left_ns > request->deadline_ns
-             : now_ns - request->arrived_ns >= COPY_WAIT_NS)
-    shed (core, request, SHED_NO_COPY, coming ? left_ns : model->load_ns,
-          effects);
+  if (coming ? now_ns + left_ns <= request->deadline_ns
+             : now_ns - request->arrived_ns < COPY_WAIT_NS)
+    return;
+  int64_t retry_ns = adapter ? ADAPTER_RETRY_NS : model->load_ns;
+  shed (core, request, SHED_NO_COPY, coming ? left_ns : retry_ns, effects);
 }
 
 /* Act on the prospects of REQUEST, which waits behind AHEAD others: make
@@ -279,35 +315,6 @@
   return true;
 }
 
-/* Why none of the holders of a model takes a request.  */
-typedef struct
-{
-  int n;
-  int refused;
-  int leaving;
-  int without_adapter;
-} holders_t;
-
-static holders_t
-count_holders (const kwf_core_t *core, const request_t *request)
-{
-  holders_t count = { 0 };
-  const GPtrArray *servers
-      = request->model ? backend_of_model (core->backend, request->model)
-                       : NULL;
-  for (guint i = 0; servers && i < servers->len; i++)
-    {
-      const server_t *server = servers->pdata[i];
-      count.n += server_holds (server, request->model);
-      count.refused += server->refused;
-      count.leaving += server_leaving (server);
-      count.without_adapter += request->adapter
-                               && !server_holds_adapter (
-                                   server, request->model, request->adapter);
-    }
-  return count;
-}
-
 void
 wait_enter (kwf_core_t *core, request_t *request, const route_result_t *route,
             kwf_effects_t *effects)
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -62,9 +62,10 @@
                                               .memory_mb = 200000,
                                               .adapter_slots = 8,
                                               .loads_per_s = 2 });
-  lists_add_model (
-      lists,
-      &(kwf_model_t){ .name = "m", .service = "models", .memory_mb = 70000 });
+  lists_add_model (lists, &(kwf_model_t){ .name = "m",
+                                          .service = "models",
+                                          .memory_mb = 70000,
+                                          .load_ns = 3 * KWF_NS_PER_S });
   lists_add_model (lists, &(kwf_model_t){ .name = "n",
                                           .service = "models",
                                           .memory_mb = 70000,
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -303,6 +303,31 @@
   assert_null (core_world_effect (world, KWF_FX_REPLY));
 }
 
+/* Guards against a refusal because of the load of one more copy: the model is
+   there, and its adapter comes at once.  */
+static void
+missing_adapter_is_waited_for_during_a_load (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  tell_of_load (world, "m");
+  kwf_event_t request = { .type = KWF_EV_REQUEST,
+                          .request = { .handle = 2,
+                                       .kind = KWF_REQUEST_ROUTED,
+                                       .id = "r2",
+                                       .key_digest = "k",
+                                       .host = "h.example",
+                                       .path = "/draft/",
+                                       .model = "m",
+                                       .adapter = "a1",
+                                       .timeout_ns = 2500 * KWF_NS_PER_MS,
+                                       .fingerprint = 2 } };
+  core_world_step (world, &request);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+  core_world_pass (world, 1500);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+}
+
 /* Guards against engines that count as plain services for ever, because they
    were listed before the configuration told what they are.  */
 static void
@@ -421,6 +446,8 @@
         missing_model_is_refused_when_no_load_comes, start, stop),
     cmocka_unit_test_setup_teardown (
         missing_model_is_waited_for_while_it_loads, start, stop),
+    cmocka_unit_test_setup_teardown (
+        missing_adapter_is_waited_for_during_a_load, start, stop),
     cmocka_unit_test_setup_teardown (server_may_turn_out_to_be_an_engine,
                                      start, stop),
     cmocka_unit_test_setup_teardown (unsure_list_drops_no_server, start, stop),
