--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -119,16 +119,16 @@
 typedef struct
 {
   const char *id;
-  kwf_member_kind_t kind;
   const char *name;    /* service name; may be empty for engines */
   const char *address; /* "IP:PORT" */
   const char *data_centre;
+  kwf_member_kind_t kind;
   bool leaving;
   /* What the list tells of the server itself, if it does.  */
   bool described;
+  int slots;        /* requests that it runs at once; 0: not known */
   int64_t revision; /* rises with each change of the entry */
   uint64_t incarnation;
-  int slots; /* requests that it runs at once; 0: not known */
   const kwf_resident_t *models;
   size_t n_models;
   /* Models that it can load without the weight store.  */
