--- a/lib/direct.c
+++ b/lib/direct.c
@@ -96,7 +96,12 @@
       desk = desk_new (server);
       g_hash_table_insert (direct->desks, desk->id, desk);
     }
+  bool known = desk->incarnation != 0;
   desk_take_member (desk, member, now_ns);
+  /* How many orders a server has accepted before it was first listed here is
+     asked for.  */
+  if (!known)
+    desk->doubtful = true;
 }
 
 static void
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -81,25 +81,21 @@
   return lists;
 }
 
+/* Those too that follow from the answers.  */
 static void
 answer_transactions (core_world_t *world)
 {
-  GArray *ops = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
   for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
     {
       const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
-      if (effect->type == KWF_FX_STORE)
-        g_array_append_val (ops, effect->store.op);
-    }
-  for (guint i = 0; i < ops->len; i++)
-    {
+      if (effect->type != KWF_FX_STORE)
+        continue;
       kwf_event_t event = { .type = KWF_EV_STORE_REPLY };
-      event.store.op = g_array_index (ops, kwf_handle_t, i);
+      event.store.op = effect->store.op;
       event.store.reply = (kwf_store_reply_t){ .outcome = KWF_STORE_COMMITTED,
                                                .revision = ++world->revision };
       kwf_core_step (world->core, &event, world->effects);
     }
-  g_array_free (ops, TRUE);
 }
 
 void
@@ -117,8 +113,8 @@
   core_world_step (world, &(kwf_event_t){ .type = KWF_EV_TICK });
 }
 
-static void
-give_row (core_world_t *world, const char *key, const char *value)
+void
+core_world_row (core_world_t *world, const char *key, const char *value)
 {
   kwf_row_t row = { key, ++world->revision, value };
   kwf_message_t up
@@ -135,28 +131,28 @@
   *world = (core_world_t){ .clock = { .clock = { &clock_ops },
                                       .now_ns = KWF_NS_PER_S } };
   world->effects = kwf_effects_new ();
-  world->core = kwf_core_new (
-      &(kwf_core_options_t){ .instance = "a",
-                             .incarnation = 1,
-                             .data_centre = "c",
-                             .caller_address = "127.0.0.1:1",
-                             .peer_address = "127.0.0.1:2",
-                             .lease_ns = 300 * KWF_NS_PER_S,
-                             .renew_ns = 100 * KWF_NS_PER_S,
-                             .address_lifetime_ns = KWF_NS_PER_S,
-                             .default_timeout_ns = 60 * KWF_NS_PER_S,
-                             .retry_share = 0.2,
-                             .pushed = true,
-                             .linger_ns = 3 * KWF_NS_PER_S,
-                             .placement = { .dynamic = true, .lease_ns = 0 },
-                             .clock = &world->clock.clock,
-                             .random = &fixed_random });
+  world->core = kwf_core_new (&(kwf_core_options_t){
+      .instance = "a",
+      .incarnation = 1,
+      .data_centre = "c",
+      .caller_address = "127.0.0.1:1",
+      .peer_address = "127.0.0.1:2",
+      .lease_ns = 300 * KWF_NS_PER_S,
+      .renew_ns = 100 * KWF_NS_PER_S,
+      .address_lifetime_ns = KWF_NS_PER_S,
+      .default_timeout_ns = 60 * KWF_NS_PER_S,
+      .retry_share = 0.2,
+      .pushed = true,
+      .linger_ns = 3 * KWF_NS_PER_S,
+      .placement = { .dynamic = true, .lease_ns = 2 * KWF_NS_PER_S },
+      .clock = &world->clock.clock,
+      .random = &fixed_random });
   core_world_step (
       world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
                              .peer = { .instance = "b", .incarnation = 1 } });
-  give_row (world, "shares",
-            "{\"epoch\":1,\"members\":[{\"instance\":\"a\","
-            "\"incarnation\":1}],\"previous\":[],\"before\":0}");
+  core_world_row (world, "shares",
+                  "{\"epoch\":1,\"members\":[{\"instance\":\"a\","
+                  "\"incarnation\":1}],\"previous\":[],\"before\":0}");
   core_world_pass (world, 10);
   static const kwf_key_grant_t key = { "k", "o" };
   kwf_lists_t *lists = make_lists ();
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -34,6 +34,9 @@
 /* Let time pass and feed a tick.  */
 void core_world_pass (core_world_t *world, int64_t ms);
 
+/* A row of the table, told of by instance "b".  */
+void core_world_row (core_world_t *world, const char *key, const char *value);
+
 /* Two desks "d1" and "d2" and two engines "e1" and "e2" with model "m".  */
 void core_world_servers (core_world_t *world);
 
