--- a/net/instance-parts.h
+++ b/net/instance-parts.h
@@ -17,10 +17,12 @@
 #include "server.h"
 #include "store.h"
 #include "stream.h"
+#include "turn.h"
 
 struct instance
 {
   struct ev_loop *loop;
+  turn_t turn;
   const dialect_t *dialect;
   const kwf_settings_t *settings;
   const kwf_settings_t *access; /* newest: tokens of operators */
--- a/net/instance.c
+++ b/net/instance.c
@@ -517,6 +517,7 @@
       return NULL;
     }
   instance->core = new_core (instance);
+  turn_start (&instance->turn, loop, kwf_clock_system ());
   logging_event (10, KWF_LOG_INFO, "started, callers %s, operators %s",
                  instance->caller_address, instance->operator_address);
   instance_step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
@@ -534,6 +535,7 @@
 {
   if (!instance)
     return;
+  turn_stop (&instance->turn);
   ev_timer_stop (instance->loop, &instance->tick);
   ev_timer_stop (instance->loop, &instance->exit_poll);
   if (instance->callers)
--- a/net/operator.c
+++ b/net/operator.c
@@ -192,6 +192,7 @@
   char *core = kwf_core_metrics (instance->core);
   GString *text = g_string_new (core);
   process_metrics (text, instance->peers);
+  turn_write_metrics (&instance->turn, text);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, request, 200, "text/plain; version=0.0.4", text->str);
