--- a/lib/desk.c
+++ b/lib/desk.c
@@ -126,10 +126,15 @@
   desk->promised_ns = now_ns;
 }
 
-/* Remember the order under way, which was not answered.  */
+/* Remember the order under way, which was not answered, and forget those that
+   cannot be carried out any more.  */
 static void
-note_late (desk_t *desk)
+note_late (desk_t *desk, int64_t now_ns)
 {
+  for (guint i = desk->late->len; i-- > 0;)
+    if (now_ns - g_array_index (desk->late, late_order_t, i).sent_ns
+        >= LATE_NS)
+      g_array_remove_index_fast (desk->late, i);
   late_order_t late = { .model = g_strdup (desk->model),
                         .sent_ns = desk->sent_ns,
                         .incarnation = desk->incarnation };
@@ -464,7 +469,7 @@
     }
   desk->again_ns = now_ns + AGAIN_NS;
   if (!event->status && desk->kind == ORDER_LOAD && !*desk->adapter)
-    note_late (desk);
+    note_late (desk, now_ns);
   if (g_strcmp0 (event->code, "stale_fence") == 0)
     return DESK_STALE_TOKEN;
   desk->doubtful = true;
--- a/test/test_desk.c
+++ b/test/test_desk.c
@@ -214,6 +214,9 @@
   assert_int_equal (desk_used_mb (f->desk, lists, f->now_ns), 70000);
   f->now_ns += 15 * KWF_NS_PER_S;
   assert_int_equal (desk_used_mb (f->desk, lists, f->now_ns), 0);
+  order (f, ORDER_LOAD, "n", "");
+  answer (f, 0, NULL);
+  assert_int_equal (f->desk->late->len, 1);
   kwf_lists_free (lists);
 }
 
