--- a/lib/direct.c
+++ b/lib/direct.c
@@ -192,11 +192,20 @@
                                     [HELD_LOADING] = REBALANCE_LOADING,
                                     [HELD_UNLOADING] = REBALANCE_UNLOADING };
 
+/* Memory of the engine that a model may be loaded into.  */
+static int64_t
+free_mb_of (const direct_t *direct, const kwf_service_t *service,
+            const desk_t *desk, int64_t now_ns)
+{
+  return service->memory_mb
+         - desk_used_mb (desk, config_lists (direct->sources.config), now_ns)
+         - (int64_t)service->adapter_slots * ADAPTER_MB;
+}
+
 static void
 describe_engine (const direct_t *direct, fleet_t *fleet,
                  const kwf_service_t *service, int at, int64_t now_ns)
 {
-  const kwf_lists_t *lists = config_lists (direct->sources.config);
   const desk_t *desk = fleet->desks->pdata[at];
   int8_t *states = g_new0 (int8_t, fleet->n_models + 1);
   int64_t *held_for_ns = g_new0 (int64_t, fleet->n_models + 1);
@@ -216,8 +225,7 @@
       states[i] = REBALANCE_LOADING;
   fleet->engines[at] = (rebalance_engine_t){
     .free = desk_is_free (desk, now_ns) && !desk->promised,
-    .free_mb = service->memory_mb - desk_used_mb (desk, lists, now_ns)
-               - (int64_t)service->adapter_slots * ADAPTER_MB,
+    .free_mb = free_mb_of (direct, service, desk, now_ns),
     .states = states,
     .held_for_ns = held_for_ns,
     .near = near,
@@ -370,17 +378,12 @@
       g_clear_pointer (&desk->promised, g_free);
       return;
     }
-  int64_t free_mb = service->memory_mb
-                    - desk_used_mb (desk, lists, context->now_ns)
-                    - (int64_t)service->adapter_slots * ADAPTER_MB;
   bool may_load = direct->loads >= 1 || desk_is_near (desk, desk->promised);
   if (!desk_is_free (desk, context->now_ns) || !may_load)
     return;
   /* More than one model has to go: the next one is found anew.  */
-  if (free_mb >= model->memory_mb)
-    {
-      order_load (direct, desk, model->name, context);
-    }
+  if (free_mb_of (direct, service, desk, context->now_ns) >= model->memory_mb)
+    order_load (direct, desk, model->name, context);
   g_clear_pointer (&desk->promised, g_free);
 }
 
@@ -426,9 +429,7 @@
           const char *model = fleet.models[step.model].name;
           log_step (&fleet, &step, desk, context->effects);
           if (step.load)
-            {
-              order_load (direct, desk, model, context);
-            }
+            order_load (direct, desk, model, context);
           else
             {
               desk_promise (desk, fleet.models[step.purpose].name,
@@ -448,7 +449,6 @@
 {
   const kwf_model_t *model;
   const char *adapter;
-  int wanted; /* copies */
   int copies;
   double rate;
 } adapter_t;
@@ -550,41 +550,54 @@
     begin_unload (direct, desk, model, idle, context);
 }
 
+/* Copies of MODEL on engines that are not leaving; of held_model_t.  */
+static GPtrArray *
+find_copies (const direct_t *direct, const kwf_model_t *model)
+{
+  GPtrArray *copies = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer desk;
+  g_hash_table_iter_init (&iter, direct->desks);
+  while (g_hash_table_iter_next (&iter, NULL, &desk))
+    {
+      held_model_t *held = desk_model (desk, model->name);
+      if (held && held->state == HELD_RESIDENT && ((desk_t *)desk)->usable)
+        g_ptr_array_add (copies, held);
+    }
+  return copies;
+}
+
+static void
+place_adapters_of (direct_t *direct, const kwf_service_t *service,
+                   const kwf_model_t *model, const desk_context_t *context)
+{
+  GPtrArray *holders = find_copies (direct, model);
+  for (size_t i = 0; i < model->n_adapters; i++)
+    {
+      adapter_t adapter
+          = { .model = model,
+              .adapter = model->adapters[i],
+              .rate = demand_rate (direct->sources.demand, model->name,
+                                   model->adapters[i]) };
+      for (guint k = 0; k < holders->len; k++)
+        adapter.copies += g_hash_table_contains (
+            ((held_model_t *)holders->pdata[k])->adapters, adapter.adapter);
+      if (adapter.copies < copies_wanted (direct, &adapter, (int)holders->len))
+        place_adapter (direct, service, &adapter, context);
+    }
+  g_ptr_array_free (holders, TRUE);
+}
+
 static void
 place_adapters (direct_t *direct, const kwf_service_t *service,
                 const desk_context_t *context)
 {
   const kwf_lists_t *lists = config_lists (direct->sources.config);
-  const demand_t *demand = direct->sources.demand;
   for (size_t i = 0; i < kwf_lists_n_models (lists); i++)
     {
       const kwf_model_t *model = kwf_lists_model_at (lists, i);
-      if (g_strcmp0 (model->service, service->name) != 0)
-        continue;
-      for (size_t k = 0; k < model->n_adapters; k++)
-        {
-          adapter_t adapter = { .model = model,
-                                .adapter = model->adapters[k],
-                                .rate = demand_rate (demand, model->name,
-                                                     model->adapters[k]) };
-          int holders = 0;
-          GHashTableIter iter;
-          gpointer value;
-          g_hash_table_iter_init (&iter, direct->desks);
-          while (g_hash_table_iter_next (&iter, NULL, &value))
-            {
-              const held_model_t *held = desk_model (value, model->name);
-              if (!held || held->state != HELD_RESIDENT
-                  || !((desk_t *)value)->usable)
-                continue;
-              holders++;
-              adapter.copies
-                  += g_hash_table_contains (held->adapters, adapter.adapter);
-            }
-          adapter.wanted = copies_wanted (direct, &adapter, holders);
-          if (adapter.copies < adapter.wanted)
-            place_adapter (direct, service, &adapter, context);
-        }
+      if (g_strcmp0 (model->service, service->name) == 0)
+        place_adapters_of (direct, service, model, context);
     }
 }
 
--- a/net/caller.c
+++ b/net/caller.c
@@ -249,8 +249,8 @@
   accept_request (instance, caller, request, key, &event);
 }
 
-static bool
-is_one_of (const char *name, const char *const *names)
+bool
+header_is_one_of (const char *name, const char *const *names)
 {
   for (; *names; names++)
     if (strcasecmp (name, *names) == 0)
@@ -265,7 +265,7 @@
       = { "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
           "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
           NULL };
-  return is_one_of (name, names);
+  return header_is_one_of (name, names);
 }
 
 /* Headers of the caller's connection with this instance, and those that
@@ -277,7 +277,8 @@
       = { "Authorization", "Proxy-Authorization",  "Host",
           "Expect",        "X-Request-Id",         "X-Deadline-Ms",
           "X-Priority",    "X-Request-Timeout-Ms", NULL };
-  if (header_is_hop_by_hop (header->name) || is_one_of (header->name, own))
+  if (header_is_hop_by_hop (header->name)
+      || header_is_one_of (header->name, own))
     return false;
   if (strpbrk (header->value, "\r\n"))
     return false;
--- a/net/client.c
+++ b/net/client.c
@@ -346,11 +346,13 @@
 /* Whether the end of the answer was marked by something else than the end
    of the connection.  */
 static bool
-is_delimited (const transfer_t *transfer, int status)
+is_delimited (const transfer_t *transfer)
 {
   CURL *curl = transfer->easy->curl;
+  long status = 0;
   curl_off_t length = -1;
   struct curl_header *header;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
   if (transfer->head || status == 204 || status == 304)
     return true;
   curl_easy_getinfo (curl, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
@@ -423,6 +425,25 @@
   return headers;
 }
 
+/* The answer without its body; strings belong to libcurl, HEADERS is to be
+   freed.  */
+static client_answer_t
+answer_head (const transfer_t *transfer, GArray **headers)
+{
+  CURL *curl = transfer->easy->curl;
+  long status = 0;
+  char *type = NULL;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &type);
+  *headers = answer_headers (curl);
+  return (client_answer_t){
+    .headers = (const header_t *)(void *)(*headers)->data,
+    .n_headers = (*headers)->len,
+    .status = (int)status,
+    .content_type = type,
+  };
+}
+
 /* Call head() unless that was done; false: the handler cancelled.  */
 static bool
 deliver_head (transfer_t *transfer)
@@ -432,18 +453,8 @@
   if (transfer->headed || !transfer->handler->head)
     return true;
   transfer->headed = true;
-  long status = 0;
-  char *type = NULL;
-  CURL *curl = transfer->easy->curl;
-  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &type);
-  GArray *headers = answer_headers (curl);
-  client_answer_t answer = {
-    .headers = (const header_t *)(void *)headers->data,
-    .n_headers = headers->len,
-    .status = (int)status,
-    .content_type = type,
-  };
+  GArray *headers;
+  client_answer_t answer = answer_head (transfer, &headers);
   transfer->handler->head (transfer->data, handle, &answer);
   g_array_free (headers, TRUE);
   return kwf_slots_get (client->transfers, handle) != NULL;
@@ -457,12 +468,7 @@
       deliver_failure (transfer, cause_of (transfer));
       return;
     }
-  long status = 0;
-  char *type = NULL;
-  CURL *curl = transfer->easy->curl;
-  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (curl, CURLINFO_CONTENT_TYPE, &type);
-  if (!transfer->close_ends && !is_delimited (transfer, (int)status))
+  if (!transfer->close_ends && !is_delimited (transfer))
     {
       deliver_failure (transfer, "the answer has no length of its own");
       return;
@@ -471,15 +477,10 @@
   kwf_handle_t handle = transfer->handle;
   if (!deliver_head (transfer))
     return;
-  GArray *headers = answer_headers (curl);
-  client_answer_t answer = {
-    .headers = (const header_t *)(void *)headers->data,
-    .n_headers = headers->len,
-    .status = (int)status,
-    .content_type = type,
-    .body = transfer->easy->received->str,
-    .body_size = transfer->easy->received->len,
-  };
+  GArray *headers;
+  client_answer_t answer = answer_head (transfer, &headers);
+  answer.body = transfer->easy->received->str;
+  answer.body_size = transfer->easy->received->len;
   transfer->handler->done (transfer->data, handle, &answer);
   g_array_free (headers, TRUE);
   /* The handler may have cancelled it.  */
--- a/net/instance-parts.h
+++ b/net/instance-parts.h
@@ -95,6 +95,9 @@
 /* A new secret in hex digits; free with g_free.  */
 char *random_text (void);
 
+/* Whether NAME is one of NAMES, which ends with NULL, in any case.  */
+bool header_is_one_of (const char *name, const char *const *names);
+
 /* Whether a header belongs to one connection and is not passed on.  */
 bool header_is_hop_by_hop (const char *name);
 
@@ -128,6 +131,13 @@
 void transfer_finish (transfer_t *transfer, kwf_event_type_t type,
                       kwf_attempt_event_t event, transfer_feed_fn_t feed);
 
+/* Headers of the answer to pass on, behind FIRST (NULL: none); strings belong
+   to TRANSFER and FIRST.  */
+GArray *transfer_headers (const transfer_t *transfer, const header_t *first);
+/* Reply with the answer, which is whole.  */
+void transfer_reply (instance_t *instance, const transfer_t *transfer,
+                     const caller_t *caller, const header_t *first);
+
 /* relay.c: transfers of routed requests.  */
 void relay_start (instance_t *instance, transfer_t *transfer,
                   const kwf_attempt_start_t *start, caller_t *caller,
--- a/net/own.c
+++ b/net/own.c
@@ -1,6 +1,7 @@
 /* The product's own interface: orders and load reports of model engines as
    docs/design.md section 10 says, and callers as API.md says.  */
 
+#include "answer.h"
 #include "instance-parts.h"
 
 #include <jansson.h>
@@ -52,9 +53,7 @@
 read_report (kwf_report_event_t *report, GPtrArray *texts,
              const client_answer_t *answer)
 {
-  json_t *root = answer->status == 200 && answer->body
-                     ? json_loadb (answer->body, answer->body_size, 0, NULL)
-                     : NULL;
+  json_t *root = answer->status == 200 ? answer_json (answer) : NULL;
   bool good = json_is_object (root)
               && json_is_integer (json_object_get (root, "incarnation"));
   if (good)
@@ -102,9 +101,7 @@
 read_order (kwf_order_event_t *event, GPtrArray *texts,
             const client_answer_t *answer)
 {
-  json_t *root = answer->body
-                     ? json_loadb (answer->body, answer->body_size, 0, NULL)
-                     : NULL;
+  json_t *root = answer_json (answer);
   const json_t *error = json_object_get (root, "error");
   if (json_is_string (json_object_get (error, "code")))
     event->code = keep_text (texts, error, "code");
--- a/net/relay.c
+++ b/net/relay.c
@@ -142,26 +142,13 @@
   g_ptr_array_free (texts, TRUE);
 }
 
-static GArray *
-answer_headers (const transfer_t *transfer)
-{
-  GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
-  for (guint i = 0; transfer->headers && i < transfer->headers->len; i += 2)
-    {
-      header_t header
-          = { transfer->headers->pdata[i], transfer->headers->pdata[i + 1] };
-      g_array_append_val (headers, header);
-    }
-  return headers;
-}
-
 void
 relay_forward (instance_t *instance, transfer_t *transfer, caller_t *caller)
 {
   events_t *events = &transfer->events;
   if (!caller->begun)
     {
-      GArray *headers = answer_headers (transfer);
+      GArray *headers = transfer_headers (transfer, NULL);
       caller->begun = true;
       server_begin (instance->callers, caller->handle, transfer->status,
                     transfer->content_type,
@@ -187,11 +174,5 @@
       server_end (instance->callers, caller->handle);
       return;
     }
-  GArray *headers = answer_headers (transfer);
-  const GString *body = transfer->body;
-  server_reply (instance->callers, caller->handle, transfer->status,
-                transfer->content_type,
-                (const header_t *)(void *)headers->data, headers->len,
-                body ? body->str : "", body ? body->len : 0);
-  g_array_free (headers, TRUE);
+  transfer_reply (instance, transfer, caller, NULL);
 }
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -320,19 +320,26 @@
   stream_take (stream, stream->whole);
 }
 
-static void
-reply_whole (instance_t *instance, const transfer_t *transfer,
-             const caller_t *caller)
+GArray *
+transfer_headers (const transfer_t *transfer, const header_t *first)
 {
   GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
-  header_t id = { "X-Request-Id", caller->id };
-  g_array_append_val (headers, id);
+  if (first)
+    g_array_append_val (headers, *first);
   for (guint i = 0; transfer->headers && i < transfer->headers->len; i += 2)
     {
       header_t header
           = { transfer->headers->pdata[i], transfer->headers->pdata[i + 1] };
       g_array_append_val (headers, header);
     }
+  return headers;
+}
+
+void
+transfer_reply (instance_t *instance, const transfer_t *transfer,
+                const caller_t *caller, const header_t *first)
+{
+  GArray *headers = transfer_headers (transfer, first);
   const GString *body = transfer->body;
   server_reply (instance->callers, caller->handle, transfer->status,
                 transfer->content_type,
@@ -354,7 +361,8 @@
   if (caller->kind == KWF_REQUEST_ROUTED)
     relay_forward_end (instance, transfer, caller);
   else if (transfer->body)
-    reply_whole (instance, transfer, caller);
+    transfer_reply (instance, transfer, caller,
+                    &(header_t){ "X-Request-Id", caller->id });
   else
     {
       transfer_forward (instance, attempt);
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -247,3 +247,40 @@
       return kwf_effects_at (world->effects, i);
   return NULL;
 }
+
+void
+core_world_placed (core_world_t *world, const char *model, const char *adapter)
+{
+  kwf_message_t message
+      = { .type = KWF_MSG_PLACED,
+          .placed
+          = { "e1", 1, .model = model, .adapter = adapter, .present = true } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "b",
+                                                    .message = &message } });
+}
+
+int
+core_world_setup (void **state)
+{
+  core_world_t *world = g_new0 (core_world_t, 1);
+  core_world_start (world);
+  *state = world;
+  return 0;
+}
+
+int
+core_world_setup_servers (void **state)
+{
+  core_world_setup (state);
+  core_world_servers (*state);
+  return 0;
+}
+
+int
+core_world_teardown (void **state)
+{
+  core_world_stop (*state);
+  g_free (*state);
+  return 0;
+}
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -44,6 +44,17 @@
 void core_world_request (core_world_t *world, kwf_handle_t handle,
                          const char *path, const char *model);
 
+/* Instance "b" tells that engine "e1" loads MODEL, or has its ADAPTER ("":
+   none).  */
+void core_world_placed (core_world_t *world, const char *model,
+                        const char *adapter);
+
+/* Fixtures of cmocka: a world with the configuration, and one that has the
+   servers too.  */
+int core_world_setup (void **state);
+int core_world_setup_servers (void **state);
+int core_world_teardown (void **state);
+
 /* The first effect of TYPE since the last call; NULL: none.  */
 const kwf_effect_t *core_world_effect (const core_world_t *world,
                                        kwf_effect_type_t type);
--- a/test/test_duty.c
+++ b/test/test_duty.c
@@ -11,24 +11,6 @@
 
 #define OTHER_HOLDS "{\"instance\":\"b\",\"incarnation\":1}"
 
-static int
-start (void **state)
-{
-  core_world_t *world = g_new0 (core_world_t, 1);
-  core_world_start (world);
-  core_world_servers (world);
-  *state = world;
-  return 0;
-}
-
-static int
-stop (void **state)
-{
-  core_world_stop (*state);
-  g_free (*state);
-  return 0;
-}
-
 /* Engines that answer the question of the last step: they hold "m" and have
    accepted three orders.  */
 static void
@@ -151,13 +133,18 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test_setup_teardown (first_holder_orders_at_once, start, stop),
-    cmocka_unit_test_setup_teardown (another_holder_ends_the_orders, start,
-                                     stop),
-    cmocka_unit_test_setup_teardown (successor_waits_for_late_orders, start,
-                                     stop),
-    cmocka_unit_test_setup_teardown (refused_token_ends_the_orders, start,
-                                     stop),
+    cmocka_unit_test_setup_teardown (first_holder_orders_at_once,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (another_holder_ends_the_orders,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (successor_waits_for_late_orders,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (refused_token_ends_the_orders,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -11,23 +11,6 @@
 #include "common-core.h"
 #include "lib/lists-build.h"
 
-static int
-start (void **state)
-{
-  core_world_t *world = g_new0 (core_world_t, 1);
-  core_world_start (world);
-  *state = world;
-  return 0;
-}
-
-static int
-stop (void **state)
-{
-  core_world_stop (*state);
-  g_free (*state);
-  return 0;
-}
-
 static void
 assert_refused (const core_world_t *world, int status, const char *code)
 {
@@ -212,6 +195,25 @@
   assert_true (again->start.resumes);
 }
 
+/* Request 2 for adapter "a1" of "m"; TIMEOUT_MS 0: as the route says.  */
+static void
+request_adapter (core_world_t *world, int64_t timeout_ms)
+{
+  kwf_event_t request
+      = { .type = KWF_EV_REQUEST,
+          .request = { .handle = 2,
+                       .kind = KWF_REQUEST_ROUTED,
+                       .id = "r2",
+                       .key_digest = "k",
+                       .host = "h.example",
+                       .path = "/draft/",
+                       .model = "m",
+                       .adapter = "a1",
+                       .timeout_ns = timeout_ms * KWF_NS_PER_MS,
+                       .fingerprint = 2 } };
+  core_world_step (world, &request);
+}
+
 /* Guards against a request that waits for a model that an engine has.  When
    an adapter was missing, the model itself counted as missing.  */
 static void
@@ -221,23 +223,8 @@
   core_world_servers (world);
   core_world_request (world, 1, "/draft/x", "m");
   kwf_handle_t attempt = assert_sent (world);
-  kwf_event_t placed = { .type = KWF_EV_PEER_MESSAGE };
-  kwf_message_t message = { .type = KWF_MSG_PLACED,
-                            .placed = { "e1", 1, .model = "m", .adapter = "a1",
-                                        .present = true } };
-  placed.peer = (kwf_peer_event_t){ .instance = "b", .message = &message };
-  core_world_step (world, &placed);
-  kwf_event_t request = { .type = KWF_EV_REQUEST,
-                          .request = { .handle = 2,
-                                       .kind = KWF_REQUEST_ROUTED,
-                                       .id = "r2",
-                                       .key_digest = "k",
-                                       .host = "h.example",
-                                       .path = "/draft/",
-                                       .model = "m",
-                                       .adapter = "a1",
-                                       .fingerprint = 2 } };
-  core_world_step (world, &request);
+  core_world_placed (world, "m", "a1");
+  request_adapter (world, 0);
   const kwf_effect_t *sent = core_world_effect (world, KWF_FX_ATTEMPT_START);
   assert_non_null (sent);
   assert_string_equal (sent->start.server, "e1");
@@ -262,17 +249,6 @@
   assert_true (to_first > 0);
 }
 
-static void
-tell_of_load (core_world_t *world, const char *model)
-{
-  kwf_message_t message = { .type = KWF_MSG_PLACED,
-                            .placed = { "e1", 1, .model = model, .adapter = "",
-                                        .present = true } };
-  kwf_event_t placed = { .type = KWF_EV_PEER_MESSAGE,
-                         .peer = { .instance = "b", .message = &message } };
-  core_world_step (world, &placed);
-}
-
 /* Guards against callers that are held until they give up although no engine
    gets their model.  */
 static void
@@ -298,7 +274,7 @@
   core_world_servers (world);
   core_world_request (world, 1, "/draft/x", "n");
   core_world_pass (world, 1900);
-  tell_of_load (world, "n");
+  core_world_placed (world, "n", "");
   core_world_pass (world, 200);
   assert_null (core_world_effect (world, KWF_FX_REPLY));
 }
@@ -310,19 +286,8 @@
 {
   core_world_t *world = *state;
   core_world_servers (world);
-  tell_of_load (world, "m");
-  kwf_event_t request = { .type = KWF_EV_REQUEST,
-                          .request = { .handle = 2,
-                                       .kind = KWF_REQUEST_ROUTED,
-                                       .id = "r2",
-                                       .key_digest = "k",
-                                       .host = "h.example",
-                                       .path = "/draft/",
-                                       .model = "m",
-                                       .adapter = "a1",
-                                       .timeout_ns = 2500 * KWF_NS_PER_MS,
-                                       .fingerprint = 2 } };
-  core_world_step (world, &request);
+  core_world_placed (world, "m", "");
+  request_adapter (world, 2500);
   assert_null (core_world_effect (world, KWF_FX_REPLY));
   core_world_pass (world, 1500);
   assert_null (core_world_effect (world, KWF_FX_REPLY));
@@ -431,30 +396,38 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (longest_prefix_wins),
     cmocka_unit_test_setup_teardown (admission_answers_what_the_lists_say,
-                                     start, stop),
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        broken_call_that_may_run_once_is_not_repeated, start, stop),
+        broken_call_that_may_run_once_is_not_repeated, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        not_run_goes_to_another_server_within_the_attempts, start, stop),
+        not_run_goes_to_another_server_within_the_attempts, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (last_failure_of_a_server_is_passed_on,
-                                     start, stop),
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (broken_stream_resumes_at_another_engine,
-                                     start, stop),
-    cmocka_unit_test_setup_teardown (missing_adapter_leaves_the_model, start,
-                                     stop),
+                                     core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (missing_adapter_leaves_the_model,
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        missing_model_is_refused_when_no_load_comes, start, stop),
+        missing_model_is_refused_when_no_load_comes, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        missing_model_is_waited_for_while_it_loads, start, stop),
+        missing_model_is_waited_for_while_it_loads, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        missing_adapter_is_waited_for_during_a_load, start, stop),
+        missing_adapter_is_waited_for_during_a_load, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (server_may_turn_out_to_be_an_engine,
-                                     start, stop),
-    cmocka_unit_test_setup_teardown (unsure_list_drops_no_server, start, stop),
+                                     core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (unsure_list_drops_no_server,
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        requests_count_against_the_rate_once_they_run, start, stop),
+        requests_count_against_the_rate_once_they_run, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (
-        stopping_instance_takes_requests_for_a_while, start, stop),
+        stopping_instance_takes_requests_for_a_while, core_world_setup,
+        core_world_teardown),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
