Make the test of a stalled log reader able to see a blocked write

The pipe blocks now, and an alarm ends a write that takes 20 s: without set_nonblocking the test ends with SIGALRM (seen), with it it passes. logging_start makes the output of the moment non-blocking, each time it is called.

--- a/lib/logging.c
+++ b/lib/logging.c
@@ -214,12 +214,12 @@
   output.instance = g_strdup (instance);
   output.json = json;
   output.least = least;
+  set_nonblocking ();
   if (output.installed)
     return;
   output.pending = g_string_new (NULL);
   output.lines = LINES_PER_S;
   output.lines_us = g_get_monotonic_time ();
-  set_nonblocking ();
   output.key = g_regex_new (KEY_PATTERN, G_REGEX_OPTIMIZE, 0, NULL);
   g_log_set_writer_func (write_line, NULL, NULL);
   output.installed = true;
--- a/test/test_logging.c
+++ b/test/test_logging.c
@@ -17,6 +17,9 @@
 #include "lib/key.h"
 #include "lib/logging.h"
 
+/* A write that takes this long is blocked; the signal ends the test.  */
+#define BLOCKED_S 20
+
 static FILE *capture;
 static int saved;
 
@@ -177,11 +180,14 @@
 {
   (void)state;
   int ends[2];
-  logging_start ("entry-1", false, KWF_LOG_INFO);
-  assert_int_equal (pipe2 (ends, O_NONBLOCK), 0);
+  /* Writing blocks unless the process sees to it.  */
+  assert_int_equal (pipe (ends), 0);
+  assert_int_equal (fcntl (ends[0], F_SETFL, O_NONBLOCK), 0);
   fflush (stdout);
   saved = dup (STDOUT_FILENO);
   dup2 (ends[1], STDOUT_FILENO);
+  alarm (BLOCKED_S);
+  logging_start ("entry-1", false, KWF_LOG_INFO);
   for (int i = 0; i < 4000; i++)
     logging_event (400, KWF_LOG_INFO, "line %d of many", i);
   static char text[1 << 20];
@@ -192,6 +198,7 @@
   read_all (ends[0], text, &size, sizeof text);
   logging_event (401, KWF_LOG_INFO, "the reader is back for good");
   read_all (ends[0], text, &size, sizeof text);
+  alarm (0);
   dup2 (saved, STDOUT_FILENO);
   close (saved);
   close (ends[0]);
