Read the platform's tables on one instance and pass the changes on

Each change of the list of backend servers cost a call for each instance, since every one polled the list. Now the first live instance polls and tells the first of each other data centre, which tells those beside it; each asks the store itself when what it was told is over 1 s (1.25 s) old or has a gap.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -87,4 +87,12 @@
 void kwf_core_addresses (const kwf_core_t *core, kwf_address_fn_t fn,
                          void *data);
 
+/* Who is told what the platform's tables say (lib/follower.h): the age at
+   which this instance asks itself, 0: it reads for others; and whom it
+   tells.  */
+typedef void (*kwf_instance_fn_t) (const char *instance, void *data);
+int64_t kwf_core_feed_patience_ns (const kwf_core_t *core);
+void kwf_core_feed_targets (const kwf_core_t *core, bool own,
+                            kwf_instance_fn_t fn, void *data);
+
 #endif
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -31,7 +31,8 @@
   KWF_MSG_CRASH,      /* a request was running when a server crashed */
   KWF_MSG_WANT,       /* calls wait for a model that is resident nowhere */
   KWF_MSG_NEWS,       /* the table has rows of this revision */
-  KWF_MSG_PLACED      /* an engine has or lacks a model or adapter now */
+  KWF_MSG_PLACED,     /* an engine has or lacks a model or adapter now */
+  KWF_MSG_FEED        /* what the platform told of one of its tables */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -124,6 +125,17 @@
   bool present;
 } kwf_placed_t;
 
+/* Changes of a table that the platform keeps up itself.  */
+typedef struct
+{
+  int64_t table;    /* number that the store's client gives it */
+  int64_t after;    /* all rows that changed since this revision are here */
+  int64_t revision; /* and they are complete up to this one */
+  int64_t age_ns;   /* since the platform told that this is the newest */
+  const kwf_row_t *rows; /* value NULL: removed */
+  size_t n_rows;
+} kwf_feed_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -142,6 +154,7 @@
     const char *want; /* like demand of RENEW */
     int64_t news;     /* revision */
     kwf_placed_t placed;
+    kwf_feed_t feed;
   };
 } kwf_message_t;
 
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "follower.h"
 #include "refusal.h"
 
 /* An organisation's callers are directed to this many instances, so that
@@ -169,3 +170,16 @@
                          (json_int_t)lifetime_ms),
               effects);
 }
+
+int64_t
+kwf_core_feed_patience_ns (const kwf_core_t *core)
+{
+  return follower_patience_ns (core->session);
+}
+
+void
+kwf_core_feed_targets (const kwf_core_t *core, bool own, kwf_instance_fn_t fn,
+                       void *data)
+{
+  follower_targets (core->session, own, fn, data);
+}
--- a/net/instance.c
+++ b/net/instance.c
@@ -55,9 +55,39 @@
                    error.message);
 }
 
+static int64_t
+feed_patience_ns (void *data)
+{
+  return kwf_core_feed_patience_ns (((instance_t *)data)->core);
+}
+
+typedef struct
+{
+  instance_t *instance;
+  kwf_message_t message;
+} tell_t;
+
+static void
+tell_one (const char *instance, void *data)
+{
+  const tell_t *tell = data;
+  /* One that has no link, or whose link is full, asks the platform.  */
+  (void)peers_send (tell->instance->peers, instance, &tell->message);
+}
+
+static void
+on_tell (void *data, const kwf_feed_t *news, bool own)
+{
+  tell_t tell = { .instance = data,
+                  .message = { .type = KWF_MSG_FEED, .feed = *news } };
+  kwf_core_feed_targets (tell.instance->core, own, tell_one, &tell);
+}
+
 static const store_handler_t store_handler = { .reply = on_store_reply,
                                                .members = on_members,
                                                .config = on_config,
+                                               .patience_ns = feed_patience_ns,
+                                               .tell = on_tell,
                                                .secret = on_secret };
 
 static void
@@ -81,6 +111,13 @@
 on_peer_message (void *data, const char *peer, uint64_t incarnation,
                  const kwf_message_t *message)
 {
+  store_t *store = ((instance_t *)data)->store;
+  if (message->type == KWF_MSG_FEED)
+    {
+      if (store->ops->take_feed)
+        store->ops->take_feed (store, &message->feed);
+      return;
+    }
   instance_step (data, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
                                        .peer = { .instance = peer,
                                                  .incarnation = incarnation,
--- a/net/message.c
+++ b/net/message.c
@@ -164,6 +164,7 @@
     case KWF_MSG_GIVE:
       return 6;
     case KWF_MSG_PLACED:
+    case KWF_MSG_FEED:
       return 5;
     case KWF_MSG_CRASH:
       return 3;
@@ -230,6 +231,13 @@
       wire_put_text_or_empty (writer, message->placed.adapter);
       wire_put_bool (writer, message->placed.present);
       break;
+    case KWF_MSG_FEED:
+      wire_put_int (writer, message->feed.table);
+      wire_put_int (writer, message->feed.after);
+      wire_put_int (writer, message->feed.revision);
+      wire_put_int (writer, message->feed.age_ns);
+      put_rows (writer, message->feed.rows, message->feed.n_rows);
+      break;
     }
 }
 
@@ -291,6 +299,13 @@
       message->placed.adapter = wire_text_or_empty (reader);
       message->placed.present = wire_bool (reader);
       break;
+    case KWF_MSG_FEED:
+      message->feed.table = wire_int (reader);
+      message->feed.after = wire_int (reader);
+      message->feed.revision = wire_int (reader);
+      message->feed.age_ns = wire_int (reader);
+      message->feed.rows = read_rows (reader, &message->feed.n_rows);
+      break;
     }
 }
 
--- a/net/store.h
+++ b/net/store.h
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include <knapweedfork/event.h>
+#include <knapweedfork/message.h>
 #include <knapweedfork/store.h>
 
 typedef struct store store_t;
@@ -19,6 +20,11 @@
   void (*reply) (void *data, kwf_handle_t op, const kwf_store_reply_t *reply);
   void (*members) (void *data, const kwf_members_event_t *members);
   void (*config) (void *data, const kwf_config_event_t *config);
+  /* How old what is known may grow before this instance asks the platform
+     itself; 0: it reads for other instances.  */
+  int64_t (*patience_ns) (void *data);
+  /* Tell other instances what a table says.  OWN: the platform told it.  */
+  void (*tell) (void *data, const kwf_feed_t *news, bool own);
   /* The fleet secret that the platform keeps.  */
   void (*secret) (void *data, const char *secret);
 } store_handler_t;
@@ -31,6 +37,8 @@
                int64_t timeout_ns);
   /* Read the membership list; NULL: it comes unasked.  */
   void (*ask_members) (store_t *store);
+  /* Another instance told what a table says; NULL: none does.  */
+  void (*take_feed) (store_t *store, const kwf_feed_t *news);
   /* Append metrics of the calls made; may be NULL.  */
   void (*write_metrics) (const store_t *store, GString *out);
   void (*free) (store_t *store);
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -42,6 +42,13 @@
                 .model = "m",
                 .adapter = "a1",
                 .present = true } },
+  { .type = KWF_MSG_FEED,
+    .feed = { .table = 2,
+              .after = 40,
+              .revision = 44,
+              .age_ns = 5,
+              .rows = rows,
+              .n_rows = 3 } },
   { .type = KWF_MSG_CRASH,
     .crash
     = { .fingerprint = 7, .server = "", .incarnation = KWF_CRASH_FINISHED } },
@@ -176,6 +183,14 @@
       assert_string_equal (a->placed.adapter, b->placed.adapter);
       assert_int_equal (a->placed.present, b->placed.present);
       break;
+    case KWF_MSG_FEED:
+      assert_true (a->feed.table == b->feed.table);
+      assert_true (a->feed.after == b->feed.after);
+      assert_true (a->feed.revision == b->feed.revision);
+      assert_true (a->feed.age_ns == b->feed.age_ns);
+      assert_same_rows (a->feed.rows, a->feed.n_rows, b->feed.rows,
+                        b->feed.n_rows);
+      break;
     case KWF_MSG_NEWS:
       assert_true (a->news == b->news);
       break;
@@ -222,7 +237,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_PLACED + 1 },
+    { .type = KWF_MSG_FEED + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
