Keep an organisation's rate at eight homes; do not let old entries hide a load

Divided among 82 instances, the burst of a small organisation is below one request at each; a request asked all others for a third of what it needed and lost what it did not use at once. Now eight members, found by rendezvous hashing, hold the rate; the others ask one of them for all of it, then the rest. Fleets of up to eight are as before.

An entry is now passed over for 3.3 s after any answer or report of the engine (test_desk, entry_from_before_a_report_changes_nothing, failed before).

--- a/lib/desk.c
+++ b/lib/desk.c
@@ -9,8 +9,10 @@
 /* Pause before a question or order after one that did not succeed.  The
    engine's reports lag by some hundred milliseconds.  */
 #define AGAIN_NS (200 * KWF_NS_PER_MS)
-/* What the membership list says of an engine is this old at most.  */
-#define ENTRY_LAG_NS (2 * KWF_NS_PER_S)
+/* What the membership list says of an engine is this old at most: a heartbeat
+   of 1.2 s, 0.8 s until it is listed, and 1.25 s until this instance looks
+   itself when it is told nothing.  */
+#define ENTRY_LAG_NS (3300 * KWF_NS_PER_MS)
 /* An order that was not answered is carried out this long after it was sent
    at most.  */
 #define LATE_NS (15 * KWF_NS_PER_S)
@@ -241,7 +243,7 @@
   g_clear_pointer (&desk->promised, g_free);
   desk->doubtful = false;
   desk->orders = 0;
-  desk->accepted_ns = 0;
+  desk->known_ns = 0;
 }
 
 static const kwf_resident_t *
@@ -335,8 +337,8 @@
   desk->revision = member->revision;
   take_near (desk, member->near, member->n_near);
   note_carried (desk, member, now_ns);
-  /* The entry may have been written before the last order.  */
-  if (desk->accepted_ns && now_ns - desk->accepted_ns < ENTRY_LAG_NS)
+  /* The entry may have been written before the last answer or report.  */
+  if (desk->known_ns && now_ns - desk->known_ns < ENTRY_LAG_NS)
     return;
   GHashTable *before;
   begin_account (desk, &before);
@@ -366,6 +368,7 @@
   if (report->n_near)
     take_near (desk, report->near, report->n_near);
   desk->orders = report->orders;
+  desk->known_ns = now_ns;
   desk->doubtful = report->busy && !desk->carried;
 }
 
@@ -456,7 +459,7 @@
   if (event->status == 202)
     {
       desk->orders++;
-      desk->accepted_ns = now_ns;
+      desk->known_ns = now_ns;
       return accept (desk, false, now_ns);
     }
   if (event->status == 200)
@@ -464,7 +467,7 @@
       /* An adapter that nothing uses is unloaded at once, which counts; a
          load of what is there does not.  */
       desk->orders += *desk->adapter && desk->kind == ORDER_UNLOAD;
-      desk->accepted_ns = now_ns;
+      desk->known_ns = now_ns;
       return accept (desk, true, now_ns);
     }
   desk->again_ns = now_ns + AGAIN_NS;
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -43,12 +43,13 @@
   char *address;
   char *service;
   uint64_t incarnation;
-  int64_t revision;    /* of the entry that was looked at last */
-  int64_t orders;      /* accepted by the engine, as far as known */
-  int64_t accepted_ns; /* time of the last one; 0: none by this instance */
-  GHashTable *models;  /* name to held_model_t */
-  GHashTable *near;    /* names of models that it loads without the store */
-  bool usable;         /* listed and not leaving */
+  int64_t revision;   /* of the entry that was looked at last */
+  int64_t orders;     /* accepted by the engine, as far as known */
+  int64_t known_ns;   /* when the engine itself told last what it holds, by
+                         an answer or a report; 0: not yet */
+  GHashTable *models; /* name to held_model_t */
+  GHashTable *near;   /* names of models that it loads without the store */
+  bool usable;        /* listed and not leaving */
   /* The order under way.  */
   char *order_id; /* NULL: none */
   order_kind_t kind;
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -89,14 +89,37 @@
   }
 }
 
+/* Members keep their shares over a restart only where shares are steady;
+   else every member is a home, and another process of it starts anew.  */
+static void
+find_shares (const shares_t *shares, account_t *account)
+{
+  homes_find (shares, account);
+  if (shares->steady)
+    {
+      if (!shares_holder_of (shares, shares->previous, shares->instance,
+                             shares->incarnation))
+        account->old_share = 0;
+      return;
+    }
+  g_ptr_array_set_size (account->homes, 0);
+  for (guint i = 0; i < shares->holders->len; i++)
+    g_ptr_array_add (
+        account->homes,
+        g_strdup (((holder_t *)shares->holders->pdata[i])->instance));
+  account->share = shares->share;
+  account->old_share = shares->old_share;
+}
+
 void
 epoch_enter_account (const shares_t *shares, account_t *account)
 {
   bucket_t *bucket = &account->bucket;
-  bucket->rate = shares->share;
-  bucket->cap = shares->share;
-  bucket->old_rate = shares->old_share;
-  bucket->old_cap = shares->old_share;
+  find_shares (shares, account);
+  bucket->rate = account->share;
+  bucket->cap = account->share;
+  bucket->old_rate = account->old_share;
+  bucket->old_cap = account->old_share;
   bucket->bounded = !shares->settled;
   bucket->filled_ns = shares->valid_ns;
 }
@@ -110,7 +133,7 @@
   if (!account->fresh || !shares->epoch)
     return;
   account->fresh = false;
-  if (shares->share > 0
+  if (account->share > 0
       && holder_find (shares->holders, shares->instance, shares->incarnation)
       && (shares->epoch == 1 || shares->list_version > shares->row_version))
     account->bucket.level = bucket_cap (&account->bucket);
@@ -123,14 +146,6 @@
   bool member = shares_holder_of (shares, shares->holders, shares->instance,
                                   shares->incarnation);
   shares->old_share = next ? shares->share : 0;
-  /* A process that was started since has what the one before it had.  */
-  if (shares->steady)
-    shares->old_share
-        = shares->before > 0
-                  && shares_holder_of (shares, shares->previous,
-                                       shares->instance, shares->incarnation)
-              ? 1.0 / (double)shares->before
-              : 0;
   shares->share = member ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
   shares->settled = epoch == 1;
@@ -146,19 +161,22 @@
       bucket_fill (&account->bucket, shares->valid_ns);
       /* When an epoch was missed, the share under the last one seen was
          given to others.  */
+      find_shares (shares, account);
+      /* A process that was started since has what the one before it had.  */
       if (shares->steady)
         {
-          account->bucket.rate = account->bucket.cap = shares->old_share;
+          account->bucket.rate = account->bucket.cap = account->old_share;
           account->bucket.bounded = false;
         }
       else if (!next)
         account->bucket.rate = account->bucket.cap = 0;
-      bucket_enter (&account->bucket, shares->share);
+      bucket_enter (&account->bucket, account->share);
       if (shares->settled)
         bucket_settle (&account->bucket);
       if (epoch > 1)
         account->fresh = false;
       account->round = 0;
+      account->first = false;
       g_ptr_array_set_size (account->asked, 0);
       account->dry_until_ns = 0;
     }
@@ -169,6 +187,19 @@
                    member ? "" : ", without this instance");
 }
 
+static void
+read_names (GPtrArray *names, json_t *array)
+{
+  size_t i;
+  json_t *name;
+  g_ptr_array_set_size (names, 0);
+  json_array_foreach (array, i, name)
+  {
+    if (json_is_string (name))
+      g_ptr_array_add (names, g_strdup (json_string_value (name)));
+  }
+}
+
 void
 epoch_take_row (shares_t *shares, const kwf_row_t *row, kwf_effects_t *effects)
 {
@@ -185,7 +216,7 @@
     {
       read_holders (shares->holders, members);
       read_holders (shares->previous, json_object_get (object, "previous"));
-      shares->before = json_integer_value (json_object_get (object, "before"));
+      read_names (shares->former, json_object_get (object, "former"));
       enter (shares, epoch, effects);
     }
   json_decref (object);
@@ -331,6 +362,16 @@
   return array;
 }
 
+static json_t *
+write_names (const GPtrArray *holders)
+{
+  json_t *array = json_array ();
+  for (guint i = 0; i < holders->len; i++)
+    json_array_append_new (
+        array, json_string (((holder_t *)holders->pdata[i])->instance));
+  return array;
+}
+
 static void
 write_epoch (shares_t *shares, plan_t *plan, int64_t now_ns,
              kwf_effects_t *effects)
@@ -338,9 +379,9 @@
   kwf_condition_t own = { ROW_KEY, shares->row_version };
   g_array_append_val (plan->conditions, own);
   json_t *object = json_pack (
-      "{s:I,s:o,s:o,s:I}", "epoch", (json_int_t)shares->epoch + 1, "members",
+      "{s:I,s:o,s:o,s:o}", "epoch", (json_int_t)shares->epoch + 1, "members",
       write_holders (plan->holders), "previous", write_holders (plan->kept),
-      "before", (json_int_t)shares->holders->len);
+      "former", write_names (shares->holders));
   char *text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   kwf_put_t *put = kwf_effects_alloc (effects, sizeof *put);
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -27,10 +27,8 @@
   size_t at = 0;
   while (session_next_member (session, &at, &member))
     if (may_read (session, &member)
-        && (!data_centre
-            || g_strcmp0 (member.data_centre, data_centre) == 0)
-        && (!*first.instance
-            || strcmp (member.instance, first.instance) < 0))
+        && (!data_centre || g_strcmp0 (member.data_centre, data_centre) == 0)
+        && (!*first.instance || strcmp (member.instance, first.instance) < 0))
       first = member;
   return first;
 }
--- /dev/null
+++ b/lib/homes.c
@@ -0,0 +1,119 @@
+/* Where the shares of an organisation lie.
+
+   Answers a large fleet: divided among 82 instances, the burst of a small
+   organisation is less than one request at each of them, and a request that
+   collects tokens from all of them takes more than it needs, which is lost.
+   A few members, found by rendezvous hashing over the members of the epoch,
+   hold the shares, and the others ask them.  */
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "share-state.h"
+
+typedef struct
+{
+  const char *instance;
+  uint64_t rank;
+} candidate_t;
+
+static gint
+compare_candidates (gconstpointer a, gconstpointer b)
+{
+  const candidate_t *first = a;
+  const candidate_t *second = b;
+  if (first->rank != second->rank)
+    return first->rank < second->rank ? 1 : -1;
+  return strcmp (first->instance, second->instance);
+}
+
+static void
+add_candidate (GArray *candidates, const char *instance,
+               const char *organisation)
+{
+  uint64_t seed = XXH64 (organisation, strlen (organisation), 0);
+  candidate_t candidate
+      = { instance, XXH64 (instance, strlen (instance), seed) };
+  g_array_append_val (candidates, candidate);
+}
+
+/* Keep the homes among CANDIDATES.  */
+static void
+choose (GArray *candidates)
+{
+  g_array_sort (candidates, compare_candidates);
+  g_array_set_size (candidates, MIN (candidates->len, SHARE_HOMES));
+}
+
+static double
+share_of (const GArray *homes, const char *instance)
+{
+  for (guint i = 0; i < homes->len; i++)
+    if (strcmp (g_array_index (homes, candidate_t, i).instance, instance) == 0)
+      return 1.0 / homes->len;
+  return 0;
+}
+
+static GArray *
+former_homes (const shares_t *shares, const account_t *account)
+{
+  GArray *homes = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  for (guint i = 0; i < shares->former->len; i++)
+    add_candidate (homes, shares->former->pdata[i], account->name);
+  choose (homes);
+  return homes;
+}
+
+void
+homes_find (const shares_t *shares, account_t *account)
+{
+  GArray *homes = g_array_new (FALSE, FALSE, sizeof (candidate_t));
+  for (guint i = 0; i < shares->holders->len; i++)
+    add_candidate (homes, ((holder_t *)shares->holders->pdata[i])->instance,
+                   account->name);
+  choose (homes);
+  g_ptr_array_set_size (account->homes, 0);
+  for (guint i = 0; i < homes->len; i++)
+    g_ptr_array_add (
+        account->homes,
+        g_strdup (g_array_index (homes, candidate_t, i).instance));
+  account->share = share_of (homes, shares->instance);
+  g_array_free (homes, TRUE);
+  homes = former_homes (shares, account);
+  account->old_share = share_of (homes, shares->instance);
+  g_array_free (homes, TRUE);
+}
+
+bool
+homes_has (const account_t *account, const char *instance)
+{
+  return g_ptr_array_find_with_equal_func (account->homes, instance,
+                                           g_str_equal, NULL);
+}
+
+const char *
+homes_first (const shares_t *shares, const account_t *account)
+{
+  const char *found = NULL;
+  uint64_t best = 0;
+  session_member_t self = { 0 };
+  session_member_t member;
+  size_t at = 0;
+  session_next_member (shares->session, &at, &self);
+  while (session_next_member (shares->session, &at, &member))
+    {
+      if (!member.linked || !homes_has (account, member.instance))
+        continue;
+      /* A different one each time, those beside this instance first.  */
+      uint64_t rank = XXH64 (member.instance, strlen (member.instance),
+                             (uint64_t)shares->next_number)
+                      >> 1;
+      if (g_strcmp0 (member.data_centre, self.data_centre) == 0)
+        rank |= UINT64_C (1) << 63;
+      if (found && rank <= best)
+        continue;
+      found = member.instance;
+      best = rank;
+    }
+  return found;
+}
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -9,6 +9,15 @@
 #include "bucket.h"
 #include "share.h"
 
+/* The rate and burst of an organisation lie at this many members, so that a
+   request finds its tokens in few places.  The loss of one leaves seven
+   eighths, and fleets up to this size have all of them as homes.  */
+#define SHARE_HOMES 8
+
+/* A home that has not answered a question by then is passed over: links
+   take up to 10 ms, and a slow instance some more.  */
+#define SHARE_ANSWER_NS (50 * KWF_NS_PER_MS)
+
 /* A request waits this long for tokens of peers.  */
 #define SHARE_WAIT_NS (150 * KWF_NS_PER_MS)
 
@@ -53,9 +62,14 @@
   bool present; /* in the lists in force */
   bool fresh;   /* whether it starts full is not decided */
   bool busy;    /* in the list of the busy ones */
+  /* Members of the epoch that hold a part of the rate and burst.  */
+  GPtrArray *homes;
+  double share;     /* first share under the epoch, 0: this is no home */
+  double old_share; /* the same under the epoch before */
   GArray *waiters;
   int64_t round; /* number of the question under way; 0: none */
   int64_t round_ns;
+  bool first;       /* the question went to one home, the others follow */
   double received;  /* tokens that the round has brought */
   GPtrArray *asked; /* instances that have not answered */
   int64_t dry_until_ns;
@@ -89,7 +103,7 @@
   int64_t row_version;
   int64_t list_version;
   GPtrArray *holders;  /* of holder_t, members of the epoch */
-  int64_t before;      /* members of the epoch before */
+  GPtrArray *former;   /* names of all members of the epoch before */
   GPtrArray *previous; /* of holder_t, may still use the epoch before */
   double share;        /* first share under the epoch, 0: not a member */
   double old_share;
@@ -135,8 +149,16 @@
 holder_t *shares_holder_of (const shares_t *shares, const GPtrArray *holders,
                             const char *instance, uint64_t incarnation);
 
-/* Tokens that this instance may owe after a charge.  */
-double shares_allowance (const shares_t *shares);
+/* Tokens of ACCOUNT that this instance may owe after a charge.  */
+double shares_allowance (const shares_t *shares, const account_t *account);
+
+/* homes.c: find the homes of ACCOUNT under the present epoch, and the shares
+   of this instance.  */
+void homes_find (const shares_t *shares, account_t *account);
+bool homes_has (const account_t *account, const char *instance);
+/* The home that is asked first: one in this data centre, if there is one that
+   has a link, and by turns.  NULL: none.  */
+const char *homes_first (const shares_t *shares, const account_t *account);
 
 /* Epochs.  */
 void epoch_take_row (shares_t *shares, const kwf_row_t *row,
@@ -160,6 +182,9 @@
    next time needs.  */
 void transfer_ask (shares_t *shares, account_t *account, int64_t now_ns,
                    kwf_effects_t *effects);
+/* The home that was asked first did not have it: ask the others.  */
+void transfer_ask_others (shares_t *shares, account_t *account,
+                          kwf_effects_t *effects);
 void transfer_take_ask (shares_t *shares, const kwf_peer_event_t *event,
                         int64_t now_ns, kwf_effects_t *effects);
 void transfer_take_give (shares_t *shares, const kwf_peer_event_t *event,
--- a/lib/share.c
+++ b/lib/share.c
@@ -9,6 +9,7 @@
   g_free (account->name);
   g_array_free (account->waiters, TRUE);
   g_ptr_array_free (account->asked, TRUE);
+  g_ptr_array_free (account->homes, TRUE);
   g_free (account);
 }
 
@@ -23,6 +24,7 @@
   shares->overdraft = options->overdraft;
   shares->holders = g_ptr_array_new_with_free_func (holder_free);
   shares->previous = g_ptr_array_new_with_free_func (holder_free);
+  shares->former = g_ptr_array_new_with_free_func (g_free);
   shares->accounts
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
   shares->busy = g_ptr_array_new ();
@@ -41,6 +43,7 @@
   g_free (shares->instance);
   g_ptr_array_free (shares->holders, TRUE);
   g_ptr_array_free (shares->previous, TRUE);
+  g_ptr_array_free (shares->former, TRUE);
   g_ptr_array_free (shares->busy, TRUE);
   g_hash_table_destroy (shares->accounts);
   g_ptr_array_free (shares->pending_gives, TRUE);
@@ -72,13 +75,11 @@
   g_ptr_array_add (shares->busy, account);
 }
 
-/* Instances that may give tokens to others owe at most this in all.  */
+/* The homes of an organisation owe at most this in all.  */
 double
-shares_allowance (const shares_t *shares)
+shares_allowance (const shares_t *shares, const account_t *account)
 {
-  return shares->share > 0 && shares->holders->len
-             ? shares->overdraft / shares->holders->len
-             : 0;
+  return account->share > 0 ? shares->overdraft / account->homes->len : 0;
 }
 
 static account_t *
@@ -90,6 +91,7 @@
   account->bucket.steady = shares->steady;
   account->waiters = g_array_new (FALSE, TRUE, sizeof (waiter_t));
   account->asked = g_ptr_array_new_with_free_func (g_free);
+  account->homes = g_ptr_array_new_with_free_func (g_free);
   g_hash_table_insert (shares->accounts, account->name, account);
   note_busy (shares, account);
   epoch_enter_account (shares, account);
@@ -170,7 +172,8 @@
   while (account->waiters->len)
     {
       waiter_t waiter = g_array_index (account->waiters, waiter_t, 0);
-      if (waiter.tokens > account->bucket.level + shares_allowance (shares))
+      if (waiter.tokens
+          > account->bucket.level + shares_allowance (shares, account))
         return;
       account->bucket.level -= waiter.tokens;
       report (shares, &waiter, SHARE_GRANTED, 0);
@@ -207,6 +210,13 @@
   if (session_may_act (shares->session))
     grant_waiters (shares, account);
   refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS);
+  if (account->first && account->waiters->len
+      && (!account->asked->len
+          || now_ns - account->round_ns >= SHARE_ANSWER_NS))
+    {
+      transfer_ask_others (shares, account, effects);
+      return;
+    }
   if (account->asked->len)
     return;
   /* Every peer has answered.  Unless that brought a good part, what is still
@@ -341,7 +351,7 @@
   bucket_t *bucket = &account->bucket;
   bucket_fill (bucket, shares->valid_ns);
   result.retry_after_ms = retry_after_ms (account, tokens);
-  double allowance = shares_allowance (shares);
+  double allowance = shares_allowance (shares, account);
   if (tokens > bucket->limit_burst + allowance)
     return result;
   bucket_demand (bucket, tokens, now_ns);
@@ -444,6 +454,8 @@
         deadline = MIN (deadline,
                         g_array_index (account->waiters, waiter_t, 0).since_ns
                             + SHARE_WAIT_NS);
+      if (account->first && account->waiters->len)
+        deadline = MIN (deadline, account->round_ns + SHARE_ANSWER_NS);
     }
   return deadline;
 }
--- a/lib/transfer.c
+++ b/lib/transfer.c
@@ -22,16 +22,17 @@
   return sum;
 }
 
-/* Peers that may give: linked members of the epoch.  */
+/* Peers that may give: linked homes.  */
 static void
-list_peers (const shares_t *shares, GPtrArray *peers)
+list_peers (const shares_t *shares, account_t *account)
 {
+  GPtrArray *peers = account->asked;
   g_ptr_array_set_size (peers, 0);
   session_member_t member;
   size_t at = SESSION_OTHERS;
   while (session_next_member (shares->session, &at, &member))
     {
-      if (member.linked
+      if (member.linked && homes_has (account, member.instance)
           && shares_holder_of (shares, shares->holders, member.instance,
                                member.incarnation))
         g_ptr_array_add (peers, g_strdup (member.instance));
@@ -56,15 +57,10 @@
   return fmin (fmax (need, room / n), room / fmin (n, 3));
 }
 
-void
-transfer_ask (shares_t *shares, account_t *account, int64_t now_ns,
-              kwf_effects_t *effects)
+static void
+ask_for (const shares_t *shares, const account_t *account, double wanted,
+         kwf_effects_t *effects)
 {
-  list_peers (shares, account->asked);
-  account->round = ++shares->next_number;
-  account->round_ns = now_ns;
-  account->received = 0;
-  double wanted = wanted_of_each (account, account->asked->len);
   for (guint i = 0; i < account->asked->len; i++)
     session_send (account->asked->pdata[i], KWF_MSG_ASK, effects)->ask
         = (kwf_ask_t){ .epoch = shares->epoch,
@@ -75,6 +71,44 @@
                        .ahead = !account->waiters->len };
 }
 
+/* What is not used at once is lost where nothing can be kept, so there one
+   home is asked for all of it first.  */
+void
+transfer_ask (shares_t *shares, account_t *account, int64_t now_ns,
+              kwf_effects_t *effects)
+{
+  account->round = ++shares->next_number;
+  account->round_ns = now_ns;
+  account->received = 0;
+  const char *home
+      = shares->steady && account->share <= 0 && account->waiters->len
+            ? homes_first (shares, account)
+            : NULL;
+  account->first = home != NULL;
+  if (home)
+    {
+      g_ptr_array_set_size (account->asked, 0);
+      g_ptr_array_add (account->asked, g_strdup (home));
+      ask_for (shares, account,
+               waiting_tokens (account) - account->bucket.level, effects);
+      return;
+    }
+  list_peers (shares, account);
+  ask_for (shares, account, wanted_of_each (account, account->asked->len),
+           effects);
+}
+
+void
+transfer_ask_others (shares_t *shares, account_t *account,
+                     kwf_effects_t *effects)
+{
+  account->first = false;
+  account->round = ++shares->next_number;
+  list_peers (shares, account);
+  ask_for (shares, account, wanted_of_each (account, account->asked->len),
+           effects);
+}
+
 void
 transfer_take_ask (shares_t *shares, const kwf_peer_event_t *event,
                    int64_t now_ns, kwf_effects_t *effects)
--- a/test/test_desk.c
+++ b/test/test_desk.c
@@ -128,6 +128,29 @@
   assert_non_null (desk_model (f->desk, "n"));
 }
 
+/* Guards against memory that is given twice: an entry that was written while
+   a load was under way does not list the model, and may be read after a report
+   has told that the load is done.  */
+static void
+entry_from_before_a_report_changes_nothing (void **state)
+{
+  fixture_t *f = *state;
+  order (f, ORDER_LOAD, "n", "");
+  assert_int_equal (answer (f, 202, NULL), DESK_MODEL_LOADS);
+  f->now_ns += 1600 * KWF_NS_PER_MS;
+  kwf_report_event_t report = { .valid = true,
+                                .incarnation = 5,
+                                .orders = 1,
+                                .models = f->models,
+                                .n_models = 2 };
+  desk_take_report (f->desk, &report, f->now_ns);
+  assert_int_equal (desk_model (f->desk, "n")->state, HELD_RESIDENT);
+  /* Heartbeat 1.2 s and lag 0.8 s after the load was done.  */
+  f->now_ns += 600 * KWF_NS_PER_MS;
+  give_entry (f, 1);
+  assert_non_null (desk_model (f->desk, "n"));
+}
+
 /* Guards against memory that is given twice: an entry that was read before,
    or written before the last order, does not show what was loaded since.  */
 static void
@@ -273,6 +296,8 @@
     cmocka_unit_test_setup_teardown (unanswered_order_needs_a_report, start,
                                      stop),
     cmocka_unit_test_setup_teardown (older_entry_changes_nothing, start, stop),
+    cmocka_unit_test_setup_teardown (
+        entry_from_before_a_report_changes_nothing, start, stop),
     cmocka_unit_test_setup_teardown (engine_is_asked_whether_a_load_is_done,
                                      start, stop),
     cmocka_unit_test_setup_teardown (leaving_adapter_keeps_its_place, start,
