Send orders on kept connections; keep idle ones for 5 s; weigh prompts twelvefold

An engine that counts its orders refuses a repeated one, so these may go out on kept connections; others stay as they were.

--- a/lib/route.c
+++ b/lib/route.c
@@ -14,7 +14,7 @@
 #define OTHER_CENTRE_LOAD 2.0
 /* A prompt that an engine reads delays the next tokens of all its streams by
    tens of milliseconds; a stream that runs there by hundredths of one.  */
-#define PROMPT_LOAD 4.0
+#define PROMPT_LOAD 12.0
 /* A server whose load reports stay away is the last choice.  */
 #define SILENT_LOAD 1000.0
 
--- a/net/client.c
+++ b/net/client.c
@@ -15,9 +15,9 @@
   /* libcurl's own default of 4 for each transfer would close most of the
      kept connections whenever few transfers run.  */
   KEPT_CONNECTIONS = 2048,
-  /* Half of the default idle time of our servers: a connection that the
-     server may be closing is not reused.  */
-  KEPT_S = 15,
+  /* Half of the idle time of 10 s that servers were seen to allow: one that
+     may be closing is not reused, and servers have few connections.  */
+  KEPT_S = 5,
   RECEIVE_BYTES = 8192, /* for each open transfer */
   MAX_HEADER_BYTES = 64 * 1024,
   POOL_SIZE = 1024,
--- a/net/order.c
+++ b/net/order.c
@@ -71,7 +71,9 @@
                                      .body = body,
                                      .body_size = strlen (body),
                                      .timeout_ns = ORDER_TIMEOUT_NS,
-                                     .fresh = true },
+                                     /* An engine that counts its orders
+                                        refuses one that comes twice.  */
+                                     .fresh = order->after < 0 },
                 &handler, pending);
   free (body);
 }
