Do not ask an engine for a model that it unloads

An engine lists a model until the last request for it has ended. 2 s after an unload was told of, the entry was taken whole again and the model was asked for; each such call was refused and cost one of its two attempts. A model told of as being removed now stays out for 10 s whatever entry is taken (test_routed, model_that_is_unloaded_is_not_asked_for, failed before); a refused unload is told of as well.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -200,6 +200,14 @@
               const kwf_attempt_event_t *event, kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
+  const server_t *server = attempt->server;
+  kwf_effects_log (effects, 226, KWF_LOG_INFO, request->id,
+                   "not run by server=%s status=%d target=%s adapter=%s "
+                   "load=%d+%d/%d",
+                   server->id, event->status,
+                   request->model ? request->model : request->service,
+                   request->adapter ? request->adapter : "-", server->running,
+                   server->waiting, server->slots);
   request->n_ran--;
   request->same_server = false;
   if (event->misplaced && request_has_model (request))
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -277,6 +277,15 @@
   g_hash_table_replace (server->models, g_strdup (model->name), resident);
 }
 
+/* Whether MODEL of SERVER was told of as being removed.  */
+static bool
+is_removed (const backend_t *backend, const server_t *server,
+            const char *model)
+{
+  return g_strcmp0 (server->removed_model, model) == 0
+         && kwf_now_ns (backend->clock) - server->removed_ns <= REMOVAL_NS;
+}
+
 /* Return whether they changed.  */
 static bool
 take_residents (backend_t *backend, server_t *server,
@@ -289,7 +298,11 @@
   backend->index_stale = true;
   g_hash_table_remove_all (server->models);
   for (size_t i = 0; i < n_models; i++)
-    add_resident (server, &models[i]);
+    if (!is_removed (backend, server, models[i].name))
+      add_resident (server, &models[i]);
+    else
+      /* The present entry is taken again.  */
+      server->models_hash = 0;
   return true;
 }
 
@@ -448,10 +461,8 @@
    adapters of the others.  */
 static void
 merge_residents (backend_t *backend, server_t *server,
-                 const kwf_member_t *member, int64_t now_ns)
+                 const kwf_member_t *member)
 {
-  if (now_ns - server->removed_ns > REMOVAL_NS)
-    g_clear_pointer (&server->removed_model, g_free);
   GHashTableIter iter;
   gpointer name;
   g_hash_table_iter_init (&iter, server->models);
@@ -465,7 +476,7 @@
     {
       const kwf_resident_t *model = &member->models[i];
       if (g_hash_table_contains (server->models, model->name)
-          || g_strcmp0 (server->removed_model, model->name) == 0)
+          || is_removed (backend, server, model->name))
         continue;
       add_resident (server, model);
       backend->index_stale = true;
@@ -497,12 +508,13 @@
   bool known = !other_process && server->revision == member->revision
                && server->reported;
   if (told)
-    merge_residents (backend, server, member, now_ns);
+    merge_residents (backend, server, member);
   else if (!known)
     {
-      server->revision = member->revision;
-      if (take_residents (backend, server, member->models, member->n_models))
-        backend->placed = true;
+      bool changed
+          = take_residents (backend, server, member->models, member->n_models);
+      server->revision = server->models_hash ? member->revision : 0;
+      backend->placed |= changed;
     }
   server->incarnation = member->incarnation;
   server->reported = true;
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -160,6 +160,9 @@
                    " status=%d",
                    verb, desk->model, *desk->adapter ? "/" : "", desk->adapter,
                    desk->id, desk->orders, event->status);
+  /* Without an unload the model is there as before.  */
+  if (!good && desk->kind == ORDER_UNLOAD && !*desk->adapter)
+    announce (direct, desk, true, effects);
   switch (desk_take_answer (desk, event, now_ns))
     {
     case DESK_ADAPTER_IN:
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -172,10 +172,10 @@
 }
 
 void
-core_world_servers (core_world_t *world)
+core_world_servers_at (core_world_t *world, int64_t revision)
 {
   static const kwf_resident_t model = { .name = "m", .version = "" };
-  static const kwf_member_t members[] = {
+  kwf_member_t members[] = {
     { .id = "d1",
       .kind = KWF_MEMBER_SERVICE,
       .name = "desk",
@@ -217,12 +217,20 @@
       .models = &model,
       .n_models = 1 },
   };
+  for (size_t i = 0; i < G_N_ELEMENTS (members); i++)
+    members[i].revision += revision;
   core_world_step (world, &(kwf_event_t){ .type = KWF_EV_MEMBERS,
                                           .members = { .valid = true,
                                                        .members = members,
                                                        .n_members = 4 } });
 }
 
+void
+core_world_servers (core_world_t *world)
+{
+  core_world_servers_at (world, 0);
+}
+
 void
 core_world_request (core_world_t *world, kwf_handle_t handle, const char *path,
                     const char *model)
@@ -249,12 +257,13 @@
 }
 
 void
-core_world_placed (core_world_t *world, const char *model, const char *adapter)
+core_world_placed (core_world_t *world, const char *model, const char *adapter,
+                   bool present)
 {
   kwf_message_t message
       = { .type = KWF_MSG_PLACED,
-          .placed
-          = { "e1", 1, .model = model, .adapter = adapter, .present = true } };
+          .placed = { "e1", 1, .model = model, .adapter = adapter,
+                      .present = present } };
   core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
                                           .peer = { .instance = "b",
                                                     .message = &message } });
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -39,15 +39,17 @@
 
 /* Two desks "d1" and "d2" and two engines "e1" and "e2" with model "m".  */
 void core_world_servers (core_world_t *world);
+/* The same entries, written again: their revisions are REVISION higher.  */
+void core_world_servers_at (core_world_t *world, int64_t revision);
 
 /* Request HANDLE to PATH with the key; MODEL NULL: none.  */
 void core_world_request (core_world_t *world, kwf_handle_t handle,
                          const char *path, const char *model);
 
 /* Instance "b" tells that engine "e1" loads MODEL, or has its ADAPTER ("":
-   none).  */
+   none); not PRESENT: that it unloads it.  */
 void core_world_placed (core_world_t *world, const char *model,
-                        const char *adapter);
+                        const char *adapter, bool present);
 
 /* Fixtures of cmocka: a world with the configuration, and one that has the
    servers too.  */
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -223,7 +223,7 @@
   core_world_servers (world);
   core_world_request (world, 1, "/draft/x", "m");
   kwf_handle_t attempt = assert_sent (world);
-  core_world_placed (world, "m", "a1");
+  core_world_placed (world, "m", "a1", true);
   request_adapter (world, 0);
   const kwf_effect_t *sent = core_world_effect (world, KWF_FX_ATTEMPT_START);
   assert_non_null (sent);
@@ -290,6 +290,26 @@
   assert_string_equal (sent->start.server, "e1");
 }
 
+/* Guards against calls for a model that an engine unloads: until its last
+   request ends, its entries list the model.  */
+static void
+model_that_is_unloaded_is_not_asked_for (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_placed (world, "m", "", false);
+  core_world_pass (world, 3000);
+  core_world_servers_at (world, 10);
+  for (kwf_handle_t i = 1; i <= 4; i++)
+    {
+      core_world_request (world, i, "/draft/x", "m");
+      const kwf_effect_t *sent
+          = core_world_effect (world, KWF_FX_ATTEMPT_START);
+      assert_non_null (sent);
+      assert_string_equal (sent->start.server, "e2");
+    }
+}
+
 /* Guards against callers that are held until they give up although no engine
    gets their model.  */
 static void
@@ -315,7 +335,7 @@
   core_world_servers (world);
   core_world_request (world, 1, "/draft/x", "n");
   core_world_pass (world, 1900);
-  core_world_placed (world, "n", "");
+  core_world_placed (world, "n", "", true);
   core_world_pass (world, 200);
   assert_null (core_world_effect (world, KWF_FX_REPLY));
 }
@@ -327,7 +347,7 @@
 {
   core_world_t *world = *state;
   core_world_servers (world);
-  core_world_placed (world, "m", "");
+  core_world_placed (world, "m", "", true);
   request_adapter (world, 2500);
   assert_null (core_world_effect (world, KWF_FX_REPLY));
   core_world_pass (world, 1500);
@@ -452,6 +472,8 @@
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (engine_that_reads_prompts_is_avoided,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (model_that_is_unloaded_is_not_asked_for,
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
         missing_model_is_refused_when_no_load_comes, core_world_setup,
         core_world_teardown),
