Tell the fleet what is under way at each engine; test the feed and the roles

Where 82 instances share 112 engines, each sees a twentieth of a call a second at an engine, and the load that came with its last answer is many seconds old. Instances now tell the first one of their data centre what they have under way (60 ms; 200 ms in fleets of more than 16), these tell each other and the rest; of two engines drawn at random the one with less load for its size is taken.

Two is kept, since more send to the same engine for 200 ms.

test_feed plays the store for one table: polls, gaps, lost history, a silent path, late answers; test_follower the roles and sums.

--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -32,7 +32,8 @@
   KWF_MSG_WANT,       /* calls wait for a model that is resident nowhere */
   KWF_MSG_NEWS,       /* the table has rows of this revision */
   KWF_MSG_PLACED,     /* an engine has or lacks a model or adapter now */
-  KWF_MSG_FEED        /* what the platform told of one of its tables */
+  KWF_MSG_FEED,       /* what the platform told of one of its tables */
+  KWF_MSG_LOADS       /* what is under way at the engines */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -136,6 +137,28 @@
   size_t n_rows;
 } kwf_feed_t;
 
+/* Whose calls are told of.  */
+typedef enum
+{
+  KWF_LOADS_OWN = 1, /* the sender's */
+  KWF_LOADS_CENTRE,  /* those of its data centre */
+  KWF_LOADS_FLEET    /* all */
+} kwf_loads_scope_t;
+
+typedef struct
+{
+  const char *server;
+  int64_t open;    /* calls under way */
+  int64_t reading; /* of these, those without any data yet */
+} kwf_load_t;
+
+typedef struct
+{
+  kwf_loads_scope_t scope;
+  const kwf_load_t *loads;
+  size_t n_loads;
+} kwf_loads_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -155,6 +178,7 @@
     int64_t news;     /* revision */
     kwf_placed_t placed;
     kwf_feed_t feed;
+    kwf_loads_t loads;
   };
 } kwf_message_t;
 
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -63,11 +63,14 @@
   int sent; /* by this instance since the last report */
   int sent_at_probe;
   int open_attempts;
-  int unanswered;  /* of these, those without any data yet */
-  window_t window; /* engines: limit of open_attempts */
-  double ahead;    /* of the queue: requests that wait for it */
-  int failures;    /* in a row */
-  int openings;    /* of the circuit in a row, for the back-off */
+  int unanswered;     /* of these, those without any data yet */
+  bool others_known;  /* what other instances have there (lib/loads.h): */
+  int others_open;    /* under way */
+  int others_reading; /* of these, without any data yet */
+  window_t window;    /* engines: limit of open_attempts */
+  double ahead;       /* of the queue: requests that wait for it */
+  int failures;       /* in a row */
+  int openings;       /* of the circuit in a row, for the back-off */
   int ejections;
 
   bool listed; /* in the latest membership list */
--- a/lib/core.c
+++ b/lib/core.c
@@ -30,6 +30,7 @@
                                                     .demand = core->demand });
   core->metrics = metrics_new ();
   core->policy = policy_default ();
+  core->loads = own->pushed ? loads_new (own->clock) : NULL;
   budget_init (&core->budget, own->retry_share, now_ns);
   paces_init (core->paces, now_ns);
   waits_init (core, now_ns);
@@ -51,6 +52,7 @@
   g_hash_table_unref (core->requests);
   paces_clear (core->paces);
   metrics_free (core->metrics);
+  loads_free (core->loads);
   placement_free (core->placement);
   demand_free (core->demand);
   crash_free (core->crash);
@@ -179,6 +181,8 @@
   crash_step (core->crash, core->session, event, &news, effects);
   step_backend (core, event, effects);
   placement_step (core->placement, event, &news, effects);
+  if (core->loads)
+    loads_step (core->loads, core->session, core->backend, event, effects);
   if (backend_take_news (core->backend))
     waits_kick_all (core);
   look_at_attainment (core);
@@ -219,6 +223,8 @@
   deadline = MIN (deadline, placement_deadline_ns (core->placement));
   deadline = MIN (deadline, requests_deadline_ns (core));
   deadline = MIN (deadline, waits_deadline_ns (core));
+  if (core->loads)
+    deadline = MIN (deadline, loads_deadline_ns (core->loads));
   return MIN (deadline, stop_deadline_ns (core));
 }
 
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -69,45 +69,63 @@
   return LISTENS_PATIENCE_NS;
 }
 
-/* Whether MEMBER of another data centre is told: the reader tells the first of
-   each, which are found in order of their names, and those tell the reader
-   what they had to read themselves.  SEEN: data centres whose first was
-   found.  */
-static bool
-is_told_across (const session_t *session, follower_role_t role, bool own,
-                const session_member_t *member, const char *reader,
-                GPtrArray *seen)
+const char *
+follower_first (const session_t *session)
 {
-  if (role == FOLLOWER_PASSES)
-    return own && strcmp (member->instance, reader) == 0;
-  if (!may_read (session, member)
-      || g_ptr_array_find_with_equal_func (seen, member->data_centre,
-                                           g_str_equal, NULL))
-    return false;
-  g_ptr_array_add (seen, (gpointer)member->data_centre);
-  return true;
+  session_member_t self;
+  if (!own_member (session, &self))
+    return "";
+  session_member_t first = first_of (session, self.data_centre);
+  return strcmp (first.instance, self.instance) == 0 ? "" : first.instance;
 }
 
 void
-follower_targets (const session_t *session, bool own, kwf_instance_fn_t fn,
-                  void *data)
+follower_firsts (const session_t *session, kwf_instance_fn_t fn, void *data)
 {
   session_member_t self;
-  follower_role_t role = follower_role (session);
-  if (role == FOLLOWER_LISTENS || !own_member (session, &self))
+  if (!own_member (session, &self))
     return;
-  session_member_t reader = first_of (session, NULL);
   GPtrArray *seen = g_ptr_array_new ();
+  g_ptr_array_add (seen, (gpointer)self.data_centre);
   session_member_t member;
   size_t at = SESSION_OTHERS;
+  /* Members come in the order of their names.  */
   while (session_next_member (session, &at, &member))
-    {
-      bool beside = g_strcmp0 (member.data_centre, self.data_centre) == 0;
-      if (member.linked
-          && (beside
-              || is_told_across (session, role, own, &member, reader.instance,
-                                 seen)))
+    if (may_read (session, &member)
+        && !g_ptr_array_find_with_equal_func (seen, member.data_centre,
+                                              g_str_equal, NULL))
+      {
+        g_ptr_array_add (seen, (gpointer)member.data_centre);
         fn (member.instance, data);
-    }
+      }
   g_ptr_array_free (seen, TRUE);
 }
+
+void
+follower_beside (const session_t *session, kwf_instance_fn_t fn, void *data)
+{
+  session_member_t self;
+  session_member_t member;
+  size_t at = 0;
+  if (!session_next_member (session, &at, &self))
+    return;
+  while (session_next_member (session, &at, &member))
+    if (member.linked && g_strcmp0 (member.data_centre, self.data_centre) == 0)
+      fn (member.instance, data);
+}
+
+void
+follower_targets (const session_t *session, bool own, kwf_instance_fn_t fn,
+                  void *data)
+{
+  follower_role_t role = follower_role (session);
+  if (role == FOLLOWER_LISTENS)
+    return;
+  follower_beside (session, fn, data);
+  /* The reader tells the first of each data centre, and these tell the reader
+     what they had to read themselves.  */
+  if (role == FOLLOWER_READS)
+    follower_firsts (session, fn, data);
+  else if (own)
+    fn (first_of (session, NULL).instance, data);
+}
--- a/lib/follower.h
+++ b/lib/follower.h
@@ -31,4 +31,13 @@
 void follower_targets (const session_t *session, bool own,
                        kwf_instance_fn_t fn, void *data);
 
+/* The first instance of this one's data centre; "": this one.  */
+const char *follower_first (const session_t *session);
+/* Call FN with the first instance of each other data centre, or with those
+   beside this one.  */
+void follower_firsts (const session_t *session, kwf_instance_fn_t fn,
+                      void *data);
+void follower_beside (const session_t *session, kwf_instance_fn_t fn,
+                      void *data);
+
 #endif
--- a/lib/route.c
+++ b/lib/route.c
@@ -15,6 +15,8 @@
 /* A prompt that an engine reads delays the next tokens of all its streams by
    tens of milliseconds; a stream that runs there by hundredths of one.  */
 #define PROMPT_LOAD 12.0
+/* Servers of which the least loaded one is taken.  */
+#define DRAWN 2
 /* A server whose load reports stay away is the last choice.  */
 #define SILENT_LOAD 1000.0
 
@@ -74,14 +76,16 @@
 static double
 expected_load (const route_query_t *query, const server_t *server)
 {
-  double load = server_load (server);
+  double load = server->others_known
+                    ? server->others_open + server->open_attempts
+                    : server_load (server);
   if (query->adapter
       && !server_holds_adapter (server, query->model, query->adapter))
     load += NO_ADAPTER_LOAD;
   if (g_strcmp0 (server->data_centre, query->data_centre) != 0)
     load += OTHER_CENTRE_LOAD;
   if (server->kind == KWF_MEMBER_ENGINE)
-    load += PROMPT_LOAD * server->unanswered;
+    load += PROMPT_LOAD * (server->unanswered + server->others_reading);
   if (server_silent (server))
     load += SILENT_LOAD;
   return load;
@@ -228,41 +232,105 @@
                       : backend_of_service (backend, query->service);
 }
 
-/* The holder with the least expected load for its size, of those with
-   room.  */
+static double
+load_for_size (const route_query_t *query, const server_t *server)
+{
+  double load = expected_load (query, server);
+  return server->slots > 0 ? load / server->slots : load;
+}
+
+typedef struct
+{
+  server_t *server;
+  uint64_t rank;
+} drawn_t;
+
+static gint
+compare_drawn (gconstpointer a, gconstpointer b)
+{
+  uint64_t first = ((const drawn_t *)a)->rank;
+  uint64_t second = ((const drawn_t *)b)->rank;
+  return first < second ? 1 : first > second ? -1 : 0;
+}
+
+/* Of some servers drawn by QUERY the one with the least load.  What other
+   instances have under way is known with a lag of some 100 ms; if all took
+   the least loaded server, they would send their requests of that time to
+   the same one.  */
+static server_t *
+least_loaded_of_drawn (const GPtrArray *servers, const route_query_t *query)
+{
+  GArray *drawn
+      = g_array_sized_new (FALSE, FALSE, sizeof (drawn_t), servers->len);
+  for (guint i = 0; i < servers->len; i++)
+    {
+      drawn_t one
+          = { servers->pdata[i], rank_of (servers->pdata[i], query->draw) };
+      g_array_append_val (drawn, one);
+    }
+  g_array_sort (drawn, compare_drawn);
+  server_t *found = NULL;
+  double least = 0;
+  for (guint i = 0; i < MIN (drawn->len, DRAWN); i++)
+    {
+      server_t *server = g_array_index (drawn, drawn_t, i).server;
+      double load = load_for_size (query, server);
+      if (found && load >= least)
+        continue;
+      found = server;
+      least = load;
+    }
+  g_array_free (drawn, TRUE);
+  return found;
+}
+
+static server_t *
+least_loaded (const GPtrArray *servers, const route_query_t *query)
+{
+  server_t *found = NULL;
+  double least = 0;
+  uint64_t least_rank = 0;
+  for (guint i = 0; i < servers->len; i++)
+    {
+      server_t *server = servers->pdata[i];
+      double load = load_for_size (query, server);
+      uint64_t rank = rank_of (server, query->key);
+      if (found && (load > least || (load >= least && rank < least_rank)))
+        continue;
+      found = server;
+      least = load;
+      least_rank = rank;
+    }
+  return found;
+}
+
+/* A holder with little load for its size, of those with room.  */
 static route_result_t
 choose_least (const GPtrArray *holders, const route_query_t *query,
               int64_t now_ns)
 {
   route_result_t result = { .verdict = ROUTE_UNAVAILABLE };
   const server_t *full = NULL;
-  double least = 0;
-  uint64_t least_rank = 0;
+  bool shared = false;
+  GPtrArray *servers = g_ptr_array_sized_new (holders->len);
   for (guint i = 0; i < holders->len; i++)
     {
       server_t *server = g_ptr_array_index (holders, i);
       if (!route_may_take (query, server, now_ns))
         continue;
-      double load = expected_load (query, server);
-      if (server->slots > 0)
-        load /= server->slots;
-      uint64_t rank = rank_of (server, query->key);
-      if (!has_room (server))
-        {
-          full = full ? full : server;
-          continue;
-        }
-      if (result.server
-          && (load > least || (load >= least && rank < least_rank)))
-        continue;
-      result.server = server;
-      least = load;
-      least_rank = rank;
+      if (has_room (server))
+        g_ptr_array_add (servers, server);
+      else
+        full = full ? full : server;
+      shared |= server->others_known;
     }
+  result.server = shared ? least_loaded_of_drawn (servers, query)
+                         : least_loaded (servers, query);
   if (result.server)
     result.verdict = ROUTE_FOUND;
   else if (full)
     result = (route_result_t){ .verdict = ROUTE_FULL, .full = { full } };
+  g_ptr_array_free (servers, TRUE);
   return result;
 }
 
--- a/lib/route.h
+++ b/lib/route.h
@@ -17,6 +17,7 @@
   const char *adapter; /* NULL when none */
   const char *service; /* of the server; NULL: any, for models */
   uint64_t key;        /* hash that ranks the servers */
+  uint64_t draw;       /* another one, which differs with each request */
   const char *data_centre;
   server_t *const *tried; /* not to be taken again */
   int n_tried;
--- a/lib/state.h
+++ b/lib/state.h
@@ -14,6 +14,7 @@
 #include "config.h"
 #include "crash.h"
 #include "demand.h"
+#include "loads.h"
 #include "metric.h"
 #include "placement.h"
 #include "policy.h"
@@ -89,6 +90,7 @@
   metrics_t *metrics;
   budget_t budget;
   policy_t *policy;
+  loads_t *loads; /* NULL: engines report their load themselves */
   pace_t paces[N_PACES];
   waits_t waits;
 
--- a/net/message.c
+++ b/net/message.c
@@ -138,6 +138,47 @@
     reader->failed = true;
 }
 
+static void
+put_loads (wire_writer_t *writer, const kwf_loads_t *loads)
+{
+  wire_put_int (writer, loads->scope);
+  wire_put_array (writer, loads->n_loads);
+  for (size_t i = 0; i < loads->n_loads; i++)
+    {
+      wire_put_array (writer, 3);
+      wire_put_text (writer, loads->loads[i].server);
+      wire_put_int (writer, loads->loads[i].open);
+      wire_put_int (writer, loads->loads[i].reading);
+    }
+}
+
+static void
+read_loads (wire_reader_t *reader, kwf_loads_t *loads)
+{
+  wire_reader_t frame;
+  wire_reader_t item;
+  int64_t scope = wire_int (reader);
+  if (scope < KWF_LOADS_OWN || scope > KWF_LOADS_FLEET)
+    reader->failed = true;
+  loads->scope = (kwf_loads_scope_t)scope;
+  uint32_t count = wire_enter (reader, &frame);
+  kwf_load_t *list
+      = msgpack_zone_malloc (reader->zone, (count + 1) * sizeof *list);
+  if (!list)
+    reader->failed = true;
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    {
+      wire_enter (reader, &item);
+      list[i] = (kwf_load_t){ .server = wire_text (reader) };
+      list[i].open = wire_int (reader);
+      list[i].reading = wire_int (reader);
+      wire_leave (reader, &item);
+    }
+  wire_leave (reader, &frame);
+  loads->loads = list;
+  loads->n_loads = count;
+}
+
 /* Number of fields of each type; -1 where there is no such type.  */
 static int
 field_count (int64_t type)
@@ -159,6 +200,7 @@
     case KWF_MSG_SILENT:
     case KWF_MSG_WITHDRAW:
     case KWF_MSG_STATE:
+    case KWF_MSG_LOADS:
       return 2;
     case KWF_MSG_ASK:
     case KWF_MSG_GIVE:
@@ -238,6 +280,9 @@
       wire_put_int (writer, message->feed.age_ns);
       put_rows (writer, message->feed.rows, message->feed.n_rows);
       break;
+    case KWF_MSG_LOADS:
+      put_loads (writer, &message->loads);
+      break;
     }
 }
 
@@ -306,6 +351,9 @@
       message->feed.age_ns = wire_int (reader);
       message->feed.rows = read_rows (reader, &message->feed.n_rows);
       break;
+    case KWF_MSG_LOADS:
+      read_loads (reader, &message->loads);
+      break;
     }
 }
 
--- a/test/common-calls.c
+++ b/test/common-calls.c
@@ -39,7 +39,7 @@
 }
 
 call_group_t *
-calls_new (const char *name)
+test_calls_new (const char *name)
 {
   call_group_t *group = g_new0 (call_group_t, 1);
   group->name = g_strdup (name);
@@ -347,7 +347,7 @@
 }
 
 void
-calls_start (call_group_t *group, const call_spec_t *spec)
+test_calls_start (call_group_t *group, const call_spec_t *spec)
 {
   worker_t *worker = g_new0 (worker_t, 1);
   worker->group = group;
--- a/test/common-calls.h
+++ b/test/common-calls.h
@@ -54,10 +54,10 @@
 
 typedef struct call_group call_group_t;
 
-call_group_t *calls_new (const char *name);
+call_group_t *test_calls_new (const char *name);
 
 /* Start a thread.  SPEC is copied.  */
-void calls_start (call_group_t *group, const call_spec_t *spec);
+void test_calls_start (call_group_t *group, const call_spec_t *spec);
 
 /* End the loops, or the calls too when CUT.  */
 void calls_stop (call_group_t *group, bool cut);
--- a/test/common-scenario-fleet.c
+++ b/test/common-scenario-fleet.c
@@ -330,7 +330,7 @@
     for (guint j = 0; j < nodes->len; j++)
       {
         spec.node = g_ptr_array_index (nodes, j);
-        calls_start (group, &spec);
+        test_calls_start (group, &spec);
       }
   g_ptr_array_free (nodes, TRUE);
 }
--- a/test/common-scenario.c
+++ b/test/common-scenario.c
@@ -22,7 +22,7 @@
   call_group_t *group = g_hash_table_lookup (scenario->groups, name);
   if (!group)
     {
-      group = calls_new (name);
+      group = test_calls_new (name);
       g_hash_table_insert (scenario->groups, g_strdup (name), group);
     }
   return group;
--- /dev/null
+++ b/test/test_feed.c
@@ -0,0 +1,303 @@
+/* One table of the platform's store as an instance follows it: by polls of its
+   own, or by what another instance tells.  The store is a scripted one.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <knapweedfork/clock.h>
+
+#include "common-listener.h"
+#include "platform/feed.h"
+
+/* Patience of an instance that listens, shorter than the real one.  */
+#define PATIENCE_NS (300 * KWF_NS_PER_MS)
+
+typedef struct
+{
+  struct ev_loop *loop;
+  listener_t *store;
+  client_t *client;
+  calls_t *calls;
+  feed_t *feed;
+  /* The store.  */
+  int64_t version;   /* of its one row "k" */
+  bool forgets;      /* its history is gone */
+  bool away;         /* answers 503 */
+  bool silent;       /* does not answer */
+  connection_t *one; /* that waits for news */
+  int n_reads;       /* of all rows */
+  int n_polls;
+  /* The instance.  */
+  int64_t patience_ns;
+  int64_t row; /* version of "k" that is known */
+  int n_ends;
+  int n_told;
+  kwf_feed_t told; /* last; its rows are void */
+} world_t;
+
+static void
+reply_rows (const world_t *world, connection_t *connection, bool row)
+{
+  char body[256];
+  /* The value is "v" in base64.  */
+  g_snprintf (body, sizeof body,
+              "{\"rows\":[%s%.0d%s],\"ver\":%d,\"truncated\":false}",
+              row ? "{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"value\":"
+                    "\"dg==\",\"ver\":"
+                  : "",
+              row ? (int)world->version : 0, row ? "}" : "",
+              (int)world->version);
+  connection_reply (connection, 200, body);
+}
+
+static int64_t
+number_in (const char *request, const char *name)
+{
+  const char *at = strstr (request, name);
+  return at ? g_ascii_strtoll (at + strlen (name), NULL, 10) : 0;
+}
+
+static void
+serve (connection_t *connection, const char *request, void *data)
+{
+  world_t *world = data;
+  bool all = strstr (request, "rows-get") != NULL;
+  *(all ? &world->n_reads : &world->n_polls) += 1;
+  if (world->silent)
+    return;
+  if (world->away)
+    connection_reply (connection, 503, "{}");
+  else if (all)
+    reply_rows (world, connection, true);
+  else if (world->forgets)
+    connection_reply (connection, 410, "{}");
+  else if (world->version > number_in (request, "after="))
+    reply_rows (world, connection, true);
+  else if (number_in (request, "wait_ms=") > 0)
+    world->one = connection;
+  else
+    reply_rows (world, connection, false);
+}
+
+static void
+on_reset (void *data)
+{
+  ((world_t *)data)->row = 0;
+}
+
+static void
+on_row (void *data, const kwf_row_t *row)
+{
+  ((world_t *)data)->row = row->version;
+}
+
+static void
+on_end (void *data)
+{
+  ((world_t *)data)->n_ends++;
+}
+
+static int64_t
+patience_ns (void *data)
+{
+  return ((world_t *)data)->patience_ns;
+}
+
+static void
+on_tell (void *data, const kwf_feed_t *news, bool own)
+{
+  world_t *world = data;
+  (void)own;
+  world->n_told++;
+  world->told = *news;
+}
+
+static void
+start (world_t *world, int64_t patience)
+{
+  static const feed_handler_t handler = { .reset = on_reset,
+                                          .row = on_row,
+                                          .end = on_end,
+                                          .patience_ns = patience_ns,
+                                          .tell = on_tell };
+  world->version = 7;
+  world->patience_ns = patience;
+  world->feed = feed_new (
+      world->loop, world->calls,
+      &(feed_options_t){
+          .table = "t", .number = 2, .handler = &handler, .data = world });
+  assert_true (run_until (world->loop, &world->n_ends, 1, 5));
+  assert_int_equal (world->row, 7);
+}
+
+/* What another instance tells, of row "k" at REVISION.  */
+static void
+told (const world_t *world, int64_t after, int64_t revision, bool row)
+{
+  const kwf_row_t rows[] = { { "k", revision, "v" } };
+  feed_take (world->feed, &(kwf_feed_t){ .table = 2,
+                                         .after = after,
+                                         .revision = revision,
+                                         .rows = rows,
+                                         .n_rows = row });
+}
+
+static int
+set_up (void **state)
+{
+  world_t *world = g_new0 (world_t, 1);
+  world->loop = ev_loop_new (EVFLAG_AUTO);
+  world->client = client_new (world->loop, NULL);
+  world->store = listener_start (world->loop, serve, world);
+  world->calls = calls_new (world->client, world->store->address);
+  *state = world;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  world_t *world = *state;
+  feed_free (world->feed);
+  calls_free (world->calls);
+  client_free (world->client);
+  listener_stop (world->store);
+  ev_loop_destroy (world->loop);
+  g_free (world);
+  return 0;
+}
+
+/* Guards against changes that the reader does not pass on.  */
+static void
+reader_polls_and_tells (void **state)
+{
+  world_t *world = *state;
+  start (world, 0);
+  run_for (world->loop, 0.2);
+  assert_non_null (world->one);
+  assert_int_equal (world->n_polls, 1);
+  world->version = 9;
+  reply_rows (world, world->one, true);
+  assert_true (run_until (world->loop, &world->n_told, 1, 5));
+  assert_int_equal (world->row, 9);
+  assert_int_equal (world->told.table, 2);
+  assert_int_equal (world->told.after, 7);
+  assert_int_equal (world->told.revision, 9);
+  assert_int_equal (world->told.n_rows, 1);
+}
+
+/* Guards against calls of an instance that is told, and against one that
+   learns nothing once it is told nothing more.  */
+static void
+listener_asks_when_it_is_told_nothing (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  for (int i = 0; i < 10; i++)
+    {
+      told (world, 7 + i, 8 + i, true);
+      run_for (world->loop, 0.1);
+    }
+  assert_int_equal (world->row, 17);
+  assert_int_equal (world->n_polls, 0);
+  world->version = 20;
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 20);
+}
+
+/* Guards against a change that is lost between two messages.  */
+static void
+gap_is_read_at_once (void **state)
+{
+  world_t *world = *state;
+  start (world, 3600 * KWF_NS_PER_S);
+  world->version = 12;
+  told (world, 11, 12, true);
+  assert_int_equal (world->row, 7);
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 12);
+  assert_int_equal (world->n_reads, 1);
+}
+
+/* Guards against going back: an answer that was on its way while another
+   instance told something newer, and a message that comes late.  */
+static void
+older_news_change_nothing (void **state)
+{
+  world_t *world = *state;
+  start (world, 0);
+  run_for (world->loop, 0.2);
+  assert_non_null (world->one);
+  world->version = 8;
+  reply_rows (world, world->one, true);
+  told (world, 7, 9, true);
+  assert_int_equal (world->row, 9);
+  world->version = 9;
+  run_for (world->loop, 0.3);
+  assert_int_equal (world->row, 9);
+  told (world, 6, 8, true);
+  assert_int_equal (world->row, 9);
+}
+
+/* Guards against rows that stay unknown after the store forgot its history,
+   and after it was away.  */
+static void
+all_is_read_when_the_history_is_gone (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  world->forgets = true;
+  world->version = 30;
+  assert_true (run_until (world->loop, &world->n_ends, 2, 5));
+  assert_int_equal (world->row, 30);
+  assert_int_equal (world->n_reads, 2);
+  world->forgets = false;
+  world->away = true;
+  int polls = world->n_polls;
+  assert_true (run_until (world->loop, &world->n_polls, polls + 3, 5));
+  assert_true (feed_is_unsure (world->feed, KWF_NS_PER_S));
+  world->away = false;
+  world->version = 31;
+  assert_true (run_until (world->loop, &world->n_ends, 3, 5));
+  assert_int_equal (world->row, 31);
+  assert_true (feed_is_unsure (world->feed, KWF_NS_PER_S));
+}
+
+/* Guards against an instance whose own path to the store is silent: it goes
+   by what it is told.  */
+static void
+news_count_while_the_store_is_silent (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  world->silent = true;
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  told (world, 7, 40, true);
+  assert_int_equal (world->row, 40);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (reader_polls_and_tells, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (listener_asks_when_it_is_told_nothing,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (gap_is_read_at_once, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (older_news_change_nothing, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (all_is_read_when_the_history_is_gone,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (news_count_while_the_store_is_silent,
+                                     set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_follower.c
@@ -0,0 +1,177 @@
+/* Who reads the platform's tables for whom, and what instances tell each other
+   of the engines' load.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-core.h"
+
+static void
+link_is (core_world_t *world, const char *instance, bool up)
+{
+  core_world_step (
+      world,
+      &(kwf_event_t){ .type = up ? KWF_EV_PEER_UP : KWF_EV_PEER_DOWN,
+                      .peer = { .instance = instance, .incarnation = 1 } });
+}
+
+/* INSTANCE of DATA_CENTRE joins and is linked.  */
+static void
+join (core_world_t *world, const char *instance, const char *data_centre)
+{
+  char *key = g_strconcat ("session/", instance, NULL);
+  char *row = g_strdup_printf (
+      "{\"incarnation\":1,\"counter\":1,\"caller_address\":\"127.0.0.1:9\","
+      "\"peer_address\":\"127.0.0.1:9\",\"data_centre\":\"%s\"}",
+      data_centre);
+  core_world_row (world, key, row);
+  /* "b" is linked from the start and gives the rows.  */
+  if (strcmp (instance, "b") != 0)
+    link_is (world, instance, true);
+  g_free (key);
+  g_free (row);
+}
+
+static void
+add_name (const char *instance, void *data)
+{
+  g_string_append_printf (data, "%s ", instance);
+}
+
+static void
+assert_targets (const core_world_t *world, bool own, const char *expected)
+{
+  GString *names = g_string_new (NULL);
+  kwf_core_feed_targets (world->core, own, add_name, names);
+  assert_string_equal (names->str, expected);
+  g_string_free (names, TRUE);
+}
+
+/* Guards against a change that does not reach everyone once, and against two
+   that read for all.  This instance is "a" of "c".  */
+static void
+roles_follow_from_the_members (void **state)
+{
+  core_world_t *world = *state;
+  assert_int_equal (kwf_core_feed_patience_ns (world->core), 0);
+  join (world, "b", "c");
+  join (world, "d", "e");
+  join (world, "f", "e");
+  join (world, "g", "h");
+  assert_int_equal (kwf_core_feed_patience_ns (world->core), 0);
+  assert_targets (world, true, "b d g ");
+  /* A smaller name elsewhere reads; "a" passes on in its data centre.  */
+  join (world, "0", "e");
+  int64_t passes_ns = kwf_core_feed_patience_ns (world->core);
+  assert_true (passes_ns > 0 && passes_ns < 2 * KWF_NS_PER_S);
+  assert_targets (world, false, "b ");
+  assert_targets (world, true, "b 0 ");
+  /* One in its own data centre: "a" listens.  */
+  join (world, "00", "c");
+  int64_t listens_ns = kwf_core_feed_patience_ns (world->core);
+  assert_true (listens_ns > passes_ns && listens_ns < 2 * KWF_NS_PER_S);
+  assert_targets (world, true, "");
+  /* Both are gone.  */
+  link_is (world, "0", false);
+  link_is (world, "00", false);
+  assert_int_equal (kwf_core_feed_patience_ns (world->core), 0);
+  assert_targets (world, true, "b d g ");
+}
+
+/* The load told to INSTANCE in this step; NULL: none.  */
+static const kwf_loads_t *
+told_to (const core_world_t *world, const char *instance)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type == KWF_FX_PEER_SEND
+          && effect->send.message.type == KWF_MSG_LOADS
+          && strcmp (effect->send.instance, instance) == 0)
+        return &effect->send.message.loads;
+    }
+  return NULL;
+}
+
+static void
+take_loads (core_world_t *world, const char *instance, kwf_loads_scope_t scope,
+            int64_t open, int64_t reading)
+{
+  const kwf_load_t load = { "e1", open, reading };
+  kwf_message_t message
+      = { .type = KWF_MSG_LOADS,
+          .loads = { .scope = scope, .loads = &load, .n_loads = 1 } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = instance,
+                                                    .incarnation = 1,
+                                                    .message = &message } });
+}
+
+/* The server that the next request is sent to.  */
+static const char *
+next_server (core_world_t *world, kwf_handle_t handle)
+{
+  core_world_request (world, handle, "/draft/x", "m");
+  const kwf_effect_t *sent = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  return sent ? sent->start.server : "";
+}
+
+/* Guards against sums that count an instance twice or not at all.  */
+static void
+first_instance_sums_up (void **state)
+{
+  core_world_t *world = *state;
+  join (world, "b", "c");
+  join (world, "d", "e");
+  take_loads (world, "b", KWF_LOADS_OWN, 3, 1);
+  take_loads (world, "d", KWF_LOADS_CENTRE, 5, 2);
+  core_world_pass (world, 500);
+  const kwf_loads_t *centre = told_to (world, "d");
+  const kwf_loads_t *fleet = told_to (world, "b");
+  assert_non_null (centre);
+  assert_non_null (fleet);
+  assert_int_equal (centre->scope, KWF_LOADS_CENTRE);
+  assert_int_equal (centre->loads[0].open, 3);
+  assert_int_equal (centre->loads[0].reading, 1);
+  assert_int_equal (fleet->scope, KWF_LOADS_FLEET);
+  assert_int_equal (fleet->loads[0].open, 8);
+  assert_int_equal (fleet->loads[0].reading, 3);
+}
+
+/* Guards against prompts that all instances send to the same engine, and
+   against an old load that keeps calls away.  */
+static void
+load_of_others_counts_until_it_is_stale (void **state)
+{
+  core_world_t *world = *state;
+  join (world, "00", "c");
+  core_world_servers (world);
+  take_loads (world, "00", KWF_LOADS_FLEET, 6, 6);
+  core_world_pass (world, 500);
+  const kwf_loads_t *own = told_to (world, "00");
+  assert_non_null (own);
+  assert_int_equal (own->scope, KWF_LOADS_OWN);
+  assert_int_equal (own->n_loads, 0);
+  for (kwf_handle_t i = 1; i <= 3; i++)
+    assert_string_equal (next_server (world, i), "e2");
+  core_world_pass (world, 2000);
+  assert_string_equal (next_server (world, 4), "e1");
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (roles_follow_from_the_members,
+                                     core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (first_instance_sums_up, core_world_setup,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (load_of_others_counts_until_it_is_stale,
+                                     core_world_setup, core_world_teardown),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -21,6 +21,8 @@
   { "session/i1", 0, "" },
 };
 
+static const kwf_load_t loads[] = { { "s1", 3, 1 }, { "s2", 0, 0 } };
+
 static const kwf_message_t samples[] = {
   { .type = KWF_MSG_PING },
   { .type = KWF_MSG_RENEW,
@@ -49,6 +51,8 @@
               .age_ns = 5,
               .rows = rows,
               .n_rows = 3 } },
+  { .type = KWF_MSG_LOADS,
+    .loads = { .scope = KWF_LOADS_CENTRE, .loads = loads, .n_loads = 2 } },
   { .type = KWF_MSG_CRASH,
     .crash
     = { .fingerprint = 7, .server = "", .incarnation = KWF_CRASH_FINISHED } },
@@ -191,6 +195,17 @@
       assert_same_rows (a->feed.rows, a->feed.n_rows, b->feed.rows,
                         b->feed.n_rows);
       break;
+    case KWF_MSG_LOADS:
+      assert_int_equal (a->loads.scope, b->loads.scope);
+      assert_int_equal (a->loads.n_loads, b->loads.n_loads);
+      for (size_t i = 0; i < a->loads.n_loads; i++)
+        {
+          assert_string_equal (a->loads.loads[i].server,
+                               b->loads.loads[i].server);
+          assert_true (a->loads.loads[i].open == b->loads.loads[i].open);
+          assert_true (a->loads.loads[i].reading == b->loads.loads[i].reading);
+        }
+      break;
     case KWF_MSG_NEWS:
       assert_true (a->news == b->news);
       break;
@@ -237,7 +252,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_FEED + 1 },
+    { .type = KWF_MSG_LOADS + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
