Read the settings again when their file changes; write down what is new

The platform may change the settings file without a signal; the daemon looks at it once a second (live/reload.scn, a change without SIGHUP).

--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include <knapweedfork/settings.h>
 
@@ -84,12 +85,17 @@
   instance_stop (watcher->data);
 }
 
-/* What SIGHUP needs.  */
+/* The settings file is looked at this often: it may change without a signal,
+   and one call a second costs nothing that can be measured.  */
+#define LOOK_S 1.0
+
+/* What reading the settings again needs.  */
 typedef struct
 {
   instance_t *instance;
   const char *config;
-  kwf_settings_t *newest; /* of the last SIGHUP; NULL: none yet */
+  kwf_settings_t *newest; /* of the last reading; NULL: none yet */
+  struct stat seen;       /* file that was read last */
 } reload_t;
 
 static void
@@ -102,11 +108,8 @@
 }
 
 static void
-on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+read_again (reload_t *reload)
 {
-  (void)loop;
-  (void)events;
-  reload_t *reload = watcher->data;
   kwf_error_t error;
   kwf_settings_t *settings
       = kwf_settings_read (reload->config, log_finding, NULL);
@@ -122,6 +125,40 @@
   reload->newest = settings;
 }
 
+/* Note the settings file as it is; return whether it is another one than
+   before.  One that is missing for a moment is no change.  */
+static bool
+note_file (reload_t *reload)
+{
+  struct stat now;
+  if (stat (reload->config, &now) != 0)
+    return false;
+  bool same = now.st_ino == reload->seen.st_ino
+              && now.st_size == reload->seen.st_size
+              && now.st_mtim.tv_sec == reload->seen.st_mtim.tv_sec
+              && now.st_mtim.tv_nsec == reload->seen.st_mtim.tv_nsec;
+  reload->seen = now;
+  return !same;
+}
+
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  note_file (watcher->data);
+  read_again (watcher->data);
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  if (note_file (timer->data))
+    read_again (timer->data);
+}
+
 static int
 serve (const kwf_settings_t *settings, const char *config)
 {
@@ -149,12 +186,18 @@
   ev_signal_init (&hangup, on_reload, SIGHUP);
   hangup.data = &reload;
   ev_signal_start (loop, &hangup);
+  ev_timer look;
+  note_file (&reload);
+  ev_timer_init (&look, on_look, LOOK_S, LOOK_S);
+  look.data = &reload;
+  ev_timer_start (loop, &look);
   printf ("listening on %s, operators on %s, peers on %s\n",
           instance_caller_address (instance),
           instance_operator_address (instance),
           instance_peer_address (instance));
   fflush (stdout);
   ev_run (loop, 0);
+  ev_timer_stop (loop, &look);
   instance_free (instance);
   kwf_settings_free (reload.newest);
   return EXIT_OK;
@@ -170,14 +213,15 @@
   static const struct argp argp = {
     .options = arguments,
     .parser = parse_option,
-    .doc = "Serve callers' requests as one entry instance.\v"
-           "SIGTERM stops gracefully: the instance leaves the address list, "
-           "serves until every address answer has run out and every request "
-           "has ended, and exits with status 0.  A second SIGTERM ends it at "
-           "once and logs what was cut.  SIGHUP reads TLS files, operator "
-           "tokens and fleet secrets again.\n\n"
-           "Exit status: 0 stopped or settings valid, 1 failed to start, 2 "
-           "wrong usage or invalid settings.",
+    .doc
+    = "Serve callers' requests as one entry instance.\v"
+      "SIGTERM stops gracefully: the instance leaves the address list, "
+      "serves until every address answer has run out and every request "
+      "has ended, and exits with status 0.  A second SIGTERM ends it at "
+      "once and logs what was cut.  SIGHUP, or a change of FILE, makes it "
+      "read TLS files, operator tokens and fleet secrets again.\n\n"
+      "Exit status: 0 stopped or settings valid, 1 failed to start, 2 "
+      "wrong usage or invalid settings.",
   };
   options_t options = { 0 };
   argp_err_exit_status = EXIT_USAGE;
--- a/test/common-scenario-fleet.c
+++ b/test/common-scenario-fleet.c
@@ -188,6 +188,27 @@
     }
 }
 
+/* settings NODE…: write the settings file again, with a remark more.  */
+static void
+write_settings (scenario_t *s, char **words)
+{
+  for (; *words; words++)
+    {
+      char *file = g_strconcat (node_word (s, *words)->name, ".toml", NULL);
+      char *path = g_build_filename (s->fleet->directory, file, NULL);
+      char *text = NULL;
+      char *more = NULL;
+      if (g_file_get_contents (path, &text, NULL, NULL))
+        more = g_strconcat (text, "# a remark\n", NULL);
+      if (!more || !g_file_set_contents (path, more, -1, NULL))
+        scenario_fail (s, "cannot write %s", path);
+      g_free (more);
+      g_free (text);
+      g_free (path);
+      g_free (file);
+    }
+}
+
 static void
 start (scenario_t *s, char **words)
 {
@@ -449,7 +470,7 @@
           { "mark", mark },           { "call", start_calls },
           { "stop", stop_calls },     { "join", join_calls },
           { "bytes", send_bytes },    { "file", write_text },
-          { "reload", reload } };
+          { "reload", reload },       { "settings", write_settings } };
   for (size_t i = 0; i < G_N_ELEMENTS (verbs); i++)
     if (strcmp (verbs[i].name, name) == 0)
       return verbs[i].verb;
