Let a rare model wait for a cheap place instead of taking a busy one's copy

The place now carries at most twice the mean demand (test_rebalance, rare_model_waits_for_a_cheap_place, failed before). Lines 358 and 359 say for which model a step is taken.

--- a/lib/direct.c
+++ b/lib/direct.c
@@ -352,10 +352,10 @@
                             (int)((held_model_t *)value)->state);
   const rebalance_model_t *model = &fleet->models[step->model];
   char *text = g_strdup_printf (
-      "model %s on %s begins: rate=%.0f waiting=%d free_mb=%" G_GINT64_FORMAT
-      " holds=%s",
-      model->name, desk->id, model->rate, model->waiting,
-      fleet->engines[step->engine].free_mb, held->str);
+      "model %s on %s begins: for=%s rate=%.0f waiting=%d free_mb"
+      "=%" G_GINT64_FORMAT " holds=%s",
+      model->name, desk->id, fleet->models[step->purpose].name, model->rate,
+      model->waiting, fleet->engines[step->engine].free_mb, held->str);
   if (step->load)
     kwf_effects_log (effects, 358, KWF_LOG_INFO, NULL, "load of %s", text);
   else
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -10,6 +10,10 @@
    this many times that on each copy of the model that loses it
    (hysteresis).  */
 #define MOVE_FACTOR 1.5
+/* A model without a copy takes the place of one that carries at most this many
+   times the mean demand; it waits until the engine of such a one is free.
+   Half of the copies carry less than the mean or not much more.  */
+#define MISSING_FACTOR 2.0
 /* A copy stays at least this long after it came, unless its model is not
    called.  */
 #define STAY_NS (2 * KWF_NS_PER_S)
@@ -246,7 +250,9 @@
   while (step.engine < 0 && (model = find_missing (&view, skipped)) >= 0)
     {
       skipped[model] = true;
-      step = step_for (&view, model, G_MAXDOUBLE, may_load);
+      double bound = fmax (MISSING_FACTOR * view.mean,
+                           models[model].rate / MOVE_FACTOR);
+      step = step_for (&view, model, bound, may_load);
     }
   while (may_move && step.engine < 0
          && (model = find_pressed (&view, skipped)) >= 0)
--- a/test/test_rebalance.c
+++ b/test/test_rebalance.c
@@ -83,6 +83,37 @@
   assert_int_equal (next (&fleet, false, true).engine, -1);
 }
 
+/* Guards against a rare model that takes a copy of the busiest one, because
+   only its engine is free for a moment.  */
+static void
+rare_model_waits_for_a_cheap_place (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 5, 4);
+  for (int i = 0; i < 2; i++)
+    {
+      hold (&fleet, i, 0);
+      hold (&fleet, i, 1);
+    }
+  for (int i = 2; i < 4; i++)
+    {
+      hold (&fleet, i, 2);
+      hold (&fleet, i, 3);
+      fleet.engines[i].free = false;
+    }
+  fleet.models[0].rate = 9000;
+  fleet.models[1].rate = 9000;
+  fleet.models[2].rate = 40;
+  fleet.models[3].rate = 40;
+  fleet.models[4] = (rebalance_model_t){ .mb = 70000, .waiting = true };
+  assert_int_equal (next (&fleet, true, true).engine, -1);
+  fleet.engines[3].free = true;
+  rebalance_step_t step = next (&fleet, true, true);
+  assert_int_equal (step.engine, 3);
+  assert_int_equal (step.purpose, 4);
+}
+
 /* Guards against giving up the only copy of a model that is asked for.  */
 static void
 last_copy_of_a_called_model_stays (void **state)
@@ -210,6 +241,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (missing_model_comes_first),
+    cmocka_unit_test (rare_model_waits_for_a_cheap_place),
     cmocka_unit_test (last_copy_of_a_called_model_stays),
     cmocka_unit_test (idle_model_stays_until_it_was_watched),
     cmocka_unit_test (copy_moves_only_for_a_clear_gain),
