Tell refused requests to come back one after the other; test the homes

An organisation that sent several times its rate was told the time until the tokens of one request are there: all came back at once and were refused again. Each refused request is now told the time after those before it, at this instance's part of the rate, 5 s at most (test_routed, refused_requests_come_back_one_after_the_other; before, all 100 were told the same time).

test_homes: instances agree on the homes, a join moves one at most, one home is asked first.

--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -36,6 +36,10 @@
 #define SHARE_LEISURE_NS (400 * KWF_NS_PER_MS)
 #define SHARE_AHEAD_NS (100 * KWF_NS_PER_MS)
 
+/* Refused requests are told to come back after this long at most: callers wait
+   for a third of the time that they have left, 5 s of 15 s.  */
+#define SHARE_RETURN_MOST_NS (5 * KWF_NS_PER_S)
+
 /* A transfer that is not confirmed by then is lost.  When its receiver died,
    an epoch without it comes sooner; one with it would come to nothing.  */
 #define SHARE_CONFIRM_NS (5 * KWF_NS_PER_S)
@@ -74,6 +78,10 @@
   GPtrArray *asked; /* instances that have not answered */
   int64_t dry_until_ns;
   int64_t next_ahead_ns;
+  /* Tokens of requests that were refused and told to come back; they shrink
+     with this instance's part of the rate.  */
+  double awaited;
+  int64_t awaited_ns;
 } account_t;
 
 /* A transfer that was sent and not confirmed.  */
--- a/lib/share.c
+++ b/lib/share.c
@@ -151,6 +151,27 @@
   return (int64_t)fmax (ceil (seconds * 1000), 1);
 }
 
+/* When a refused request of TOKENS is to come back.  Answers an organisation
+   that sends several times its rate: told the time until its own tokens are
+   there, all of its requests come back at once and are refused again.  Each
+   is told the time after those that were refused before, at this instance's
+   part of the rate.  */
+static int64_t
+return_after_ms (const shares_t *shares, account_t *account, double tokens,
+                 int64_t now_ns)
+{
+  int64_t least_ms = retry_after_ms (account, tokens);
+  if (least_ms < 0 || !shares->steady || !shares->holders->len)
+    return least_ms;
+  double rate = account->bucket.limit_rate / shares->holders->len;
+  double passed_s = (double)(now_ns - account->awaited_ns) / KWF_NS_PER_S;
+  double most = rate * (double)SHARE_RETURN_MOST_NS / KWF_NS_PER_S;
+  account->awaited = fmax (account->awaited - passed_s * rate, 0) + tokens;
+  account->awaited = fmin (account->awaited, most);
+  account->awaited_ns = now_ns;
+  return MAX (least_ms, (int64_t)(account->awaited / rate * 1000));
+}
+
 static void
 report (shares_t *shares, const waiter_t *waiter, share_verdict_t verdict,
         int64_t retry_ms)
@@ -183,7 +204,8 @@
 
 /* Refuse the waiters from before BEFORE_NS.  */
 static void
-refuse_waiters (shares_t *shares, account_t *account, int64_t before_ns)
+refuse_waiters (shares_t *shares, account_t *account, int64_t before_ns,
+                int64_t now_ns)
 {
   while (account->waiters->len)
     {
@@ -191,7 +213,7 @@
       if (waiter.since_ns > before_ns)
         return;
       report (shares, &waiter, SHARE_REFUSED,
-              retry_after_ms (account, waiter.tokens));
+              return_after_ms (shares, account, waiter.tokens, now_ns));
       g_array_remove_index (account->waiters, 0);
     }
 }
@@ -209,7 +231,7 @@
     }
   if (session_may_act (shares->session))
     grant_waiters (shares, account);
-  refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS);
+  refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS, now_ns);
   if (account->first && account->waiters->len
       && (!account->asked->len
           || now_ns - account->round_ns >= SHARE_ANSWER_NS))
@@ -231,13 +253,13 @@
                 : retry_after_ms (account, first_waiter (account)->tokens)
                       * KWF_NS_PER_MS;
       account->dry_until_ns = now_ns + MIN (short_ns, SHARE_DRY_NS);
-      refuse_waiters (shares, account, account->round_ns);
+      refuse_waiters (shares, account, account->round_ns, now_ns);
     }
   account->round = 0;
   if (account->waiters->len)
     transfer_ask (shares, account, now_ns, effects);
   if (!account->asked->len)
-    refuse_waiters (shares, account, now_ns);
+    refuse_waiters (shares, account, now_ns, now_ns);
 }
 
 static void
@@ -350,7 +372,6 @@
   epoch_decide_fresh (shares, account);
   bucket_t *bucket = &account->bucket;
   bucket_fill (bucket, shares->valid_ns);
-  result.retry_after_ms = retry_after_ms (account, tokens);
   double allowance = shares_allowance (shares, account);
   if (tokens > bucket->limit_burst + allowance)
     return result;
@@ -362,7 +383,11 @@
       return (share_result_t){ request, SHARE_GRANTED, 0 };
     }
   if (!account->waiters->len && now_ns < account->dry_until_ns)
-    return result;
+    {
+      result.retry_after_ms
+          = return_after_ms (shares, account, tokens, now_ns);
+      return result;
+    }
   waiter_t waiter = { request, tokens, now_ns };
   g_array_append_val (account->waiters, waiter);
   if (shares->steady)
@@ -374,6 +399,8 @@
     {
       account->round = 0;
       g_array_remove_index (account->waiters, account->waiters->len - 1);
+      result.retry_after_ms
+          = return_after_ms (shares, account, tokens, now_ns);
       return result;
     }
   return (share_result_t){ request, SHARE_WAIT, 0 };
--- /dev/null
+++ b/test/test_homes.c
@@ -0,0 +1,208 @@
+/* Where the rate and burst of an organisation lie in a large fleet, and whom
+   an instance asks that holds none of it.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-core.h"
+#include "lib/share-state.h"
+
+#define MEMBERS 30
+
+typedef struct
+{
+  shares_t shares; /* members and names only */
+  account_t account;
+} world_t;
+
+static char *
+name_of (int i)
+{
+  return g_strdup_printf ("n%d", i);
+}
+
+/* N members; FORMER of them were in the epoch before.  */
+static void
+make_world (world_t *world, int n, int former)
+{
+  memset (world, 0, sizeof *world);
+  world->shares.holders = g_ptr_array_new_with_free_func (holder_free);
+  world->shares.former = g_ptr_array_new_with_free_func (g_free);
+  world->account.homes = g_ptr_array_new_with_free_func (g_free);
+  world->account.name = "o";
+  for (int i = 0; i < n; i++)
+    {
+      holder_t *holder = g_new0 (holder_t, 1);
+      holder->instance = name_of (i);
+      g_ptr_array_add (world->shares.holders, holder);
+      if (i < former)
+        g_ptr_array_add (world->shares.former, name_of (i));
+    }
+}
+
+static void
+free_world (world_t *world)
+{
+  g_ptr_array_free (world->shares.holders, TRUE);
+  g_ptr_array_free (world->shares.former, TRUE);
+  g_ptr_array_free (world->account.homes, TRUE);
+}
+
+/* Find the homes as instance I sees them.  */
+static void
+see_as (world_t *world, int i)
+{
+  world->shares.instance = name_of (i);
+  homes_find (&world->shares, &world->account);
+  g_free (world->shares.instance);
+}
+
+static int
+count_homes (world_t *world, double *sum, double *old_sum)
+{
+  int homes = 0;
+  *sum = *old_sum = 0;
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      see_as (world, i);
+      char *name = name_of (i);
+      assert_int_equal (homes_has (&world->account, name),
+                        world->account.share > 0);
+      g_free (name);
+      homes += world->account.share > 0;
+      *sum += world->account.share;
+      *old_sum += world->account.old_share;
+    }
+  return homes;
+}
+
+/* Guards against shares that are more than the whole: instances must agree on
+   the homes, those of the epoch before too.  */
+static void
+shares_of_all_instances_are_one (void **state)
+{
+  (void)state;
+  world_t world;
+  double sum;
+  double old_sum;
+  make_world (&world, MEMBERS, MEMBERS - 5);
+  assert_int_equal (count_homes (&world, &sum, &old_sum), SHARE_HOMES);
+  assert_true (sum == 1 && old_sum == 1);
+  free_world (&world);
+  make_world (&world, 5, 3);
+  assert_int_equal (count_homes (&world, &sum, &old_sum), 5);
+  assert_true (sum > 0.999 && sum < 1.001);
+  free_world (&world);
+}
+
+/* Guards against homes that move when a member joins: what moves rests until
+   all have left the epoch before.  */
+static void
+one_more_member_moves_one_home_at_most (void **state)
+{
+  (void)state;
+  world_t before;
+  world_t after;
+  make_world (&before, MEMBERS - 1, 0);
+  make_world (&after, MEMBERS, 0);
+  see_as (&before, 0);
+  see_as (&after, 0);
+  int kept = 0;
+  for (guint i = 0; i < before.account.homes->len; i++)
+    kept += homes_has (&after.account, before.account.homes->pdata[i]);
+  assert_true (kept >= SHARE_HOMES - 1);
+  free_world (&before);
+  free_world (&after);
+}
+
+/* Whether instance "a" is a home among the members n0 to n(N - 1).  */
+static bool
+is_home (int n)
+{
+  world_t world;
+  make_world (&world, n, 0);
+  holder_t *self = g_new0 (holder_t, 1);
+  self->instance = g_strdup ("a");
+  g_ptr_array_add (world.shares.holders, self);
+  world.shares.instance = "a";
+  homes_find (&world.shares, &world.account);
+  bool home = world.account.share > 0;
+  free_world (&world);
+  return home;
+}
+
+static int
+count_asks (const core_world_t *world, double *tokens, char *asked,
+            size_t size)
+{
+  int n = 0;
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type != KWF_FX_PEER_SEND
+          || effect->send.message.type != KWF_MSG_ASK)
+        continue;
+      n++;
+      *tokens = effect->send.message.ask.tokens;
+      g_strlcpy (asked, effect->send.instance, size);
+    }
+  return n;
+}
+
+/* Guards against a request that takes tokens of all homes and loses what it
+   does not use: one is asked for all of it, and the others for the rest.  */
+static void
+one_home_is_asked_first (void **state)
+{
+  core_world_t *world = *state;
+  int n = SHARE_HOMES;
+  while (n < MEMBERS && is_home (n))
+    n++;
+  assert_true (n < MEMBERS);
+  GString *row = g_string_new ("{\"epoch\":2,\"members\":[{\"instance\":\"a\","
+                               "\"incarnation\":1}");
+  for (int i = 0; i < n; i++)
+    g_string_append_printf (row, ",{\"instance\":\"n%d\",\"incarnation\":1}",
+                            i);
+  g_string_append (row, "],\"previous\":[],\"former\":[\"a\"]}");
+  core_world_row (world, "shares", row->str);
+  g_string_free (row, TRUE);
+  for (int i = 0; i < n; i++)
+    {
+      char *name = name_of (i);
+      char *key = g_strconcat ("session/", name, NULL);
+      core_world_row (world, key,
+                      "{\"incarnation\":1,\"counter\":1,\"peer_address\":"
+                      "\"127.0.0.1:9\",\"data_centre\":\"c\"}");
+      core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
+                                              .peer = { .instance = name,
+                                                        .incarnation = 1 } });
+      g_free (key);
+      g_free (name);
+    }
+  core_world_servers (world);
+  core_world_request (world, 1, "/read/x", NULL);
+  double tokens = 0;
+  char asked[8] = "";
+  assert_int_equal (count_asks (world, &tokens, asked, sizeof asked), 1);
+  assert_true (tokens == 10);
+  /* It does not answer: the others are asked, in time.  */
+  core_world_pass (world, 60);
+  assert_true (count_asks (world, &tokens, asked, sizeof asked) > 1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (shares_of_all_instances_are_one),
+    cmocka_unit_test (one_more_member_moves_one_home_at_most),
+    cmocka_unit_test_setup_teardown (one_home_is_asked_first, core_world_setup,
+                                     core_world_teardown),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -310,6 +310,37 @@
     }
 }
 
+/* Guards against an organisation over its rate whose refused requests all come
+   back at the same time and are refused again.  */
+static void
+refused_requests_come_back_one_after_the_other (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  int64_t last_ms = 0;
+  int refused = 0;
+  for (kwf_handle_t i = 1; i <= 200; i++)
+    {
+      core_world_request (world, i, "/read/x", NULL);
+      const kwf_effect_t *reply = core_world_effect (world, KWF_FX_REPLY);
+      if (!reply || reply->reply.status != 429)
+        continue;
+      refused++;
+      /* 10 tokens each at 1,000 a second.  */
+      assert_int_equal (reply->reply.retry_after_ms, last_ms + 10);
+      last_ms = reply->reply.retry_after_ms;
+    }
+  assert_int_equal (refused, 100);
+  /* Half a second later half of them are back.  */
+  core_world_pass (world, 500);
+  for (kwf_handle_t i = 201; i <= 250; i++)
+    core_world_request (world, i, "/read/x", NULL);
+  core_world_request (world, 251, "/read/x", NULL);
+  const kwf_effect_t *reply = core_world_effect (world, KWF_FX_REPLY);
+  assert_int_equal (reply->reply.status, 429);
+  assert_int_equal (reply->reply.retry_after_ms, last_ms - 500 + 10);
+}
+
 /* Guards against callers that are held until they give up although no engine
    gets their model.  */
 static void
@@ -472,6 +503,9 @@
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (engine_that_reads_prompts_is_avoided,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        refused_requests_come_back_one_after_the_other, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (model_that_is_unloaded_is_not_asked_for,
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
