--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -72,11 +72,9 @@
     return;
   if (world->away)
     connection_reply (connection, 503, "{}");
-  else if (all)
-    reply_rows (world, connection, true);
-  else if (world->forgets)
+  else if (!all && world->forgets)
     connection_reply (connection, 410, "{}");
-  else if (world->version > number_in (request, "after="))
+  else if (all || world->version > number_in (request, "after="))
     reply_rows (world, connection, true);
   else if (number_in (request, "wait_ms=") > 0)
     world->one = connection;
