--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -34,7 +34,8 @@
   int n_polls;
   /* The instance.  */
   int64_t patience_ns;
-  int64_t row; /* version of "k" that is known */
+  int64_t row;    /* version of "k" that is known */
+  bool went_back; /* an older row was given */
   int n_ends;
   int n_told;
   kwf_feed_t told; /* last; its rows are void */
@@ -91,7 +92,9 @@
 static void
 on_row (void *data, const kwf_row_t *row)
 {
-  ((world_t *)data)->row = row->version;
+  world_t *world = data;
+  world->went_back |= row->version < world->row;
+  world->row = row->version;
 }
 
 static void
@@ -242,6 +245,7 @@
   assert_int_equal (world->row, 9);
   told (world, 6, 8, true);
   assert_int_equal (world->row, 9);
+  assert_false (world->went_back);
 }
 
 /* Guards against rows that stay unknown after the store forgot its history,
