Tell the other instances at once when one stops

The mark went into the session row with the next renewal, which is up to 25 s away on this platform. Now a message tells the linked instances, and those that link later (test_follower, leaving_is_told_at_once, failed before). Ruled out: callers that keep old addresses (3 s at most), and a write of the row at once (each other instance would read it).

--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -33,7 +33,8 @@
   KWF_MSG_NEWS,       /* the table has rows of this revision */
   KWF_MSG_PLACED,     /* an engine has or lacks a model or adapter now */
   KWF_MSG_FEED,       /* what the platform told of one of its tables */
-  KWF_MSG_LOADS       /* what is under way at the engines */
+  KWF_MSG_LOADS,      /* what is under way at the engines */
+  KWF_MSG_LEAVE       /* the sender is stopping */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
--- a/lib/session.c
+++ b/lib/session.c
@@ -99,6 +99,8 @@
   member->hears = false;
   member->state_asked = false;
   member->ahead_sent = 0;
+  if (session->leaving && session->pushed)
+    session_send (event->instance, KWF_MSG_LEAVE, effects);
   if (session->pushed
       && (!member->version || member->incarnation != event->incarnation))
     session->strangers = true;
@@ -150,6 +152,19 @@
                      now_ns, effects, news);
 }
 
+/* Its row will say so later.  */
+static void
+take_leave (const session_t *session, const kwf_peer_event_t *event,
+            kwf_effects_t *effects)
+{
+  member_t *member = member_find (session, event->instance);
+  if (!member || member->incarnation != event->incarnation || member->leaving)
+    return;
+  member->leaving = true;
+  kwf_effects_log (effects, 112, KWF_LOG_INFO, NULL, "member %s is stopping",
+                   event->instance);
+}
+
 static bool
 peer_message (session_t *session, const kwf_peer_event_t *event,
               int64_t now_ns, kwf_effects_t *effects, session_news_t *news)
@@ -180,6 +195,9 @@
     case KWF_MSG_NEWS:
       session_take_news (session, message->news);
       return true;
+    case KWF_MSG_LEAVE:
+      take_leave (session, event, effects);
+      return true;
     default:
       return false;
     }
@@ -335,10 +353,16 @@
 }
 
 void
-session_set_leaving (session_t *session)
+session_set_leaving (session_t *session, kwf_effects_t *effects)
 {
   session->leaving = true;
   session_renew_soon (session);
+  for (guint i = 0; session->pushed && i < session->members->len; i++)
+    {
+      const member_t *member = session->members->pdata[i];
+      if (member->linked)
+        session_send (member->instance, KWF_MSG_LEAVE, effects);
+    }
 }
 
 void
--- a/lib/session.h
+++ b/lib/session.h
@@ -76,8 +76,9 @@
 void session_set_demand (session_t *session, session_demand_fn_t fn,
                          void *data);
 
-/* Mark this instance as leaving in its row.  */
-void session_set_leaving (session_t *session);
+/* Mark this instance as leaving in its row; where rows are renewed seldom,
+   the others are told as well.  */
+void session_set_leaving (session_t *session, kwf_effects_t *effects);
 
 /* While OPEN, SILENT_ASK is answered with "not silent": a configuration
    write that not every member has confirmed has an open outcome.  */
--- a/lib/stop.c
+++ b/lib/stop.c
@@ -27,7 +27,7 @@
   stop->limit_ns = core->options.stop_limit_ns
                        ? now_ns + core->options.stop_limit_ns
                        : INT64_MAX;
-  session_set_leaving (core->session);
+  session_set_leaving (core->session, effects);
   placement_release (core->placement, effects);
   kwf_effects_log (effects, 240, KWF_LOG_INFO, NULL,
                    "stopping: %u requests are open, serving for another "
--- a/net/message.c
+++ b/net/message.c
@@ -186,6 +186,7 @@
   switch (type)
     {
     case KWF_MSG_PING:
+    case KWF_MSG_LEAVE:
       return 0;
     case KWF_MSG_RENEW:
       return 10;
@@ -221,6 +222,7 @@
   switch (message->type)
     {
     case KWF_MSG_PING:
+    case KWF_MSG_LEAVE:
       break;
     case KWF_MSG_RENEW:
       put_renew (writer, &message->renew);
@@ -292,6 +294,7 @@
   switch (message->type)
     {
     case KWF_MSG_PING:
+    case KWF_MSG_LEAVE:
       break;
     case KWF_MSG_RENEW:
       read_renew (reader, &message->renew);
--- a/test/test_follower.c
+++ b/test/test_follower.c
@@ -82,6 +82,59 @@
   assert_targets (world, true, "b d g ");
 }
 
+static void
+add_address (const char *address, const char *data_centre, void *data)
+{
+  (void)data_centre;
+  g_string_append_printf (data, "%s ", address);
+}
+
+static void
+assert_addresses (const core_world_t *world, const char *expected)
+{
+  GString *addresses = g_string_new (NULL);
+  kwf_core_addresses (world->core, add_address, addresses);
+  assert_string_equal (addresses->str, expected);
+  g_string_free (addresses, TRUE);
+}
+
+/* Whether this step tells INSTANCE that this one leaves.  */
+static bool
+leaves (const core_world_t *world, const char *instance)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type == KWF_FX_PEER_SEND
+          && effect->send.message.type == KWF_MSG_LEAVE
+          && strcmp (effect->send.instance, instance) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Guards against callers that others still send to an instance that stops:
+   its row is written within seconds only.  */
+static void
+leaving_is_told_at_once (void **state)
+{
+  core_world_t *world = *state;
+  join (world, "b", "c");
+  join (world, "d", "e");
+  assert_addresses (world, "127.0.0.1:1 127.0.0.1:9 127.0.0.1:9 ");
+  kwf_message_t message = { .type = KWF_MSG_LEAVE };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "d",
+                                                    .incarnation = 1,
+                                                    .message = &message } });
+  assert_addresses (world, "127.0.0.1:1 127.0.0.1:9 ");
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
+  assert_true (leaves (world, "b") && leaves (world, "d"));
+  link_is (world, "b", false);
+  link_is (world, "b", true);
+  assert_true (leaves (world, "b"));
+}
+
 /* The load told to INSTANCE in this step; NULL: none.  */
 static const kwf_loads_t *
 told_to (const core_world_t *world, const char *instance)
@@ -168,6 +221,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (roles_follow_from_the_members,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (leaving_is_told_at_once, core_world_setup,
+                                     core_world_teardown),
     cmocka_unit_test_setup_teardown (first_instance_sums_up, core_world_setup,
                                      core_world_teardown),
     cmocka_unit_test_setup_teardown (load_of_others_counts_until_it_is_stale,
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -25,6 +25,7 @@
 
 static const kwf_message_t samples[] = {
   { .type = KWF_MSG_PING },
+  { .type = KWF_MSG_LEAVE },
   { .type = KWF_MSG_RENEW,
     .renew = { .incarnation = UINT64_MAX,
                .counter = 17,
@@ -120,6 +121,7 @@
   switch (a->type)
     {
     case KWF_MSG_PING:
+    case KWF_MSG_LEAVE:
       break;
     case KWF_MSG_RENEW:
       assert_true (a->renew.incarnation == b->renew.incarnation);
@@ -252,7 +254,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_LOADS + 1 },
+    { .type = KWF_MSG_LEAVE + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
