--- a/lib/loads.c
+++ b/lib/loads.c
@@ -145,7 +145,7 @@
   for (guint i = 0; i < servers->len; i++)
     {
       const server_t *server = servers->pdata[i];
-      if (server->kind == KWF_MEMBER_ENGINE && server->open_attempts)
+      if (server->open_attempts)
         add_part (parts, server->id, server->open_attempts,
                   server->unanswered);
     }
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -1,9 +1,9 @@
-/* loads.h - what the whole fleet has under way at each engine.
+/* loads.h - what the whole fleet has under way at each backend server.
 
    Answers many instances in front of many engines: each one sees only its own
    calls, and what an engine told it with an answer is seconds old, so several
-   send their prompts to the same engine at the same time.  All calls of an
-   engine come from this fleet; each instance tells the first one of its data
+   send their prompts to the same engine at the same time.  All calls of a
+   server come from this fleet; each instance tells the first one of its data
    centre what it has under way, these tell each other, and then all the
    rest (roles as in follower.h).  */
 
