Find homes only where shares are steady

Read over the change: on the product's own deployments each new epoch ranked and sorted all members for each organisation and threw the result away, copied the names of all members into each account, and each question for tokens searched that copy for each peer. There every member has the same share, so nothing is searched now.

--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -89,26 +89,21 @@
   }
 }
 
-/* Members keep their shares over a restart only where shares are steady;
-   else every member is a home, and another process of it starts anew.  */
+/* Where shares are steady they lie at homes, which keep them over a restart;
+   else every member has the same.  */
 static void
 find_shares (const shares_t *shares, account_t *account)
 {
-  homes_find (shares, account);
-  if (shares->steady)
+  if (!shares->steady)
     {
-      if (!shares_holder_of (shares, shares->previous, shares->instance,
-                             shares->incarnation))
-        account->old_share = 0;
+      account->share = shares->share;
+      account->old_share = shares->old_share;
       return;
     }
-  g_ptr_array_set_size (account->homes, 0);
-  for (guint i = 0; i < shares->holders->len; i++)
-    g_ptr_array_add (
-        account->homes,
-        g_strdup (((holder_t *)shares->holders->pdata[i])->instance));
-  account->share = shares->share;
-  account->old_share = shares->old_share;
+  homes_find (shares, account);
+  if (!shares_holder_of (shares, shares->previous, shares->instance,
+                         shares->incarnation))
+    account->old_share = 0;
 }
 
 void
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -66,7 +66,8 @@
   bool present; /* in the lists in force */
   bool fresh;   /* whether it starts full is not decided */
   bool busy;    /* in the list of the busy ones */
-  /* Members of the epoch that hold a part of the rate and burst.  */
+  /* Members of the epoch that hold a part of the rate and burst, where shares
+     are steady; else all do and this is empty.  */
   GPtrArray *homes;
   double share;     /* first share under the epoch, 0: this is no home */
   double old_share; /* the same under the epoch before */
--- a/lib/share.c
+++ b/lib/share.c
@@ -79,7 +79,9 @@
 double
 shares_allowance (const shares_t *shares, const account_t *account)
 {
-  return account->share > 0 ? shares->overdraft / account->homes->len : 0;
+  const GPtrArray *owners = shares->steady ? account->homes : shares->holders;
+  return account->share > 0 && owners->len ? shares->overdraft / owners->len
+                                           : 0;
 }
 
 static account_t *
--- a/lib/transfer.c
+++ b/lib/transfer.c
@@ -22,7 +22,7 @@
   return sum;
 }
 
-/* Peers that may give: linked homes.  */
+/* Peers that may give: linked homes, or all linked members.  */
 static void
 list_peers (const shares_t *shares, account_t *account)
 {
@@ -32,7 +32,8 @@
   size_t at = SESSION_OTHERS;
   while (session_next_member (shares->session, &at, &member))
     {
-      if (member.linked && homes_has (account, member.instance)
+      if (member.linked
+          && (!shares->steady || homes_has (account, member.instance))
           && shares_holder_of (shares, shares->holders, member.instance,
                                member.incarnation))
         g_ptr_array_add (peers, g_strdup (member.instance));
