End the right to give orders by itself where engines check no token

The right is now a lease at the holder: it ends half of lease_ms after the sending of the last question that the table answered with the row unchanged; a successor waits lease_ms and that half. A holder whose lease ended tells the others (LAPSED), so a holder that is linked but cut from the table is replaced. Orders have the rest of the lease as time limit, and a transfer that is given up resets its connection, so that nothing held by a harmed link arrives later. Ruled out: a proof on all sites (engines that check tokens refuse an old holder; the proofs cost two calls a second and no load would be given while the store is away).

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -25,6 +25,7 @@
   int64_t load_ns;       /* expected time of a load */
   bool no_hysteresis;    /* for experiments: each round places anew */
   int64_t lease_ns;      /* a new holder of the duty waits for this long */
+  bool tokens_unchecked; /* engines take orders whatever token they bear */
   int64_t copy_load;     /* requests at a copy above which it gets another */
 } kwf_placement_options_t;
 
--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -96,6 +96,7 @@
   const char *holder; /* instance whose fence it is */
   /* Orders that the server must have accepted before; -1: any number.  */
   int64_t after;
+  int64_t timeout_ns; /* nothing of it is sent later; 0: the usual time */
 } kwf_order_t;
 
 typedef enum
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -34,7 +34,8 @@
   KWF_MSG_PLACED,     /* an engine has or lacks a model or adapter now */
   KWF_MSG_FEED,       /* what the platform told of one of its tables */
   KWF_MSG_LOADS,      /* what is under way at the engines */
-  KWF_MSG_LEAVE       /* the sender is stopping */
+  KWF_MSG_LEAVE,      /* the sender is stopping */
+  KWF_MSG_LAPSED      /* the sender's right to a duty ended */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -180,6 +181,7 @@
     kwf_placed_t placed;
     kwf_feed_t feed;
     kwf_loads_t loads;
+    int64_t lapsed; /* token of the duty */
   };
 } kwf_message_t;
 
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -64,6 +64,7 @@
   int64_t loads_at_once;  /* [placement] loads_at_once */
   int64_t adapter_loads;  /* [placement] adapter_loads_at_once */
   int64_t duty_lease_ms;  /* [placement] lease_ms */
+  char *duty_tokens;      /* [placement] tokens: "checked" or "unchecked" */
   int64_t load_ms;        /* [placement] load_ms */
   int64_t copy_load;      /* [placement] copy_load */
 } kwf_settings_t;
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -406,6 +406,7 @@
     .fence = context->token,
     .holder = context->holder,
     .after = desk->orders,
+    .timeout_ns = context->until_ns ? context->until_ns - context->now_ns : 0,
   };
   effect->order = order;
 }
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -75,6 +75,7 @@
   int64_t now_ns;
   int64_t token;       /* fencing token */
   const char *holder;  /* instance that has it */
+  int64_t until_ns;    /* the token may be used until then; 0: no end */
   int64_t expected_ns; /* time that the next order should take */
   kwf_effects_t *effects;
 } desk_context_t;
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -64,7 +64,7 @@
   direct->instance = g_strdup (options->instance);
   direct->clock = options->clock;
   direct->sources = *sources;
-  direct->duty = duty_new (options, "placement", options->placement.lease_ns);
+  direct->duty = duty_new (options, "placement");
   direct->desks
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, desk_free);
   direct->loads_ns = kwf_now_ns (options->clock);
@@ -606,6 +606,14 @@
 
 /* Rounds.  */
 
+/* When the right to give orders ends; 0: it has no end.  */
+static int64_t
+order_end_ns (const direct_t *direct)
+{
+  int64_t until_ns = duty_until_ns (direct->duty);
+  return until_ns == INT64_MAX ? 0 : until_ns;
+}
+
 static void
 run_round (direct_t *direct, int64_t now_ns, kwf_effects_t *effects)
 {
@@ -613,6 +621,7 @@
   desk_context_t context = { .now_ns = now_ns,
                              .token = duty_token (direct->duty),
                              .holder = direct->instance,
+                             .until_ns = order_end_ns (direct),
                              .effects = effects };
   if (!lists || !context.token)
     return;
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -10,11 +10,22 @@
 
 /* A holder whose link is down for this long is replaced.  */
 #define ABSENT_NS (1500 * KWF_NS_PER_MS)
-/* Candidates try one after the other.  */
+/* Candidates try one after the other: the first ones soon, the others only
+   when none of these reached the table.  */
 #define RANK_NS (150 * KWF_NS_PER_MS)
+#define NEAR_RANKS 4
+#define FAR_RANK_NS (2 * KWF_NS_PER_S)
 #define TXN_TIMEOUT_NS (1 * KWF_NS_PER_S)
 /* Pause after a write that did not succeed.  */
 #define AGAIN_NS (500 * KWF_NS_PER_MS)
+/* Part of the lease during which a proof holds, and proofs asked for in that
+   time, so that one lost answer does not end the right.  */
+#define PROOF_PART 2
+#define PROOFS 3
+/* A holder whose right ended says so this often.  */
+#define LAPSED_NS (500 * KWF_NS_PER_MS)
+
+static const char *const prefixes[] = { "duty/" };
 
 struct duty
 {
@@ -23,6 +34,7 @@
   char *instance;
   uint64_t incarnation;
   int64_t lease_ns;
+  int64_t proof_ns; /* how long a proof holds; 0: no proof is needed */
 
   int64_t version; /* of the row; 0: absent */
   char *holder;    /* NULL or "": nobody */
@@ -34,21 +46,32 @@
   bool stopping;
   kwf_handle_t op; /* write under way; 0: none */
   bool op_releases;
+  int64_t op_sent_ns;
   uint64_t next_op;
   int64_t next_ns; /* no write before */
+
+  int64_t proved_ns;     /* sending of the last question that was answered
+                            with the row unchanged; 0: none */
+  int64_t proved_at;     /* revision of that answer */
+  kwf_handle_t proof_op; /* question under way; 0: none */
+  int64_t proof_sent_ns;
+  int64_t lapsed_ns;  /* others were told last that the right ended; 0: it
+                         holds */
+  bool holder_lapsed; /* the holder told that its right ended */
   int64_t deadline_ns;
 };
 
 duty_t *
-duty_new (const kwf_core_options_t *options, const char *name,
-          int64_t lease_ns)
+duty_new (const kwf_core_options_t *options, const char *name)
 {
   duty_t *duty = g_new0 (duty_t, 1);
   duty->clock = options->clock;
   duty->key = g_strconcat ("duty/", name, NULL);
   duty->instance = g_strdup (options->instance);
   duty->incarnation = options->incarnation;
-  duty->lease_ns = lease_ns;
+  duty->lease_ns = options->placement.lease_ns;
+  if (options->placement.tokens_unchecked)
+    duty->proof_ns = duty->lease_ns / PROOF_PART;
   duty->deadline_ns = INT64_MAX;
   return duty;
 }
@@ -64,11 +87,20 @@
   g_free (duty);
 }
 
+int64_t
+duty_until_ns (const duty_t *duty)
+{
+  if (!duty->proof_ns)
+    return INT64_MAX;
+  return duty->proved_ns ? duty->proved_ns + duty->proof_ns : 0;
+}
+
 int64_t
 duty_token (const duty_t *duty)
 {
+  int64_t now_ns = kwf_now_ns (duty->clock);
   return duty->mine && !duty->refused && !duty->stopping
-                 && kwf_now_ns (duty->clock) >= duty->act_ns
+                 && now_ns >= duty->act_ns && now_ns < duty_until_ns (duty)
              ? duty->version
              : 0;
 }
@@ -79,32 +111,56 @@
   return duty->holder && *duty->holder ? duty->holder : NULL;
 }
 
+/* What a new holder waits before it acts.  The process before this one sent
+   its orders from the same instance, which counts as the same holder; but its
+   row may be a write that was carried out late, while another one acted.  */
+static int64_t
+wait_ns (const duty_t *duty)
+{
+  bool same = g_strcmp0 (duty->holder, duty->instance) == 0;
+  if (!duty->version || (same && !duty->proof_ns))
+    return 0;
+  return duty->lease_ns + duty->proof_ns;
+}
+
 static void
 set_holder (duty_t *duty, int64_t version, const char *holder,
             uint64_t incarnation, kwf_effects_t *effects)
 {
   bool was = duty->mine;
-  bool first = !duty->version;
-  bool same = g_strcmp0 (duty->holder, duty->instance) == 0;
   int64_t now_ns = kwf_now_ns (duty->clock);
+  int64_t act_ns = now_ns + wait_ns (duty);
   g_free (duty->holder);
   duty->holder = g_strdup (holder ? holder : "");
   duty->holder_incarnation = incarnation;
   duty->version = version;
   duty->seen_ns = now_ns;
   duty->refused = false;
+  duty->holder_lapsed = false;
+  duty->lapsed_ns = 0;
   duty->mine = g_strcmp0 (holder, duty->instance) == 0
                && incarnation == duty->incarnation;
   if (duty->mine == was)
     return;
-  /* What the process before this one sent came from the same holder.  */
-  duty->act_ns = first || same ? now_ns : now_ns + duty->lease_ns;
+  duty->act_ns = act_ns;
+  duty->proved_ns = 0;
+  duty->proof_op = 0;
   kwf_effects_log (effects, 357, KWF_LOG_INFO, NULL,
                    duty->mine ? "this instance has %s, token %" PRId64
                               : "another instance has %s, token %" PRId64,
                    duty->key, version);
 }
 
+/* The holder may not have got the answer to its write, and would never act:
+   whoever knows of the row tells it.  */
+static void
+tell_holder (const duty_t *duty, kwf_effects_t *effects)
+{
+  const char *holder = duty_instance (duty);
+  if (holder && !duty->mine)
+    session_send (holder, KWF_MSG_NEWS, effects)->news = duty->version;
+}
+
 static void
 take_row (duty_t *duty, const kwf_row_t *row, kwf_effects_t *effects)
 {
@@ -116,6 +172,7 @@
   json_int_t incarnation
       = json_integer_value (json_object_get (object, "incarnation"));
   set_holder (duty, row->version, holder, (uint64_t)incarnation, effects);
+  tell_holder (duty, effects);
   json_decref (object);
 }
 
@@ -133,6 +190,7 @@
   free (text);
   duty->op = op_handle (OP_DUTY, ++duty->next_op);
   duty->op_releases = !*holder;
+  duty->op_sent_ns = kwf_now_ns (duty->clock);
   duty->next_ns = kwf_now_ns (duty->clock) + TXN_TIMEOUT_NS + AGAIN_NS;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
   effect->store.op = duty->op;
@@ -153,6 +211,8 @@
       set_holder (duty, reply->revision,
                   duty->op_releases ? "" : duty->instance, duty->incarnation,
                   effects);
+      duty->proved_ns = duty->op_sent_ns;
+      duty->proved_at = reply->revision;
       session_tell_news (session, reply->revision, effects);
     }
   for (size_t i = 0; i < reply->n_conflicts; i++)
@@ -160,6 +220,84 @@
       take_row (duty, &reply->conflicts[i], effects);
 }
 
+/* Ask the table whether the row is still this instance's.  */
+static void
+ask_proof (duty_t *duty, int64_t now_ns, kwf_effects_t *effects)
+{
+  duty->proof_op = op_handle (OP_DUTY, ++duty->next_op);
+  duty->proof_sent_ns = now_ns;
+  kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
+  effect->store.op = duty->proof_op;
+  effect->store.timeout_ns = duty->proof_ns / PROOFS;
+  effect->store.txn = (kwf_txn_t){ .prefixes = prefixes,
+                                   .n_prefixes = G_N_ELEMENTS (prefixes),
+                                   .after = duty->proved_at };
+}
+
+static void
+take_proof (duty_t *duty, const kwf_store_reply_t *reply,
+            kwf_effects_t *effects)
+{
+  int64_t sent_ns = duty->proof_sent_ns;
+  duty->proof_op = 0;
+  if (reply->outcome != KWF_STORE_COMMITTED)
+    return;
+  for (size_t i = 0; i < reply->n_rows; i++)
+    if (strcmp (reply->rows[i].key, duty->key) == 0)
+      take_row (duty, &reply->rows[i], effects);
+  if (!duty->mine)
+    return;
+  duty->proved_ns = sent_ns;
+  duty->proved_at = MAX (reply->revision, duty->version);
+  if (duty->lapsed_ns)
+    kwf_effects_log (effects, 367, KWF_LOG_INFO, NULL,
+                     "the table proves %s again, token %" PRId64, duty->key,
+                     duty->version);
+  duty->lapsed_ns = 0;
+}
+
+/* The right ended without a proof; another instance may reach the table.  */
+static void
+tell_lapsed (duty_t *duty, const session_t *session, int64_t now_ns,
+             kwf_effects_t *effects)
+{
+  if (duty->lapsed_ns && now_ns - duty->lapsed_ns < LAPSED_NS)
+    return;
+  if (!duty->lapsed_ns)
+    kwf_effects_log (
+        effects, 366, KWF_LOG_WARNING, NULL,
+        "no proof of %s, token %" PRId64 ", for %" PRId64 " ms; no orders",
+        duty->key, duty->version, (now_ns - duty->proved_ns) / KWF_NS_PER_MS);
+  duty->lapsed_ns = now_ns;
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  while (session_next_member (session, &at, &member))
+    if (member.linked)
+      session_send (member.instance, KWF_MSG_LAPSED, effects)->lapsed
+          = duty->version;
+}
+
+/* Keep the proof of the holder's right fresh.  */
+static void
+run_proof (duty_t *duty, const session_t *session, int64_t now_ns,
+           kwf_effects_t *effects)
+{
+  int64_t period_ns = duty->proof_ns / PROOFS;
+  if (now_ns - duty->proof_sent_ns >= period_ns
+      && now_ns - duty->proved_ns >= period_ns)
+    ask_proof (duty, now_ns, effects);
+  int64_t until_ns = duty_until_ns (duty);
+  /* A process that begins has no proof yet.  */
+  if (duty->proved_ns && now_ns >= until_ns)
+    tell_lapsed (duty, session, now_ns, effects);
+  int64_t next_ns = MAX (duty->proof_sent_ns, duty->proved_ns) + period_ns;
+  if (duty->lapsed_ns)
+    next_ns = MIN (next_ns, duty->lapsed_ns + LAPSED_NS);
+  else if (duty->proved_ns)
+    next_ns = MIN (next_ns, until_ns);
+  duty->deadline_ns = MAX (next_ns, now_ns);
+}
+
 void
 duty_lost (duty_t *duty, kwf_effects_t *effects)
 {
@@ -202,6 +340,8 @@
   size_t at = SESSION_OTHERS;
   if (duty->mine && !duty->refused)
     return true;
+  if (duty->holder_lapsed)
+    return false;
   while (session_next_member (session, &at, &member))
     if (g_strcmp0 (member.instance, duty->holder) == 0)
       return session_member_live (session, &member);
@@ -213,9 +353,20 @@
 take_at_ns (const duty_t *duty, const session_t *session)
 {
   bool own = g_strcmp0 (duty->holder, duty->instance) == 0;
-  int64_t absent_ns = own || !duty_instance (duty) ? 0 : ABSENT_NS;
-  int64_t wait_ns = own ? 0 : rank_of (duty, session) * RANK_NS;
-  return MAX (duty->next_ns, duty->seen_ns + absent_ns + wait_ns);
+  bool told = own || duty->holder_lapsed || !duty_instance (duty);
+  int rank = own ? 0 : rank_of (duty, session);
+  int far = MAX (rank - NEAR_RANKS, 0);
+  int64_t turn_ns = (rank - far) * RANK_NS + far * FAR_RANK_NS;
+  return MAX (duty->next_ns, duty->seen_ns + (told ? 0 : ABSENT_NS) + turn_ns);
+}
+
+static void
+take_lapsed (duty_t *duty, const kwf_peer_event_t *peer)
+{
+  if (peer->message->type == KWF_MSG_LAPSED
+      && peer->message->lapsed == duty->version
+      && g_strcmp0 (peer->instance, duty->holder) == 0)
+    duty->holder_lapsed = true;
 }
 
 void
@@ -229,6 +380,14 @@
   if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->op
       && duty->op)
     take_reply (duty, session, &event->store.reply, effects);
+  if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->proof_op
+      && duty->proof_op)
+    take_proof (duty, &event->store.reply, effects);
+  if (event->type == KWF_EV_PEER_UP
+      && g_strcmp0 (event->peer.instance, duty->holder) == 0)
+    tell_holder (duty, effects);
+  if (event->type == KWF_EV_PEER_MESSAGE)
+    take_lapsed (duty, &event->peer);
   duty->deadline_ns = INT64_MAX;
   if (duty->stopping || !session_revision (session))
     return;
@@ -236,6 +395,8 @@
     {
       duty->seen_ns = now_ns;
       duty->deadline_ns = duty->mine ? INT64_MAX : now_ns + ABSENT_NS;
+      if (duty->mine && !duty->refused && duty->proof_ns)
+        run_proof (duty, session, now_ns, effects);
       if (duty->version)
         return;
     }
--- a/lib/duty.h
+++ b/lib/duty.h
@@ -4,7 +4,14 @@
    The holder is a row of the table.  Its version is the fencing token: each
    new holder has a higher one.  A holder that does not answer is replaced;
    its successor first waits until orders that it may still have sent have
-   arrived.  */
+   arrived.
+
+   Servers that check the token refuse a holder that was replaced.  Where they
+   do not, the right to act is a lease: it ends half of lease_ns after the
+   sending of the last question that the table answered with the row
+   unchanged, and a successor waits for that half and lease_ns.  A holder
+   whose lease ended tells the others, which then replace it.  While nobody
+   reaches the table nobody acts.  */
 
 #ifndef KNAPWEEDFORK_DUTY_H
 #define KNAPWEEDFORK_DUTY_H
@@ -13,9 +20,9 @@
 
 typedef struct duty duty_t;
 
-/* NAME names the row.  LEASE_NS: what a successor waits.  */
-duty_t *duty_new (const kwf_core_options_t *options, const char *name,
-                  int64_t lease_ns);
+/* NAME names the row.  OPTIONS->placement tells lease_ns and whether servers
+   check the token.  */
+duty_t *duty_new (const kwf_core_options_t *options, const char *name);
 void duty_free (duty_t *duty);
 
 /* Take rows, answers of the table and ticks.  */
@@ -25,6 +32,10 @@
 /* Fencing token of this instance; 0: it may not act.  */
 int64_t duty_token (const duty_t *duty);
 
+/* Time in nanoseconds at which the right to act ends unless it is proved
+   again; INT64_MAX: it has no end of its own.  */
+int64_t duty_until_ns (const duty_t *duty);
+
 /* The instance that holds the duty; NULL: none that is known.  */
 const char *duty_instance (const duty_t *duty);
 
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -7,6 +7,7 @@
 static const char *const formats[] = { "text", "json", NULL };
 static const char *const modes[] = { "dynamic", "static", NULL };
 static const char *const weights[] = { "worst_served", "attainment", NULL };
+static const char *const tokens[] = { "checked", "unchecked", NULL };
 static const char *const endings[] = { "cut", "finish", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
 static const char *const levels[]
@@ -115,6 +116,8 @@
     .unit = "", .default_number = 16, .least = 1, .most = 10000 },
   { "placement", "lease_ms", SETTING_INTEGER, AT (duty_lease_ms), .unit = "ms",
     .default_number = 3000, .least = 0, .most = 600000 },
+  { "placement", "tokens", SETTING_CHOICE, AT (duty_tokens), .unit = "",
+    .default_text = "checked", .names = tokens },
   { "placement", "load_ms", SETTING_INTEGER, AT (load_ms), .unit = "ms",
     .default_number = 2000, .least = 1, .most = 600000 },
   { "placement", "copy_load", SETTING_INTEGER, AT (copy_load), .unit = "",
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -9,6 +9,9 @@
 #include "settings-table.h"
 #include "text.h"
 
+/* Shortest lease of the duty that its proofs can keep up: each has 100 ms.  */
+#define UNCHECKED_LEASE_LEAST_MS 600
+
 /* Longest lease with the protocol "table".  */
 #define TABLE_LEASE_MOST_MS 2400
 
@@ -324,6 +327,20 @@
                     TABLE_LEASE_MOST_MS);
 }
 
+/* The right to give orders is proved three times in half of its lease.  */
+static void
+check_duty (const reading_t *reading)
+{
+  const kwf_settings_t *s = reading->settings;
+  place_t placement = place_of (reading, "placement");
+  if (g_strcmp0 (s->duty_tokens, "unchecked") == 0
+      && s->duty_lease_ms < UNCHECKED_LEASE_LEAST_MS)
+    finding_report (&placement, "lease_ms", NULL,
+                    finding_value (&placement, "lease_ms"),
+                    "%d to 600000 ms with tokens = \"unchecked\"",
+                    UNCHECKED_LEASE_LEAST_MS);
+}
+
 /* Rules between fields.  */
 static void
 check_together (const reading_t *reading)
@@ -338,6 +355,7 @@
     finding_report (&session, "renew_ms", NULL, "more than half of lease_ms",
                     "at most half of lease_ms, %lld",
                     (long long)(s->lease_ms / 2));
+  check_duty (reading);
 }
 
 static kwf_settings_t *
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -16,6 +16,7 @@
   CURL *curl;
   transfer_t *transfer; /* NULL while in the pool */
   GString *received;    /* body bytes not yet given to the handler */
+  curl_socket_t fd;     /* of the transfer; CURL_SOCKET_BAD: none yet */
   char error[CURL_ERROR_SIZE];
 } easy_t;
 
@@ -66,6 +67,13 @@
 /* Set the callbacks that open and close sockets.  */
 void client_sockets_attach (client_t *client, easy_t *easy);
 
+/* The transfer of EASY has ended; its socket may be kept.  */
+void client_sockets_release (client_t *client, easy_t *easy);
+
+/* Let the end of connection FD reset it: bytes that wait for a link to come
+   back are not delivered after the transfer was given up.  */
+void client_forget_unsent (curl_socket_t fd);
+
 /* Called after each run of libcurl: hand out what it produced.  */
 void client_deliver (client_t *client);
 
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -18,6 +18,7 @@
   client_t *client;
   bool owned; /* opened by open_socket, closed by close_socket */
   bool idle;
+  easy_t *easy; /* whose transfer uses it; NULL: none */
 } socket_t;
 
 static socket_t *
@@ -61,6 +62,8 @@
 static void
 remove_socket (socket_t *socket)
 {
+  if (socket->easy)
+    socket->easy->fd = CURL_SOCKET_BAD;
   ev_io_stop (socket->client->loop, &socket->io);
   g_ptr_array_index (socket->client->sockets, socket->io.fd) = NULL;
   g_free (socket);
@@ -108,9 +111,10 @@
 static int
 socket_wanted (CURL *curl, curl_socket_t fd, int what, void *data, void *mine)
 {
-  (void)curl;
   (void)mine;
   client_t *client = data;
+  easy_t *easy = NULL;
+  curl_easy_getinfo (curl, CURLINFO_PRIVATE, &easy);
   socket_t *socket = find_socket (client, fd);
   if (what == CURL_POLL_REMOVE)
     {
@@ -126,6 +130,9 @@
   if (!socket)
     socket = add_socket (client, fd, false);
   socket->idle = false;
+  socket->easy = easy;
+  if (easy)
+    easy->fd = fd;
   int events = (what & CURL_POLL_IN ? EV_READ : 0)
                | (what & CURL_POLL_OUT ? EV_WRITE : 0);
   watch (socket, events);
@@ -171,11 +178,32 @@
   return fd;
 }
 
+void
+client_sockets_release (client_t *client, easy_t *easy)
+{
+  socket_t *socket = find_socket (client, easy->fd);
+  if (socket)
+    socket->easy = NULL;
+  easy->fd = CURL_SOCKET_BAD;
+}
+
+void
+client_forget_unsent (curl_socket_t fd)
+{
+  static const struct linger reset = { .l_onoff = 1 };
+  (void)setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 static int
 close_socket (void *data, curl_socket_t fd)
 {
   client_t *client = data;
   socket_t *socket = find_socket (client, fd);
+  const transfer_t *transfer
+      = socket && socket->easy ? socket->easy->transfer : NULL;
+  /* libcurl gave the request up, at its time limit.  */
+  if (transfer && !transfer->header_bytes)
+    client_forget_unsent (fd);
   if (socket)
     remove_socket (socket);
   return close (fd);
--- a/net/client.c
+++ b/net/client.c
@@ -120,6 +120,7 @@
   easy_t *easy = g_new0 (easy_t, 1);
   CURL *curl = easy->curl = curl_easy_init ();
   easy->received = g_string_new (NULL);
+  easy->fd = CURL_SOCKET_BAD;
   client_sockets_attach (client, easy);
   curl_easy_setopt (curl, CURLOPT_PRIVATE, easy);
   curl_easy_setopt (curl, CURLOPT_ERRORBUFFER, easy->error);
@@ -223,10 +224,16 @@
     {
       CURL *curl = transfer->easy->curl;
       if (!transfer->finished)
-        curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
+        {
+          curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
+          /* One that libcurl has closed already has nothing to forget.  */
+          if (transfer->easy->fd != CURL_SOCKET_BAD)
+            client_forget_unsent (transfer->easy->fd);
+        }
       curl_multi_remove_handle (client->multi, curl);
       curl_easy_setopt (curl, CURLOPT_HTTPHEADER, NULL);
       curl_easy_setopt (curl, CURLOPT_POSTFIELDS, NULL);
+      client_sockets_release (client, transfer->easy);
       easy_release (client, transfer->easy);
     }
   g_free (transfer->body);
--- a/net/instance.c
+++ b/net/instance.c
@@ -330,6 +330,7 @@
         .adapter_loads = settings->adapter_loads,
         .load_ns = settings->load_ms * KWF_NS_PER_MS,
         .lease_ns = settings->duty_lease_ms * KWF_NS_PER_MS,
+        .tokens_unchecked = strcmp (settings->duty_tokens, "unchecked") == 0,
         .copy_load = settings->copy_load,
       },
       .clock = kwf_clock_system (),
--- a/net/message.c
+++ b/net/message.c
@@ -197,6 +197,7 @@
     case KWF_MSG_STATE_ASK:
     case KWF_MSG_WANT:
     case KWF_MSG_NEWS:
+    case KWF_MSG_LAPSED:
       return 1;
     case KWF_MSG_SILENT:
     case KWF_MSG_WITHDRAW:
@@ -285,6 +286,9 @@
     case KWF_MSG_LOADS:
       put_loads (writer, &message->loads);
       break;
+    case KWF_MSG_LAPSED:
+      wire_put_int (writer, message->lapsed);
+      break;
     }
 }
 
@@ -357,6 +361,9 @@
     case KWF_MSG_LOADS:
       read_loads (reader, &message->loads);
       break;
+    case KWF_MSG_LAPSED:
+      message->lapsed = wire_int (reader);
+      break;
     }
 }
 
--- a/net/order.c
+++ b/net/order.c
@@ -45,6 +45,14 @@
   feed (data, &(kwf_order_event_t){ .failure = failure });
 }
 
+/* A holder whose right ends sends nothing later.  */
+static int64_t
+timeout_ns (const kwf_order_t *order)
+{
+  return order->timeout_ns ? MIN (order->timeout_ns, ORDER_TIMEOUT_NS)
+                           : ORDER_TIMEOUT_NS;
+}
+
 void
 order_start (instance_t *instance, const kwf_order_t *order)
 {
@@ -70,7 +78,7 @@
                                      .n_headers = dialect->expect_name ? 2 : 1,
                                      .body = body,
                                      .body_size = strlen (body),
-                                     .timeout_ns = ORDER_TIMEOUT_NS,
+                                     .timeout_ns = timeout_ns (order),
                                      /* An engine that counts its orders
                                         refuses one that comes twice.  */
                                      .fresh = order->after < 0 },
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -88,7 +88,7 @@
   for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
     {
       const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
-      if (effect->type != KWF_FX_STORE)
+      if (effect->type != KWF_FX_STORE || world->silent)
         continue;
       kwf_event_t event = { .type = KWF_EV_STORE_REPLY };
       event.store.op = effect->store.op;
@@ -126,27 +126,29 @@
 }
 
 void
-core_world_start (core_world_t *world)
+core_world_start_tokens (core_world_t *world, bool unchecked)
 {
   *world = (core_world_t){ .clock = { .clock = { &clock_ops },
                                       .now_ns = KWF_NS_PER_S } };
   world->effects = kwf_effects_new ();
-  world->core = kwf_core_new (&(kwf_core_options_t){
-      .instance = "a",
-      .incarnation = 1,
-      .data_centre = "c",
-      .caller_address = "127.0.0.1:1",
-      .peer_address = "127.0.0.1:2",
-      .lease_ns = 300 * KWF_NS_PER_S,
-      .renew_ns = 100 * KWF_NS_PER_S,
-      .address_lifetime_ns = KWF_NS_PER_S,
-      .default_timeout_ns = 60 * KWF_NS_PER_S,
-      .retry_share = 0.2,
-      .pushed = true,
-      .linger_ns = 3 * KWF_NS_PER_S,
-      .placement = { .dynamic = true, .lease_ns = 2 * KWF_NS_PER_S },
-      .clock = &world->clock.clock,
-      .random = &fixed_random });
+  world->core = kwf_core_new (
+      &(kwf_core_options_t){ .instance = "a",
+                             .incarnation = 1,
+                             .data_centre = "c",
+                             .caller_address = "127.0.0.1:1",
+                             .peer_address = "127.0.0.1:2",
+                             .lease_ns = 300 * KWF_NS_PER_S,
+                             .renew_ns = 100 * KWF_NS_PER_S,
+                             .address_lifetime_ns = KWF_NS_PER_S,
+                             .default_timeout_ns = 60 * KWF_NS_PER_S,
+                             .retry_share = 0.2,
+                             .pushed = true,
+                             .linger_ns = 3 * KWF_NS_PER_S,
+                             .placement = { .dynamic = true,
+                                            .lease_ns = 2 * KWF_NS_PER_S,
+                                            .tokens_unchecked = unchecked },
+                             .clock = &world->clock.clock,
+                             .random = &fixed_random });
   core_world_step (
       world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
                              .peer = { .instance = "b", .incarnation = 1 } });
@@ -164,6 +166,12 @@
   core_world_pass (world, 2000);
 }
 
+void
+core_world_start (core_world_t *world)
+{
+  core_world_start_tokens (world, false);
+}
+
 void
 core_world_stop (core_world_t *world)
 {
@@ -286,6 +294,16 @@
   return 0;
 }
 
+int
+core_world_setup_unchecked (void **state)
+{
+  core_world_t *world = g_new0 (core_world_t, 1);
+  core_world_start_tokens (world, true);
+  core_world_servers (world);
+  *state = world;
+  return 0;
+}
+
 int
 core_world_teardown (void **state)
 {
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -19,6 +19,7 @@
   kwf_core_t *core;
   kwf_effects_t *effects;
   int64_t revision; /* of the fake table */
+  bool silent;      /* the table answers nothing */
 } core_world_t;
 
 /* A core of instance "a" that has a lease, a share and a configuration with:
@@ -26,6 +27,8 @@
    /book/ once, /read/ idempotent, two attempts each) and the engine service
    "models" (route /draft/, a resumable stream) with models "m" and "n".  */
 void core_world_start (core_world_t *world);
+/* The same, on engines that check tokens or do not.  */
+void core_world_start_tokens (core_world_t *world, bool unchecked);
 void core_world_stop (core_world_t *world);
 
 /* Feed EVENT; the effects of the step are in world->effects.  Transactions
@@ -55,6 +58,8 @@
    servers too.  */
 int core_world_setup (void **state);
 int core_world_setup_servers (void **state);
+/* With the servers, whose engines do not check tokens.  */
+int core_world_setup_unchecked (void **state);
 int core_world_teardown (void **state);
 
 /* The first effect of TYPE since the last call; NULL: none.  */
--- a/test/common-listener.c
+++ b/test/common-listener.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -79,6 +80,7 @@
   ssize_t size = recv (io->fd, bytes, sizeof bytes, 0);
   if (size <= 0)
     {
+      connection->listener->resets += size < 0 && errno == ECONNRESET;
       connection_free (connection);
       return;
     }
--- a/test/common-listener.h
+++ b/test/common-listener.h
@@ -35,6 +35,7 @@
   int filler;      /* connection of listener_block; 0: none */
   int accepted;    /* connections */
   int requests;    /* on all connections */
+  int resets;      /* connections that the other side reset */
   bool raw;        /* give all bytes to FN at once and count them not */
   GPtrArray *open; /* of connection_t */
   listener_fn_t fn;
--- a/test/test_client.c
+++ b/test/test_client.c
@@ -389,6 +389,33 @@
   assert_int_equal (world->listener->accepted, 4);
 }
 
+/* Guards against bytes that a link delivers after the transfer was given up:
+   its connection is reset.  */
+static void
+given_up_transfer_resets (void **state)
+{
+  world_t *world = *state;
+  client_request_t request = get (world);
+  for (int kept = 0; kept < 2; kept++)
+    {
+      int before = world->listener->requests;
+      world->script = "silent";
+      request.timeout_ns = 2 * KWF_NS_PER_S;
+      kwf_handle_t transfer
+          = client_start (world->client, &request, &whole, world);
+      assert_true (
+          run_until (world->loop, &world->listener->requests, before + 1, 1));
+      client_cancel (world->client, transfer);
+      assert_true (
+          run_until (world->loop, &world->listener->resets, 2 * kept + 1, 1));
+      request.timeout_ns = 100 * KWF_NS_PER_MS;
+      client_start (world->client, &request, &whole, world);
+      assert_true (
+          run_until (world->loop, &world->listener->resets, 2 * kept + 2, 1));
+      get_one (world, "ok"); /* leaves a kept connection */
+    }
+}
+
 /* Guards against a callback after client_cancel, and against reuse of the
    cancelled connection, whose answer would reach the next request.  */
 static void
@@ -614,6 +641,7 @@
     TEST (time_out_before_sending),
     TEST (ended_connects_leave_no_watcher),
     TEST (oversized_answers),
+    TEST (given_up_transfer_resets),
     TEST (cancelled_transfer),
     TEST (cancel_from_data),
     TEST (streams),
--- a/test/test_duty.c
+++ b/test/test_duty.c
@@ -9,6 +9,8 @@
 
 #include "common-core.h"
 
+#define B_JOINS                                                               \
+  "{\"incarnation\":1,\"counter\":1,\"peer_address\":\"127.0.0.1:9\"}"
 #define OTHER_HOLDS "{\"instance\":\"b\",\"incarnation\":1}"
 
 /* Engines that answer the question of the last step: they hold "m" and have
@@ -38,6 +40,22 @@
                                                    .n_models = 1 } });
 }
 
+/* The engine answers ORDER.  */
+static void
+answer_order (core_world_t *world, const kwf_order_t *order, int status,
+              const char *code)
+{
+  char id[32];
+  char server[8];
+  g_strlcpy (id, order->id, sizeof id);
+  g_strlcpy (server, order->server, sizeof server);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ORDER_REPLY,
+                                          .order = { .id = id,
+                                                     .server = server,
+                                                     .status = status,
+                                                     .code = code } });
+}
+
 static const kwf_order_t *
 find_order (const core_world_t *world)
 {
@@ -113,22 +131,113 @@
   core_world_t *world = *state;
   const kwf_order_t *order = pass (world, 1000);
   assert_non_null (order);
-  kwf_event_t refused = { .type = KWF_EV_ORDER_REPLY };
   int64_t token = order->fence;
-  char id[32];
-  char server[8];
-  g_strlcpy (id, order->id, sizeof id);
-  g_strlcpy (server, order->server, sizeof server);
-  refused.order.id = id;
-  refused.order.server = server;
-  refused.order.status = 412;
-  refused.order.code = "stale_fence";
-  core_world_step (world, &refused);
+  answer_order (world, order, 412, "stale_fence");
   assert_null (core_world_effect (world, KWF_FX_ORDER));
   const kwf_order_t *next = pass (world, 1000);
   assert_true (!next || next->fence > token);
 }
 
+/* Whether the last step tells "b" that the right of this instance ended.  */
+static bool
+tells_lapsed (const core_world_t *world)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type == KWF_FX_PEER_SEND
+          && effect->send.message.type == KWF_MSG_LAPSED
+          && strcmp (effect->send.instance, "b") == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Orders of the next MS; the count.  */
+static int
+count_orders (core_world_t *world, int64_t ms)
+{
+  int count = 0;
+  for (int64_t at = 0; at < ms; at += 50)
+    count += pass (world, 50) != NULL;
+  return count;
+}
+
+/* Guards against a holder that is cut from the table and goes on while its
+   successor begins, where engines take every order.  */
+static void
+unproved_right_ends (void **state)
+{
+  core_world_t *world = *state;
+  const kwf_order_t *order = pass (world, 1000);
+  assert_non_null (order);
+  answer_order (world, order, 500, "");
+  core_world_row (world, "session/b", B_JOINS);
+  world->silent = true;
+  core_world_pass (world, 500);
+  core_world_pass (world, 500);
+  assert_true (tells_lapsed (world));
+  assert_int_equal (count_orders (world, 5000), 0);
+  world->silent = false;
+  core_world_pass (world, 1000);
+  assert_non_null (pass (world, 3000));
+}
+
+/* Guards against an order that leaves after the right ended.  */
+static void
+order_ends_with_the_right (void **state)
+{
+  core_world_t *world = *state;
+  const kwf_order_t *order = pass (world, 1000);
+  assert_non_null (order);
+  assert_true (order->timeout_ns > 0);
+  assert_true (order->timeout_ns <= KWF_NS_PER_S);
+}
+
+/* Guards against a process that wakes up with the right of before.  */
+static void
+frozen_holder_has_no_right (void **state)
+{
+  core_world_t *world = *state;
+  assert_non_null (pass (world, 1000));
+  world->silent = true;
+  core_world_pass (world, 4000);
+  assert_null (core_world_effect (world, KWF_FX_ORDER));
+  assert_null (pass (world, 200));
+}
+
+/* Guards against a successor that begins before orders of the holder can
+   have ended: it waits for the lease and what a proof holds.  */
+static void
+unchecked_successor_waits_longer (void **state)
+{
+  core_world_t *world = *state;
+  core_world_row (world, "duty/placement", OTHER_HOLDS);
+  int64_t began_ns = world->clock.now_ns;
+  assert_non_null (pass (world, 10000));
+  assert_true (world->clock.now_ns - began_ns >= 4500 * KWF_NS_PER_MS);
+}
+
+/* Guards against a duty that nobody does while its holder is linked and does
+   not reach the table.  */
+static void
+lapsed_holder_is_replaced (void **state)
+{
+  core_world_t *world = *state;
+  core_world_row (world, "session/b", B_JOINS);
+  core_world_row (world, "duty/placement", OTHER_HOLDS);
+  int64_t token = world->revision;
+  kwf_message_t lapsed = { .type = KWF_MSG_LAPSED, .lapsed = token - 1 };
+  kwf_event_t event
+      = { .type = KWF_EV_PEER_MESSAGE,
+          .peer = { .instance = "b", .incarnation = 1, .message = &lapsed } };
+  core_world_step (world, &event);
+  assert_null (pass (world, 6000));
+  lapsed.lapsed = token;
+  core_world_step (world, &event);
+  assert_non_null (pass (world, 4000));
+}
+
 int
 main (void)
 {
@@ -145,6 +254,20 @@
     cmocka_unit_test_setup_teardown (refused_token_ends_the_orders,
                                      core_world_setup_servers,
                                      core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        unproved_right_ends, core_world_setup_unchecked, core_world_teardown),
+    cmocka_unit_test_setup_teardown (order_ends_with_the_right,
+                                     core_world_setup_unchecked,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (frozen_holder_has_no_right,
+                                     core_world_setup_unchecked,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (unchecked_successor_waits_longer,
+                                     core_world_setup_unchecked,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (lapsed_holder_is_replaced,
+                                     core_world_setup_unchecked,
+                                     core_world_teardown),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -26,6 +26,7 @@
 static const kwf_message_t samples[] = {
   { .type = KWF_MSG_PING },
   { .type = KWF_MSG_LEAVE },
+  { .type = KWF_MSG_LAPSED, .lapsed = 41 },
   { .type = KWF_MSG_RENEW,
     .renew = { .incarnation = UINT64_MAX,
                .counter = 17,
@@ -208,6 +209,9 @@
           assert_true (a->loads.loads[i].reading == b->loads.loads[i].reading);
         }
       break;
+    case KWF_MSG_LAPSED:
+      assert_true (a->lapsed == b->lapsed);
+      break;
     case KWF_MSG_NEWS:
       assert_true (a->news == b->news);
       break;
@@ -254,7 +258,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_LEAVE + 1 },
+    { .type = KWF_MSG_LAPSED + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -161,6 +161,11 @@
   (void)state;
   assert_finding (SETTINGS "[session]\nlease_ms = 2401\n", 17,
                   "session.lease_ms", "300 to 2400");
+  assert_finding (SETTINGS "[placement]\nlease_ms = 500\n"
+                           "tokens = \"unchecked\"\n",
+                  17, "placement.lease_ms", "600 to 600000");
+  assert_finding (SETTINGS "[placement]\ntokens = \"cheked\"\n", 17,
+                  "placement.tokens", "checked");
   assert_finding (SETTINGS "[session]\nlease_ms = 300\nrenew_ms = 200\n", 18,
                   "session.renew_ms", "at most half");
   assert_finding (SETTINGS "[session]\nlaese_ms = 300\n", 17,
