Bound what a server in trouble may send: heads, bodies, framing, idle bytes

Cause: answers that are handed on as they come had no bound (relay), the extension of a chunk was read for ever, and what came on an idle connection was read until nothing more came. Now: max_answer_bytes for every body, 64 MiB for all under way (beyond it those over 256 KiB end), 256 KiB for reports and 64 KiB for answers to orders, 12 reads in a row without a header line or a body byte, 64 reads of an idle connection. The connection is closed, the caller gets a true answer at once (ran: yes), the server counts as bad, event 250 and kwf_answers_oversized_total tell.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -399,7 +399,7 @@
 take_oversized (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
-  attempt_remove (core, attempt, OUTCOME_NEUTRAL, now_of (core));
+  attempt_remove (core, attempt, OUTCOME_BAD, now_of (core));
   request_refuse (core, request,
                   &(refusal_t){ .code = CODE_BACKEND_ERROR,
                                 .run = KWF_RUN_YES,
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -45,6 +45,10 @@
   bool queued;   /* in client->ready */
   CURLcode code;
   size_t header_bytes;
+  size_t body_bytes;
+  size_t max_answer_bytes;
+  size_t progress;     /* header and body bytes at the last read */
+  unsigned idle_reads; /* reads since then that brought neither */
 };
 
 struct client
@@ -54,6 +58,8 @@
   ev_timer timer;
   ev_timer deliver; /* runs when ready has entries from outside curl */
   client_options_t options;
+  client_counts_t counts;
+  size_t total_bytes;     /* of the bodies of open transfers */
   kwf_slots_t *transfers; /* of transfer_t */
   GArray *ready;          /* kwf_handle_t with something to deliver */
   GPtrArray *pool;        /* of easy_t */
@@ -70,6 +76,9 @@
 /* The transfer of EASY has ended; its socket may be kept.  */
 void client_sockets_release (client_t *client, easy_t *easy);
 
+/* The socket of TRANSFER was read.  */
+void client_note_read (transfer_t *transfer);
+
 /* Let the end of connection FD reset it: bytes that wait for a link to come
    back are not delivered after the transfer was given up.  */
 void client_forget_unsent (curl_socket_t fd);
--- a/net/client-request.c
+++ b/net/client-request.c
@@ -143,10 +143,10 @@
 {
   CURL *curl = transfer->easy->curl;
   long ms = (long)((request->timeout_ns + KWF_NS_PER_MS - 1) / KWF_NS_PER_MS);
-  curl_off_t largest
-      = transfer->handler->data
-            ? 0
-            : (curl_off_t)transfer->client->options.max_answer_bytes;
+  transfer->max_answer_bytes
+      = request->max_answer_bytes ? request->max_answer_bytes
+                                  : transfer->client->options.max_answer_bytes;
+  curl_off_t largest = (curl_off_t)transfer->max_answer_bytes;
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, MAX (ms, 0L));
   curl_easy_setopt (curl, CURLOPT_MAXFILESIZE_LARGE, largest);
   curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -12,6 +12,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Reads of what a server sent on an idle connection.  */
+#define SPOIL_READS 64
+
 typedef struct
 {
   ev_io io;
@@ -36,9 +39,12 @@
 {
   char bytes[4096];
   ev_io_stop (socket->client->loop, &socket->io);
+  client_forget_unsent (socket->io.fd);
   shutdown (socket->io.fd, SHUT_RDWR);
-  while (recv (socket->io.fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
-    continue;
+  /* A server may send faster than this reads.  */
+  for (int i = 0; i < SPOIL_READS; i++)
+    if (recv (socket->io.fd, bytes, sizeof bytes, MSG_DONTWAIT) <= 0)
+      break;
 }
 
 static void
@@ -55,7 +61,13 @@
   int mask = (events & EV_READ ? CURL_CSELECT_IN : 0)
              | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
   int running;
+  int fd = io->fd;
   curl_multi_socket_action (client->multi, io->fd, mask, &running);
+  /* libcurl may have closed it.  */
+  socket = find_socket (client, fd);
+  if (events & EV_READ && socket && !socket->idle && socket->easy
+      && socket->easy->transfer)
+    client_note_read (socket->easy->transfer);
   client_deliver (client);
 }
 
--- a/net/client.c
+++ b/net/client.c
@@ -21,7 +21,14 @@
   RECEIVE_BYTES = 8192, /* for each open transfer */
   MAX_HEADER_BYTES = 64 * 1024,
   POOL_SIZE = 1024,
-  KEPT_BUFFER_BYTES = 64 * 1024
+  KEPT_BUFFER_BYTES = 64 * 1024,
+  DEFAULT_TOTAL_BYTES = 64 * 1024 * 1024,
+  /* Answers beyond this are ended first when all together are too large.  */
+  LARGE_BYTES = 256 * 1024,
+  /* Reads in a row that bring no whole header line and no byte of a body, but
+     parts of the framing.  libcurl takes up to 100 times RECEIVE_BYTES in
+     one: 10 MB.  */
+  MAX_IDLE_READS = 12
 };
 
 static size_t
@@ -31,8 +38,11 @@
   easy_t *easy = data;
   transfer_t *transfer = easy->transfer;
   client_t *client = transfer->client;
-  if (!transfer->handler->data
-      && size > client->options.max_answer_bytes - easy->received->len)
+  transfer->body_bytes += size;
+  client->total_bytes += size;
+  if (transfer->body_bytes > transfer->max_answer_bytes
+      || (client->total_bytes > client->options.max_total_bytes
+          && transfer->body_bytes > LARGE_BYTES))
     {
       transfer->oversized = true;
       return 0;
@@ -199,6 +209,8 @@
     client->options.connect_ms = DEFAULT_CONNECT_MS;
   if (!client->options.max_answer_bytes)
     client->options.max_answer_bytes = DEFAULT_ANSWER_BYTES;
+  if (!client->options.max_total_bytes)
+    client->options.max_total_bytes = DEFAULT_TOTAL_BYTES;
   client->multi = curl_multi_init ();
   curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
                      (long)KEPT_CONNECTIONS);
@@ -219,6 +231,7 @@
 transfer_end (transfer_t *transfer)
 {
   client_t *client = transfer->client;
+  client->total_bytes -= transfer->body_bytes;
   ev_timer_stop (client->loop, &transfer->limit);
   if (transfer->easy)
     {
@@ -344,6 +357,27 @@
     transfer_end (transfer);
 }
 
+const client_counts_t *
+client_counts (const client_t *client)
+{
+  return &client->counts;
+}
+
+void
+client_note_read (transfer_t *transfer)
+{
+  size_t progress = transfer->header_bytes + transfer->body_bytes;
+  transfer->idle_reads
+      = progress == transfer->progress ? transfer->idle_reads + 1 : 0;
+  transfer->progress = progress;
+  if (transfer->idle_reads <= MAX_IDLE_READS || transfer->finished)
+    return;
+  transfer->oversized = true;
+  transfer->finished = true;
+  transfer->code = CURLE_WRITE_ERROR;
+  queue (transfer);
+}
+
 size_t
 client_open_transfers (const client_t *client)
 {
@@ -374,7 +408,10 @@
 static kwf_failure_t
 failure_of (const transfer_t *transfer)
 {
-  if (transfer->oversized || transfer->code == CURLE_FILESIZE_EXCEEDED)
+  if (transfer->oversized
+      || transfer->code == CURLE_FILESIZE_EXCEEDED
+      /* libcurl's own bound on a line.  */
+      || transfer->code == CURLE_OUT_OF_MEMORY)
     return KWF_FAIL_OVERSIZED;
   if (transfer->sent)
     return transfer->code == CURLE_OPERATION_TIMEDOUT ? KWF_FAIL_TIMEOUT
@@ -395,6 +432,7 @@
   };
   kwf_failure_t failure = failure_of (transfer);
   kwf_error_t error;
+  transfer->client->counts.oversized += failure == KWF_FAIL_OVERSIZED;
   const client_handler_t *handler = transfer->handler;
   void *data = transfer->data;
   kwf_handle_t handle = transfer->handle;
--- a/net/client.h
+++ b/net/client.h
@@ -23,10 +23,18 @@
 typedef struct
 {
   unsigned connect_ms;      /* default 1000 */
-  size_t max_answer_bytes;  /* whole answers; default 8 MiB */
+  size_t max_answer_bytes;  /* body of an answer; default 8 MiB */
+  size_t max_total_bytes;   /* bodies of all answers under way; beyond it
+                               large ones are ended; default 64 MiB */
   unsigned max_connections; /* for each address; 0: no bound */
 } client_options_t;
 
+/* What the client has seen since its start.  */
+typedef struct
+{
+  uint64_t oversized; /* answers that were larger than a limit */
+} client_counts_t;
+
 client_t *client_new (struct ev_loop *loop, const client_options_t *options);
 void client_free (client_t *client);
 
@@ -68,7 +76,8 @@
   size_t n_headers;
   const void *body; /* copied; NULL: none */
   size_t body_size;
-  int64_t timeout_ns; /* for the whole transfer; 0: none */
+  int64_t timeout_ns;      /* for the whole transfer; 0: none */
+  size_t max_answer_bytes; /* 0: that of the client */
   /* A header that the answer must have with this value, else the answer is
      one to another request: the transfer fails with KWF_FAIL_BROKEN and its
      connection is closed.  NULL: none.  */
@@ -96,4 +105,6 @@
 
 size_t client_open_transfers (const client_t *client);
 
+const client_counts_t *client_counts (const client_t *client);
+
 #endif
--- a/net/operator.c
+++ b/net/operator.c
@@ -193,6 +193,13 @@
   GString *text = g_string_new (core);
   process_metrics (text, instance->peers);
   turn_write_metrics (&instance->turn, text);
+  g_string_append_printf (
+      text,
+      "# TYPE kwf_answers_oversized_total counter\n"
+      "kwf_answers_oversized_total{to=\"requests\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_answers_oversized_total{to=\"control\"} %" G_GUINT64_FORMAT "\n",
+      client_counts (instance->client)->oversized,
+      client_counts (instance->control)->oversized);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, request, 200, "text/plain; version=0.0.4", text->str);
--- a/net/order.c
+++ b/net/order.c
@@ -7,6 +7,9 @@
    done.  */
 #define ORDER_TIMEOUT_NS (2 * KWF_NS_PER_S)
 
+/* An answer to an order is a few words.  */
+#define ANSWER_BYTES ((size_t)64 << 10)
+
 typedef struct
 {
   instance_t *instance;
@@ -79,6 +82,7 @@
                                      .body = body,
                                      .body_size = strlen (body),
                                      .timeout_ns = timeout_ns (order),
+                                     .max_answer_bytes = ANSWER_BYTES,
                                      /* An engine that counts its orders
                                         refuses one that comes twice.  */
                                      .fresh = order->after < 0 },
--- a/net/probe.c
+++ b/net/probe.c
@@ -3,6 +3,9 @@
 /* A report that takes longer says nothing about the present load.  */
 #define PROBE_TIMEOUT_NS (1 * KWF_NS_PER_S)
 
+/* Many times the report of a server with hundreds of models.  */
+#define REPORT_BYTES ((size_t)256 << 10)
+
 typedef struct
 {
   instance_t *instance;
@@ -57,6 +60,7 @@
                                      .target = dialect->report_target,
                                      .headers = &expect,
                                      .n_headers = dialect->expect_name != NULL,
+                                     .max_answer_bytes = REPORT_BYTES,
                                      .timeout_ns = PROBE_TIMEOUT_NS },
                 &handler, probe);
 }
