--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -92,6 +92,9 @@
    which this instance asks itself, 0: it reads for others; and whom it
    tells.  */
 typedef void (*kwf_instance_fn_t) (const char *instance, void *data);
+/* Whether the table's row of this process of INSTANCE is known.  */
+bool kwf_core_knows (const kwf_core_t *core, const char *instance,
+                     uint64_t incarnation);
 int64_t kwf_core_feed_patience_ns (const kwf_core_t *core);
 void kwf_core_feed_targets (const kwf_core_t *core, bool own,
                             kwf_instance_fn_t fn, void *data);
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -31,6 +31,7 @@
   KWF_EV_ATTEMPT_FAILED, /* the attempt ended without a complete answer */
   KWF_EV_ORDER_REPLY,    /* answer to KWF_FX_ORDER */
   KWF_EV_CONFIG,         /* lists and keys, read elsewhere */
+  KWF_EV_ROWS,           /* rows of the table that changed, unasked */
   KWF_EV_OPERATOR,       /* a command on the operator port */
   KWF_EV_STOP            /* SIGTERM or SIGINT */
 } kwf_event_type_t;
@@ -161,6 +162,15 @@
   size_t n_keys;
 } kwf_config_event_t;
 
+/* All rows of the own table that changed up to REVISION and were not told
+   before.  */
+typedef struct
+{
+  int64_t revision;
+  const kwf_row_t *rows;
+  size_t n_rows;
+} kwf_rows_event_t;
+
 /* Load report of a backend server.  */
 typedef struct
 {
@@ -241,6 +251,7 @@
     kwf_handle_t gone;
     kwf_attempt_event_t attempt;
     kwf_config_event_t config;
+    kwf_rows_event_t rows;
     kwf_operator_event_t operator_;
     kwf_order_event_t order;
   };
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -30,7 +30,6 @@
   KWF_MSG_STATE,      /* configuration rows */
   KWF_MSG_CRASH,      /* a request was running when a server crashed */
   KWF_MSG_WANT,       /* calls wait for a model that is resident nowhere */
-  KWF_MSG_NEWS,       /* the table has rows of this revision */
   KWF_MSG_PLACED,     /* an engine has or lacks a model or adapter now */
   KWF_MSG_FEED,       /* what the platform told of one of its tables */
   KWF_MSG_LOADS,      /* what is under way at the engines */
@@ -177,7 +176,6 @@
     kwf_state_t state;
     kwf_crash_t crash;
     const char *want; /* like demand of RENEW */
-    int64_t news;     /* revision */
     kwf_placed_t placed;
     kwf_feed_t feed;
     kwf_loads_t loads;
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -171,6 +171,13 @@
               effects);
 }
 
+bool
+kwf_core_knows (const kwf_core_t *core, const char *instance,
+                uint64_t incarnation)
+{
+  return session_knows (core->session, instance, incarnation);
+}
+
 int64_t
 kwf_core_feed_patience_ns (const kwf_core_t *core)
 {
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -151,16 +151,6 @@
                    duty->key, version);
 }
 
-/* The holder may not have got the answer to its write, and would never act:
-   whoever knows of the row tells it.  */
-static void
-tell_holder (const duty_t *duty, kwf_effects_t *effects)
-{
-  const char *holder = duty_instance (duty);
-  if (holder && !duty->mine)
-    session_send (holder, KWF_MSG_NEWS, effects)->news = duty->version;
-}
-
 static void
 take_row (duty_t *duty, const kwf_row_t *row, kwf_effects_t *effects)
 {
@@ -172,7 +162,6 @@
   json_int_t incarnation
       = json_integer_value (json_object_get (object, "incarnation"));
   set_holder (duty, row->version, holder, (uint64_t)incarnation, effects);
-  tell_holder (duty, effects);
   json_decref (object);
 }
 
@@ -201,7 +190,7 @@
 }
 
 static void
-take_reply (duty_t *duty, session_t *session, const kwf_store_reply_t *reply,
+take_reply (duty_t *duty, const kwf_store_reply_t *reply,
             kwf_effects_t *effects)
 {
   duty->op = 0;
@@ -213,7 +202,6 @@
                   effects);
       duty->proved_ns = duty->op_sent_ns;
       duty->proved_at = reply->revision;
-      session_tell_news (session, reply->revision, effects);
     }
   for (size_t i = 0; i < reply->n_conflicts; i++)
     if (strcmp (reply->conflicts[i].key, duty->key) == 0)
@@ -379,13 +367,10 @@
       take_row (duty, &news->rows[i], effects);
   if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->op
       && duty->op)
-    take_reply (duty, session, &event->store.reply, effects);
+    take_reply (duty, &event->store.reply, effects);
   if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->proof_op
       && duty->proof_op)
     take_proof (duty, &event->store.reply, effects);
-  if (event->type == KWF_EV_PEER_UP
-      && g_strcmp0 (event->peer.instance, duty->holder) == 0)
-    tell_holder (duty, effects);
   if (event->type == KWF_EV_PEER_MESSAGE)
     take_lapsed (duty, &event->peer);
   duty->deadline_ns = INT64_MAX;
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -20,11 +20,16 @@
 /* Instances write a new epoch one after the other by rank, so that the
    first one usually does it alone.  */
 #define RANK_NS (100 * KWF_NS_PER_MS)
+/* Where rows come unasked they come later.  */
+#define PUSHED_RANK_NS (500 * KWF_NS_PER_MS)
 #define RETRY_NS (400 * KWF_NS_PER_MS)
 
 /* The first epoch of all waits for instances that start together, because
    only its members start with full buckets.  */
 #define FIRST_NS (1200 * KWF_NS_PER_MS)
+/* In a large fleet they come one after the other for longer than that: the
+   wait begins anew with each, up to this time.  */
+#define FIRST_MOST_NS (5 * KWF_NS_PER_S)
 
 void
 holder_free (void *data)
@@ -418,7 +423,8 @@
 static int64_t
 write_at_ns (const shares_t *shares)
 {
-  int64_t wait_ns = shares->rank * RANK_NS;
+  int64_t wait_ns
+      = shares->rank * (shares->steady ? PUSHED_RANK_NS : RANK_NS);
   if (!shares->epoch)
     wait_ns += FIRST_NS;
   return MAX (shares->next_write_ns, shares->need_ns + wait_ns);
@@ -438,7 +444,12 @@
   if (!plan.needed)
     shares->need_ns = 0;
   else if (!shares->need_ns)
+    shares->need_ns = shares->began_ns = now_ns;
+  else if (shares->steady && !shares->epoch
+           && plan.holders->len != shares->n_planned
+           && now_ns - shares->began_ns < FIRST_MOST_NS)
     shares->need_ns = now_ns;
+  shares->n_planned = plan.holders->len;
   if (plan.needed && now_ns >= write_at_ns (shares))
     write_epoch (shares, &plan, now_ns, effects);
   plan_free (&plan);
@@ -469,18 +480,14 @@
 }
 
 void
-epoch_reply (shares_t *shares, const kwf_store_reply_t *reply, int64_t now_ns,
-             kwf_effects_t *effects)
+epoch_reply (shares_t *shares, const kwf_store_reply_t *reply,
+             int64_t now_ns)
 {
   shares->op = 0;
   shares->need_ns = 0;
-  if (shares->steady && reply->outcome == KWF_STORE_COMMITTED)
-    session_tell_news (shares->session, reply->revision, effects);
   bool answered = reply->outcome == KWF_STORE_COMMITTED
                   || reply->outcome == KWF_STORE_CONFLICT;
-  if (answered && shares->steady)
-    session_take_news (shares->session, reply->revision);
-  else if (answered)
+  if (answered && !shares->steady)
     session_renew_soon (shares->session);
   shares->next_write_ns = now_ns + RETRY_NS;
 }
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -10,6 +10,9 @@
 #define PASSES_PATIENCE_NS (1100 * KWF_NS_PER_MS)
 #define LISTENS_PATIENCE_NS (1350 * KWF_NS_PER_MS)
 
+/* Links are made within this time after a start.  */
+#define START_NS (3 * KWF_NS_PER_S)
+
 /* Whether MEMBER may read for others: one that leaves is gone soon.  */
 static bool
 may_read (const session_t *session, const session_member_t *member)
@@ -54,13 +57,28 @@
                                                      : FOLLOWER_LISTENS;
 }
 
+/* Whether this instance has just begun and nobody can have told it anything
+   yet.  Instances that start together would each read for all.  */
+static bool
+is_starting (const session_t *session)
+{
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  if (session_age_ns (session) > START_NS)
+    return false;
+  while (session_next_member (session, &at, &member))
+    if (member.linked)
+      return false;
+  return true;
+}
+
 int64_t
 follower_patience_ns (const session_t *session)
 {
   switch (follower_role (session))
     {
     case FOLLOWER_READS:
-      return 0;
+      return is_starting (session) ? START_NS : 0;
     case FOLLOWER_PASSES:
       return PASSES_PATIENCE_NS;
     case FOLLOWER_LISTENS:
--- a/lib/renewal.c
+++ b/lib/renewal.c
@@ -11,11 +11,6 @@
 #define TIMEOUT_MOST_NS (2 * KWF_NS_PER_S)
 /* A silent table is asked at least this often.  */
 #define RETRY_MOST_NS (1 * KWF_NS_PER_S)
-/* Pause before a read that was not answered is repeated.  */
-#define READ_AGAIN_NS (1 * KWF_NS_PER_S)
-/* Least time between two reads that news ask for, so that those of several
-   instances are read together.  */
-#define READ_LEAST_NS (100 * KWF_NS_PER_MS)
 
 static const char *const prefixes[]
     = { "list/",  "key/",   "session/", "shares",
@@ -151,27 +146,16 @@
 }
 
 bool
-renewal_wants_read (const session_t *session)
+renewal_may_begin (const session_t *session)
 {
-  return session->revision
-         && (session->news_revision > session->revision || session->strangers);
+  return !session->pushed || session->revision;
 }
 
-/* Read what changed, without renewing the lease.  */
-static void
-send_read (session_t *session, int64_t now_ns, kwf_effects_t *effects)
+/* Revision up to which all rows are known after an answer of REVISION.  */
+static int64_t
+known_after (const session_t *session, int64_t revision)
 {
-  session->op = op_handle (OP_SESSION, ++session->next_op);
-  session->op_reads = true;
-  session->op_sent_ns = now_ns;
-  session->strangers = false;
-  session->next_read_ns = now_ns + READ_LEAST_NS;
-  kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
-  effect->store.op = session->op;
-  effect->store.timeout_ns = renewal_timeout_ns (session);
-  effect->store.txn = (kwf_txn_t){ .prefixes = prefixes,
-                                   .n_prefixes = G_N_ELEMENTS (prefixes),
-                                   .after = session->revision };
+  return session->pushed ? session->revision : revision;
 }
 
 static void
@@ -198,7 +182,6 @@
       };
     }
   session->op = op_handle (OP_SESSION, ++session->next_op);
-  session->op_reads = false;
   session->op_sent_ns = now_ns;
   session->next_renew_ns = now_ns + session->renew_ns;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
@@ -282,7 +265,8 @@
         .version = revision,
         .value = relay ? relay->value : session->op_value,
       };
-      session_take_rows (session, &row, 1, revision, now_ns, effects, news);
+      session_take_rows (session, &row, 1, known_after (session, revision),
+                         now_ns, effects, news);
     }
 }
 
@@ -292,8 +276,9 @@
 {
   int64_t sent_ns = session->op_sent_ns;
   take_answer (session, now_ns);
-  session_take_rows (session, reply->rows, reply->n_rows, reply->revision,
-                     now_ns, effects, news);
+  session_take_rows (session, reply->rows, reply->n_rows,
+                     known_after (session, reply->revision), now_ns, effects,
+                     news);
   take_own_puts (session, reply->revision, now_ns, effects, news);
   session->conflicts = 0;
   session->had_lease = true;
@@ -305,9 +290,6 @@
       member_restart_judging (session, now_ns);
     }
   member_judge (session, sent_ns, effects);
-  if (session->epoch_told != session->epoch_left)
-    session_tell_news (session, reply->revision, effects);
-  session->epoch_told = session->epoch_left;
   answer_sent_relays (session, reply->revision, effects);
 }
 
@@ -316,8 +298,12 @@
                int64_t now_ns, kwf_effects_t *effects, session_news_t *news)
 {
   take_answer (session, now_ns);
-  session_take_rows (session, reply->rows, reply->n_rows, reply->revision,
-                     now_ns, effects, news);
+  session_take_rows (session, reply->rows, reply->n_rows,
+                     known_after (session, reply->revision), now_ns, effects,
+                     news);
+  if (session->pushed)
+    session_take_rows (session, reply->conflicts, reply->n_conflicts,
+                       session->revision, now_ns, effects, news);
   session->conflicts++;
   if (session->conflicts > 1)
     refuse_sent_relays (session, effects);
@@ -328,27 +314,14 @@
       = session->conflicts < 4 ? now_ns : now_ns + session->renew_ns / 4;
 }
 
-/* REPLY NULL: the table did not answer.  */
-static void
-take_read (session_t *session, const kwf_store_reply_t *reply, int64_t now_ns,
-           kwf_effects_t *effects, session_news_t *news)
-{
-  session->op = 0;
-  session->op_reads = false;
-  if (reply)
-    session_take_rows (session, reply->rows, reply->n_rows, reply->revision,
-                       now_ns, effects, news);
-  else
-    session->next_read_ns = now_ns + READ_AGAIN_NS;
-}
-
 void
 renewal_reply (session_t *session, const kwf_store_reply_t *reply,
                int64_t now_ns, kwf_effects_t *effects, session_news_t *news)
 {
   bool definite = reply->outcome == KWF_STORE_COMMITTED
                   || reply->outcome == KWF_STORE_CONFLICT;
-  if (definite && reply->revision < session->revision)
+  /* Rows that come unasked may be ahead of an answer.  */
+  if (definite && !session->pushed && reply->revision < session->revision)
     {
       kwf_effects_log (effects, 110, KWF_LOG_WARNING, NULL,
                        "the table answered with revision %" PRId64
@@ -356,9 +329,7 @@
                        reply->revision, session->revision);
       definite = false;
     }
-  if (session->op_reads)
-    take_read (session, definite ? reply : NULL, now_ns, effects, news);
-  else if (!definite)
+  if (!definite)
     take_failure (session, now_ns, effects);
   else if (reply->outcome == KWF_STORE_COMMITTED)
     take_commit (session, reply, now_ns, effects, news);
@@ -415,17 +386,10 @@
 {
   if (session->op
       && now_ns - session->op_sent_ns >= renewal_timeout_ns (session))
-    {
-      if (session->op_reads)
-        session->op = 0;
-      else
-        take_failure (session, now_ns, effects);
-    }
-  if (!session->op && now_ns >= session->next_renew_ns)
+    take_failure (session, now_ns, effects);
+  if (!session->op && now_ns >= session->next_renew_ns
+      && renewal_may_begin (session))
     send_renewal (session, now_ns, effects);
-  else if (!session->op && renewal_wants_read (session)
-           && now_ns >= session->next_read_ns)
-    send_read (session, now_ns, effects);
   if (outage_is_silent (session, now_ns))
     ask_peer (session, now_ns, effects);
 }
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -69,7 +69,7 @@
   int64_t lease_ns;
   int64_t renew_ns;
   const kwf_clock_t *clock;
-  bool pushed; /* rows are read when another instance tells of news */
+  bool pushed; /* rows come unasked */
 
   rows_t *rows;
   int64_t revision;
@@ -78,17 +78,11 @@
   GPtrArray *waiting_relays; /* of relay_t, for the next transaction */
   GPtrArray *sent_relays;    /* of relay_t, in the transaction under way */
 
-  int64_t news_revision; /* that others told of */
-  int64_t next_read_ns;  /* no read of the table before */
-  bool op_reads;         /* the transaction under way only reads */
-  bool strangers;        /* a linked instance has no known row */
-
   bool fenced;
   bool had_lease;
   bool leaving;
   bool write_open;
   int64_t epoch_left;
-  int64_t epoch_told; /* that others were told of */
   double load;        /* requests under way, averaged up to load_ns */
   int64_t load_ns;
   session_demand_fn_t demand_fn; /* NULL: none */
@@ -117,6 +111,7 @@
   question_t rounds[SESSION_QUESTIONS]; /* SILENT_ASK, by number */
   int64_t next_round_ns;
   int64_t stepped_ns; /* time of the step before this one */
+  int64_t began_ns;
 
   GArray *news; /* of kwf_row_t */
 };
@@ -147,8 +142,9 @@
                         kwf_effects_t *effects, session_news_t *news);
 
 /* Renewals.  */
-/* Whether rows are known to be missing.  */
-bool renewal_wants_read (const session_t *session);
+/* Whether the own row may be written: where rows come unasked, not before the
+   first have come.  */
+bool renewal_may_begin (const session_t *session);
 int64_t renewal_timeout_ns (const session_t *session);
 void renewal_run (session_t *session, int64_t now_ns, kwf_effects_t *effects);
 void renewal_reply (session_t *session, const kwf_store_reply_t *reply,
--- a/lib/session.c
+++ b/lib/session.c
@@ -32,7 +32,7 @@
   session->sent_relays = g_ptr_array_new_with_free_func (relay_free);
   session->news = g_array_new (FALSE, TRUE, sizeof (kwf_row_t));
   session->lease_until_ns = INT64_MIN;
-  session->stepped_ns = kwf_now_ns (session->clock);
+  session->stepped_ns = session->began_ns = kwf_now_ns (session->clock);
   return session;
 }
 
@@ -101,9 +101,6 @@
   member->ahead_sent = 0;
   if (session->leaving && session->pushed)
     session_send (event->instance, KWF_MSG_LEAVE, effects);
-  if (session->pushed
-      && (!member->version || member->incarnation != event->incarnation))
-    session->strangers = true;
   if (session->revision)
     return;
   member->state_asked = true;
@@ -192,9 +189,6 @@
     case KWF_MSG_STATE:
       take_state (session, peer, &message->state, now_ns, effects, news);
       return true;
-    case KWF_MSG_NEWS:
-      session_take_news (session, message->news);
-      return true;
     case KWF_MSG_LEAVE:
       take_leave (session, event, effects);
       return true;
@@ -215,6 +209,10 @@
       if (event->store.op == session->op)
         renewal_reply (session, &event->store.reply, now_ns, effects, news);
       return true;
+    case KWF_EV_ROWS:
+      session_take_rows (session, event->rows.rows, event->rows.n_rows,
+                         event->rows.revision, now_ns, effects, news);
+      return true;
     case KWF_EV_PEER_UP:
       peer_up (session, &event->peer, effects);
       return false;
@@ -296,25 +294,12 @@
   return session->pushed ? member->linked : !member->expired;
 }
 
-void
-session_take_news (session_t *session, int64_t revision)
+bool
+session_knows (const session_t *session, const char *instance,
+               uint64_t incarnation)
 {
-  session->news_revision = MAX (session->news_revision, revision);
-}
-
-void
-session_tell_news (const session_t *session, int64_t revision,
-                   kwf_effects_t *effects)
-{
-  if (!session->pushed)
-    return;
-  for (guint i = 0; i < session->members->len; i++)
-    {
-      const member_t *member = session->members->pdata[i];
-      if (member->linked)
-        session_send (member->instance, KWF_MSG_NEWS, effects)->news
-            = revision;
-    }
+  const member_t *member = member_find (session, instance);
+  return member && member->version && member->incarnation == incarnation;
 }
 
 void
@@ -452,6 +437,12 @@
   return session->revision;
 }
 
+int64_t
+session_age_ns (const session_t *session)
+{
+  return kwf_now_ns (session->clock) - session->began_ns;
+}
+
 int64_t
 session_deadline_ns (const session_t *session)
 {
@@ -459,8 +450,8 @@
     return INT64_MAX;
   int64_t now_ns = session->stepped_ns;
   int64_t deadline = session->next_renew_ns;
-  if (!session->op && renewal_wants_read (session))
-    deadline = MIN (deadline, MAX (session->next_read_ns, now_ns));
+  if (!renewal_may_begin (session))
+    deadline = INT64_MAX;
   if (session->op)
     deadline = session->op_sent_ns
                + MIN (session->renew_ns * 3 / 4, renewal_timeout_ns (session));
--- a/lib/session.h
+++ b/lib/session.h
@@ -116,12 +116,9 @@
 bool session_member_live (const session_t *session,
                           const session_member_t *member);
 
-/* Read the table soon: another instance has written REVISION.  */
-void session_take_news (session_t *session, int64_t revision);
-
-/* Tell the other instances that the table has rows of REVISION.  */
-void session_tell_news (const session_t *session, int64_t revision,
-                        kwf_effects_t *effects);
+/* Whether the row of this process of INSTANCE is known.  */
+bool session_knows (const session_t *session, const char *instance,
+                    uint64_t incarnation);
 
 /* Where session_next_member starts for members other than this instance.  */
 #define SESSION_OTHERS ((size_t)1)
@@ -135,6 +132,9 @@
 /* Revision up to which all rows are known; 0 before the first.  */
 int64_t session_revision (const session_t *session);
 
+/* Time in nanoseconds since the session was made.  */
+int64_t session_age_ns (const session_t *session);
+
 /* Latest time at which a KWF_EV_TICK is needed.  */
 int64_t session_deadline_ns (const session_t *session);
 
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -120,6 +120,8 @@
   bool want_epoch;
   int64_t rank;    /* of this instance among the live members, by name */
   int64_t need_ns; /* since when a new epoch is needed; 0: not needed */
+  int64_t began_ns; /* when NEED_NS was set first */
+  guint n_planned;  /* members of the epoch that is needed */
   int64_t next_write_ns;
   kwf_handle_t op;
   uint64_t next_op;
@@ -176,7 +178,7 @@
 void epoch_run (shares_t *shares, bool fresh, int64_t now_ns,
                 kwf_effects_t *effects);
 void epoch_reply (shares_t *shares, const kwf_store_reply_t *reply,
-                  int64_t now_ns, kwf_effects_t *effects);
+                  int64_t now_ns);
 int64_t epoch_deadline_ns (const shares_t *shares);
 
 /* Set the share of a new account under the present epoch.  */
--- a/lib/share.c
+++ b/lib/share.c
@@ -292,7 +292,7 @@
     {
     case KWF_EV_STORE_REPLY:
       if (event->store.op == shares->op)
-        epoch_reply (shares, &event->store.reply, now_ns, effects);
+        epoch_reply (shares, &event->store.reply, now_ns);
       break;
     case KWF_EV_PEER_UP:
       transfer_peer_down (shares, event->peer.instance);
--- a/net/instance.c
+++ b/net/instance.c
@@ -43,6 +43,12 @@
                  &(kwf_event_t){ .type = KWF_EV_CONFIG, .config = *config });
 }
 
+static void
+on_rows (void *data, const kwf_rows_event_t *rows)
+{
+  instance_step (data, &(kwf_event_t){ .type = KWF_EV_ROWS, .rows = *rows });
+}
+
 /* Links that were made before it was known could not be.  */
 static void
 on_secret (void *data, const char *secret)
@@ -86,6 +92,7 @@
 static const store_handler_t store_handler = { .reply = on_store_reply,
                                                .members = on_members,
                                                .config = on_config,
+                                               .rows = on_rows,
                                                .patience_ns = feed_patience_ns,
                                                .tell = on_tell,
                                                .secret = on_secret };
@@ -97,6 +104,10 @@
                  &(kwf_event_t){ .type = KWF_EV_PEER_UP,
                                  .peer = { .instance = peer,
                                            .incarnation = incarnation } });
+  instance_t *instance = data;
+  if (instance->store->ops->linked)
+    instance->store->ops->linked (
+        instance->store, kwf_core_knows (instance->core, peer, incarnation));
 }
 
 static void
--- a/net/message.c
+++ b/net/message.c
@@ -196,7 +196,6 @@
     case KWF_MSG_GOT:
     case KWF_MSG_STATE_ASK:
     case KWF_MSG_WANT:
-    case KWF_MSG_NEWS:
     case KWF_MSG_LAPSED:
       return 1;
     case KWF_MSG_SILENT:
@@ -266,9 +265,6 @@
     case KWF_MSG_WANT:
       wire_put_value (writer, message->want);
       break;
-    case KWF_MSG_NEWS:
-      wire_put_int (writer, message->news);
-      break;
     case KWF_MSG_PLACED:
       wire_put_text (writer, message->placed.server);
       wire_put_uint (writer, message->placed.incarnation);
@@ -341,9 +337,6 @@
     case KWF_MSG_WANT:
       message->want = wire_value (reader);
       break;
-    case KWF_MSG_NEWS:
-      message->news = wire_int (reader);
-      break;
     case KWF_MSG_PLACED:
       message->placed.server = wire_text (reader);
       message->placed.incarnation = wire_uint (reader);
--- a/net/store.h
+++ b/net/store.h
@@ -20,6 +20,8 @@
   void (*reply) (void *data, kwf_handle_t op, const kwf_store_reply_t *reply);
   void (*members) (void *data, const kwf_members_event_t *members);
   void (*config) (void *data, const kwf_config_event_t *config);
+  /* Rows of the own table, where the store tells of them unasked.  */
+  void (*rows) (void *data, const kwf_rows_event_t *rows);
   /* How old what is known may grow before this instance asks the platform
      itself; 0: it reads for other instances.  */
   int64_t (*patience_ns) (void *data);
@@ -39,6 +41,10 @@
   void (*ask_members) (store_t *store);
   /* Another instance told what a table says; NULL: none does.  */
   void (*take_feed) (store_t *store, const kwf_feed_t *news);
+  /* A link is up, so that it may be for this instance now to read for others.
+     KNOWN: there is a row of the other instance, else look for it soon.  May
+     be NULL.  */
+  void (*linked) (store_t *store, bool known);
   /* Append metrics of the calls made; may be NULL.  */
   void (*write_metrics) (const store_t *store, GString *out);
   void (*free) (store_t *store);
--- a/test/test_duty_explore.c
+++ b/test/test_duty_explore.c
@@ -28,6 +28,7 @@
   CALM_MS = 25000,   /* what follows; the longest fault ends in it */
   LEASE_MS = 3000,
   LINK_LOST_MS = 1500,
+  FEED_MS = 300, /* from a change to those that it is told to */
   ORDER_MOST_MS = 30, /* from an instance to an engine */
   /* A loss is noticed, a candidate tries twice, then waits for the lease and
      what a proof holds.  */
@@ -93,6 +94,8 @@
   int64_t frozen_ms; /* does nothing until then */
   bool linked[NODES];
   int64_t lost_ms[NODES]; /* since when the path is cut; 0: it is not */
+  int64_t known;          /* revision of the rows that were told */
+  int64_t told_ms;        /* when it was told last */
 } node_t;
 
 typedef struct
@@ -238,7 +241,7 @@
   const kwf_message_t *message = &effect->send.message;
   int to = *effect->send.instance - 'a';
   if (to < 0 || to >= NODES || !world->nodes[node].linked[to]
-      || (message->type != KWF_MSG_NEWS && message->type != KWF_MSG_LAPSED
+      || (message->type != KWF_MSG_LAPSED
           && message->type != KWF_MSG_LEAVE))
     return;
   item_t *item = add_item (world, ITEM_MESSAGE, to, 1 + pick (world, 20));
@@ -366,6 +369,7 @@
   n->duty = duty_new (&options, "placement");
   memset (n->linked, 0, sizeof n->linked);
   memset (n->lost_ms, 0, sizeof n->lost_ms);
+  n->known = 0;
   for (int i = 0; i < NODES; i++)
     if (world->nodes[i].linked[node])
       {
@@ -426,6 +430,34 @@
     }
 }
 
+/* An instance that reaches the table, or one that does, is told what
+   changed.  */
+static void
+tell_rows (world_t *world, int node)
+{
+  node_t *n = &world->nodes[node];
+  bool reached = hears_table (world, node);
+  for (int i = 0; i < NODES; i++)
+    reached |= n->linked[i] && hears_table (world, i)
+               && path_holds (world, node, i);
+  if (!reached || now_ms (world) - n->told_ms < FEED_MS)
+    return;
+  kwf_row_t rows[ROWS];
+  size_t n_rows = 0;
+  for (int i = 0; i < ROWS && *world->rows[i].key; i++)
+    if (world->rows[i].version > n->known)
+      rows[n_rows++]
+          = (kwf_row_t){ world->rows[i].key, world->rows[i].version,
+                         world->rows[i].value };
+  n->told_ms = now_ms (world);
+  n->known = MAX (world->revision, 1);
+  if (n_rows || !session_revision (n->session))
+    step (world, node,
+          &(kwf_event_t){
+              .type = KWF_EV_ROWS,
+              .rows = { .revision = n->known, rows, n_rows } });
+}
+
 static void
 run_node (world_t *world, int node)
 {
@@ -433,6 +465,7 @@
   if (now_ms (world) < n->frozen_ms)
     return;
   run_links (world, node);
+  tell_rows (world, node);
   step (world, node, &(kwf_event_t){ .type = KWF_EV_TICK });
   int64_t token = duty_token (n->duty);
   if (!token || pick (world, 4))
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -98,9 +98,11 @@
 }
 
 static void
-on_end (void *data)
+on_end (void *data, int64_t revision)
 {
-  ((world_t *)data)->n_ends++;
+  world_t *world = data;
+  world->n_ends++;
+  assert_true (revision >= world->row);
 }
 
 static int64_t
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -39,7 +39,6 @@
                .after = INT64_MAX,
                .demand = "{\"demand\":{\"m/x\":0.5}}" } },
   { .type = KWF_MSG_WANT, .want = "{}" },
-  { .type = KWF_MSG_NEWS, .news = 41 },
   { .type = KWF_MSG_PLACED,
     .placed = { .server = "s1",
                 .incarnation = 3,
@@ -212,9 +211,6 @@
     case KWF_MSG_LAPSED:
       assert_true (a->lapsed == b->lapsed);
       break;
-    case KWF_MSG_NEWS:
-      assert_true (a->news == b->news);
-      break;
     case KWF_MSG_WANT:
       assert_int_equal (g_strcmp0 (a->want, b->want), 0);
       break;
