--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -34,6 +34,7 @@
   const char *instance; /* id, unique in the fleet */
   uint64_t incarnation; /* rises with each start of this id */
   const char *data_centre;
+  double cores; /* processor of this instance; default 1 */
   const char *caller_address;  /* "IP:PORT" that callers use */
   const char *peer_address;    /* "IP:PORT" of the link listener */
   int64_t lease_ns;            /* default 2.4 s */
@@ -81,12 +82,12 @@
    act, there is a share of the rates, and no stop has begun.  */
 bool kwf_core_ready (const kwf_core_t *core);
 
-/* Call FN with the caller address of each instance that callers may use
-   now.  */
+/* Call FN with the caller addresses of at most MOST instances that callers
+   may use now; of more, most are in DATA_CENTRE (NULL: wherever).  */
 typedef void (*kwf_address_fn_t) (const char *address, const char *data_centre,
                                   void *data);
-void kwf_core_addresses (const kwf_core_t *core, kwf_address_fn_t fn,
-                         void *data);
+void kwf_core_addresses (const kwf_core_t *core, const char *data_centre,
+                         size_t most, kwf_address_fn_t fn, void *data);
 
 /* Who is told what the platform's tables say (lib/follower.h): the age at
    which this instance asks itself, 0: it reads for others; and whom it
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -34,7 +34,8 @@
   KWF_MSG_FEED,       /* what the platform told of one of its tables */
   KWF_MSG_LOADS,      /* what is under way at the engines */
   KWF_MSG_LEAVE,      /* the sender is stopping */
-  KWF_MSG_LAPSED      /* the sender's right to a duty ended */
+  KWF_MSG_LAPSED,     /* the sender's right to a duty ended */
+  KWF_MSG_DOWN        /* instances that the sender does not reach */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -48,6 +49,7 @@
   const char *peer_address;   /* "IP:PORT" of the link listener */
   const char *data_centre;
   int64_t load;       /* requests under way, averaged over about 10 s */
+  double cores;       /* processor that the member has */
   int64_t after;      /* revision up to which the member has all rows */
   const char *demand; /* JSON object of the row's members "demand" and
                          "wanted"; NULL: none */
@@ -160,6 +162,12 @@
   size_t n_loads;
 } kwf_loads_t;
 
+typedef struct
+{
+  const char *const *names;
+  size_t n_names;
+} kwf_down_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -180,6 +188,7 @@
     kwf_feed_t feed;
     kwf_loads_t loads;
     int64_t lapsed; /* token of the duty */
+    kwf_down_t down;
   };
 } kwf_message_t;
 
--- a/lib/core.c
+++ b/lib/core.c
@@ -303,14 +303,3 @@
   return config_lists (core->config) && session_may_act (core->session)
          && shares_ready (core->shares) && !core->stop.stopping;
 }
-
-void
-kwf_core_addresses (const kwf_core_t *core, kwf_address_fn_t fn, void *data)
-{
-  session_member_t member;
-  size_t at = 0;
-  while (session_next_member (core->session, &at, &member))
-    if (directory_lists (core, &member))
-      fn (member.caller_address, member.data_centre ? member.data_centre : "",
-          data);
-}
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -1,5 +1,7 @@
 #include "crashstate.h"
 
+#include "follower.h"
+
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -559,6 +561,37 @@
     tell_notices (crash, session, told->fingerprint, effects);
 }
 
+typedef struct
+{
+  const char *from;
+  const kwf_crash_t *told;
+  kwf_effects_t *effects;
+} passing_t;
+
+static void
+pass_one (const char *instance, void *data)
+{
+  const passing_t *passing = data;
+  if (strcmp (instance, passing->from) == 0)
+    return;
+  kwf_crash_t *crash
+      = &session_send (instance, KWF_MSG_CRASH, passing->effects)->crash;
+  *crash = *passing->told;
+  crash->server = kwf_effects_strdup (passing->effects, crash->server);
+}
+
+/* One that is no hub has told the hubs only; each of these that passes on
+   tells those beside it.  */
+static void
+pass_on (const session_t *session, const kwf_peer_event_t *peer,
+         kwf_effects_t *effects)
+{
+  passing_t passing = { peer->instance, &peer->message->crash, effects };
+  if (session_is_large (session) && !session_is_hub (session, peer->instance)
+      && follower_role (session) != FOLLOWER_LISTENS)
+    follower_beside (session, pass_one, &passing);
+}
+
 bool
 crash_step (crash_t *crash, const session_t *session, const kwf_event_t *event,
             const session_news_t *news, kwf_effects_t *effects)
@@ -579,6 +612,7 @@
       || event->peer.message->type != KWF_MSG_CRASH)
     return false;
   take_message (crash, session, &event->peer, effects);
+  pass_on (session, &event->peer, effects);
   return true;
 }
 
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -315,7 +315,8 @@
   session_member_t member;
   size_t at = SESSION_OTHERS;
   while (session_next_member (session, &at, &member))
-    rank += session_member_live (session, &member) && !member.leaving
+    rank += member.hub && session_member_live (session, &member)
+            && !member.leaving
             && strcmp (member.instance, duty->instance) < 0;
   return rank;
 }
@@ -385,6 +386,11 @@
       if (duty->version)
         return;
     }
+  /* The others do not have links to all that an order concerns.  */
+  session_member_t self;
+  size_t first = 0;
+  if (!session_next_member (session, &first, &self) || !self.hub)
+    return;
   int64_t at_ns = take_at_ns (duty, session);
   if (duty->op)
     return;
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -17,6 +17,10 @@
 
 #define ROW_KEY "shares"
 
+/* Members that one epoch leaves out; a transaction takes 100 entries.  Others
+   are left out by the next epoch.  */
+#define CONDITIONS_MOST 64
+
 /* Instances write a new epoch one after the other by rank, so that the
    first one usually does it alone.  */
 #define RANK_NS (100 * KWF_NS_PER_MS)
@@ -296,7 +300,8 @@
     {
       const holder_t *holder = shares->holders->pdata[i];
       int64_t version;
-      bool gone = session_may_reclaim (shares->session)
+      bool gone = plan->conditions->len < CONDITIONS_MOST
+                  && session_may_reclaim (shares->session)
                   && is_gone (shares, holder, &version);
       if (!gone)
         {
@@ -323,6 +328,14 @@
   return false;
 }
 
+/* Where shares are steady they lie at hubs: the others ask them, and a row
+   that names all members would grow with the fleet.  */
+static bool
+may_hold (const shares_t *shares, const session_member_t *member)
+{
+  return !shares->steady || member->hub;
+}
+
 static void
 plan_joined (const shares_t *shares, plan_t *plan)
 {
@@ -333,6 +346,7 @@
       /* One that another instance has just left out may not look expired
          here yet.  */
       if (member.expired || !member.fresh || member.leaving
+          || !may_hold (shares, &member)
           || has_instance (plan->holders, member.instance))
         continue;
       add_holder (plan->holders, member.instance, member.incarnation);
@@ -413,10 +427,8 @@
   session_member_t member;
   size_t at = SESSION_OTHERS;
   while (session_next_member (shares->session, &at, &member))
-    {
-      rank
-          += !member.expired && strcmp (member.instance, shares->instance) < 0;
-    }
+    rank += !member.expired && may_hold (shares, &member)
+            && strcmp (member.instance, shares->instance) < 0;
   return rank;
 }
 
@@ -459,7 +471,11 @@
 static bool
 may_write (const shares_t *shares)
 {
-  return !shares->op && (shares->settled || !shares->epoch)
+  session_member_t self;
+  size_t at = 0;
+  return session_next_member (shares->session, &at, &self)
+         && may_hold (shares, &self) && !shares->op
+         && (shares->settled || !shares->epoch)
          && session_revision (shares->session)
          && session_state (shares->session) == SESSION_VALID;
 }
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -13,11 +13,13 @@
 /* Links are made within this time after a start.  */
 #define START_NS (3 * KWF_NS_PER_S)
 
-/* Whether MEMBER may read for others: one that leaves is gone soon.  */
+/* Whether MEMBER may read for others: one that leaves is gone soon, and only a
+   hub has the links.  */
 static bool
 may_read (const session_t *session, const session_member_t *member)
 {
-  return session_member_live (session, member) && !member->leaving;
+  return member->hub && session_member_live (session, member)
+         && !member->leaving;
 }
 
 /* The first member by name, of DATA_CENTRE or, with NULL, of all; an empty
@@ -50,8 +52,11 @@
   if (!own_member (session, &self))
     return FOLLOWER_READS;
   session_member_t first = first_of (session, NULL);
-  if (!*first.instance || strcmp (first.instance, self.instance) == 0)
+  if (strcmp (first.instance, self.instance) == 0)
     return FOLLOWER_READS;
+  /* No hub is there: each reads for itself, now and then.  */
+  if (!*first.instance)
+    return FOLLOWER_LISTENS;
   first = first_of (session, self.data_centre);
   return strcmp (first.instance, self.instance) == 0 ? FOLLOWER_PASSES
                                                      : FOLLOWER_LISTENS;
@@ -94,6 +99,8 @@
   if (!own_member (session, &self))
     return "";
   session_member_t first = first_of (session, self.data_centre);
+  if (!*first.instance)
+    first = first_of (session, NULL);
   return strcmp (first.instance, self.instance) == 0 ? "" : first.instance;
 }
 
@@ -127,8 +134,12 @@
   size_t at = 0;
   if (!session_next_member (session, &at, &self))
     return;
+  /* The first hub of all takes care of data centres without one.  */
+  bool reads = follower_role (session) == FOLLOWER_READS;
   while (session_next_member (session, &at, &member))
-    if (member.linked && g_strcmp0 (member.data_centre, self.data_centre) == 0)
+    if (member.linked
+        && (g_strcmp0 (member.data_centre, self.data_centre) == 0
+            || (reads && !*first_of (session, member.data_centre).instance)))
       fn (member.instance, data);
 }
 
--- a/lib/member.c
+++ b/lib/member.c
@@ -3,6 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "hub.h"
 #include "op.h"
 #include "session-state.h"
 
@@ -73,6 +74,17 @@
   effect->link.address = kwf_effects_strdup (effects, member->peer_address);
 }
 
+void
+member_link_all (session_t *session, kwf_effects_t *effects)
+{
+  for (guint i = 0; i < session->members->len; i++)
+    {
+      member_t *member = session->members->pdata[i];
+      if (member->version && hub_wants_link (session, member))
+        link_member (member, effects);
+    }
+}
+
 static void
 take_deleted (session_t *session, const char *instance, kwf_effects_t *effects)
 {
@@ -115,6 +127,8 @@
   int64_t left = json_integer_value (json_object_get (object, "epoch_left"));
   member->epoch_left = MAX (member->epoch_left, left);
   member->load = json_integer_value (json_object_get (object, "load"));
+  json_t *cores = json_object_get (object, "cores");
+  member->cores = json_is_number (cores) ? json_number_value (cores) : 1;
   member->leaving = json_is_true (json_object_get (object, "leaving"));
   replace (&member->caller_address, object, "caller_address");
   replace (&member->peer_address, object, "peer_address");
@@ -160,7 +174,6 @@
       member_t *member = member_ensure (session, instance);
       take_values (session, member, object, now_ns, effects);
       member->version = row->version;
-      link_member (member, effects);
     }
   json_decref (object);
 }
--- a/lib/renewal.c
+++ b/lib/renewal.c
@@ -46,6 +46,7 @@
     .peer_address = session->peer_address,
     .data_centre = session->data_centre,
     .load = llround (session->load),
+    .cores = session->cores,
     .after = session->revision,
     .demand = session->demand,
   };
@@ -69,13 +70,13 @@
 row_value (const kwf_renew_t *renew)
 {
   json_t *object = json_pack (
-      "{s:I,s:I,s:I,s:b,s:s,s:s,s:s,s:I}", "incarnation",
+      "{s:I,s:I,s:I,s:b,s:s,s:s,s:s,s:I,s:f}", "incarnation",
       (json_int_t)renew->incarnation, "counter", (json_int_t)renew->counter,
       "epoch_left", (json_int_t)renew->epoch_left, "leaving", renew->leaving,
       "caller_address", renew->caller_address ? renew->caller_address : "",
       "peer_address", renew->peer_address ? renew->peer_address : "",
       "data_centre", renew->data_centre ? renew->data_centre : "", "load",
-      (json_int_t)renew->load);
+      (json_int_t)renew->load, "cores", renew->cores);
   add_demand (object, renew->demand);
   char *text = json_dumps (object, JSON_COMPACT);
   char *copy = g_strdup (text);
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -33,6 +33,8 @@
   int64_t incarnation_ns; /* when this incarnation was first seen */
   int64_t expired_ns;
   int64_t load;
+  double cores;
+  bool hub;
   uint64_t link_incarnation;
   int64_t vote_ns;    /* sending of the question it answered "silent" */
   int64_t refused_ns; /* when its address refused a connection; 0: never */
@@ -66,6 +68,12 @@
   char *caller_address;
   char *peer_address;
   char *data_centre;
+  double cores;
+  bool hub;             /* this instance is one (lib/hub.h) */
+  bool large;           /* not all instances are hubs */
+  GHashTable *down;     /* set: members that hubs do not reach */
+  int64_t down_ns;      /* when they told it; 0: never */
+  int64_t tell_down_ns; /* a hub tells it then */
   int64_t lease_ns;
   int64_t renew_ns;
   const kwf_clock_t *clock;
@@ -116,6 +124,9 @@
   GArray *news; /* of kwf_row_t */
 };
 
+/* Open the links that this instance should have.  */
+void member_link_all (session_t *session, kwf_effects_t *effects);
+
 /* Members.  */
 member_t *member_find (const session_t *session, const char *instance);
 member_t *member_ensure (session_t *session, const char *instance);
--- a/lib/session.c
+++ b/lib/session.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "hub.h"
 #include "op.h"
 
 /* Least time between renewals that are asked for, where they are rare.  */
@@ -30,6 +31,9 @@
   session->members = g_ptr_array_new_with_free_func (member_free);
   session->waiting_relays = g_ptr_array_new_with_free_func (relay_free);
   session->sent_relays = g_ptr_array_new_with_free_func (relay_free);
+  session->cores = options->cores ? options->cores : 1;
+  session->hub = true;
+  session->down = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   session->news = g_array_new (FALSE, TRUE, sizeof (kwf_row_t));
   session->lease_until_ns = INT64_MIN;
   session->stepped_ns = session->began_ns = kwf_now_ns (session->clock);
@@ -52,6 +56,7 @@
   g_ptr_array_free (session->waiting_relays, TRUE);
   g_ptr_array_free (session->sent_relays, TRUE);
   g_array_free (session->news, TRUE);
+  g_hash_table_unref (session->down);
   g_free (session);
 }
 
@@ -71,14 +76,23 @@
                    int64_t revision, int64_t now_ns, kwf_effects_t *effects,
                    session_news_t *news)
 {
+  bool members = false;
   for (size_t i = 0; i < n_rows; i++)
     {
       const kwf_row_t *row = rows_put (session->rows, &rows[i], now_ns);
       if (!row)
         continue;
       g_array_append_val (session->news, *row);
-      if (g_str_has_prefix (row->key, "session/"))
-        member_take_row (session, row, now_ns, effects);
+      if (!g_str_has_prefix (row->key, "session/"))
+        continue;
+      member_take_row (session, row, now_ns, effects);
+      members = true;
+    }
+  if (members)
+    {
+      hub_find (session);
+      hub_tell_soon (session);
+      member_link_all (session, effects);
     }
   session->revision = MAX (session->revision, revision);
   news->fresh = true;
@@ -99,6 +113,7 @@
   member->hears = false;
   member->state_asked = false;
   member->ahead_sent = 0;
+  hub_tell_soon (session);
   if (session->leaving && session->pushed)
     session_send (event->instance, KWF_MSG_LEAVE, effects);
   if (session->revision)
@@ -113,6 +128,8 @@
   member_t *member = member_find (session, event->instance);
   if (!member)
     return;
+  if (member->linked)
+    hub_tell_soon (session);
   member->linked = false;
   member->state_asked = false;
   member->vote_ns = INT64_MIN / 2;
@@ -151,13 +168,14 @@
 
 /* Its row will say so later.  */
 static void
-take_leave (const session_t *session, const kwf_peer_event_t *event,
+take_leave (session_t *session, const kwf_peer_event_t *event,
             kwf_effects_t *effects)
 {
   member_t *member = member_find (session, event->instance);
   if (!member || member->incarnation != event->incarnation || member->leaving)
     return;
   member->leaving = true;
+  hub_tell_soon (session);
   kwf_effects_log (effects, 112, KWF_LOG_INFO, NULL, "member %s is stopping",
                    event->instance);
 }
@@ -192,6 +210,9 @@
     case KWF_MSG_LEAVE:
       take_leave (session, event, effects);
       return true;
+    case KWF_MSG_DOWN:
+      hub_take_down (session, &message->down);
+      return true;
     default:
       return false;
     }
@@ -257,6 +278,7 @@
       renewal_run (session, now_ns, effects);
       outage_run (session, now_ns, effects);
       member_remove_gone (session, now_ns, effects);
+      hub_run (session, now_ns, effects);
     }
   log_state (session, effects);
   session->stepped_ns = now_ns;
@@ -291,7 +313,9 @@
 {
   if (strcmp (member->instance, session->instance) == 0)
     return true;
-  return session->pushed ? member->linked : !member->expired;
+  return session->pushed ? hub_is_live (session, member->instance,
+                                        member->linked, member->hub)
+                         : !member->expired;
 }
 
 bool
@@ -386,6 +410,7 @@
     .peer_address = session->peer_address,
     .data_centre = session->data_centre,
     .fresh = true,
+    .hub = session->hub,
     .load = llround (session->load),
   };
 }
@@ -405,6 +430,7 @@
     .peer_address = member->peer_address,
     .data_centre = member->data_centre,
     .fresh = session->answered_ns - member->changed_ns < session->lease_ns,
+    .hub = member->hub,
     .load = member->load,
   };
 }
@@ -437,6 +463,19 @@
   return session->revision;
 }
 
+bool
+session_is_large (const session_t *session)
+{
+  return session->large;
+}
+
+bool
+session_is_hub (const session_t *session, const char *instance)
+{
+  const member_t *member = member_find (session, instance);
+  return !session->large || (member && member->hub);
+}
+
 int64_t
 session_age_ns (const session_t *session)
 {
@@ -451,7 +490,7 @@
   int64_t now_ns = session->stepped_ns;
   int64_t deadline = session->next_renew_ns;
   if (!renewal_may_begin (session))
-    deadline = INT64_MAX;
+    return INT64_MAX;
   if (session->op)
     deadline = session->op_sent_ns
                + MIN (session->renew_ns * 3 / 4, renewal_timeout_ns (session));
@@ -460,5 +499,5 @@
   if (outage_is_silent (session, now_ns))
     deadline
         = MIN (deadline, MIN (session->next_peer_ns, session->next_round_ns));
-  return deadline;
+  return MIN (deadline, hub_deadline_ns (session));
 }
--- a/lib/session.h
+++ b/lib/session.h
@@ -45,6 +45,7 @@
   const char *peer_address;
   const char *data_centre;
   bool fresh;   /* its last renewal was seen within the lease */
+  bool hub;     /* has links to all (lib/hub.h) */
   int64_t load; /* requests under way, averaged over about 10 s */
 } session_member_t;
 
@@ -132,6 +133,12 @@
 /* Revision up to which all rows are known; 0 before the first.  */
 int64_t session_revision (const session_t *session);
 
+/* Whether some instances have links to the hubs only.  */
+bool session_is_large (const session_t *session);
+
+/* Whether INSTANCE, another one, has links to all.  */
+bool session_is_hub (const session_t *session, const char *instance);
+
 /* Time in nanoseconds since the session was made.  */
 int64_t session_age_ns (const session_t *session);
 
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -22,6 +22,8 @@
     .unit = "" },
   { "instance", "data_centre", SETTING_NAME, AT (data_centre),
     .required = true, .unit = "" },
+  { "instance", "cores", SETTING_REAL, AT (cores), .unit = "cores",
+    .default_number = 1, .least = 0.01, .most = 1024 },
   { "callers", "listen", SETTING_LISTEN, AT (caller_listen), .required = true,
     .unit = "" },
   { "callers", "address", SETTING_ADDRESS, AT (caller_address), .unit = "" },
--- a/net/instance.c
+++ b/net/instance.c
@@ -313,6 +313,7 @@
       .instance = settings->instance,
       .incarnation = instance->incarnation,
       .data_centre = settings->data_centre,
+      .cores = settings->cores,
       .caller_address = instance->caller_address,
       .peer_address = instance->peer_address,
       .lease_ns = settings->lease_ms * KWF_NS_PER_MS,
--- a/net/message.c
+++ b/net/message.c
@@ -52,6 +52,7 @@
   wire_put_text_or_empty (writer, renew->peer_address);
   wire_put_text_or_empty (writer, renew->data_centre);
   wire_put_int (writer, renew->load);
+  wire_put_amount (writer, renew->cores);
   wire_put_int (writer, renew->after);
   wire_put_value (writer, renew->demand);
 }
@@ -67,6 +68,7 @@
   renew->peer_address = wire_text_or_empty (reader);
   renew->data_centre = wire_text_or_empty (reader);
   renew->load = wire_int (reader);
+  renew->cores = wire_amount (reader);
   renew->after = wire_int (reader);
   renew->demand = wire_value (reader);
 }
@@ -179,6 +181,30 @@
   loads->n_loads = count;
 }
 
+static void
+put_down (wire_writer_t *writer, const kwf_down_t *down)
+{
+  wire_put_array (writer, down->n_names);
+  for (size_t i = 0; i < down->n_names; i++)
+    wire_put_text (writer, down->names[i]);
+}
+
+static void
+read_down (wire_reader_t *reader, kwf_down_t *down)
+{
+  wire_reader_t frame;
+  uint32_t count = wire_enter (reader, &frame);
+  const char **names
+      = msgpack_zone_malloc (reader->zone, (count + 1) * sizeof *names);
+  if (!names)
+    reader->failed = true;
+  for (uint32_t i = 0; i < count && !reader->failed; i++)
+    names[i] = wire_text (reader);
+  wire_leave (reader, &frame);
+  down->names = names;
+  down->n_names = count;
+}
+
 /* Number of fields of each type; -1 where there is no such type.  */
 static int
 field_count (int64_t type)
@@ -189,7 +215,7 @@
     case KWF_MSG_LEAVE:
       return 0;
     case KWF_MSG_RENEW:
-      return 10;
+      return 11;
     case KWF_MSG_RENEWED:
       return 4;
     case KWF_MSG_SILENT_ASK:
@@ -197,6 +223,7 @@
     case KWF_MSG_STATE_ASK:
     case KWF_MSG_WANT:
     case KWF_MSG_LAPSED:
+    case KWF_MSG_DOWN:
       return 1;
     case KWF_MSG_SILENT:
     case KWF_MSG_WITHDRAW:
@@ -285,6 +312,9 @@
     case KWF_MSG_LAPSED:
       wire_put_int (writer, message->lapsed);
       break;
+    case KWF_MSG_DOWN:
+      put_down (writer, &message->down);
+      break;
     }
 }
 
@@ -357,6 +387,9 @@
     case KWF_MSG_LAPSED:
       message->lapsed = wire_int (reader);
       break;
+    case KWF_MSG_DOWN:
+      read_down (reader, &message->down);
+      break;
     }
 }
 
--- a/test/test_follower.c
+++ b/test/test_follower.c
@@ -57,6 +57,9 @@
 roles_follow_from_the_members (void **state)
 {
   core_world_t *world = *state;
+  /* One that has just begun leaves others the time to tell it.  */
+  assert_true (kwf_core_feed_patience_ns (world->core) > 2 * KWF_NS_PER_S);
+  core_world_pass (world, 3000);
   assert_int_equal (kwf_core_feed_patience_ns (world->core), 0);
   join (world, "b", "c");
   join (world, "d", "e");
@@ -93,7 +96,7 @@
 assert_addresses (const core_world_t *world, const char *expected)
 {
   GString *addresses = g_string_new (NULL);
-  kwf_core_addresses (world->core, add_address, addresses);
+  kwf_core_addresses (world->core, NULL, 64, add_address, addresses);
   assert_string_equal (addresses->str, expected);
   g_string_free (addresses, TRUE);
 }
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -21,12 +21,15 @@
   { "session/i1", 0, "" },
 };
 
+static const char *const names[] = { "i1", "i2" };
+
 static const kwf_load_t loads[] = { { "s1", 3, 1 }, { "s2", 0, 0 } };
 
 static const kwf_message_t samples[] = {
   { .type = KWF_MSG_PING },
   { .type = KWF_MSG_LEAVE },
   { .type = KWF_MSG_LAPSED, .lapsed = 41 },
+  { .type = KWF_MSG_DOWN, .down = { .names = names, .n_names = 2 } },
   { .type = KWF_MSG_RENEW,
     .renew = { .incarnation = UINT64_MAX,
                .counter = 17,
@@ -36,6 +39,7 @@
                .peer_address = "[::1]:9",
                .data_centre = "",
                .load = 38,
+               .cores = 0.12,
                .after = INT64_MAX,
                .demand = "{\"demand\":{\"m/x\":0.5}}" } },
   { .type = KWF_MSG_WANT, .want = "{}" },
@@ -132,6 +136,7 @@
       assert_string_equal (a->renew.peer_address, b->renew.peer_address);
       assert_string_equal (a->renew.data_centre, b->renew.data_centre);
       assert_true (a->renew.load == b->renew.load);
+      assert_true (a->renew.cores == b->renew.cores);
       assert_true (a->renew.after == b->renew.after);
       assert_int_equal (g_strcmp0 (a->renew.demand, b->renew.demand), 0);
       break;
@@ -211,6 +216,11 @@
     case KWF_MSG_LAPSED:
       assert_true (a->lapsed == b->lapsed);
       break;
+    case KWF_MSG_DOWN:
+      assert_int_equal (a->down.n_names, b->down.n_names);
+      for (size_t i = 0; i < a->down.n_names; i++)
+        assert_string_equal (a->down.names[i], b->down.names[i]);
+      break;
     case KWF_MSG_WANT:
       assert_int_equal (g_strcmp0 (a->want, b->want), 0);
       break;
@@ -254,7 +264,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_LAPSED + 1 },
+    { .type = KWF_MSG_DOWN + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
