Let a fleet of hundreds keep links to its hubs only

In a fleet of more than 24 members the three largest instances of each data centre are hubs (lib/hub.c): they link to all, read and pass on the tables and loads, hold the shares, write the epochs and give the orders. The others link to hubs, which tell them who is down. An epoch names hubs only and leaves out 64 members at most; address answers are 64 drawn ones, three quarters of them in the caller's data centre. Rounds of placement keep a distance that grows with models times engines. Fleets up to 24 are as before.

Found on the way: a table read while the store was empty was taken for version 1, and the first row, the configuration, was missed (test_feed).

--- a/lib/direct.c
+++ b/lib/direct.c
@@ -10,6 +10,10 @@
 /* Period of the rounds, and the least time between two that news ask for.  */
 #define ROUND_NS (250 * KWF_NS_PER_MS)
 #define ROUND_LEAST_NS (20 * KWF_NS_PER_MS)
+/* A round looks at each model on each engine.  Hundreds of instances ask for
+   rounds all the time; this much is added to the least time for each pair, so
+   that rounds take a small part of the time.  */
+#define ROUND_PAIR_NS 1500
 /* Other instances tell the holder their demand this often.  */
 #define TELL_NS (500 * KWF_NS_PER_MS)
 /* Loads that may begin at once beyond the weight store's rate.  */
@@ -45,6 +49,7 @@
   int64_t loads_ns;  /* time of LOADS */
   int64_t next_ns;   /* next round */
   int64_t last_ns;   /* last round */
+  int64_t least_ns;  /* between two rounds */
   int64_t tell_ns;   /* next time that demand is told */
   int64_t watch_ns;  /* the demand is watched since then; 0: none yet */
   bool held;         /* the duty was held in the last step */
@@ -625,6 +630,10 @@
                              .effects = effects };
   if (!lists || !context.token)
     return;
+  direct->least_ns = ROUND_LEAST_NS
+                     + (int64_t)g_hash_table_size (direct->desks)
+                           * (int64_t)kwf_lists_n_models (lists)
+                           * ROUND_PAIR_NS;
   if (!direct->watch_ns && demand_any (direct->sources.demand))
     direct->watch_ns = now_ns;
   GHashTableIter iter;
@@ -646,7 +655,7 @@
 ask_round (direct_t *direct, int64_t now_ns)
 {
   direct->next_ns
-      = MIN (direct->next_ns, MAX (now_ns, direct->last_ns + ROUND_LEAST_NS));
+      = MIN (direct->next_ns, MAX (now_ns, direct->last_ns + direct->least_ns));
 }
 
 static void
@@ -722,7 +731,7 @@
   if (now_ns < direct->next_ns)
     return;
   direct->last_ns = now_ns;
-  direct->next_ns = now_ns + ROUND_NS;
+  direct->next_ns = now_ns + MAX (ROUND_NS, direct->least_ns);
   run_round (direct, now_ns, effects);
 }
 
--- a/lib/member.c
+++ b/lib/member.c
@@ -114,7 +114,9 @@
       member->incarnation = incarnation;
       member->incarnation_ns = now_ns;
       member->epoch_left = 0;
-      kwf_effects_log (effects, 105, KWF_LOG_INFO, NULL,
+      /* In a large fleet that would be a line of each of each other.  */
+      kwf_effects_log (effects, 105,
+                       session->large ? KWF_LOG_DEBUG : KWF_LOG_INFO, NULL,
                        "member %s joined with incarnation %" G_GUINT64_FORMAT,
                        member->instance, incarnation);
     }
@@ -133,7 +135,6 @@
   replace (&member->caller_address, object, "caller_address");
   replace (&member->peer_address, object, "peer_address");
   replace (&member->data_centre, object, "data_centre");
-  (void)session;
 }
 
 /* The row of this instance: a newer incarnation ends its authority.  */
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -76,7 +76,7 @@
   else if (!all && world->forgets)
     connection_reply (connection, 410, "{}");
   else if (all || world->version > number_in (request, "after="))
-    reply_rows (world, connection, true);
+    reply_rows (world, connection, world->version > 0);
   else if (number_in (request, "wait_ms=") > 0)
     world->one = connection;
   else
@@ -120,22 +120,29 @@
   world->told = *news;
 }
 
+/* The table has VERSION; 0: nothing was written yet.  */
 static void
-start (world_t *world, int64_t patience)
+start_at (world_t *world, int64_t patience, int64_t version)
 {
   static const feed_handler_t handler = { .reset = on_reset,
                                           .row = on_row,
                                           .end = on_end,
                                           .patience_ns = patience_ns,
                                           .tell = on_tell };
-  world->version = 7;
+  world->version = version;
   world->patience_ns = patience;
   world->feed = feed_new (
       world->loop, world->calls,
       &(feed_options_t){
           .table = "t", .number = 2, .handler = &handler, .data = world });
   assert_true (run_until (world->loop, &world->n_ends, 1, 5));
-  assert_int_equal (world->row, 7);
+  assert_int_equal (world->row, version);
+}
+
+static void
+start (world_t *world, int64_t patience)
+{
+  start_at (world, patience, 7);
 }
 
 /* What another instance tells, of row "k" at REVISION.  */
@@ -287,6 +294,18 @@
   assert_int_equal (world->row, 40);
 }
 
+/* Guards against a first row, such as the configuration, that is missed
+   because the table was empty when it was read.  */
+static void
+first_row_of_an_empty_store_is_seen (void **state)
+{
+  world_t *world = *state;
+  start_at (world, 100 * KWF_NS_PER_MS, 0);
+  world->version = 1;
+  assert_true (run_until (world->loop, &world->n_ends, 2, 5));
+  assert_int_equal (world->row, 1);
+}
+
 int
 main (void)
 {
@@ -300,6 +319,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (all_is_read_when_the_history_is_gone,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (first_row_of_an_empty_store_is_seen,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (news_count_while_the_store_is_silent,
                                      set_up, tear_down),
   };
--- /dev/null
+++ b/test/test_hub.c
@@ -0,0 +1,231 @@
+/* Which instances of a large fleet have links to all, and what follows: links,
+   roles, the addresses of callers, the members of a share epoch.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-core.h"
+
+enum
+{
+  CENTRES = 3,
+  LARGE = 4, /* large members of each data centre */
+  SMALL = 16
+};
+
+/* A member's name: data centre, size, number; "a" of "c" is this instance.  */
+static void
+name_of (char name[16], int centre, bool large, int number)
+{
+  g_snprintf (name, 16, "%c%c%02d", 'c' + centre, large ? 'l' : 's', number);
+}
+
+static void
+add_row (core_world_t *world, const char *name, double cores)
+{
+  char key[32];
+  char value[256];
+  g_snprintf (key, sizeof key, "session/%s", name);
+  g_snprintf (value, sizeof value,
+              "{\"incarnation\":1,\"counter\":1,\"data_centre\":\"%c\","
+              "\"peer_address\":\"127.0.0.1:9\","
+              "\"caller_address\":\"%s\",\"cores\":%g}",
+              name[0], name, cores);
+  kwf_row_t row = { key, ++world->revision, value };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ROWS,
+                                          .rows = { .revision
+                                                    = world->revision,
+                                                    .rows = &row,
+                                                    .n_rows = 1 } });
+}
+
+static void
+link_is (core_world_t *world, const char *name, bool up)
+{
+  core_world_step (
+      world, &(kwf_event_t){ .type = up ? KWF_EV_PEER_UP : KWF_EV_PEER_DOWN,
+                             .peer = { .instance = name, .incarnation = 1 } });
+}
+
+static int n_linked; /* links that were asked for */
+
+static void
+count_links (const core_world_t *world)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    n_linked
+        += kwf_effects_at (world->effects, i)->type == KWF_FX_PEER_LINK;
+}
+
+/* The fleet joins; this instance is one of the small ones of "c".  */
+static void
+join_all (core_world_t *world)
+{
+  char name[16];
+  n_linked = 0;
+  for (int centre = 0; centre < CENTRES; centre++)
+    for (int i = 0; i < LARGE + SMALL; i++)
+      {
+        name_of (name, centre, i < LARGE, i);
+        add_row (world, name, i < LARGE ? 2 : 0.5);
+        count_links (world);
+      }
+}
+
+static void
+link_hubs (core_world_t *world, bool up)
+{
+  char name[16];
+  for (int centre = 0; centre < CENTRES; centre++)
+    for (int i = 0; i < 3; i++)
+      {
+        name_of (name, centre, true, i);
+        link_is (world, name, up);
+      }
+}
+
+typedef struct
+{
+  int near;
+  int all;
+  bool down; /* "cs10" is among them */
+} addresses_t;
+
+static void
+take_address (const char *address, const char *data_centre, void *data)
+{
+  addresses_t *addresses = data;
+  addresses->all++;
+  addresses->near += strcmp (data_centre, "c") == 0;
+  addresses->down |= strcmp (address, "cs10") == 0;
+}
+
+static addresses_t
+addresses_of (const core_world_t *world, size_t most)
+{
+  addresses_t addresses = { 0 };
+  kwf_core_addresses (world->core, "c", most, take_address, &addresses);
+  return addresses;
+}
+
+/* Guards against links that grow with the fleet, and against a small instance
+   that takes over a role for which it has no links.  */
+static void
+small_one_links_to_hubs (void **state)
+{
+  core_world_t *world = *state;
+  join_all (world);
+  /* Some links were asked for while the fleet was small.  */
+  assert_true (n_linked <= 24 + CENTRES * 3);
+  link_hubs (world, true);
+  core_world_pass (world, 4000);
+  assert_true (kwf_core_feed_patience_ns (world->core) > KWF_NS_PER_S);
+  /* Without any hub it asks the platform now and then, not all the time.  */
+  link_hubs (world, false);
+  core_world_pass (world, 4000);
+  assert_true (kwf_core_feed_patience_ns (world->core) > KWF_NS_PER_S);
+  for (int64_t ms = 0; ms < 10000; ms += 100)
+    {
+      core_world_pass (world, 100);
+      assert_null (core_world_effect (world, KWF_FX_ORDER));
+      assert_null (core_world_effect (world, KWF_FX_STORE));
+    }
+}
+
+/* Guards against addresses of the first 64 by name, of members that hubs do
+   not reach, and of members without a link as if they were gone.  */
+static void
+addresses_are_spread (void **state)
+{
+  core_world_t *world = *state;
+  join_all (world);
+  link_hubs (world, true);
+  addresses_t all = addresses_of (world, 100);
+  assert_true (all.down);
+  assert_true (all.all >= CENTRES * (SMALL + 3));
+  addresses_t some = addresses_of (world, 16);
+  assert_int_equal (some.all, 16);
+  assert_int_equal (some.near, 12);
+  const char *const names[] = { "cs10" };
+  kwf_message_t down = { .type = KWF_MSG_DOWN, .down = { names, 1 } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "cl00",
+                                                    .incarnation = 1,
+                                                    .message = &down } });
+  assert_false (addresses_of (world, 100).down);
+  /* What nobody repeats is not believed for long.  */
+  core_world_pass (world, 4000);
+  assert_true (addresses_of (world, 100).down);
+}
+
+/* Whether this step tells NAME that "cs10" is down.  */
+static bool
+tells_down (const core_world_t *world, const char *name)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      if (effect->type != KWF_FX_PEER_SEND
+          || effect->send.message.type != KWF_MSG_DOWN
+          || strcmp (effect->send.instance, name) != 0)
+        continue;
+      for (size_t k = 0; k < effect->send.message.down.n_names; k++)
+        if (strcmp (effect->send.message.down.names[k], "cs10") == 0)
+          return true;
+    }
+  return false;
+}
+
+/* Guards against members that go on sending callers to one that is gone.
+   This instance has one core and is a hub when the large ones have less.  */
+static void
+hub_tells_who_is_down (void **state)
+{
+  core_world_t *world = *state;
+  char name[16];
+  n_linked = 0;
+  for (int centre = 0; centre < CENTRES; centre++)
+    for (int i = 0; i < LARGE + SMALL; i++)
+      {
+        name_of (name, centre, i < LARGE, i);
+        add_row (world, name, i < LARGE ? 0.9 : 0.1);
+        count_links (world);
+      }
+  /* A hub has links to all.  */
+  assert_int_equal (n_linked, CENTRES * (LARGE + SMALL));
+  for (int centre = 0; centre < CENTRES; centre++)
+    for (int i = 0; i < LARGE + SMALL; i++)
+      {
+        name_of (name, centre, i < LARGE, i);
+        link_is (world, name, true);
+      }
+  core_world_pass (world, 1100);
+  assert_false (tells_down (world, "cs11"));
+  link_is (world, "cs10", false);
+  assert_true (tells_down (world, "cs11"));
+  /* Those of other data centres have hubs of their own.  */
+  assert_false (tells_down (world, "ds11"));
+  core_world_pass (world, 1100);
+  assert_true (tells_down (world, "cs11"));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (small_one_links_to_hubs,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (addresses_are_spread, core_world_setup,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (hub_tells_who_is_down, core_world_setup,
+                                     core_world_teardown),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
