Make a round of placement cost what engines hold, not models times engines

The index of held models is built once; reports are asked for 16 a round; sums of the demand of 32 or more instances are made anew by time only.

--- a/lib/demand.c
+++ b/lib/demand.c
@@ -10,6 +10,8 @@
 #define DECAY_S 3.0
 /* The sums are made anew after this time; much less than the decay.  */
 #define SUMS_NS (50 * KWF_NS_PER_MS)
+/* From this many instances on only the time makes the sums anew.  */
+#define MANY_OTHERS 32
 /* A model is cold after this time without a call.  */
 #define COLD_NS (60 * KWF_NS_PER_S)
 
@@ -85,6 +87,14 @@
   return item->rate * exp (-age_s / DECAY_S);
 }
 
+/* In a large fleet a call of one instance changes the sums little.  */
+static void
+note_change (demand_t *demand)
+{
+  if (g_hash_table_size (demand->others) < MANY_OTHERS)
+    demand->sums->valid = false;
+}
+
 /* The own item of the name, marked as called now.  */
 static item_t *
 touch (demand_t *demand, const char *model, const char *adapter)
@@ -99,7 +109,7 @@
       item = g_new0 (item_t, 1);
       g_hash_table_insert (demand->own, name, item);
     }
-  demand->sums->valid = false;
+  note_change (demand);
   item->rate = decayed (item, now_ns);
   item->rate_ns = now_ns;
   item->last_ns = now_ns;
@@ -133,7 +143,7 @@
   item_t *item = g_hash_table_lookup (demand->own, name);
   if (item)
     item->deadline_ns = 0;
-  demand->sums->valid = false;
+  note_change (demand);
   g_free (name);
 }
 
--- a/lib/desk.c
+++ b/lib/desk.c
@@ -492,17 +492,18 @@
   return false;
 }
 
-void
+bool
 desk_ask (desk_t *desk, const desk_context_t *context)
 {
   bool slow = (desk->carried || is_leaving_adapters (desk))
               && context->now_ns >= desk->carry_again_ns;
   if (!desk->usable || desk->order_id || (!desk->doubtful && !slow)
       || context->now_ns < desk->again_ns)
-    return;
+    return false;
   desk->again_ns = context->now_ns + 2 * AGAIN_NS;
   desk->carry_again_ns = context->now_ns + CARRY_AGAIN_NS;
   kwf_effect_t *effect = kwf_effects_add (context->effects, KWF_FX_PROBE);
   effect->probe.server = kwf_effects_strdup (context->effects, desk->id);
   effect->probe.address = kwf_effects_strdup (context->effects, desk->address);
+  return true;
 }
--- a/lib/desk.h
+++ b/lib/desk.h
@@ -114,8 +114,9 @@
 void desk_order (desk_t *desk, order_kind_t kind, const char *model,
                  const char *adapter, const desk_context_t *context);
 
-/* Ask for a load report when one is needed and due.  */
-void desk_ask (desk_t *desk, const desk_context_t *context);
+/* Ask for a load report when one is needed and due; return whether it was
+   asked for.  */
+bool desk_ask (desk_t *desk, const desk_context_t *context);
 
 held_model_t *desk_model (const desk_t *desk, const char *model);
 bool desk_has_adapter (const desk_t *desk, const char *model,
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -14,6 +14,9 @@
    rounds all the time; this much is added to the least time for each pair, so
    that rounds take a small part of the time.  */
 #define ROUND_PAIR_NS 1500
+/* Reports that a round asks for: hundreds at once would take the processor and
+   the descriptors of the holder.  */
+#define ASKS_MOST 16
 /* Other instances tell the holder their demand this often.  */
 #define TELL_NS (500 * KWF_NS_PER_MS)
 /* Loads that may begin at once beyond the weight store's rate.  */
@@ -191,7 +194,8 @@
 {
   rebalance_model_t *models;
   rebalance_engine_t *engines;
-  GPtrArray *desks; /* of desk_t, one for each engine */
+  GPtrArray *desks;   /* of desk_t, one for each engine */
+  GHashTable *places; /* name of a model to its place and 1 */
   int n_models;
   int n_engines;
 } fleet_t;
@@ -210,6 +214,13 @@
          - (int64_t)service->adapter_slots * ADAPTER_MB;
 }
 
+/* Place of the model NAME in FLEET; -1: it is not there.  */
+static int
+model_at (const fleet_t *fleet, const char *name)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (fleet->places, name)) - 1;
+}
+
 static void
 describe_engine (const direct_t *direct, fleet_t *fleet,
                  const kwf_service_t *service, int at, int64_t now_ns)
@@ -218,19 +229,26 @@
   int8_t *states = g_new0 (int8_t, fleet->n_models + 1);
   int64_t *held_for_ns = g_new0 (int64_t, fleet->n_models + 1);
   bool *near = g_new0 (bool, fleet->n_models + 1);
-  for (int i = 0; i < fleet->n_models; i++)
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  g_hash_table_iter_init (&iter, desk->models);
+  while (g_hash_table_iter_next (&iter, &name, &value))
     {
-      const held_model_t *held = desk_model (desk, fleet->models[i].name);
-      near[i] = desk_is_near (desk, fleet->models[i].name);
-      if (!held)
+      const held_model_t *held = value;
+      int i = model_at (fleet, name);
+      if (i < 0)
         continue;
       states[i] = states_of[held->state];
       held_for_ns[i] = now_ns - held->since_ns;
     }
-  for (int i = 0; desk->promised && i < fleet->n_models; i++)
-    if (strcmp (fleet->models[i].name, desk->promised) == 0
-        && states[i] == REBALANCE_ABSENT)
-      states[i] = REBALANCE_LOADING;
+  g_hash_table_iter_init (&iter, desk->near);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (model_at (fleet, name) >= 0)
+      near[model_at (fleet, name)] = true;
+  int promised = desk->promised ? model_at (fleet, desk->promised) : -1;
+  if (promised >= 0 && states[promised] == REBALANCE_ABSENT)
+    states[promised] = REBALANCE_LOADING;
   fleet->engines[at] = (rebalance_engine_t){
     .free = desk_is_free (desk, now_ns) && !desk->promised,
     .free_mb = free_mb_of (direct, service, desk, now_ns),
@@ -256,12 +274,15 @@
   const demand_t *demand = direct->sources.demand;
   size_t n = kwf_lists_n_models (lists);
   *fleet = (fleet_t){ .models = g_new0 (rebalance_model_t, n + 1),
-                      .desks = g_ptr_array_new () };
+                      .desks = g_ptr_array_new (),
+                      .places = g_hash_table_new (g_str_hash, g_str_equal) };
   for (size_t i = 0; i < n; i++)
     {
       const kwf_model_t *model = kwf_lists_model_at (lists, i);
       if (g_strcmp0 (model->service, service->name) != 0)
         continue;
+      g_hash_table_insert (fleet->places, (gpointer)model->name,
+                           GINT_TO_POINTER (fleet->n_models + 1));
       demand_wait_t wait = demand_waiting (demand, model->name, NULL);
       fleet->models[fleet->n_models++] = (rebalance_model_t){
         .name = model->name,
@@ -297,6 +318,7 @@
   g_free (fleet->engines);
   g_free (fleet->models);
   g_ptr_array_free (fleet->desks, TRUE);
+  g_hash_table_unref (fleet->places);
 }
 
 static void
@@ -558,28 +580,47 @@
     begin_unload (direct, desk, model, idle, context);
 }
 
-/* Copies of MODEL on engines that are not leaving; of held_model_t.  */
-static GPtrArray *
-find_copies (const direct_t *direct, const kwf_model_t *model)
+static void
+add_copy (GHashTable *copies, const char *model, held_model_t *held)
+{
+  GPtrArray *list = g_hash_table_lookup (copies, model);
+  if (!list)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (copies, (gpointer)model, list);
+    }
+  g_ptr_array_add (list, held);
+}
+
+/* Copies on engines that are not leaving: name of a model to a GPtrArray of
+   held_model_t.  */
+static GHashTable *
+find_copies (const direct_t *direct)
 {
-  GPtrArray *copies = g_ptr_array_new ();
+  GHashTable *copies = g_hash_table_new_full (
+      g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
   GHashTableIter iter;
   gpointer desk;
   g_hash_table_iter_init (&iter, direct->desks);
   while (g_hash_table_iter_next (&iter, NULL, &desk))
     {
-      held_model_t *held = desk_model (desk, model->name);
-      if (held && held->state == HELD_RESIDENT && ((desk_t *)desk)->usable)
-        g_ptr_array_add (copies, held);
+      GHashTableIter models;
+      gpointer name;
+      gpointer held;
+      g_hash_table_iter_init (&models, ((desk_t *)desk)->models);
+      while (((desk_t *)desk)->usable
+             && g_hash_table_iter_next (&models, &name, &held))
+        if (((held_model_t *)held)->state == HELD_RESIDENT)
+          add_copy (copies, name, held);
     }
   return copies;
 }
 
 static void
 place_adapters_of (direct_t *direct, const kwf_service_t *service,
-                   const kwf_model_t *model, const desk_context_t *context)
+                   const kwf_model_t *model, const GPtrArray *holders,
+                   const desk_context_t *context)
 {
-  GPtrArray *holders = find_copies (direct, model);
   for (size_t i = 0; i < model->n_adapters; i++)
     {
       adapter_t adapter
@@ -593,7 +634,6 @@
       if (adapter.copies < copies_wanted (direct, &adapter, (int)holders->len))
         place_adapter (direct, service, &adapter, context);
     }
-  g_ptr_array_free (holders, TRUE);
 }
 
 static void
@@ -601,12 +641,16 @@
                 const desk_context_t *context)
 {
   const kwf_lists_t *lists = config_lists (direct->sources.config);
+  GHashTable *copies = find_copies (direct);
   for (size_t i = 0; i < kwf_lists_n_models (lists); i++)
     {
       const kwf_model_t *model = kwf_lists_model_at (lists, i);
-      if (g_strcmp0 (model->service, service->name) == 0)
-        place_adapters_of (direct, service, model, context);
+      const GPtrArray *holders = g_hash_table_lookup (copies, model->name);
+      if (holders && model->n_adapters
+          && g_strcmp0 (model->service, service->name) == 0)
+        place_adapters_of (direct, service, model, holders, context);
     }
+  g_hash_table_unref (copies);
 }
 
 /* Rounds.  */
@@ -639,8 +683,9 @@
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, direct->desks);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    desk_ask (value, &context);
+  int asks = 0;
+  while (g_hash_table_iter_next (&iter, NULL, &value) && asks < ASKS_MOST)
+    asks += desk_ask (value, &context);
   for (size_t i = 0; i < kwf_lists_n_services (lists); i++)
     {
       const kwf_service_t *service = kwf_lists_service_at (lists, i);
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -2,6 +2,7 @@
 
 #include <knapweedfork/clock.h>
 #include <math.h>
+#include <string.h>
 
 /* A model that is not waited for counts as called from this rate on, in
    tokens a second.  */
@@ -31,6 +32,9 @@
   const rebalance_engine_t *engines;
   int n_models;
   int n_engines;
+  int *held;    /* models that are not absent, those of engine E from
+                   first[E] to first[E + 1] */
+  int *first;
   int *copies;  /* held or on their way in */
   int *settled; /* held */
   double mean;  /* demand on a copy, over all */
@@ -81,9 +85,8 @@
 engine_pressure (const view_t *view, int engine)
 {
   double sum = 0;
-  for (int i = 0; i < view->n_models; i++)
-    if (state_of (view, engine, i) != REBALANCE_ABSENT)
-      sum += pressure (view, i);
+  for (int i = view->first[engine]; i < view->first[engine + 1]; i++)
+    sum += pressure (view, view->held[i]);
   return sum;
 }
 
@@ -100,16 +103,19 @@
   bool missing = !view->copies[model];
   room_t room = { .first = -1 };
   int64_t free_mb = view->engines[engine].free_mb;
-  bool *gone = g_newa (bool, view->n_models);
-  for (int i = 0; i < view->n_models; i++)
-    gone[i] = false;
+  int begin = view->first[engine];
+  int n_held = view->first[engine + 1] - begin;
+  bool *gone = g_newa (bool, n_held + 1);
+  memset (gone, 0, (size_t)n_held + 1);
   while (free_mb < view->models[model].mb)
     {
       int least = -1;
+      int least_at = -1;
       double least_cost = INFINITY;
-      for (int i = 0; i < view->n_models; i++)
+      for (int k = 0; k < n_held; k++)
         {
-          if (gone[i] || state_of (view, engine, i) != REBALANCE_HELD)
+          int i = view->held[begin + k];
+          if (gone[k] || state_of (view, engine, i) != REBALANCE_HELD)
             continue;
           double cost = pressure_without (view, engine, i, missing);
           if (cost > least_cost
@@ -119,11 +125,12 @@
           if (isinf (cost))
             continue;
           least = i;
+          least_at = k;
           least_cost = cost;
         }
       if (least < 0)
         return (room_t){ .cost = INFINITY, .first = -1 };
-      gone[least] = true;
+      gone[least_at] = true;
       free_mb += view->models[least].mb;
       room.cost = MAX (room.cost, least_cost);
       if (room.first < 0)
@@ -177,12 +184,29 @@
                              .purpose = model };
 }
 
+/* An engine holds a few of hundreds of models.  */
+static void
+list_held (view_t *view)
+{
+  GArray *held = g_array_new (FALSE, FALSE, sizeof (int));
+  view->first = g_new0 (int, view->n_engines + 1);
+  for (int i = 0; i < view->n_engines; i++)
+    {
+      for (int k = 0; k < view->n_models; k++)
+        if (view->engines[i].states[k] != REBALANCE_ABSENT)
+          g_array_append_val (held, k);
+      view->first[i + 1] = (int)held->len;
+    }
+  view->held = (int *)(void *)g_array_free (held, FALSE);
+}
+
 static void
 count_copies (view_t *view)
 {
   for (int i = 0; i < view->n_engines; i++)
-    for (int k = 0; k < view->n_models; k++)
+    for (int at = view->first[i]; at < view->first[i + 1]; at++)
       {
+        int k = view->held[at];
         rebalance_state_t state = state_of (view, i, k);
         view->settled[k] += state == REBALANCE_HELD;
         view->copies[k]
@@ -245,6 +269,7 @@
                   .copies = g_new0 (int, n_models + 1),
                   .settled = g_new0 (int, n_models + 1) };
   bool *skipped = g_new0 (bool, n_models + 1);
+  list_held (&view);
   count_copies (&view);
   int model;
   while (step.engine < 0 && (model = find_missing (&view, skipped)) >= 0)
@@ -262,6 +287,8 @@
                        may_load);
     }
   g_free (skipped);
+  g_free (view.held);
+  g_free (view.first);
   g_free (view.copies);
   g_free (view.settled);
   return step;
