--- a/test/test_rebalance.c
+++ b/test/test_rebalance.c
@@ -259,13 +259,13 @@
     };
   for (int i = 0; i < ENGINES; i++)
     {
-      engines[i]
-          = (rebalance_engine_t){ .free = true,
-                                  .free_mb = 60000,
-                                  .states = states + i * MODELS,
-                                  .held_for_ns = held_for_ns + i * MODELS };
-      states[i * MODELS + i] = states[i * MODELS + (i + 1) % MODELS]
-          = REBALANCE_HELD;
+      engines[i] = (rebalance_engine_t){ .free = true,
+                                         .free_mb = 60000,
+                                         .states = states + (size_t)i * MODELS,
+                                         .held_for_ns
+                                         = held_for_ns + (size_t)i * MODELS };
+      states[(size_t)i * MODELS + i]
+          = states[(size_t)i * MODELS + (i + 1) % MODELS] = REBALANCE_HELD;
     }
   clock_t began = clock ();
   for (int i = 0; i < STEPS; i++)
