--- a/lib/direct.c
+++ b/lib/direct.c
@@ -5,6 +5,7 @@
 
 #include "desk.h"
 #include "duty.h"
+#include "follower.h"
 #include "rebalance.h"
 
 /* Period of the rounds, and the least time between two that news ask for.  */
@@ -133,26 +134,54 @@
     }
 }
 
+typedef struct
+{
+  const kwf_placed_t *placed;
+  const char *from; /* is not told; "": nobody */
+  kwf_effects_t *effects;
+} placing_t;
+
+static void
+tell_placed (const char *instance, void *data)
+{
+  const placing_t *placing = data;
+  if (strcmp (instance, placing->from) != 0)
+    session_send (instance, KWF_MSG_PLACED, placing->effects)->placed
+        = *placing->placed;
+}
+
 /* Tell all instances, this one too, what SERVER holds now.  */
 static void
 announce (direct_t *direct, const desk_t *desk, bool present,
           kwf_effects_t *effects)
 {
-  const session_t *session = direct->sources.session;
   kwf_placed_t placed
       = { .server = kwf_effects_strdup (effects, desk->id),
           .incarnation = desk->incarnation,
           .model = kwf_effects_strdup (effects, desk->model),
           .adapter = kwf_effects_strdup (effects, desk->adapter),
           .present = present };
-  session_member_t member;
-  size_t at = SESSION_OTHERS;
-  while (session_next_member (session, &at, &member))
-    if (member.linked)
-      session_send (member.instance, KWF_MSG_PLACED, effects)->placed = placed;
+  placing_t placing = { &placed, "", effects };
+  follower_spread (direct->sources.session, tell_placed, &placing);
   backend_take_placed (direct->sources.backend, &placed);
 }
 
+/* One that passes on tells those beside it what the holder told.  */
+static void
+pass_placed (const direct_t *direct, const kwf_peer_event_t *peer,
+             kwf_effects_t *effects)
+{
+  const kwf_placed_t *told = &peer->message->placed;
+  kwf_placed_t placed = *told;
+  placed.server = kwf_effects_strdup (effects, told->server);
+  placed.model = kwf_effects_strdup (effects, told->model);
+  placed.adapter = kwf_effects_strdup (effects, told->adapter);
+  placing_t placing = { &placed, peer->instance, effects };
+  if (session_is_large (direct->sources.session)
+      && follower_role (direct->sources.session) != FOLLOWER_LISTENS)
+    follower_beside (direct->sources.session, tell_placed, &placing);
+}
+
 static void
 take_answer (direct_t *direct, const kwf_order_event_t *event, int64_t now_ns,
              kwf_effects_t *effects)
@@ -704,7 +733,8 @@
 }
 
 static void
-take_message (direct_t *direct, const kwf_peer_event_t *peer, int64_t now_ns)
+take_message (direct_t *direct, const kwf_peer_event_t *peer, int64_t now_ns,
+              kwf_effects_t *effects)
 {
   if (peer->message->type == KWF_MSG_WANT)
     {
@@ -713,7 +743,10 @@
       ask_round (direct, now_ns);
     }
   else if (peer->message->type == KWF_MSG_PLACED)
-    backend_take_placed (direct->sources.backend, &peer->message->placed);
+    {
+      backend_take_placed (direct->sources.backend, &peer->message->placed);
+      pass_placed (direct, peer, effects);
+    }
 }
 
 /* The holder is told of the demand here.  */
@@ -761,7 +794,7 @@
   else if (event->type == KWF_EV_ORDER_REPLY)
     take_answer (direct, &event->order, now_ns, effects);
   else if (event->type == KWF_EV_PEER_MESSAGE)
-    take_message (direct, &event->peer, now_ns);
+    take_message (direct, &event->peer, now_ns, effects);
   else if (event->type == KWF_EV_REPORT)
     {
       desk_t *desk = g_hash_table_lookup (direct->desks, event->report.server);
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -27,6 +27,13 @@
 
 static const char *const prefixes[] = { "duty/" };
 
+/* A question to the table whether the row is still this instance's.  */
+typedef struct
+{
+  kwf_handle_t op; /* 0: none */
+  int64_t sent_ns;
+} question_t;
+
 struct duty
 {
   const kwf_clock_t *clock;
@@ -53,8 +60,9 @@
   int64_t proved_ns;     /* sending of the last question that was answered
                             with the row unchanged; 0: none */
   int64_t proved_at;     /* revision of that answer */
-  kwf_handle_t proof_op; /* question under way; 0: none */
-  int64_t proof_sent_ns;
+  question_t questions[PROOFS]; /* under way, the oldest is dropped */
+  int n_questions;              /* asked so far */
+  int64_t asked_ns;             /* last one */
   int64_t lapsed_ns;  /* others were told last that the right ended; 0: it
                          holds */
   bool holder_lapsed; /* the holder told that its right ended */
@@ -144,7 +152,7 @@
     return;
   duty->act_ns = act_ns;
   duty->proved_ns = 0;
-  duty->proof_op = 0;
+  memset (duty->questions, 0, sizeof duty->questions);
   kwf_effects_log (effects, 357, KWF_LOG_INFO, NULL,
                    duty->mine ? "this instance has %s, token %" PRId64
                               : "another instance has %s, token %" PRId64,
@@ -212,22 +220,23 @@
 static void
 ask_proof (duty_t *duty, int64_t now_ns, kwf_effects_t *effects)
 {
-  duty->proof_op = op_handle (OP_DUTY, ++duty->next_op);
-  duty->proof_sent_ns = now_ns;
+  question_t *question = &duty->questions[duty->n_questions++ % PROOFS];
+  *question = (question_t){ op_handle (OP_DUTY, ++duty->next_op), now_ns };
+  duty->asked_ns = now_ns;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_STORE);
-  effect->store.op = duty->proof_op;
-  effect->store.timeout_ns = duty->proof_ns / PROOFS;
+  effect->store.op = question->op;
+  effect->store.timeout_ns = duty->proof_ns;
   effect->store.txn = (kwf_txn_t){ .prefixes = prefixes,
                                    .n_prefixes = G_N_ELEMENTS (prefixes),
                                    .after = duty->proved_at };
 }
 
 static void
-take_proof (duty_t *duty, const kwf_store_reply_t *reply,
-            kwf_effects_t *effects)
+take_proof (duty_t *duty, question_t *question,
+            const kwf_store_reply_t *reply, kwf_effects_t *effects)
 {
-  int64_t sent_ns = duty->proof_sent_ns;
-  duty->proof_op = 0;
+  int64_t sent_ns = question->sent_ns;
+  *question = (question_t){ 0 };
   if (reply->outcome != KWF_STORE_COMMITTED)
     return;
   for (size_t i = 0; i < reply->n_rows; i++)
@@ -235,8 +244,8 @@
       take_row (duty, &reply->rows[i], effects);
   if (!duty->mine)
     return;
-  duty->proved_ns = sent_ns;
-  duty->proved_at = MAX (reply->revision, duty->version);
+  duty->proved_ns = MAX (duty->proved_ns, sent_ns);
+  duty->proved_at = MAX (duty->proved_at, reply->revision);
   if (duty->lapsed_ns)
     kwf_effects_log (effects, 367, KWF_LOG_INFO, NULL,
                      "the table proves %s again, token %" PRId64, duty->key,
@@ -271,14 +280,14 @@
            kwf_effects_t *effects)
 {
   int64_t period_ns = duty->proof_ns / PROOFS;
-  if (now_ns - duty->proof_sent_ns >= period_ns
+  if (now_ns - duty->asked_ns >= period_ns
       && now_ns - duty->proved_ns >= period_ns)
     ask_proof (duty, now_ns, effects);
   int64_t until_ns = duty_until_ns (duty);
   /* A process that begins has no proof yet.  */
   if (duty->proved_ns && now_ns >= until_ns)
     tell_lapsed (duty, session, now_ns, effects);
-  int64_t next_ns = MAX (duty->proof_sent_ns, duty->proved_ns) + period_ns;
+  int64_t next_ns = MAX (duty->asked_ns, duty->proved_ns) + period_ns;
   if (duty->lapsed_ns)
     next_ns = MIN (next_ns, duty->lapsed_ns + LAPSED_NS);
   else if (duty->proved_ns)
@@ -368,9 +377,9 @@
   if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->op
       && duty->op)
     take_reply (duty, &event->store.reply, effects);
-  if (event->type == KWF_EV_STORE_REPLY && event->store.op == duty->proof_op
-      && duty->proof_op)
-    take_proof (duty, &event->store.reply, effects);
+  for (int i = 0; event->type == KWF_EV_STORE_REPLY && i < PROOFS; i++)
+    if (duty->questions[i].op && event->store.op == duty->questions[i].op)
+      take_proof (duty, &duty->questions[i], &event->store.reply, effects);
   if (event->type == KWF_EV_PEER_MESSAGE)
     take_lapsed (duty, &event->peer);
   duty->deadline_ns = INT64_MAX;
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -158,3 +158,22 @@
   else if (own)
     fn (first_of (session, NULL).instance, data);
 }
+
+void
+follower_spread (const session_t *session, kwf_instance_fn_t fn, void *data)
+{
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  if (session_is_large (session))
+    {
+      follower_firsts (session, fn, data);
+      if (follower_role (session) != FOLLOWER_LISTENS)
+        follower_beside (session, fn, data);
+      else
+        fn (follower_first (session), data);
+      return;
+    }
+  while (session_next_member (session, &at, &member))
+    if (member.linked)
+      fn (member.instance, data);
+}
--- a/lib/follower.h
+++ b/lib/follower.h
@@ -31,6 +31,12 @@
 void follower_targets (const session_t *session, bool own,
                        kwf_instance_fn_t fn, void *data);
 
+/* Call FN with each instance that is told directly of what this one decides
+   for all: in a small fleet all, in a large one the first hub of each data
+   centre, which passes it on, and, where this is one, those beside it.  */
+void follower_spread (const session_t *session, kwf_instance_fn_t fn,
+                      void *data);
+
 /* The first instance of this one's data centre; "": this one.  */
 const char *follower_first (const session_t *session);
 /* Call FN with the first instance of each other data centre, or with those
