Let no small instance hold the duty; close a loop of passed-on placements

Cause, seen in a trial of the full size to 12 s: the first holder took the duty before it knew the fleet, an instance of 0.12 cores, and the duty changed hands seven times; two hubs that each took themselves for the first of their data centre passed what engines hold to each other without end (1.0 GB in 26 s).

--- a/lib/direct.c
+++ b/lib/direct.c
@@ -177,7 +177,10 @@
   placed.model = kwf_effects_strdup (effects, told->model);
   placed.adapter = kwf_effects_strdup (effects, told->adapter);
   placing_t placing = { &placed, peer->instance, effects };
+  /* Only what the holder itself tells: views of who passes on may differ, and
+     two could pass it to each other for ever.  */
   if (session_is_large (direct->sources.session)
+      && g_strcmp0 (peer->instance, duty_instance (direct->duty)) == 0
       && follower_role (direct->sources.session) != FOLLOWER_LISTENS)
     follower_beside (direct->sources.session, tell_placed, &placing);
 }
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -10,6 +10,8 @@
 
 /* A holder whose link is down for this long is replaced.  */
 #define ABSENT_NS (1500 * KWF_NS_PER_MS)
+/* The first holder of all begins this long after its start.  */
+#define FIRST_NS (3 * KWF_NS_PER_S)
 /* Candidates try one after the other: the first ones soon, the others only
    when none of these reached the table.  */
 #define RANK_NS (150 * KWF_NS_PER_MS)
@@ -357,6 +359,23 @@
   return MAX (duty->next_ns, duty->seen_ns + (told ? 0 : ABSENT_NS) + turn_ns);
 }
 
+static bool
+is_hub (const session_t *session)
+{
+  session_member_t self;
+  size_t at = 0;
+  return session_next_member (session, &at, &self) && self.hub;
+}
+
+/* Only a hub has the links that orders need.  Before anybody has held the
+   duty, the members that start together are to be known first.  */
+static bool
+is_candidate (const duty_t *duty, const session_t *session)
+{
+  return is_hub (session)
+         && (duty->version || session_age_ns (session) >= FIRST_NS);
+}
+
 static void
 take_lapsed (duty_t *duty, const kwf_peer_event_t *peer)
 {
@@ -385,6 +404,9 @@
   duty->deadline_ns = INT64_MAX;
   if (duty->stopping || !session_revision (session))
     return;
+  /* Taken while the fleet looked small.  */
+  if (duty->mine && !duty->op && !is_hub (session))
+    write_row (duty, "", effects);
   if (!duty->seen_ns || is_held (duty, session))
     {
       duty->seen_ns = now_ns;
@@ -394,10 +416,7 @@
       if (duty->version)
         return;
     }
-  /* The others do not have links to all that an order concerns.  */
-  session_member_t self;
-  size_t first = 0;
-  if (!session_next_member (session, &first, &self) || !self.hub)
+  if (!is_candidate (duty, session))
     return;
   int64_t at_ns = take_at_ns (duty, session);
   if (duty->op)
