--- a/lib/hub.c
+++ b/lib/hub.c
@@ -9,6 +9,12 @@
 /* Up to this many members each has a link to each other.  At 24 that is 23
    links, about 100 small messages a second at an instance.  */
 #define FULL_MESH 24
+/* Members that start together are known after this time.  Before, the first
+   ones of hundreds would get a link from each.  */
+#define GROWING_NS (2500 * KWF_NS_PER_MS)
+/* Processes that began less than this before have just begun; an incarnation
+   is the wall clock in milliseconds.  */
+#define NEW_MS 5000
 /* Hubs of each data centre: two may be lost at once.  */
 #define CENTRE_HUBS 3
 /* The others are told who is down this often, and at once when it changes.  */
@@ -58,6 +64,23 @@
   return list;
 }
 
+/* Whether the fleet is starting, and may turn out to be large: all members
+   that are known have just begun.  */
+static bool
+is_growing (const session_t *session)
+{
+  if (session->large || session_age_ns (session) > GROWING_NS)
+    return false;
+  for (guint i = 0; i < session->members->len; i++)
+    {
+      const member_t *member = session->members->pdata[i];
+      if (member->version
+          && member->incarnation + NEW_MS < session->incarnation)
+        return false;
+    }
+  return true;
+}
+
 void
 hub_find (session_t *session)
 {
@@ -74,13 +97,14 @@
       centre = candidate->data_centre;
       *candidate->hub = !session->large || rank < CENTRE_HUBS;
     }
+  session->grows |= is_growing (session);
   g_array_free (list, TRUE);
 }
 
 bool
 hub_wants_link (const session_t *session, const member_t *member)
 {
-  return session->hub || member->hub;
+  return (session->hub || member->hub) && !is_growing (session);
 }
 
 bool
@@ -139,6 +163,11 @@
 void
 hub_run (session_t *session, int64_t now_ns, kwf_effects_t *effects)
 {
+  if (session->grows && !is_growing (session))
+    {
+      session->grows = false;
+      member_link_all (session, effects);
+    }
   if (!session->large || !session->hub || now_ns < session->tell_down_ns)
     return;
   session->tell_down_ns = now_ns + TELL_NS;
@@ -163,5 +192,7 @@
 int64_t
 hub_deadline_ns (const session_t *session)
 {
+  if (session->grows)
+    return session->began_ns + GROWING_NS + 1;
   return session->large && session->hub ? session->tell_down_ns : INT64_MAX;
 }
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -71,6 +71,7 @@
   double cores;
   bool hub;             /* this instance is one (lib/hub.h) */
   bool large;           /* not all instances are hubs */
+  bool grows;           /* links wait until the fleet is known */
   GHashTable *down;     /* set: members that hubs do not reach */
   int64_t down_ns;      /* when they told it; 0: never */
   int64_t tell_down_ns; /* a hub tells it then */
