Bound the steps of a round and the news of who is down

Cause, seen at the full size: the holder was silent for over 1.5 s when its first round gave hundreds of steps in one turn of the loop, lost its links and the duty, and so did the next one; at the start each link that came up made each hub tell 59 others up to 295 names. Six steps and 24 adapters a round now, the rest in the next; changes of 200 ms are told together.

--- a/lib/direct.c
+++ b/lib/direct.c
@@ -14,7 +14,11 @@
 /* A round looks at each model on each engine.  Hundreds of instances ask for
    rounds all the time; this much is added to the least time for each pair, so
    that rounds take a small part of the time.  */
-#define ROUND_PAIR_NS 1500
+#define ROUND_PAIR_NS 1000
+/* Steps for models, and orders for adapters, of a round: the first round of a
+   large fleet has hundreds, and the holder's links would fail meanwhile.  */
+#define STEPS_MOST 6
+#define ADAPTERS_MOST 24
 /* Reports that a round asks for: hundreds at once would take the processor and
    the descriptors of the holder.  */
 #define ASKS_MOST 16
@@ -57,6 +61,8 @@
   int64_t tell_ns;   /* next time that demand is told */
   int64_t watch_ns;  /* the demand is watched since then; 0: none yet */
   bool held;         /* the duty was held in the last step */
+  bool unfinished;   /* the last round was cut short */
+  size_t next_model; /* whose adapters are placed next */
   uint64_t n_loads;
   uint64_t n_unloads;
   uint64_t n_adapter_loads;
@@ -477,7 +483,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (strcmp (((desk_t *)value)->service, service->name) == 0)
       keep_promise (direct, service, value, context);
-  for (;;)
+  for (int steps = 0; steps < STEPS_MOST; steps++)
     {
       fleet_t fleet;
       fleet_begin (direct, service, &fleet, context->now_ns);
@@ -503,6 +509,7 @@
       if (step.engine < 0)
         return;
     }
+  direct->unfinished = true;
 }
 
 /* Adapters.  */
@@ -590,26 +597,29 @@
   return best;
 }
 
-static void
+/* Return whether an order was given.  */
+static bool
 place_adapter (direct_t *direct, const kwf_service_t *service,
                const adapter_t *adapter, const desk_context_t *context)
 {
   desk_t *desk = find_desk (direct, adapter, context->now_ns);
   if (!desk)
-    return;
+    return false;
   if (desk_n_adapters (desk) < service->adapter_slots)
     {
       direct->n_adapter_loads++;
       desk_order (desk, ORDER_LOAD, adapter->model->name, adapter->adapter,
                   context);
-      return;
+      return true;
     }
   const char *model;
   const char *idle;
   double bound
       = adapter->copies ? adapter->rate / (adapter->copies + 1) : G_MAXDOUBLE;
-  if (find_idle_adapter (direct, desk, bound, context->now_ns, &model, &idle))
-    begin_unload (direct, desk, model, idle, context);
+  if (!find_idle_adapter (direct, desk, bound, context->now_ns, &model, &idle))
+    return false;
+  begin_unload (direct, desk, model, idle, context);
+  return true;
 }
 
 static void
@@ -648,11 +658,13 @@
   return copies;
 }
 
-static void
+/* Return how many orders were given.  */
+static int
 place_adapters_of (direct_t *direct, const kwf_service_t *service,
                    const kwf_model_t *model, const GPtrArray *holders,
                    const desk_context_t *context)
 {
+  int orders = 0;
   for (size_t i = 0; i < model->n_adapters; i++)
     {
       adapter_t adapter
@@ -664,8 +676,9 @@
         adapter.copies += g_hash_table_contains (
             ((held_model_t *)holders->pdata[k])->adapters, adapter.adapter);
       if (adapter.copies < copies_wanted (direct, &adapter, (int)holders->len))
-        place_adapter (direct, service, &adapter, context);
+        orders += place_adapter (direct, service, &adapter, context);
     }
+  return orders;
 }
 
 static void
@@ -674,14 +687,20 @@
 {
   const kwf_lists_t *lists = config_lists (direct->sources.config);
   GHashTable *copies = find_copies (direct);
-  for (size_t i = 0; i < kwf_lists_n_models (lists); i++)
+  size_t n = kwf_lists_n_models (lists);
+  int orders = 0;
+  /* The next round goes on where this one ends.  */
+  size_t first = n ? direct->next_model % n : 0;
+  for (size_t i = 0; i < n && orders < ADAPTERS_MOST; i++)
     {
-      const kwf_model_t *model = kwf_lists_model_at (lists, i);
+      direct->next_model = (first + i + 1) % n;
+      const kwf_model_t *model = kwf_lists_model_at (lists, (first + i) % n);
       const GPtrArray *holders = g_hash_table_lookup (copies, model->name);
       if (holders && model->n_adapters
           && g_strcmp0 (model->service, service->name) == 0)
-        place_adapters_of (direct, service, model, holders, context);
+        orders += place_adapters_of (direct, service, model, holders, context);
     }
+  direct->unfinished |= orders >= ADAPTERS_MOST;
   g_hash_table_unref (copies);
 }
 
@@ -710,6 +729,7 @@
                      + (int64_t)g_hash_table_size (direct->desks)
                            * (int64_t)kwf_lists_n_models (lists)
                            * ROUND_PAIR_NS;
+  direct->unfinished = false;
   if (!direct->watch_ns && demand_any (direct->sources.demand))
     direct->watch_ns = now_ns;
   GHashTableIter iter;
@@ -812,8 +832,10 @@
   if (now_ns < direct->next_ns)
     return;
   direct->last_ns = now_ns;
-  direct->next_ns = now_ns + MAX (ROUND_NS, direct->least_ns);
   run_round (direct, now_ns, effects);
+  direct->next_ns = now_ns
+                    + (direct->unfinished ? direct->least_ns
+                                          : MAX (ROUND_NS, direct->least_ns));
 }
 
 void
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -59,9 +59,9 @@
   uint64_t next_op;
   int64_t next_ns; /* no write before */
 
-  int64_t proved_ns;     /* sending of the last question that was answered
-                            with the row unchanged; 0: none */
-  int64_t proved_at;     /* revision of that answer */
+  int64_t proved_ns; /* sending of the last question that was answered
+                        with the row unchanged; 0: none */
+  int64_t proved_at; /* revision of that answer */
   question_t questions[PROOFS]; /* under way, the oldest is dropped */
   int n_questions;              /* asked so far */
   int64_t asked_ns;             /* last one */
@@ -234,8 +234,8 @@
 }
 
 static void
-take_proof (duty_t *duty, question_t *question,
-            const kwf_store_reply_t *reply, kwf_effects_t *effects)
+take_proof (duty_t *duty, question_t *question, const kwf_store_reply_t *reply,
+            kwf_effects_t *effects)
 {
   int64_t sent_ns = question->sent_ns;
   *question = (question_t){ 0 };
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -17,8 +17,11 @@
 #define NEW_MS 5000
 /* Hubs of each data centre: two may be lost at once.  */
 #define CENTRE_HUBS 3
-/* The others are told who is down this often, and at once when it changes.  */
+/* The others are told who is down this often, and soon when it changes.  */
 #define TELL_NS (1 * KWF_NS_PER_S)
+/* Changes that come together are told together: at a start all members come
+   up within a second.  */
+#define TELL_LEAST_NS (200 * KWF_NS_PER_MS)
 /* Without news for this long nobody is taken for down.  */
 #define STALE_NS (3 * TELL_NS)
 
@@ -69,7 +72,8 @@
 static bool
 is_growing (const session_t *session)
 {
-  if (session->large || session_age_ns (session) > GROWING_NS)
+  if (!session->pushed || session->large
+      || session_age_ns (session) > GROWING_NS)
     return false;
   for (guint i = 0; i < session->members->len; i++)
     {
@@ -170,6 +174,7 @@
     }
   if (!session->large || !session->hub || now_ns < session->tell_down_ns)
     return;
+  session->told_down_ns = now_ns;
   session->tell_down_ns = now_ns + TELL_NS;
   size_t n;
   const char **names = list_down (session, &n, effects);
@@ -186,7 +191,8 @@
 void
 hub_tell_soon (session_t *session)
 {
-  session->tell_down_ns = 0;
+  session->tell_down_ns
+      = MIN (session->tell_down_ns, session->told_down_ns + TELL_LEAST_NS);
 }
 
 int64_t
--- a/test/test_hub.c
+++ b/test/test_hub.c
@@ -207,6 +207,7 @@
   core_world_pass (world, 1100);
   assert_false (tells_down (world, "cs11"));
   link_is (world, "cs10", false);
+  core_world_pass (world, 250);
   assert_true (tells_down (world, "cs11"));
   /* Those of other data centres have hubs of their own.  */
   assert_false (tells_down (world, "ds11"));
