--- a/lib/direct.c
+++ b/lib/direct.c
@@ -723,13 +723,13 @@
                              .holder = direct->instance,
                              .until_ns = order_end_ns (direct),
                              .effects = effects };
+  direct->unfinished = false;
   if (!lists || !context.token)
     return;
   direct->least_ns = ROUND_LEAST_NS
                      + (int64_t)g_hash_table_size (direct->desks)
                            * (int64_t)kwf_lists_n_models (lists)
                            * ROUND_PAIR_NS;
-  direct->unfinished = false;
   if (!direct->watch_ns && demand_any (direct->sources.demand))
     direct->watch_ns = now_ns;
   GHashTableIter iter;
