--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -34,12 +34,14 @@
   const char *instance; /* id, unique in the fleet */
   uint64_t incarnation; /* rises with each start of this id */
   const char *data_centre;
-  double cores;                /* processor of this instance; default 1 */
-  const char *caller_address;  /* "IP:PORT" that callers use */
-  const char *peer_address;    /* "IP:PORT" of the link listener */
-  int64_t lease_ns;            /* default 2.4 s */
-  int64_t renew_ns;            /* default 0.8 s */
-  int64_t probe_ns;            /* default 0.5 s */
+  double cores;               /* processor of this instance; default 1 */
+  const char *caller_address; /* "IP:PORT" that callers use */
+  const char *peer_address;   /* "IP:PORT" of the link listener */
+  int64_t lease_ns;           /* default 2.4 s */
+  int64_t renew_ns;           /* default 0.8 s */
+  int64_t probe_ns;           /* default 0.5 s */
+  int64_t fresh_ns; /* in which a change of the platform's tables must be in
+                       force; default 2 s */
   int64_t address_lifetime_ns; /* default 5 s */
   int64_t default_timeout_ns;  /* default 60 s */
   int64_t stop_limit_ns;       /* 0: none */
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -32,6 +32,7 @@
   char *ready_listen;          /* [callers] ready_listen, or NULL */
   char *directory_listen;      /* [callers] directory_listen, or NULL */
   char *platform;              /* [platform] address */
+  int64_t fresh_ms;            /* [platform] fresh_ms */
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* [keys] pepper_file, contents */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
--- a/lib/duty.c
+++ b/lib/duty.c
@@ -318,7 +318,8 @@
     write_row (duty, "", effects);
 }
 
-/* Place of this instance among the live ones, by name.  */
+/* Place of this instance among the live ones, by name from the last: the first
+   one reads the tables for all (lib/follower.h).  */
 static int
 rank_of (const duty_t *duty, const session_t *session)
 {
@@ -327,7 +328,7 @@
   size_t at = SESSION_OTHERS;
   while (session_next_member (session, &at, &member))
     rank += member.hub && session_member_live (session, &member)
-            && !member.leaving && strcmp (member.instance, duty->instance) < 0;
+            && !member.leaving && strcmp (member.instance, duty->instance) > 0;
   return rank;
 }
 
--- a/lib/follower.c
+++ b/lib/follower.c
@@ -3,12 +3,12 @@
 #include <glib.h>
 #include <string.h>
 
-/* The reader is told at least every 0.7 s that nothing is newer
-   (platform/feed.c).  After 1.1 s it or its path is lost.  Those that are told
-   through others wait for these to notice first.  Both leave half a second
-   of the two in which a change must be in force.  */
-#define PASSES_PATIENCE_NS (1100 * KWF_NS_PER_MS)
-#define LISTENS_PATIENCE_NS (1350 * KWF_NS_PER_MS)
+/* Parts of the time in which a change must be in force.  The reader is told
+   after 0.35 of it that nothing is newer (platform/feed.c); later than this it
+   or its path is lost.  Those that are told through others wait for these to
+   notice first.  Of two seconds both leave half a second.  */
+#define PASSES_PART 0.55
+#define LISTENS_PART 0.675
 
 /* Links are made within this time after a start.  */
 #define START_NS (3 * KWF_NS_PER_S)
@@ -77,6 +77,12 @@
   return true;
 }
 
+static int64_t
+part_of (const session_t *session, double part)
+{
+  return (int64_t)((double)session_fresh_ns (session) * part);
+}
+
 int64_t
 follower_patience_ns (const session_t *session)
 {
@@ -85,11 +91,11 @@
     case FOLLOWER_READS:
       return is_starting (session) ? START_NS : 0;
     case FOLLOWER_PASSES:
-      return PASSES_PATIENCE_NS;
+      return part_of (session, PASSES_PART);
     case FOLLOWER_LISTENS:
       break;
     }
-  return LISTENS_PATIENCE_NS;
+  return part_of (session, LISTENS_PART);
 }
 
 const char *
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -76,6 +76,7 @@
   int64_t down_ns;      /* when they told it; 0: never */
   int64_t tell_down_ns; /* a hub tells it then */
   int64_t told_down_ns;
+  int64_t fresh_ns;
   int64_t lease_ns;
   int64_t renew_ns;
   const kwf_clock_t *clock;
--- a/lib/session.c
+++ b/lib/session.c
@@ -31,6 +31,7 @@
   session->members = g_ptr_array_new_with_free_func (member_free);
   session->waiting_relays = g_ptr_array_new_with_free_func (relay_free);
   session->sent_relays = g_ptr_array_new_with_free_func (relay_free);
+  session->fresh_ns = options->fresh_ns ? options->fresh_ns : 2 * KWF_NS_PER_S;
   session->cores = options->cores ? options->cores : 1;
   session->hub = true;
   session->down
@@ -477,6 +478,12 @@
   return !session->large || (member && member->hub);
 }
 
+int64_t
+session_fresh_ns (const session_t *session)
+{
+  return session->fresh_ns;
+}
+
 int64_t
 session_age_ns (const session_t *session)
 {
--- a/lib/session.h
+++ b/lib/session.h
@@ -139,6 +139,10 @@
 /* Whether INSTANCE, another one, has links to all.  */
 bool session_is_hub (const session_t *session, const char *instance);
 
+/* Time in nanoseconds in which a change of the platform's tables must be in
+   force.  */
+int64_t session_fresh_ns (const session_t *session);
+
 /* Time in nanoseconds since the session was made.  */
 int64_t session_age_ns (const session_t *session);
 
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -73,6 +73,8 @@
     AT (accepted_fleet_secret), .unit = "" },
   { "platform", "address", SETTING_ADDRESS, AT (platform), .required = true,
     .unit = "" },
+  { "platform", "fresh_ms", SETTING_INTEGER, AT (fresh_ms), .unit = "ms",
+    .default_number = 2000, .least = 500, .most = 60000 },
   { "platform", "protocol", SETTING_CHOICE, AT (protocol), .unit = "",
     .default_text = "table", .names = protocols },
   { "keys", "pepper_file", SETTING_SECRET, AT (key_pepper), .unit = "" },
--- a/net/instance.c
+++ b/net/instance.c
@@ -319,6 +319,7 @@
       .lease_ns = settings->lease_ms * KWF_NS_PER_MS,
       .renew_ns = settings->renew_ms * KWF_NS_PER_MS,
       .probe_ns = settings->probe_ms * KWF_NS_PER_MS,
+      .fresh_ns = settings->fresh_ms * KWF_NS_PER_MS,
       .address_lifetime_ns = settings->address_lifetime_ms * KWF_NS_PER_MS,
       .default_timeout_ns = settings->default_timeout_ms * KWF_NS_PER_MS,
       .stop_limit_ns = stop_limit_ns (settings),
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -131,10 +131,12 @@
                                           .tell = on_tell };
   world->version = version;
   world->patience_ns = patience;
-  world->feed = feed_new (
-      world->loop, world->calls,
-      &(feed_options_t){
-          .table = "t", .number = 2, .handler = &handler, .data = world });
+  world->feed = feed_new (world->loop, world->calls,
+                          &(feed_options_t){ .table = "t",
+                                             .number = 2,
+                                             .fresh_ms = 2000,
+                                             .handler = &handler,
+                                             .data = world });
   assert_true (run_until (world->loop, &world->n_ends, 1, 5));
   assert_int_equal (world->row, version);
 }
