--- a/lib/direct.c
+++ b/lib/direct.c
@@ -191,6 +191,13 @@
     follower_beside (direct->sources.session, tell_placed, &placing);
 }
 
+static void
+ask_round (direct_t *direct, int64_t now_ns)
+{
+  direct->next_ns = MIN (direct->next_ns,
+                         MAX (now_ns, direct->last_ns + direct->least_ns));
+}
+
 static void
 take_answer (direct_t *direct, const kwf_order_event_t *event, int64_t now_ns,
              kwf_effects_t *effects)
@@ -223,7 +230,7 @@
     case DESK_MODEL_LEAVES:
       break;
     }
-  direct->next_ns = MIN (direct->next_ns, now_ns);
+  ask_round (direct, now_ns);
 }
 
 /* Models.  */
@@ -748,13 +755,6 @@
     }
 }
 
-static void
-ask_round (direct_t *direct, int64_t now_ns)
-{
-  direct->next_ns = MIN (direct->next_ns,
-                         MAX (now_ns, direct->last_ns + direct->least_ns));
-}
-
 static void
 take_message (direct_t *direct, const kwf_peer_event_t *peer, int64_t now_ns,
               kwf_effects_t *effects)
