--- a/test/test_flood.c
+++ b/test/test_flood.c
@@ -282,7 +282,7 @@
   result_t result = { 0 };
   start (&server, &flood);
   client_t *client = client_new (
-      loop, &(client_options_t){ .max_answer_bytes = 100 * ANSWER_MOST,
+      loop, &(client_options_t){ .max_answer_bytes = (size_t)100 * ANSWER_MOST,
                                  .max_total_bytes = TOTAL_MOST });
   client_request_t request = request_to (&server);
   for (int i = 0; i < 8; i++)
