--- a/test/test_duty_explore.c
+++ b/test/test_duty_explore.c
@@ -108,6 +108,7 @@
   int64_t silent_ms; /* the whole table is away until then */
   int64_t slow_ms;   /* and slow until then */
   GPtrArray *items;
+  GPtrArray *values; /* of all rows that were written */
   kwf_effects_t *effects;
   int64_t top_token; /* that the engine has seen */
   int last_holder;   /* whose order came last; -1: nobody's */
@@ -303,7 +304,9 @@
   else if (row)
     {
       row->version = ++world->revision;
-      row->value = g_strdup (call->value); /* kept by answers under way */
+      row->value = g_strdup (call->value);
+      /* Answers under way keep it.  */
+      g_ptr_array_add (world->values, row->value);
       if (g_str_has_prefix (call->key, "duty/"))
         trace (world, "table: %s = %s at %" PRId64, call->key, call->value,
                row->version);
@@ -557,6 +560,7 @@
       = (fake_clock_t){ .clock = { &clock_ops }, .now_ns = KWF_NS_PER_S };
   world->random = seed * 0x9e3779b97f4a7c15u + 1;
   world->items = g_ptr_array_new_with_free_func (item_free);
+  world->values = g_ptr_array_new_with_free_func (g_free);
   world->effects = kwf_effects_new ();
   world->last_holder = -1;
   for (int i = 0; i < NODES; i++)
@@ -578,6 +582,7 @@
   for (int i = 0; i < NODES; i++)
     end_node (&world->nodes[i]);
   g_ptr_array_free (world->items, TRUE);
+  g_ptr_array_free (world->values, TRUE);
   kwf_effects_free (world->effects);
   return !*world->failure;
 }
