Re-read: no hubs where leases are renewed at the table; dead code, one hub question

Now only where rows come unasked; test_session (large_fleet_with_leases_links_to_all) fails without that.

--- a/lib/duty.c
+++ b/lib/duty.c
@@ -360,20 +360,12 @@
   return MAX (duty->next_ns, duty->seen_ns + (told ? 0 : ABSENT_NS) + turn_ns);
 }
 
-static bool
-is_hub (const session_t *session)
-{
-  session_member_t self;
-  size_t at = 0;
-  return session_next_member (session, &at, &self) && self.hub;
-}
-
 /* Only a hub has the links that orders need.  Before anybody has held the
    duty, the members that start together are to be known first.  */
 static bool
 is_candidate (const duty_t *duty, const session_t *session)
 {
-  return is_hub (session)
+  return session_is_hub (session, duty->instance)
          && (duty->version || session_age_ns (session) >= FIRST_NS);
 }
 
@@ -406,7 +398,7 @@
   if (duty->stopping || !session_revision (session))
     return;
   /* Taken while the fleet looked small.  */
-  if (duty->mine && !duty->op && !is_hub (session))
+  if (duty->mine && !duty->op && !session_is_hub (session, duty->instance))
     write_row (duty, "", effects);
   if (!duty->seen_ns || is_held (duty, session))
     {
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -470,11 +470,9 @@
 static bool
 may_write (const shares_t *shares)
 {
-  session_member_t self;
-  size_t at = 0;
-  return session_next_member (shares->session, &at, &self)
-         && may_hold (shares, &self) && !shares->op
-         && (shares->settled || !shares->epoch)
+  bool holds
+      = !shares->steady || session_is_hub (shares->session, shares->instance);
+  return holds && !shares->op && (shares->settled || !shares->epoch)
          && session_revision (shares->session)
          && session_state (shares->session) == SESSION_VALID;
 }
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -89,7 +89,7 @@
 hub_find (session_t *session)
 {
   GArray *list = list_candidates (session);
-  session->large = list->len > FULL_MESH;
+  session->large = session->pushed && list->len > FULL_MESH;
   g_array_sort (list, compare);
   const char *centre = NULL;
   int rank = 0;
--- a/lib/hub.h
+++ b/lib/hub.h
@@ -6,7 +6,9 @@
    hubs: they have links to all, the others have links to the hubs only.  Hubs
    read and pass on tables and loads, hold the shares of the rates and give
    the orders; they tell the others which members are down.  In a small fleet
-   all are hubs.  The choice follows from the rows of the members.  */
+   all are hubs, and where leases are renewed at the table, because the vote on
+   an outage needs a link to each.  The choice follows from the rows of the
+   members.  */
 
 #ifndef KNAPWEEDFORK_HUB_H
 #define KNAPWEEDFORK_HUB_H
--- a/lib/session.c
+++ b/lib/session.c
@@ -474,6 +474,8 @@
 bool
 session_is_hub (const session_t *session, const char *instance)
 {
+  if (strcmp (instance, session->instance) == 0)
+    return session->hub;
   const member_t *member = member_find (session, instance);
   return !session->large || (member && member->hub);
 }
--- a/lib/session.h
+++ b/lib/session.h
@@ -136,7 +136,7 @@
 /* Whether some instances have links to the hubs only.  */
 bool session_is_large (const session_t *session);
 
-/* Whether INSTANCE, another one, has links to all.  */
+/* Whether INSTANCE has links to all.  */
 bool session_is_hub (const session_t *session, const char *instance);
 
 /* Time in nanoseconds in which a change of the platform's tables must be in
--- a/test/test_hub.c
+++ b/test/test_hub.c
@@ -64,7 +64,7 @@
 
 /* The fleet joins; this instance is one of the small ones of "c".  */
 static void
-join_all (core_world_t *world)
+join_all (core_world_t *world, double large_cores, double small_cores)
 {
   char name[16];
   n_linked = 0;
@@ -72,7 +72,7 @@
     for (int i = 0; i < LARGE + SMALL; i++)
       {
         name_of (name, centre, i < LARGE, i);
-        add_row (world, name, i < LARGE ? 2 : 0.5);
+        add_row (world, name, i < LARGE ? large_cores : small_cores);
         count_links (world);
       }
 }
@@ -119,7 +119,7 @@
 small_one_links_to_hubs (void **state)
 {
   core_world_t *world = *state;
-  join_all (world);
+  join_all (world, 2, 0.5);
   /* Some links were asked for while the fleet was small.  */
   assert_true (n_linked <= 24 + CENTRES * 3);
   link_hubs (world, true);
@@ -143,7 +143,7 @@
 addresses_are_spread (void **state)
 {
   core_world_t *world = *state;
-  join_all (world);
+  join_all (world, 2, 0.5);
   link_hubs (world, true);
   addresses_t all = addresses_of (world, 100);
   assert_true (all.down);
@@ -188,14 +188,7 @@
 {
   core_world_t *world = *state;
   char name[16];
-  n_linked = 0;
-  for (int centre = 0; centre < CENTRES; centre++)
-    for (int i = 0; i < LARGE + SMALL; i++)
-      {
-        name_of (name, centre, i < LARGE, i);
-        add_row (world, name, i < LARGE ? 0.9 : 0.1);
-        count_links (world);
-      }
+  join_all (world, 0.9, 0.1);
   /* A hub has links to all.  */
   assert_int_equal (n_linked, CENTRES * (LARGE + SMALL));
   for (int centre = 0; centre < CENTRES; centre++)
--- a/test/test_session.c
+++ b/test/test_session.c
@@ -553,6 +553,36 @@
   hand_close (&hand);
 }
 
+/* Guards against hubs where the vote on an outage needs a link to each.  */
+static void
+large_fleet_with_leases_links_to_all (void **state)
+{
+  (void)state;
+  enum
+  {
+    MEMBERS = 40
+  };
+  hand_t hand;
+  char keys[MEMBERS][16];
+  kwf_row_t rows[MEMBERS];
+  hand_open (&hand);
+  for (int i = 0; i < MEMBERS; i++)
+    {
+      g_snprintf (keys[i], sizeof keys[i], "session/0%02d", i);
+      rows[i] = (kwf_row_t){
+        keys[i], 6,
+        "{\"incarnation\":5,\"counter\":1,\"peer_address\":\"h:1\"}"
+      };
+    }
+  kwf_handle_t op = hand_tick (&hand, 0);
+  hand_answer (&hand, op, KWF_STORE_COMMITTED, 7, rows, MEMBERS);
+  int links = 0;
+  for (size_t i = 0; i < kwf_effects_count (hand.effects); i++)
+    links += kwf_effects_at (hand.effects, i)->type == KWF_FX_PEER_LINK;
+  assert_int_equal (links, MEMBERS);
+  hand_close (&hand);
+}
+
 int
 main (void)
 {
@@ -576,6 +606,7 @@
     cmocka_unit_test (renewal_for_an_old_incarnation_is_refused),
     cmocka_unit_test (unasked_state_is_ignored),
     cmocka_unit_test (links_follow_the_members),
+    cmocka_unit_test (large_fleet_with_leases_links_to_all),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
