--- a/test/test_session.c
+++ b/test/test_session.c
@@ -569,10 +569,9 @@
   for (int i = 0; i < MEMBERS; i++)
     {
       g_snprintf (keys[i], sizeof keys[i], "session/0%02d", i);
-      rows[i] = (kwf_row_t){
-        keys[i], 6,
-        "{\"incarnation\":5,\"counter\":1,\"peer_address\":\"h:1\"}"
-      };
+      rows[i] = (kwf_row_t){ keys[i], 6,
+                             "{\"incarnation\":5,\"counter\":1,\"data_"
+                             "centre\":\"d\",\"peer_address\":\"h:1\"}" };
     }
   kwf_handle_t op = hand_tick (&hand, 0);
   hand_answer (&hand, op, KWF_STORE_COMMITTED, 7, rows, MEMBERS);
