Tell news of tables with the store's time; log and measure how long they were on their way

An instance that is behind could not be told apart from one that cannot ask or cannot apply what it has: nothing showed from where a version came, nor how old it was. Answers of the store tell the time of its steady clock; lib/storeclock bounds that clock from the questions and answers, so that an age is never too small.

--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -136,6 +136,7 @@
   int64_t after;    /* all rows that changed since this revision are here */
   int64_t revision; /* and they are complete up to this one */
   int64_t age_ns;   /* since the platform told that this is the newest */
+  int64_t as_of_ns; /* the same moment by the platform's clock; 0: unknown */
   const kwf_row_t *rows; /* value NULL: removed */
   size_t n_rows;
 } kwf_feed_t;
--- a/lib/metric.c
+++ b/lib/metric.c
@@ -29,12 +29,54 @@
   GPtrArray *series;
 };
 
+void
+histogram_init (histogram_t *histogram)
+{
+  *histogram = (histogram_t){ .bins = gsl_histogram_alloc (N_BOUNDS - 1) };
+  gsl_histogram_set_ranges (histogram->bins, bounds, N_BOUNDS);
+}
+
+void
+histogram_clear (histogram_t *histogram)
+{
+  gsl_histogram_free (histogram->bins);
+}
+
+void
+histogram_record (histogram_t *histogram, int64_t duration_ns, double weight)
+{
+  double seconds = (double)MAX (duration_ns, 0) / (double)KWF_NS_PER_S;
+  gsl_histogram_accumulate (histogram->bins, seconds, weight);
+  histogram->sum += seconds * weight;
+  histogram->count += weight;
+}
+
+void
+histogram_write (GString *out, const char *name, const char *labels,
+                 const histogram_t *histogram)
+{
+  if (histogram->count <= 0)
+    return;
+  double below = 0;
+  for (size_t i = 0; i + 2 < N_BOUNDS; i++)
+    {
+      below += gsl_histogram_get (histogram->bins, i);
+      g_string_append_printf (out, "%s_bucket{%s,le=\"%g\"} %.0f\n", name,
+                              labels, bounds[i + 1], below);
+    }
+  g_string_append_printf (out,
+                          "%s_bucket{%s,le=\"+Inf\"} %.0f\n"
+                          "%s_sum{%s} %.9g\n%s_count{%s} %.0f\n",
+                          name, labels, histogram->count, name, labels,
+                          histogram->sum, name, labels, histogram->count);
+}
+
 static void
 series_free (gpointer data)
 {
   series_t *series = data;
   for (int i = 0; i < N_HISTOGRAMS; i++)
-    gsl_histogram_free (series->histograms[i].bins);
+    histogram_clear (&series->histograms[i]);
   g_free (series->organisation);
   g_free (series);
 }
@@ -87,11 +129,7 @@
   series->organisation = g_strdup (organisation);
   series->priority = priority;
   for (int i = 0; i < N_HISTOGRAMS; i++)
-    {
-      gsl_histogram *bins = gsl_histogram_alloc (N_BOUNDS - 1);
-      gsl_histogram_set_ranges (bins, bounds, N_BOUNDS);
-      series->histograms[i].bins = bins;
-    }
+    histogram_init (&series->histograms[i]);
   g_ptr_array_add (metrics->series, series);
   return series;
 }
@@ -100,11 +138,7 @@
 series_record (series_t *series, histogram_kind_t kind, int64_t duration_ns,
                double weight)
 {
-  histogram_t *histogram = &series->histograms[kind];
-  double seconds = (double)MAX (duration_ns, 0) / (double)KWF_NS_PER_S;
-  gsl_histogram_accumulate (histogram->bins, seconds, weight);
-  histogram->sum += seconds * weight;
-  histogram->count += weight;
+  histogram_record (&series->histograms[kind], duration_ns, weight);
 }
 
 /* Share of the first tokens that came within the target; 1 before the
@@ -157,30 +191,6 @@
                           class_names[CLAMP (series->priority, 0, 2)]);
 }
 
-static void
-write_histogram (GString *out, const series_t *series, const char *name,
-                 const histogram_t *histogram)
-{
-  if (histogram->count <= 0)
-    return;
-  double below = 0;
-  for (size_t i = 0; i + 2 < N_BOUNDS; i++)
-    {
-      below += gsl_histogram_get (histogram->bins, i);
-      g_string_append_printf (out, "%s_bucket{", name);
-      write_labels (out, series);
-      g_string_append_printf (out, ",le=\"%g\"} %.0f\n", bounds[i + 1], below);
-    }
-  g_string_append_printf (out, "%s_bucket{", name);
-  write_labels (out, series);
-  g_string_append_printf (out, ",le=\"+Inf\"} %.0f\n%s_sum{", histogram->count,
-                          name);
-  write_labels (out, series);
-  g_string_append_printf (out, "} %.9g\n%s_count{", histogram->sum, name);
-  write_labels (out, series);
-  g_string_append_printf (out, "} %.0f\n", histogram->count);
-}
-
 static void
 write_counts (GString *out, const GPtrArray *all)
 {
@@ -214,6 +224,7 @@
 void
 metrics_write (const metrics_t *metrics, GString *out)
 {
+  GString *labels = g_string_new (NULL);
   write_counts (out, metrics->series);
   for (int kind = 0; kind < N_HISTOGRAMS; kind++)
     {
@@ -222,9 +233,12 @@
       for (guint i = 0; i < metrics->series->len; i++)
         {
           const series_t *series = g_ptr_array_index (metrics->series, i);
-          write_histogram (out, series, name, &series->histograms[kind]);
+          g_string_truncate (labels, 0);
+          write_labels (labels, series);
+          histogram_write (out, name, labels->str, &series->histograms[kind]);
         }
     }
+  g_string_free (labels, TRUE);
 }
 
 void
--- a/lib/metric.h
+++ b/lib/metric.h
@@ -28,6 +28,16 @@
   double count;
 } histogram_t;
 
+void histogram_init (histogram_t *histogram);
+void histogram_clear (histogram_t *histogram);
+/* Record WEIGHT observations of DURATION_NS.  */
+void histogram_record (histogram_t *histogram, int64_t duration_ns,
+                       double weight);
+/* Append HISTOGRAM as series NAME with LABELS, such as a="b",c="d", in the
+   Prometheus text format, without its type; nothing when it is empty.  */
+void histogram_write (GString *out, const char *name, const char *labels,
+                      const histogram_t *histogram);
+
 /* Series of one organisation and class.  */
 typedef struct
 {
--- a/net/instance.c
+++ b/net/instance.c
@@ -126,7 +126,7 @@
   if (message->type == KWF_MSG_FEED)
     {
       if (store->ops->take_feed)
-        store->ops->take_feed (store, &message->feed);
+        store->ops->take_feed (store, peer, &message->feed);
       return;
     }
   instance_step (data, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
--- a/net/store.h
+++ b/net/store.h
@@ -39,8 +39,8 @@
                int64_t timeout_ns);
   /* Read the membership list; NULL: it comes unasked.  */
   void (*ask_members) (store_t *store);
-  /* Another instance told what a table says; NULL: none does.  */
-  void (*take_feed) (store_t *store, const kwf_feed_t *news);
+  /* Instance FROM told what a table says; NULL: none does.  */
+  void (*take_feed) (store_t *store, const char *from, const kwf_feed_t *news);
   /* A link is up, so that it may be for this instance now to read for others.
      KNOWN: there is a row of the other instance, else look for it soon.  May
      be NULL.  */
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -24,6 +24,7 @@
   client_t *client;
   calls_t *calls;
   feed_t *feed;
+  storeclock_t clock;
   /* The store.  */
   int64_t version;   /* of its one row "k" */
   bool forgets;      /* its history is gone */
@@ -41,18 +42,26 @@
   kwf_feed_t told; /* last; its rows are void */
 } world_t;
 
+/* The store's clock.  */
+static int64_t
+store_ms (void)
+{
+  return 7777777 + kwf_now_ns (kwf_clock_system ()) / KWF_NS_PER_MS;
+}
+
 static void
 reply_rows (const world_t *world, connection_t *connection, bool row)
 {
   char body[256];
   /* The value is "v" in base64.  */
   g_snprintf (body, sizeof body,
-              "{\"rows\":[%s%.0d%s],\"ver\":%d,\"truncated\":false}",
+              "{\"rows\":[%s%.0d%s],\"ver\":%d,\"now_ms\":%lld,"
+              "\"truncated\":false}",
               row ? "{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"value\":"
                     "\"dg==\",\"ver\":"
                   : "",
               row ? (int)world->version : 0, row ? "}" : "",
-              (int)world->version);
+              (int)world->version, (long long)store_ms ());
   connection_reply (connection, 200, body);
 }
 
@@ -135,6 +144,7 @@
                           &(feed_options_t){ .table = "t",
                                              .number = 2,
                                              .fresh_ms = 2000,
+                                             .clock = &world->clock,
                                              .handler = &handler,
                                              .data = world });
   assert_true (run_until (world->loop, &world->n_ends, 1, 5));
@@ -152,11 +162,13 @@
 told (const world_t *world, int64_t after, int64_t revision, bool row)
 {
   const kwf_row_t rows[] = { { "k", revision, "v" } };
-  feed_take (world->feed, &(kwf_feed_t){ .table = 2,
-                                         .after = after,
-                                         .revision = revision,
-                                         .rows = rows,
-                                         .n_rows = row });
+  feed_take (world->feed, "other",
+             &(kwf_feed_t){ .table = 2,
+                            .after = after,
+                            .revision = revision,
+                            .as_of_ns = store_ms () * KWF_NS_PER_MS,
+                            .rows = rows,
+                            .n_rows = row });
 }
 
 static int
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -54,6 +54,7 @@
               .after = 40,
               .revision = 44,
               .age_ns = 5,
+              .as_of_ns = 7,
               .rows = rows,
               .n_rows = 3 } },
   { .type = KWF_MSG_LOADS,
@@ -199,6 +200,7 @@
       assert_true (a->feed.after == b->feed.after);
       assert_true (a->feed.revision == b->feed.revision);
       assert_true (a->feed.age_ns == b->feed.age_ns);
+      assert_true (a->feed.as_of_ns == b->feed.as_of_ns);
       assert_same_rows (a->feed.rows, a->feed.n_rows, b->feed.rows,
                         b->feed.n_rows);
       break;
