Test news and answers that are held back, and gaps that are forgotten: they fail

On this code an instance that is told over a link three seconds late that nothing is newer never asks the store; an answer read four seconds after it was made counts as fresh, and is told on as fresh; a gap is forgotten when the answer to an older question comes; news during the first read are dropped.

--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -30,7 +30,9 @@
   bool forgets;      /* its history is gone */
   bool away;         /* answers 503 */
   bool silent;       /* does not answer */
-  connection_t *one; /* that waits for news */
+  bool holds;        /* keeps questions in ONE until the test answers */
+  int held_back_ms;  /* answers were made this long before they arrive */
+  connection_t *one; /* that waits for news, or is kept */
   int n_reads;       /* of all rows */
   int n_polls;
   /* The instance.  */
@@ -61,7 +63,8 @@
                     "\"dg==\",\"ver\":"
                   : "",
               row ? (int)world->version : 0, row ? "}" : "",
-              (int)world->version, (long long)store_ms ());
+              (int)world->version,
+              (long long)(store_ms () - world->held_back_ms));
   connection_reply (connection, 200, body);
 }
 
@@ -80,6 +83,11 @@
   *(all ? &world->n_reads : &world->n_polls) += 1;
   if (world->silent)
     return;
+  if (world->holds)
+    {
+      world->one = connection;
+      return;
+    }
   if (world->away)
     connection_reply (connection, 503, "{}");
   else if (!all && world->forgets)
@@ -131,7 +139,7 @@
 
 /* The table has VERSION; 0: nothing was written yet.  */
 static void
-start_at (world_t *world, int64_t patience, int64_t version)
+make_feed (world_t *world, int64_t patience, int64_t version)
 {
   static const feed_handler_t handler = { .reset = on_reset,
                                           .row = on_row,
@@ -147,6 +155,12 @@
                                              .clock = &world->clock,
                                              .handler = &handler,
                                              .data = world });
+}
+
+static void
+start_at (world_t *world, int64_t patience, int64_t version)
+{
+  make_feed (world, patience, version);
   assert_true (run_until (world->loop, &world->n_ends, 1, 5));
   assert_int_equal (world->row, version);
 }
@@ -157,20 +171,27 @@
   start_at (world, patience, 7);
 }
 
-/* What another instance tells, of row "k" at REVISION.  */
+/* What another instance told WAY_MS ago, of row "k" at REVISION.  */
 static void
-told (const world_t *world, int64_t after, int64_t revision, bool row)
+told_late (const world_t *world, int64_t after, int64_t revision, bool row,
+           int64_t way_ms)
 {
   const kwf_row_t rows[] = { { "k", revision, "v" } };
   feed_take (world->feed, "other",
              &(kwf_feed_t){ .table = 2,
                             .after = after,
                             .revision = revision,
-                            .as_of_ns = store_ms () * KWF_NS_PER_MS,
+                            .as_of_ns = (store_ms () - way_ms) * KWF_NS_PER_MS,
                             .rows = rows,
                             .n_rows = row });
 }
 
+static void
+told (const world_t *world, int64_t after, int64_t revision, bool row)
+{
+  told_late (world, after, revision, row, 0);
+}
+
 static int
 set_up (void **state)
 {
@@ -320,6 +341,78 @@
   assert_int_equal (world->row, 1);
 }
 
+/* Guards against an instance behind a slow link that hears again and again
+   that nothing is newer, from long ago, and does not ask.  */
+static void
+news_held_back_on_a_link_are_old (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  run_for (world->loop, 0.05);
+  world->version = 8;
+  for (int i = 0; i < 10; i++)
+    {
+      told_late (world, 7, 7, false, 3000);
+      run_for (world->loop, 0.05);
+    }
+  assert_int_equal (world->row, 8);
+}
+
+/* Guards against an answer that was read long after it was made, because the
+   process stood still, and counts as fresh here and for those it is told
+   to.  */
+static void
+answers_held_back_are_old (void **state)
+{
+  world_t *world = *state;
+  start (world, 2 * KWF_NS_PER_S);
+  world->held_back_ms = 4000;
+  feed_ask (world->feed);
+  assert_true (run_until (world->loop, &world->n_told, 1, 5));
+  int64_t age_ms = store_ms () - world->told.as_of_ns / KWF_NS_PER_MS;
+  assert_in_range (age_ms, 4000, 4900);
+  world->held_back_ms = 0;
+  world->version = 8;
+  run_for (world->loop, 0.5);
+  assert_int_equal (world->row, 8);
+}
+
+/* Guards against a gap that counts as read by an answer to a question that
+   was sent before.  */
+static void
+gap_outlasts_the_answer_under_way (void **state)
+{
+  world_t *world = *state;
+  start (world, 3600 * KWF_NS_PER_S);
+  world->holds = true;
+  feed_ask (world->feed);
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  told (world, 11, 12, true);
+  world->holds = false;
+  world->version = 8;
+  reply_rows (world, world->one, true);
+  world->version = 12;
+  run_for (world->loop, 0.3);
+  assert_int_equal (world->row, 12);
+}
+
+/* Guards against news that come during the first read, after the moment that
+   it shows, and are forgotten.  */
+static void
+news_during_the_first_read_are_not_lost (void **state)
+{
+  world_t *world = *state;
+  world->holds = true;
+  make_feed (world, 3600 * KWF_NS_PER_S, 7);
+  assert_true (run_until (world->loop, &world->n_reads, 1, 5));
+  told (world, 7, 12, true);
+  world->holds = false;
+  reply_rows (world, world->one, true);
+  world->version = 12;
+  run_for (world->loop, 0.3);
+  assert_int_equal (world->row, 12);
+}
+
 int
 main (void)
 {
@@ -337,6 +430,14 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (news_count_while_the_store_is_silent,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (news_held_back_on_a_link_are_old, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (answers_held_back_are_old, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (gap_outlasts_the_answer_under_way, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (news_during_the_first_read_are_not_lost,
+                                     set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
