Date what is known of a table by the store's clock, not by its arrival

Callers got 404 by a configuration 8 s older than the acknowledged one, at an instance whose own bound for asking the store is 2 s.

Cause: an answer of the store was dated by the turn of the loop that read it, news of another instance by their age at the sending. Time in the sender's buffer, on the link, in the receiver's socket and in a process that stands still was not counted, so an instance with a backlog kept hearing that nothing is newer, from seconds ago, and never asked.

--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -135,8 +135,7 @@
   int64_t table;    /* number that the store's client gives it */
   int64_t after;    /* all rows that changed since this revision are here */
   int64_t revision; /* and they are complete up to this one */
-  int64_t age_ns;   /* since the platform told that this is the newest */
-  int64_t as_of_ns; /* the same moment by the platform's clock; 0: unknown */
+  int64_t as_of_ns; /* REVISION was the newest then, by the platform's clock */
   const kwf_row_t *rows; /* value NULL: removed */
   size_t n_rows;
 } kwf_feed_t;
--- a/net/message.c
+++ b/net/message.c
@@ -232,9 +232,9 @@
       return 2;
     case KWF_MSG_ASK:
     case KWF_MSG_GIVE:
-    case KWF_MSG_FEED:
       return 6;
     case KWF_MSG_PLACED:
+    case KWF_MSG_FEED:
       return 5;
     case KWF_MSG_CRASH:
       return 3;
@@ -303,7 +303,6 @@
       wire_put_int (writer, message->feed.table);
       wire_put_int (writer, message->feed.after);
       wire_put_int (writer, message->feed.revision);
-      wire_put_int (writer, message->feed.age_ns);
       wire_put_int (writer, message->feed.as_of_ns);
       put_rows (writer, message->feed.rows, message->feed.n_rows);
       break;
@@ -379,7 +378,6 @@
       message->feed.table = wire_int (reader);
       message->feed.after = wire_int (reader);
       message->feed.revision = wire_int (reader);
-      message->feed.age_ns = wire_int (reader);
       message->feed.as_of_ns = wire_int (reader);
       message->feed.rows = read_rows (reader, &message->feed.n_rows);
       break;
