Check a decision again when the connection is there

A server was chosen by what was known then, but the request was written once the connection stood: a new one may take a second (the opening packet is dropped when the server's queue is full), and a bounded client waits for a free one.

The client now asks before it writes (libcurl's prerequest callback), and the core answers from what it knows at that moment: the server's process is the one that was chosen, it does not leave, the key still holds, the session may act. What is withheld counts neither as an attempt nor against the server.

Tests: request_is_withheld_when_the_decision_is_void (test_client) and decision_is_checked_when_the_connection_is_there (test_routed); both fail with the question to the core switched off.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -76,6 +76,10 @@
 void kwf_core_step (kwf_core_t *core, const kwf_event_t *event,
                     kwf_effects_t *effects);
 
+/* Whether the decision for ATTEMPT still holds, so that its request may be
+   written to the connection that was made for it.  */
+bool kwf_core_may_send (const kwf_core_t *core, kwf_handle_t attempt);
+
 /* Counters and histograms in the Prometheus text format; free with
    free.  */
 char *kwf_core_metrics (const kwf_core_t *core);
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -73,11 +73,13 @@
 /* Why an attempt failed.  */
 typedef enum
 {
-  KWF_FAIL_REFUSED,  /* connection refused: nothing was sent */
-  KWF_FAIL_CONNECT,  /* no connection for other causes: nothing was sent */
-  KWF_FAIL_BROKEN,   /* connection lost after something was sent */
-  KWF_FAIL_TIMEOUT,  /* no answer in time after something was sent */
-  KWF_FAIL_OVERSIZED /* the answer is larger than the limit */
+  KWF_FAIL_REFUSED,   /* connection refused: nothing was sent */
+  KWF_FAIL_CONNECT,   /* no connection for other causes: nothing was sent */
+  KWF_FAIL_BROKEN,    /* connection lost after something was sent */
+  KWF_FAIL_TIMEOUT,   /* no answer in time after something was sent */
+  KWF_FAIL_OVERSIZED, /* the answer is larger than the limit */
+  KWF_FAIL_WITHHELD   /* not sent: the decision did not hold any more when the
+                         connection was ready */
 } kwf_failure_t;
 
 typedef struct
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -330,9 +330,16 @@
       request->trial = false;
       crash_try_ended (core->crash, request->fingerprint, false, effects);
     }
-  try_again (core, attempt,
-             failure == KWF_FAIL_REFUSED ? OUTCOME_REFUSED : OUTCOME_BAD,
-             CODE_NO_SERVER, effects);
+  outcome_t outcome = OUTCOME_BAD;
+  if (failure == KWF_FAIL_REFUSED)
+    outcome = OUTCOME_REFUSED;
+  else if (failure == KWF_FAIL_WITHHELD)
+    {
+      /* It was this instance's own decision.  */
+      outcome = OUTCOME_NEUTRAL;
+      request->n_attempts--;
+    }
+  try_again (core, attempt, outcome, CODE_NO_SERVER, effects);
 }
 
 /* The request was sent, must not be sent again, and has no answer.  */
@@ -426,6 +433,7 @@
     {
     case KWF_FAIL_REFUSED:
     case KWF_FAIL_CONNECT:
+    case KWF_FAIL_WITHHELD:
       take_unsent (core, attempt, event->failure, effects);
       break;
     case KWF_FAIL_BROKEN:
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -217,6 +217,20 @@
   return false;
 }
 
+bool
+kwf_core_may_send (const kwf_core_t *core, kwf_handle_t handle)
+{
+  const attempt_t *attempt = kwf_slots_get (core->attempts, handle);
+  if (!attempt)
+    return false;
+  const request_t *request = attempt->request;
+  const server_t *server = attempt->server;
+  return attempt->incarnation == server->incarnation
+         && !server_leaving (server) && session_may_act (core->session)
+         && (!request->organisation[0]
+             || config_key_organisation (core->config, request->digest));
+}
+
 static void
 begin_trial (kwf_core_t *core, request_t *request, server_t *server,
              int64_t now_ns, kwf_effects_t *effects)
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -39,7 +39,8 @@
   bool close_ends;
   bool fresh;
   bool head;
-  bool sent; /* the request was put on a connection */
+  bool sent;     /* the request was put on a connection */
+  bool withheld; /* by may_send() */
   bool oversized;
   bool finished; /* code is valid */
   bool queued;   /* in client->ready */
--- a/net/client.c
+++ b/net/client.c
@@ -118,9 +118,15 @@
   (void)remote_port;
   (void)local_port;
   easy_t *easy = data;
-  if (easy->transfer->sent)
+  transfer_t *transfer = easy->transfer;
+  if (transfer->sent)
+    return CURL_PREREQFUNC_ABORT;
+  const client_handler_t *handler = transfer->handler;
+  transfer->withheld
+      = handler->may_send && !handler->may_send (transfer->data);
+  if (transfer->withheld)
     return CURL_PREREQFUNC_ABORT;
-  easy->transfer->sent = true;
+  transfer->sent = true;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -413,6 +419,8 @@
       /* libcurl's own bound on a line.  */
       || transfer->code == CURLE_OUT_OF_MEMORY)
     return KWF_FAIL_OVERSIZED;
+  if (transfer->withheld)
+    return KWF_FAIL_WITHHELD;
   if (transfer->sent)
     return transfer->code == CURLE_OPERATION_TIMEDOUT ? KWF_FAIL_TIMEOUT
                                                       : KWF_FAIL_BROKEN;
@@ -428,7 +436,7 @@
   static const kwf_status_t statuses[] = {
     [KWF_FAIL_REFUSED] = KWF_UNAVAILABLE, [KWF_FAIL_CONNECT] = KWF_UNAVAILABLE,
     [KWF_FAIL_BROKEN] = KWF_UNKNOWN,      [KWF_FAIL_TIMEOUT] = KWF_TIMEOUT,
-    [KWF_FAIL_OVERSIZED] = KWF_LIMIT,
+    [KWF_FAIL_OVERSIZED] = KWF_LIMIT,     [KWF_FAIL_WITHHELD] = KWF_DENIED,
   };
   kwf_failure_t failure = failure_of (transfer);
   kwf_error_t error;
@@ -452,6 +460,8 @@
     return "the answer is one to another request";
   if (transfer->oversized)
     return "the answer is larger than the limit";
+  if (transfer->withheld)
+    return "the server may not be used any more";
   return transfer->easy->error[0] ? transfer->easy->error
                                   : curl_easy_strerror (transfer->code);
 }
--- a/net/client.h
+++ b/net/client.h
@@ -51,6 +51,10 @@
 
 typedef struct
 {
+  /* The request is about to be written to a connection; false: it is not, and
+     the transfer fails with KWF_FAIL_WITHHELD.  To look only: no transfer may
+     be started or cancelled.  NULL: it always is.  */
+  bool (*may_send) (void *data);
   /* The head of the answer arrived; may be NULL.  Called once before data()
      or done().  The body is empty.  */
   void (*head) (void *data, kwf_handle_t transfer,
@@ -89,10 +93,10 @@
 } client_request_t;
 
 /* Start a transfer.  HANDLER must outlive it.  A request is sent at most
-   once.  KWF_FAIL_REFUSED and KWF_FAIL_CONNECT mean that no byte of it was
-   sent; an invalid request fails with KWF_FAIL_CONNECT.  An answer that
-   ends with the connection, without a length of its own, fails with
-   KWF_FAIL_BROKEN, because it can't be told from one that was cut short.
+   once.  KWF_FAIL_REFUSED, KWF_FAIL_CONNECT and KWF_FAIL_WITHHELD mean that
+   no byte of it was sent; an invalid request fails with KWF_FAIL_CONNECT.  An
+   answer that ends with the connection, without a length of its own, fails
+   with KWF_FAIL_BROKEN, because it can't be told from one that was cut short.
    Connection, Content-Length, Expect, Keep-Alive, TE, Trailer,
    Transfer-Encoding and Upgrade in HEADERS are left out: they belong to
    the connection.  With data(), all bytes are passed to it before done()
--- a/net/relay.c
+++ b/net/relay.c
@@ -37,6 +37,15 @@
          || strcasecmp (name, "Date") == 0;
 }
 
+/* A connection may take a second, in which the server may have said that it
+   leaves, or the key may have been withdrawn.  */
+static bool
+may_send (void *data)
+{
+  const transfer_t *transfer = data;
+  return kwf_core_may_send (transfer->instance->core, transfer->attempt);
+}
+
 static void
 on_head (void *data, kwf_handle_t handle, const client_answer_t *answer)
 {
@@ -107,9 +116,11 @@
              const kwf_attempt_start_t *start, caller_t *caller,
              const server_request_t *request)
 {
-  static const client_handler_t handler = {
-    .head = on_head, .data = on_data, .done = on_done, .failed = on_failed
-  };
+  static const client_handler_t handler = { .may_send = may_send,
+                                            .head = on_head,
+                                            .data = on_data,
+                                            .done = on_done,
+                                            .failed = on_failed };
   int64_t left_ns = MAX (start->deadline_ns - kwf_now_ns (kwf_clock_system ()),
                          KWF_NS_PER_MS);
   char last_event[24];
--- a/test/test_client.c
+++ b/test/test_client.c
@@ -370,6 +370,34 @@
     }
 }
 
+static bool
+never (void *data)
+{
+  (void)data;
+  return false;
+}
+
+/* Guards against a request that reaches a server which was given up while the
+   connection was made, or while a kept one was awaited.  */
+static void
+request_is_withheld_when_the_decision_is_void (void **state)
+{
+  static const client_handler_t withheld
+      = { .may_send = never, .done = on_done, .failed = on_failed };
+  world_t *world = *state;
+  client_request_t request = get (world);
+  for (int i = 1; i <= 2; i++)
+    {
+      run (world, &request, &withheld);
+      assert_int_equal (world->failed, i);
+      assert_int_equal (world->failure, KWF_FAIL_WITHHELD);
+      /* The next one goes by a kept connection.  */
+      run (world, &request, &whole);
+      assert_int_equal (world->done, i);
+      assert_int_equal (world->listener->requests, i);
+    }
+}
+
 /* Guards against an answer without bound, and against reuse after it.  */
 static void
 oversized_answers (void **state)
@@ -640,6 +668,7 @@
     TEST (time_out),
     TEST (time_out_before_sending),
     TEST (ended_connects_leave_no_watcher),
+    TEST (request_is_withheld_when_the_decision_is_void),
     TEST (oversized_answers),
     TEST (given_up_transfer_resets),
     TEST (cancelled_transfer),
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -162,6 +162,47 @@
                     KWF_RUN_NO);
 }
 
+/* Guards against a request that reaches a server after it said that it leaves,
+   because its connection took that long, and against an attempt of the route
+   that is lost that way.  */
+static void
+decision_is_checked_when_the_connection_is_there (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/book/x", NULL);
+  const kwf_effect_t *first = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  kwf_handle_t attempt = assert_sent (world);
+  bool is_d1 = strcmp (first->start.server, "d1") == 0;
+  assert_true (kwf_core_may_send (world->core, attempt));
+  kwf_member_t member = { .id = is_d1 ? "d1" : "d2",
+                          .kind = KWF_MEMBER_SERVICE,
+                          .name = "desk",
+                          .address = "127.0.0.1:11",
+                          .data_centre = "c",
+                          .leaving = true,
+                          .described = true,
+                          .revision = 90,
+                          .incarnation = 1,
+                          .slots = 6 };
+  kwf_event_t event = {
+    .type = KWF_EV_MEMBERS,
+    .members
+    = { .valid = true, .unsure = true, .members = &member, .n_members = 1 }
+  };
+  core_world_step (world, &event);
+  assert_false (kwf_core_may_send (world->core, attempt));
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                             .attempt = { .attempt = attempt,
+                                          .request = 1,
+                                          .failure = KWF_FAIL_WITHHELD } });
+  const kwf_effect_t *second = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  assert_non_null (second);
+  assert_string_equal (second->start.server, is_d1 ? "d2" : "d1");
+  assert_true (kwf_core_may_send (world->core, second->start.attempt));
+}
+
 /* Guards against replacing a server's own failure.  */
 static void
 last_failure_of_a_server_is_passed_on (void **state)
@@ -495,6 +536,9 @@
     cmocka_unit_test_setup_teardown (
         not_run_goes_to_another_server_within_the_attempts, core_world_setup,
         core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        decision_is_checked_when_the_connection_is_there, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test_setup_teardown (last_failure_of_a_server_is_passed_on,
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (broken_stream_resumes_at_another_engine,
