Follow the tables by the shorter of the two bounds

On a deployment whose bound for configurations is shorter each change would be late by design.

lists_ms takes the bound of configurations; polls, patience and pauses follow the lesser of the two. Test: shorter_bound_of_tables_holds (test_settings).

--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -32,7 +32,9 @@
   char *ready_listen;          /* [callers] ready_listen, or NULL */
   char *directory_listen;      /* [callers] directory_listen, or NULL */
   char *platform;              /* [platform] address */
-  int64_t fresh_ms;            /* [platform] fresh_ms */
+  int64_t fresh_ms;            /* the lesser of [platform] fresh_ms and
+                                  lists_ms */
+  int64_t lists_ms;            /* [platform] lists_ms */
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* [keys] pepper_file, contents */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -75,6 +75,8 @@
     .unit = "" },
   { "platform", "fresh_ms", SETTING_INTEGER, AT (fresh_ms), .unit = "ms",
     .default_number = 2000, .least = 500, .most = 60000 },
+  { "platform", "lists_ms", SETTING_INTEGER, AT (lists_ms), .unit = "ms",
+    .default_number = 60000, .least = 500, .most = 60000 },
   { "platform", "protocol", SETTING_CHOICE, AT (protocol), .unit = "",
     .default_text = "table", .names = protocols },
   { "keys", "pepper_file", SETTING_SECRET, AT (key_pepper), .unit = "" },
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -375,6 +375,7 @@
                    &settings->caller_address);
   default_address (&reading, "peers", settings->peer_listen,
                    &settings->peer_address);
+  settings->fresh_ms = MIN (settings->fresh_ms, settings->lists_ms);
   check_together (&reading);
   reader_close (&reader);
   if (!reader.n_findings)
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -132,6 +132,28 @@
   kwf_settings_free (s);
 }
 
+/* Guards against tables that are followed by the longer of two bounds.  */
+static void
+shorter_bound_of_tables_holds (void **state)
+{
+  (void)state;
+  static const char *const texts[]
+      = { "fresh_ms = 3000\nlists_ms = 1500\n",
+          "fresh_ms = 1500\nlists_ms = 3000\n", "fresh_ms = 1500\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      findings_t findings;
+      GString *text = g_string_new (SETTINGS);
+      g_string_replace (text, "[platform]\n", "[platform]\n@", 1);
+      g_string_replace (text, "@", texts[i], 1);
+      kwf_settings_t *s = read_settings (text->str, &findings);
+      assert_non_null (s);
+      assert_int_equal (s->fresh_ms, 1500);
+      kwf_settings_free (s);
+      g_string_free (text, TRUE);
+    }
+}
+
 /* Guards against fields that are read but not used.  */
 static void
 values_replace_defaults (void **state)
@@ -397,6 +419,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (defaults_are_set),
     cmocka_unit_test (values_replace_defaults),
+    cmocka_unit_test (shorter_bound_of_tables_holds),
     cmocka_unit_test (values_are_checked),
     cmocka_unit_test (required_values_are_checked),
     cmocka_unit_test (all_findings_are_reported),
