Hear servers that leave or ask for a pause by their answers

Server-Leaving and Retry-After of a server's answers were not read: a server that leaves got requests until the list told so, and one that asked for a pause at once again.

lib/notice: leaving holds for the process that told it, from the head of the first answer on (requests, load reports, orders), is told to the other instances, and is taken back by a later report or a later entry only. A pause is kept by the instance that was asked, cut to 60 s, counts as no failure, and work is let in slowly after it, at the pace that this instance had before. Where all copies pause, callers are turned away at once and come back one after the other, urgent ones first. What was decided before is withheld when its connection is ready. The holder gives neither orders, and counts an engine that leaves as gone.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -30,6 +30,7 @@
   KWF_EV_ATTEMPT_END,    /* the answer is complete */
   KWF_EV_ATTEMPT_FAILED, /* the attempt ended without a complete answer */
   KWF_EV_ORDER_REPLY,    /* answer to KWF_FX_ORDER */
+  KWF_EV_NOTICE,         /* a backend server told something of itself */
   KWF_EV_CONFIG,         /* lists and keys, read elsewhere */
   KWF_EV_ROWS,           /* rows of the table that changed, unasked */
   KWF_EV_OPERATOR,       /* a command on the operator port */
@@ -236,6 +237,16 @@
   bool running;          /* accepted and not yet carried out */
 } kwf_order_event_t;
 
+/* What a backend server tells of itself with an answer, beside it.  */
+typedef struct
+{
+  kwf_handle_t attempt; /* that was answered, or */
+  const char *server;   /* that answered something else */
+  bool leaving;
+  int64_t pause_ns; /* it wants no request for so long; 0: no pause */
+  bool unreadable;  /* it asks for a pause of a length that is none */
+} kwf_notice_event_t;
+
 typedef struct
 {
   kwf_event_type_t type;
@@ -256,6 +267,7 @@
     kwf_rows_event_t rows;
     kwf_operator_event_t operator_;
     kwf_order_event_t order;
+    kwf_notice_event_t notice;
   };
 } kwf_event_t;
 
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -35,7 +35,8 @@
   KWF_MSG_LOADS,      /* what is under way at the engines */
   KWF_MSG_LEAVE,      /* the sender is stopping */
   KWF_MSG_LAPSED,     /* the sender's right to a duty ended */
-  KWF_MSG_DOWN        /* instances that the sender does not reach */
+  KWF_MSG_DOWN,       /* instances that the sender does not reach */
+  KWF_MSG_LEAVING     /* a backend server told with an answer that it leaves */
 } kwf_message_type_t;
 
 /* Session row contents, as a member asks a peer to write it.  */
@@ -168,6 +169,14 @@
   size_t n_names;
 } kwf_down_t;
 
+typedef struct
+{
+  const char *server;
+  uint64_t incarnation;
+  int64_t age_ns; /* since the answer was read, at the sending */
+  bool passed;    /* on, by another instance than the one that read it */
+} kwf_leaving_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -189,6 +198,7 @@
     kwf_loads_t loads;
     int64_t lapsed; /* token of the duty */
     kwf_down_t down;
+    kwf_leaving_t leaving;
   };
 } kwf_message_t;
 
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -2,6 +2,7 @@
 
 #include "request.h"
 
+#include "notice.h"
 #include "refusal.h"
 
 /* How long a broken request waits to learn whether its server crashed.  */
@@ -10,6 +11,7 @@
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_SERVER_ERROR 500
+#define HTTP_UNAVAILABLE 503
 
 static int64_t
 now_of (const kwf_core_t *core)
@@ -213,7 +215,8 @@
   if (event->misplaced && request_has_model (request))
     backend_misplaced (core->backend, attempt->server, request->model,
                        request->adapter);
-  else if (!event->misplaced && request_has_model (request))
+  else if (!event->misplaced && request_has_model (request)
+           && !notice_is_paused (attempt->server, now_of (core)))
     wait_busy (core, attempt, now_of (core));
   try_again (core, attempt, OUTCOME_NEUTRAL, CODE_NO_SERVER, effects);
 }
@@ -227,6 +230,17 @@
          && budget_left (&core->budget);
 }
 
+/* What an answer of STATUS says of the server: one that asks for a pause is
+   not failing.  */
+static outcome_t
+failure_outcome (const kwf_core_t *core, const attempt_t *attempt, int status)
+{
+  return status == HTTP_UNAVAILABLE
+                 && notice_is_paused (attempt->server, now_of (core))
+             ? OUTCOME_NEUTRAL
+             : OUTCOME_BAD;
+}
+
 /* Take an answer to a routed request that is not passed on; false: it is
    passed on.  */
 static bool
@@ -240,7 +254,8 @@
            && may_retry_failure (core, request))
     {
       request->same_server = false;
-      try_again (core, attempt, OUTCOME_BAD, CODE_BACKEND_ERROR, effects);
+      try_again (core, attempt, failure_outcome (core, attempt, event->status),
+                 CODE_BACKEND_ERROR, effects);
     }
   else
     return false;
@@ -280,8 +295,10 @@
       core->stop.linger_ns = now_ns + KWF_NS_PER_S / 2;
     }
   attempt->ended = true;
-  attempt->failed = request->kind == KWF_REQUEST_ROUTED
-                    && event->status >= HTTP_SERVER_ERROR;
+  attempt->failed
+      = request->kind == KWF_REQUEST_ROUTED
+        && event->status >= HTTP_SERVER_ERROR
+        && failure_outcome (core, attempt, event->status) == OUTCOME_BAD;
   if (session_may_act (core->session))
     finish (core, attempt, effects);
   else
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -2,6 +2,7 @@
 
 #include "request.h"
 
+#include "notice.h"
 #include "refusal.h"
 
 /* Copies of a fingerprint wait for its trial at most this long.  */
@@ -148,11 +149,43 @@
   return policy_choose (core->policy, core->backend, &query, now_ns);
 }
 
+/* Of the servers that could run REQUEST but for a pause that they asked for,
+   the one whose pause ends first; NULL: there is none.  */
+static server_t *
+first_to_resume (kwf_core_t *core, const request_t *request)
+{
+  int64_t now_ns = kwf_now_ns (core->options.clock);
+  const GPtrArray *holders
+      = request->model ? backend_of_model (core->backend, request->model)
+                       : backend_of_service (core->backend, request->service);
+  server_t *first = NULL;
+  for (guint i = 0; holders && i < holders->len; i++)
+    {
+      server_t *server = g_ptr_array_index (holders, i);
+      if (notice_is_paused (server, now_ns) && !server_leaving (server)
+          && !server->refused && server_holds (server, request->model)
+          && (!first
+              || server->notice.pause_until_ns < first->notice.pause_until_ns))
+        first = server;
+    }
+  return first;
+}
+
 /* No server is left for REQUEST.  */
 static void
 refuse_unrouted (kwf_core_t *core, request_t *request, bool suspect,
                  route_verdict_t verdict, kwf_effects_t *effects)
 {
+  server_t *paused = first_to_resume (core, request);
+  if (paused && !request->begun && !request->n_ran)
+    {
+      int64_t now_ns = kwf_now_ns (core->options.clock);
+      int64_t after_ns = notice_return_ns (paused, request->priority, now_ns);
+      request_fail (core, request, CODE_OVERLOADED, after_ns / KWF_NS_PER_MS,
+                    "the servers that could run the request asked for a pause",
+                    effects);
+      return;
+    }
   if (request->begun)
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
                   "the stream broke and no server can resume it", effects);
@@ -225,8 +258,10 @@
     return false;
   const request_t *request = attempt->request;
   const server_t *server = attempt->server;
+  int64_t now_ns = kwf_now_ns (core->options.clock);
   return attempt->incarnation == server->incarnation
-         && !server_leaving (server) && session_may_act (core->session)
+         && !server_leaving (server) && !notice_is_paused (server, now_ns)
+         && session_may_act (core->session)
          && (!request->organisation[0]
              || config_key_organisation (core->config, request->digest));
 }
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -1,5 +1,7 @@
 #include "backend.h"
 
+#include "notice.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -32,7 +34,8 @@
 {
   const kwf_clock_t *clock;
   int64_t probe_ns;
-  bool pushed; /* the list comes unasked and describes the servers */
+  bool pushed;      /* the list comes unasked and describes the servers */
+  int64_t fresh_ns; /* in which a change of the list is known */
   uint64_t instance_hash;
   GHashTable *by_id;  /* id to server_t, owned */
   GPtrArray *servers; /* the same, for walks */
@@ -102,6 +105,7 @@
   backend->clock = options->clock;
   backend->probe_ns = options->probe_ns;
   backend->pushed = options->pushed;
+  backend->fresh_ns = options->fresh_ns ? options->fresh_ns : SESSION_FRESH_NS;
   backend->instance_hash
       = XXH64 (options->instance, strlen (options->instance), 0);
   backend->by_id
@@ -428,7 +432,10 @@
   if (other_process && !server->refused)
     mark_lost (backend, server, now_ns);
   if (other_process)
-    window_init (&server->window);
+    {
+      window_init (&server->window);
+      notice_reset (server);
+    }
   if (other_process || server->refused)
     close_circuit (server);
   take_residents (backend, server, report->models, report->n_models);
@@ -437,6 +444,8 @@
   server->missed = 0;
   server->incarnation = report->incarnation;
   server->report_leaving = report->leaving;
+  if (!report->leaving)
+    notice_take_report (server, server->probe_since_ns, now_ns);
   server->resume = report->resume;
   server->memory_total_mb = report->memory_total_mb;
   server->memory_used_mb = report->memory_used_mb;
@@ -495,6 +504,8 @@
     {
       mark_lost (backend, server, now_ns);
       window_init (&server->window);
+      notice_reset (server);
+      server->report_leaving = false;
       server->running = server->waiting = 0;
     }
   if (other_process || !server->reported)
@@ -525,7 +536,8 @@
 }
 
 static void
-take_member (backend_t *backend, const kwf_member_t *member, int64_t now_ns)
+take_member (backend_t *backend, const kwf_member_t *member, bool settled,
+             int64_t now_ns)
 {
   if (member->kind == KWF_MEMBER_ENTRY)
     return;
@@ -551,6 +563,8 @@
   server->member_leaving = member->leaving;
   if (member->described)
     take_description (backend, server, member, now_ns);
+  notice_take_entry (server, member->revision, !member->leaving, settled,
+                     backend->fresh_ns, now_ns);
 }
 
 static void
@@ -568,7 +582,7 @@
       server->listed = event->unsure && !server->member_leaving;
     }
   for (size_t i = 0; i < event->n_members; i++)
-    take_member (backend, &event->members[i], now_ns);
+    take_member (backend, &event->members[i], !event->unsure, now_ns);
 }
 
 static void
@@ -602,7 +616,7 @@
     mark_refused (backend, server, now_ns);
   else
     server->missed++;
-  if (server->probe_again)
+  if (server->probe_again && !notice_is_paused (server, now_ns))
     start_probe (server, now_ns, effects);
 }
 
@@ -611,7 +625,7 @@
 {
   if (server->probing)
     server->probe_again = true;
-  else
+  else if (!notice_is_paused (server, kwf_now_ns (backend->clock)))
     start_probe (server, kwf_now_ns (backend->clock), effects);
 }
 
@@ -646,6 +660,12 @@
   for (guint i = 0; i < backend->servers->len; i++)
     {
       server_t *server = g_ptr_array_index (backend->servers, i);
+      if (!server->probing && now_ns >= notice_check_ns (server))
+        {
+          notice_checked (server, now_ns);
+          start_probe (server, now_ns, effects);
+        }
+      deadline = MIN (deadline, notice_check_ns (server));
       if (!server->listed || (backend->pushed && !server->refused))
         continue;
       if (now_ns >= server->next_probe_ns)
@@ -687,6 +707,7 @@
 backend_started (backend_t *backend, server_t *server, int64_t now_ns)
 {
   (void)backend;
+  notice_began (server, now_ns);
   server->sent++;
   server->open_attempts++;
   server->unanswered++;
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -23,6 +23,24 @@
   GHashTable *adapters; /* set of names */
 } resident_t;
 
+/* Classes of requests that come back apart after a pause.  */
+#define NOTICE_LANES 3
+
+/* What the server's process told of itself with its answers (lib/notice.h). */
+typedef struct
+{
+  bool leaving;
+  int64_t leaving_ns;     /* when that was read, here or elsewhere */
+  int64_t back_ns;        /* last taken back; 0: never */
+  int64_t check_ns;       /* no question whether it still leaves before */
+  int64_t entry;          /* newest revision of its entry that may have been
+                             written before it told that it leaves */
+  int64_t pause_until_ns; /* 0: never asked for a pause */
+  int share;              /* requests under way when it asked for the pause */
+  int began;              /* requests since the pause ended */
+  int turned_away[NOTICE_LANES]; /* callers, during the pause */
+} notice_t;
+
 typedef struct
 {
   char *id;
@@ -73,6 +91,7 @@
   int openings;       /* of the circuit in a row, for the back-off */
   int ejections;
 
+  notice_t notice;
   bool listed; /* in the latest membership list */
   bool member_leaving;
   bool report_leaving;
--- a/lib/core.c
+++ b/lib/core.c
@@ -1,3 +1,4 @@
+#include "notice.h"
 #include "request.h"
 
 #include <stdlib.h>
@@ -139,6 +140,9 @@
               kwf_effects_t *effects)
 {
   backend_news_t news = { 0 };
+  if (event->type == KWF_EV_PEER_MESSAGE
+      && event->peer.message->type == KWF_MSG_LEAVING)
+    notice_take_told (core, &event->peer, effects);
   backend_step (core->backend, event, effects, &news);
   if (backend_take_news (core->backend))
     waits_kick_all (core);
@@ -263,6 +267,10 @@
     case KWF_EV_ATTEMPT_FAILED:
       answer_failed (core, &event->attempt, effects);
       break;
+    case KWF_EV_NOTICE:
+      notice_take (core, &event->notice, effects);
+      step_modules (core, event, effects);
+      break;
     case KWF_EV_REQUEST:
       admit (core, &event->request, effects);
       break;
--- a/lib/direct.c
+++ b/lib/direct.c
@@ -119,12 +119,11 @@
     desk->doubtful = true;
 }
 
+/* Which engines take orders: none that leaves, and one that asked for a pause
+   not before its end.  */
 static void
-take_members (direct_t *direct, const kwf_members_event_t *members,
-              int64_t now_ns)
+review_desks (const direct_t *direct)
 {
-  for (size_t i = 0; i < members->n_members; i++)
-    take_member (direct, &members->members[i], now_ns);
   GHashTableIter iter;
   gpointer id;
   gpointer value;
@@ -132,14 +131,26 @@
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
       const server_t *server = backend_find (direct->sources.backend, id);
-      if (server)
-        ((desk_t *)value)->usable
-            = !server_leaving (server) && !server->refused;
-      else
-        g_hash_table_iter_remove (&iter);
+      desk_t *desk = value;
+      if (!server)
+        {
+          g_hash_table_iter_remove (&iter);
+          continue;
+        }
+      desk->usable = !server_leaving (server) && !server->refused;
+      desk->again_ns = MAX (desk->again_ns, server->notice.pause_until_ns);
     }
 }
 
+static void
+take_members (direct_t *direct, const kwf_members_event_t *members,
+              int64_t now_ns)
+{
+  for (size_t i = 0; i < members->n_members; i++)
+    take_member (direct, &members->members[i], now_ns);
+  review_desks (direct);
+}
+
 typedef struct
 {
   const kwf_placed_t *placed;
@@ -741,6 +752,7 @@
     direct->watch_ns = now_ns;
   GHashTableIter iter;
   gpointer value;
+  review_desks (direct);
   g_hash_table_iter_init (&iter, direct->desks);
   int asks = 0;
   while (g_hash_table_iter_next (&iter, NULL, &value) && asks < ASKS_MOST)
@@ -765,6 +777,8 @@
                        peer->message->want);
       ask_round (direct, now_ns);
     }
+  else if (peer->message->type == KWF_MSG_LEAVING)
+    ask_round (direct, now_ns);
   else if (peer->message->type == KWF_MSG_PLACED)
     {
       backend_take_placed (direct->sources.backend, &peer->message->placed);
@@ -814,6 +828,8 @@
       take_members (direct, &event->members, now_ns);
       ask_round (direct, now_ns);
     }
+  else if (event->type == KWF_EV_NOTICE && event->notice.leaving)
+    ask_round (direct, now_ns);
   else if (event->type == KWF_EV_ORDER_REPLY)
     take_answer (direct, &event->order, now_ns, effects);
   else if (event->type == KWF_EV_PEER_MESSAGE)
--- a/lib/route.c
+++ b/lib/route.c
@@ -1,5 +1,7 @@
 #include "route.h"
 
+#include "notice.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -67,10 +69,11 @@
 }
 
 static bool
-has_room (const server_t *server)
+has_room (const server_t *server, int64_t now_ns)
 {
-  return server->kind == KWF_MEMBER_SERVICE
-         || window_has_room (&server->window, server->open_attempts);
+  return notice_has_room (server, now_ns)
+         && (server->kind == KWF_MEMBER_SERVICE
+             || window_has_room (&server->window, server->open_attempts));
 }
 
 static double
@@ -208,10 +211,11 @@
 /* Of the usable candidates take one with room.  */
 static void
 take_candidate (const route_query_t *query, server_t *const candidates[2],
-                bool first, bool second, route_result_t *result)
+                bool first, bool second, int64_t now_ns,
+                route_result_t *result)
 {
-  bool first_room = first && has_room (candidates[0]);
-  bool second_room = second && has_room (candidates[1]);
+  bool first_room = first && has_room (candidates[0], now_ns);
+  bool second_room = second && has_room (candidates[1], now_ns);
   result->verdict = ROUTE_FOUND;
   if (first_room && second_room)
     result->server = less_loaded (query, candidates);
@@ -318,7 +322,7 @@
       server_t *server = g_ptr_array_index (holders, i);
       if (!route_may_take (query, server, now_ns))
         continue;
-      if (has_room (server))
+      if (has_room (server, now_ns))
         g_ptr_array_add (servers, server);
       else
         full = full ? full : server;
@@ -347,7 +351,7 @@
   bool second = candidates[1] && route_may_take (query, candidates[1], now_ns);
   if (first || second)
     {
-      take_candidate (query, candidates, first, second, &result);
+      take_candidate (query, candidates, first, second, now_ns, &result);
       return result;
     }
   result.verdict = ROUTE_UNAVAILABLE;
@@ -373,7 +377,7 @@
     }
   result.verdict = ROUTE_FOUND;
   result.server = third;
-  if (!has_room (third))
+  if (!has_room (third, now_ns))
     result = (route_result_t){ .verdict = ROUTE_FULL, .full = { third } };
   return result;
 }
--- a/lib/server.c
+++ b/lib/server.c
@@ -2,6 +2,8 @@
 
 #include "backend.h"
 
+#include "notice.h"
+
 /* Load reports in a row that stay away before a server counts as silent.  */
 #define MISSED_LIMIT 4
 
@@ -39,7 +41,8 @@
 bool
 server_leaving (const server_t *server)
 {
-  return !server->listed || server->member_leaving || server->report_leaving;
+  return !server->listed || server->member_leaving || server->report_leaving
+         || server->notice.leaving;
 }
 
 static bool
@@ -52,7 +55,8 @@
 bool
 server_usable (const server_t *server, int64_t now_ns)
 {
-  if (server_leaving (server) || server->refused)
+  if (server_leaving (server) || server->refused
+      || notice_is_paused (server, now_ns))
     return false;
   if (!server->reported && server->kind == KWF_MEMBER_ENGINE)
     return false;
@@ -89,6 +93,8 @@
     return "refused";
   if (!server->reported)
     return "unknown";
+  if (notice_is_paused (server, now_ns))
+    return "paused";
   if (now_ns < server->ejected_until_ns)
     return "ejected";
   if (is_circuit_open (server, now_ns))
--- a/lib/session.c
+++ b/lib/session.c
@@ -31,7 +31,7 @@
   session->members = g_ptr_array_new_with_free_func (member_free);
   session->waiting_relays = g_ptr_array_new_with_free_func (relay_free);
   session->sent_relays = g_ptr_array_new_with_free_func (relay_free);
-  session->fresh_ns = options->fresh_ns ? options->fresh_ns : 2 * KWF_NS_PER_S;
+  session->fresh_ns = options->fresh_ns ? options->fresh_ns : SESSION_FRESH_NS;
   session->cores = options->cores ? options->cores : 1;
   session->hub = true;
   session->down
--- a/lib/session.h
+++ b/lib/session.h
@@ -141,6 +141,9 @@
 
 /* Time in nanoseconds in which a change of the platform's tables must be in
    force.  */
+/* Time in which a change of the platform's tables is in force; unless the
+   options tell, two seconds.  */
+#define SESSION_FRESH_NS (2 * KWF_NS_PER_S)
 int64_t session_fresh_ns (const session_t *session);
 
 /* Time in nanoseconds since the session was made.  */
--- a/lib/state.h
+++ b/lib/state.h
@@ -53,6 +53,14 @@
   N_SHED
 } shed_t;
 
+/* What servers told with their answers.  */
+typedef struct
+{
+  uint64_t leaving;
+  uint64_t pauses;
+  uint64_t unreadable; /* pauses */
+} notice_counts_t;
+
 /* Waiting requests and what is known about their prospects.  */
 typedef struct
 {
@@ -106,6 +114,7 @@
   int64_t timer_ns;      /* last KWF_FX_TIMER; 0: none since the last tick */
   int64_t ticked_ns;     /* time of the last KWF_EV_TICK */
   stop_t stop;
+  notice_counts_t notices;
 
   uint64_t n_attempts;
   uint64_t n_retries;
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -1,5 +1,6 @@
 /* The state of this instance as JSON, and its metrics.  */
 
+#include "notice.h"
 #include "request.h"
 
 #include <jansson.h>
@@ -67,8 +68,8 @@
                                                 "adapters", adapters));
     }
   return json_pack (
-      "{s:s,s:s,s:s,s:s?,s:s?,s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:I,s:I,s:o}", "id",
-      server->id, "kind",
+      "{s:s,s:s,s:s,s:s?,s:s?,s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:o}",
+      "id", server->id, "kind",
       server->kind == KWF_MEMBER_SERVICE ? "service" : "engine", "name",
       server->name, "address", server->address, "data_centre",
       server->data_centre, "state", server_state (server, now_ns),
@@ -76,7 +77,10 @@
       server->running, "waiting", server->waiting, "sent", server->sent,
       "attempts", server->open_attempts, "window", (int)server->window.limit,
       "memory_total_mb", (json_int_t)server->memory_total_mb, "memory_used_mb",
-      (json_int_t)server->memory_used_mb, "models", models);
+      (json_int_t)server->memory_used_mb, "pause_left_ms",
+      (json_int_t)(MAX (server->notice.pause_until_ns - now_ns, 0)
+                   / KWF_NS_PER_MS),
+      "models", models);
 }
 
 static json_t *
@@ -220,6 +224,7 @@
                       session_may_act (core->session));
   metric_write_value (out, "kwf_configuration_version", "gauge",
                       (double)config_version (core->config));
+  notices_write_metrics (core, out);
   metric_write_value (out, "kwf_attempts_total", "counter",
                       (double)core->n_attempts);
   metric_write_value (out, "kwf_retries_total", "counter",
--- a/net/dialect.h
+++ b/net/dialect.h
@@ -45,6 +45,10 @@
                        const char *last_event);
   const char *echo_name;
   void (*read_facts) (answer_facts_t *facts, const client_answer_t *answer);
+  /* Read what an answer tells of the server itself; false: nothing.  NULL:
+     there is nothing to read.  */
+  bool (*read_notice) (kwf_notice_event_t *notice,
+                       const client_answer_t *answer);
   /* Header that names the server that is meant; NULL: none.  */
   const char *expect_name;
   /* Orders and load reports.  ORDER_BODY is freed with free.  */
--- a/net/instance-parts.h
+++ b/net/instance-parts.h
@@ -147,6 +147,11 @@
 void relay_forward_end (instance_t *instance, transfer_t *transfer,
                         caller_t *caller);
 
+/* Feed what ANSWER tells of the server itself; ATTEMPT was answered, or, when
+   0, another call to SERVER.  */
+void notice_read (instance_t *instance, kwf_handle_t attempt,
+                  const char *server, const client_answer_t *answer);
+
 /* Load reports of backend servers.  */
 void probe_start (instance_t *instance, const char *server,
                   const char *address);
--- a/net/message.c
+++ b/net/message.c
@@ -238,6 +238,8 @@
       return 5;
     case KWF_MSG_CRASH:
       return 3;
+    case KWF_MSG_LEAVING:
+      return 4;
     default:
       return -1;
     }
@@ -315,6 +317,12 @@
     case KWF_MSG_DOWN:
       put_down (writer, &message->down);
       break;
+    case KWF_MSG_LEAVING:
+      wire_put_text (writer, message->leaving.server);
+      wire_put_uint (writer, message->leaving.incarnation);
+      wire_put_int (writer, message->leaving.age_ns);
+      wire_put_bool (writer, message->leaving.passed);
+      break;
     }
 }
 
@@ -390,6 +398,12 @@
     case KWF_MSG_DOWN:
       read_down (reader, &message->down);
       break;
+    case KWF_MSG_LEAVING:
+      message->leaving.server = wire_text (reader);
+      message->leaving.incarnation = wire_uint (reader);
+      message->leaving.age_ns = wire_int (reader);
+      message->leaving.passed = wire_bool (reader);
+      break;
     }
 }
 
--- /dev/null
+++ b/net/notice.c
@@ -0,0 +1,14 @@
+#include "instance-parts.h"
+
+void
+notice_read (instance_t *instance, kwf_handle_t attempt, const char *server,
+             const client_answer_t *answer)
+{
+  kwf_event_t event = { .type = KWF_EV_NOTICE };
+  const dialect_t *dialect = instance->dialect;
+  if (!dialect->read_notice || !dialect->read_notice (&event.notice, answer))
+    return;
+  event.notice.attempt = attempt;
+  event.notice.server = server;
+  instance_step (instance, &event);
+}
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -29,6 +29,7 @@
   { .type = KWF_MSG_PING },
   { .type = KWF_MSG_LEAVE },
   { .type = KWF_MSG_LAPSED, .lapsed = 41 },
+  { .type = KWF_MSG_LEAVING, .leaving = { "s1", 5, 12, true } },
   { .type = KWF_MSG_DOWN, .down = { .names = names, .n_names = 2 } },
   { .type = KWF_MSG_RENEW,
     .renew = { .incarnation = UINT64_MAX,
@@ -213,6 +214,12 @@
           assert_true (a->loads.loads[i].reading == b->loads.loads[i].reading);
         }
       break;
+    case KWF_MSG_LEAVING:
+      assert_string_equal (a->leaving.server, b->leaving.server);
+      assert_true (a->leaving.incarnation == b->leaving.incarnation);
+      assert_true (a->leaving.age_ns == b->leaving.age_ns);
+      assert_int_equal (a->leaving.passed, b->leaving.passed);
+      break;
     case KWF_MSG_LAPSED:
       assert_true (a->lapsed == b->lapsed);
       break;
@@ -264,7 +271,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_DOWN + 1 },
+    { .type = KWF_MSG_LEAVING + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "" } },
     { .type = KWF_MSG_ASK, .ask = { .organisation = "\xff" } },
--- a/test/test_platform_words.c
+++ b/test/test_platform_words.c
@@ -235,6 +235,59 @@
   assert_false (facts.loaded);
 }
 
+/* Guards against a server that leaves or asks for a pause and is not heard,
+   and against a length that is none.  */
+static void
+answers_tell_of_leaving_and_pauses (void **state)
+{
+  (void)state;
+  const struct
+  {
+    int status;
+    const char *leaving;
+    const char *pause;
+    bool heard;
+    int64_t pause_ms; /* -1: cannot be read */
+  } cases[] = {
+    { 200, "1", NULL, true, 0 },
+    { 503, "1", "2", true, 2000 },
+    { 200, "0", NULL, false, 0 },
+    { 200, NULL, "3", false, 0 },
+    { 503, NULL, "0.3", true, 300 },
+    { 503, NULL, "3", true, 3000 },
+    { 503, NULL, "0", true, 0 },
+    { 503, NULL, "1e9", true, 1000000000 },
+    { 503, NULL, "-1", true, -1 },
+    { 503, NULL, "soon", true, -1 },
+    { 503, NULL, "", true, -1 },
+    { 503, NULL, "0x10", true, -1 },
+    { 503, NULL, "inf", true, -1 },
+    { 503, NULL, "1 2", true, -1 },
+    { 503, NULL, "e", true, -1 },
+    { 503, NULL, NULL, false, 0 },
+    { 503, NULL, "Fri, 04 Dec 2026 14:00:00 GMT", true, -1 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      header_t headers[2];
+      size_t n = 0;
+      if (cases[i].leaving)
+        headers[n++] = (header_t){ "server-leaving", cases[i].leaving };
+      if (cases[i].pause)
+        headers[n++] = (header_t){ "Retry-After", cases[i].pause };
+      client_answer_t answer
+          = { .status = cases[i].status, .headers = headers, .n_headers = n };
+      kwf_notice_event_t notice = { 0 };
+      assert_int_equal (platform_dialect.read_notice (&notice, &answer),
+                        cases[i].heard);
+      assert_int_equal (notice.leaving,
+                        cases[i].leaving && *cases[i].leaving == '1');
+      assert_int_equal (notice.unreadable, cases[i].pause_ms < 0);
+      assert_true (notice.pause_ns
+                   == MAX (cases[i].pause_ms, 0) * KWF_NS_PER_MS);
+    }
+}
+
 static const char *
 find (const GArray *headers, const char *name)
 {
@@ -328,6 +381,7 @@
     cmocka_unit_test (odd_entries_name_no_server),
     cmocka_unit_test (rows_are_read),
     cmocka_unit_test (answers_tell_whether_the_request_ran),
+    cmocka_unit_test (answers_tell_of_leaving_and_pauses),
     cmocka_unit_test (attempts_name_server_and_organisation),
     cmocka_unit_test (order_names_the_number_before_it),
     cmocka_unit_test (events_are_cut_at_their_ends),
