Promise nothing for a routed request that may have run

Cause: the status followed from the code alone (stopping: 503), whatever the run field said. The same held for an attempt that may have run before one that could not be sent (no_server: 503).

Now the status of a final answer to a routed request is 502 wherever 408, 421, 429 or 503 would promise what is not known. Statuses of the product's own interface stay; its answers carry the run field.

Tests: stop_makes_no_promise_for_what_was_sent and unreached_server_makes_no_promise_for_the_one_before (test_routed) got 503 before.

--- a/lib/refusal.h
+++ b/lib/refusal.h
@@ -3,6 +3,8 @@
 #ifndef KNAPWEEDFORK_REFUSAL_H
 #define KNAPWEEDFORK_REFUSAL_H
 
+#include <knapweedfork/effect.h>
+
 typedef enum
 {
   CODE_OK,
@@ -43,4 +45,8 @@
    are never sent.  */
 int code_status (code_t code);
 
+/* STATUS for a request that ran as RUN tells.  408, 421, 429 and 503 promise
+   callers of routes that nothing ran; 502 promises nothing.  */
+int refusal_status (int status, kwf_run_t run);
+
 #endif
--- a/lib/request.c
+++ b/lib/request.c
@@ -214,8 +214,12 @@
 request_refuse (kwf_core_t *core, request_t *request, const refusal_t *refusal,
                 kwf_effects_t *effects)
 {
+  refusal_t truthful = *refusal;
+  int status = refusal->status ? refusal->status : code_status (refusal->code);
+  if (request->kind == KWF_REQUEST_ROUTED)
+    truthful.status = refusal_status (status, refusal->run);
   if (!request->detached)
-    reply (request->handle, refusal, effects);
+    reply (request->handle, &truthful, effects);
   request_end (core, request, refusal->code, effects);
 }
 
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -131,24 +131,25 @@
   *world = (core_world_t){ .clock = { .clock = { &clock_ops },
                                       .now_ns = KWF_NS_PER_S } };
   world->effects = kwf_effects_new ();
-  world->core = kwf_core_new (
-      &(kwf_core_options_t){ .instance = "a",
-                             .incarnation = 1,
-                             .data_centre = "c",
-                             .caller_address = "127.0.0.1:1",
-                             .peer_address = "127.0.0.1:2",
-                             .lease_ns = 300 * KWF_NS_PER_S,
-                             .renew_ns = 100 * KWF_NS_PER_S,
-                             .address_lifetime_ns = KWF_NS_PER_S,
-                             .default_timeout_ns = 60 * KWF_NS_PER_S,
-                             .retry_share = 0.2,
-                             .pushed = true,
-                             .linger_ns = 3 * KWF_NS_PER_S,
-                             .placement = { .dynamic = true,
-                                            .lease_ns = 2 * KWF_NS_PER_S,
-                                            .tokens_unchecked = unchecked },
-                             .clock = &world->clock.clock,
-                             .random = &fixed_random });
+  world->core = kwf_core_new (&(kwf_core_options_t){
+      .instance = "a",
+      .incarnation = 1,
+      .data_centre = "c",
+      .caller_address = "127.0.0.1:1",
+      .peer_address = "127.0.0.1:2",
+      .lease_ns = 300 * KWF_NS_PER_S,
+      .renew_ns = 100 * KWF_NS_PER_S,
+      .address_lifetime_ns = KWF_NS_PER_S,
+      .default_timeout_ns = 60 * KWF_NS_PER_S,
+      .retry_share = 0.2,
+      .pushed = true,
+      .linger_ns = 3 * KWF_NS_PER_S,
+      .stop_limit_ns = CORE_WORLD_STOP_MS * KWF_NS_PER_MS,
+      .placement = { .dynamic = true,
+                     .lease_ns = 2 * KWF_NS_PER_S,
+                     .tokens_unchecked = unchecked },
+      .clock = &world->clock.clock,
+      .random = &fixed_random });
   core_world_step (
       world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
                              .peer = { .instance = "b", .incarnation = 1 } });
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -22,6 +22,9 @@
   bool silent;      /* the table answers nothing */
 } core_world_t;
 
+/* A stop lasts at most this long.  */
+#define CORE_WORLD_STOP_MS 4000
+
 /* A core of instance "a" that has a lease, a share and a configuration with:
    organisation "o" (key digest "k", 1,000 tokens/s), service "desk" (route
    /book/ once, /read/ idempotent, two attempts each) and the engine service
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -523,10 +523,50 @@
   assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
 }
 
+/* Guards against a status that callers take for a promise, when the request
+   may have run: at a server that does not answer until the stop.  */
+static void
+stop_makes_no_promise_for_what_was_sent (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
+  core_world_pass (world, CORE_WORLD_STOP_MS - 1500);
+  core_world_request (world, 1, "/book/x", NULL);
+  assert_sent (world);
+  core_world_pass (world, 1501);
+  assert_refused (world, 502, "stopping");
+  assert_int_equal (core_world_effect (world, KWF_FX_REPLY)->reply.run,
+                    KWF_RUN_UNKNOWN);
+}
+
+/* The same where a first server may have run it and the second one cannot be
+   reached.  */
+static void
+unreached_server_makes_no_promise_for_the_one_before (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/read/x", NULL);
+  fail_attempt (world, 1, assert_sent (world));
+  kwf_handle_t second = assert_sent (world);
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                             .attempt = { .attempt = second,
+                                          .request = 1,
+                                          .failure = KWF_FAIL_CONNECT } });
+  assert_refused (world, 502, "no_server");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (stop_makes_no_promise_for_what_was_sent,
+                                     core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        unreached_server_makes_no_promise_for_the_one_before, core_world_setup,
+        core_world_teardown),
     cmocka_unit_test (longest_prefix_wins),
     cmocka_unit_test_setup_teardown (admission_answers_what_the_lists_say,
                                      core_world_setup, core_world_teardown),
