--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -349,6 +349,24 @@
   assert_false (feed_is_unsure (world->feed, 3600 * KWF_NS_PER_S));
 }
 
+/* Guards against a question on a connection that went silent, whose answer is
+   awaited for as long as a change may take.  */
+static void
+unanswered_question_is_repeated_in_time (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  world->version = 8;
+  world->silent = true;
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  int accepted = world->store->accepted;
+  world->silent = false;
+  assert_true (run_until (world->loop, &world->n_polls, 2, 0.6));
+  assert_int_equal (world->store->accepted, accepted + 1);
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 8);
+}
+
 /* Guards against a first row, such as the configuration, that is missed
    because the table was empty when it was read.  */
 static void
@@ -459,6 +477,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (own_failures_do_not_make_news_unsure,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (unanswered_question_is_repeated_in_time,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (news_held_back_on_a_link_are_old, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (answers_held_back_are_old, set_up,
