--- a/test/test_platform_words.c
+++ b/test/test_platform_words.c
@@ -243,29 +243,29 @@
   (void)state;
   const struct
   {
-    int status;
     const char *leaving;
     const char *pause;
-    bool heard;
     int64_t pause_ms; /* -1: cannot be read */
+    int status;
+    bool heard;
   } cases[] = {
-    { 200, "1", NULL, true, 0 },
-    { 503, "1", "2", true, 2000 },
-    { 200, "0", NULL, false, 0 },
-    { 200, NULL, "3", false, 0 },
-    { 503, NULL, "0.3", true, 300 },
-    { 503, NULL, "3", true, 3000 },
-    { 503, NULL, "0", true, 0 },
-    { 503, NULL, "1e9", true, 1000000000 },
-    { 503, NULL, "-1", true, -1 },
-    { 503, NULL, "soon", true, -1 },
-    { 503, NULL, "", true, -1 },
-    { 503, NULL, "0x10", true, -1 },
-    { 503, NULL, "inf", true, -1 },
-    { 503, NULL, "1 2", true, -1 },
-    { 503, NULL, "e", true, -1 },
-    { 503, NULL, NULL, false, 0 },
-    { 503, NULL, "Fri, 04 Dec 2026 14:00:00 GMT", true, -1 },
+    { "1", NULL, 0, 200, true },
+    { "1", "2", 2000, 503, true },
+    { "0", NULL, 0, 200, false },
+    { NULL, "3", 0, 200, false },
+    { NULL, "0.3", 300, 503, true },
+    { NULL, "3", 3000, 503, true },
+    { NULL, "0", 0, 503, true },
+    { NULL, "1e9", 1000000000, 503, true },
+    { NULL, "-1", -1, 503, true },
+    { NULL, "soon", -1, 503, true },
+    { NULL, "", -1, 503, true },
+    { NULL, "0x10", -1, 503, true },
+    { NULL, "inf", -1, 503, true },
+    { NULL, "1 2", -1, 503, true },
+    { NULL, "e", -1, 503, true },
+    { NULL, NULL, 0, 503, false },
+    { NULL, "Fri, 04 Dec 2026 14:00:00 GMT", -1, 503, true },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
