Test the daemon on the users' protocol: leaving, pauses, configurations

A stand-in of the users' store (tables, transactions, polls that wait), two servers and callers around a real knapweedforkd.

--- /dev/null
+++ b/test/common-rows.c
@@ -0,0 +1,269 @@
+#include "common-rows.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <knapweedfork/clock.h>
+
+#include "common-listener.h"
+
+/* How often polls are looked at whose wait may be over.  */
+#define LOOK_S 0.02
+
+typedef struct
+{
+  char *table;
+  char *key;
+  char *value; /* base64 */
+  int64_t version;
+} row_t;
+
+/* A poll that waits.  */
+typedef struct
+{
+  connection_t *connection;
+  char *table;
+  int64_t after;
+  int64_t until_ns;
+} waiting_t;
+
+struct rows
+{
+  struct ev_loop *loop;
+  listener_t *listener;
+  GPtrArray *rows; /* of row_t */
+  GArray *waiting; /* of waiting_t */
+  int64_t version;
+  ev_timer look;
+};
+
+static int64_t
+now_ns (void)
+{
+  return kwf_now_ns (kwf_clock_system ());
+}
+
+static void
+row_free (void *data)
+{
+  row_t *row = data;
+  g_free (row->table);
+  g_free (row->key);
+  g_free (row->value);
+  g_free (row);
+}
+
+static row_t *
+find (const rows_t *rows, const char *table, const char *key)
+{
+  for (guint i = 0; i < rows->rows->len; i++)
+    {
+      row_t *row = rows->rows->pdata[i];
+      if (strcmp (row->table, table) == 0 && strcmp (row->key, key) == 0)
+        return row;
+    }
+  return NULL;
+}
+
+static void
+set_row (rows_t *rows, const char *table, const char *key, const char *value)
+{
+  row_t *row = find (rows, table, key);
+  if (!row)
+    {
+      row = g_new0 (row_t, 1);
+      row->table = g_strdup (table);
+      row->key = g_strdup (key);
+      g_ptr_array_add (rows->rows, row);
+    }
+  g_free (row->value);
+  row->value = g_strdup (value);
+  row->version = rows->version;
+}
+
+static json_t *
+row_json (const row_t *row)
+{
+  return json_pack ("{s:s,s:s,s:s,s:s,s:I}", "table", row->table, "part", "",
+                    "key", row->key, "value", row->value, "ver",
+                    (json_int_t)row->version);
+}
+
+static void
+reply (const rows_t *rows, connection_t *connection, int status, json_t *list)
+{
+  json_t *body = json_pack (
+      "{s:o,s:I,s:I,s:b}", "rows", list, "ver", (json_int_t)rows->version,
+      "now_ms", (json_int_t)(now_ns () / KWF_NS_PER_MS), "truncated", 0);
+  char *text = json_dumps (body, JSON_COMPACT);
+  connection_reply (connection, status, text);
+  free (text);
+  json_decref (body);
+}
+
+/* Rows of TABLE after a version, in the order of their changes.  */
+static json_t *
+rows_after (const rows_t *rows, const char *table, int64_t after)
+{
+  json_t *list = json_array ();
+  for (int64_t version = after + 1; version <= rows->version; version++)
+    for (guint i = 0; i < rows->rows->len; i++)
+      {
+        const row_t *row = rows->rows->pdata[i];
+        if (row->version == version && strcmp (row->table, table) == 0)
+          json_array_append_new (list, row_json (row));
+      }
+  return list;
+}
+
+/* Answer the polls that have something, or whose wait is over.  */
+static void
+answer_waiting (rows_t *rows)
+{
+  for (guint i = rows->waiting->len; i-- > 0;)
+    {
+      waiting_t waiting = g_array_index (rows->waiting, waiting_t, i);
+      json_t *list = rows_after (rows, waiting.table, waiting.after);
+      if (!json_array_size (list) && now_ns () < waiting.until_ns)
+        {
+          json_decref (list);
+          continue;
+        }
+      g_array_remove_index (rows->waiting, i);
+      if (g_ptr_array_find (rows->listener->open, waiting.connection, NULL))
+        reply (rows, waiting.connection, 200, list);
+      else
+        json_decref (list);
+      g_free (waiting.table);
+    }
+}
+
+static bool
+holds (const rows_t *rows, const json_t *condition)
+{
+  const row_t *row
+      = find (rows, json_string_value (json_object_get (condition, "table")),
+              json_string_value (json_object_get (condition, "key")));
+  int64_t wanted = json_integer_value (json_object_get (condition, "ver"));
+  return wanted == (row ? row->version : 0);
+}
+
+static void
+transact (rows_t *rows, connection_t *connection, const char *request)
+{
+  const char *body = strstr (request, "\r\n\r\n");
+  json_t *root = body ? json_loads (body + 4, 0, NULL) : NULL;
+  json_t *conflicts = json_array ();
+  bool good = true;
+  size_t i;
+  json_t *item;
+  json_array_foreach (json_object_get (root, "expected"), i, item)
+  {
+    const row_t *row
+        = find (rows, json_string_value (json_object_get (item, "table")),
+                json_string_value (json_object_get (item, "key")));
+    good &= holds (rows, item);
+    if (row)
+      json_array_append_new (conflicts, row_json (row));
+  }
+  rows->version += good;
+  json_array_foreach (json_object_get (root, "put"), i, item)
+  {
+    if (good)
+      set_row (rows, json_string_value (json_object_get (item, "table")),
+               json_string_value (json_object_get (item, "key")),
+               json_string_value (json_object_get (item, "value")));
+  }
+  reply (rows, connection, good ? 200 : 412, conflicts);
+  json_decref (root);
+  if (good)
+    answer_waiting (rows);
+}
+
+/* Value of NAME in the query of REQUEST; free with g_free.  */
+static char *
+query (const char *request, const char *name)
+{
+  const char *at = strstr (request, name);
+  return at ? g_strndup (at + strlen (name),
+                         strcspn (at + strlen (name), "& "))
+            : g_strdup ("0");
+}
+
+static void
+serve (connection_t *connection, const char *request, void *data)
+{
+  rows_t *rows = data;
+  if (g_str_has_prefix (request, "POST /-/rows-tx"))
+    {
+      transact (rows, connection, request);
+      return;
+    }
+  char *table = query (request, "table=");
+  char *after = query (request, "after=");
+  char *wait = query (request, "wait_ms=");
+  bool all = g_str_has_prefix (request, "GET /-/rows-get");
+  int64_t from = all ? 0 : g_ascii_strtoll (after, NULL, 10);
+  waiting_t waiting
+      = { connection, g_strdup (table), from,
+          now_ns () + g_ascii_strtoll (wait, NULL, 10) * KWF_NS_PER_MS };
+  if (all)
+    waiting.until_ns = 0;
+  g_array_append_val (rows->waiting, waiting);
+  answer_waiting (rows);
+  g_free (table);
+  g_free (after);
+  g_free (wait);
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  answer_waiting (timer->data);
+}
+
+rows_t *
+rows_start (struct ev_loop *loop)
+{
+  rows_t *rows = g_new0 (rows_t, 1);
+  rows->loop = loop;
+  rows->rows = g_ptr_array_new_with_free_func (row_free);
+  rows->waiting = g_array_new (FALSE, FALSE, sizeof (waiting_t));
+  rows->listener = listener_start (loop, serve, rows);
+  ev_timer_init (&rows->look, on_look, LOOK_S, LOOK_S);
+  rows->look.data = rows;
+  ev_timer_start (loop, &rows->look);
+  return rows;
+}
+
+void
+rows_stop (rows_t *rows)
+{
+  ev_timer_stop (rows->loop, &rows->look);
+  listener_stop (rows->listener);
+  for (guint i = 0; i < rows->waiting->len; i++)
+    g_free (g_array_index (rows->waiting, waiting_t, i).table);
+  g_array_free (rows->waiting, TRUE);
+  g_ptr_array_free (rows->rows, TRUE);
+  g_free (rows);
+}
+
+const char *
+rows_address (const rows_t *rows)
+{
+  return rows->listener->address;
+}
+
+void
+rows_put (rows_t *rows, const char *table, const char *key, const char *value)
+{
+  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+  rows->version++;
+  set_row (rows, table, key, encoded);
+  g_free (encoded);
+  answer_waiting (rows);
+}
