Deliver the head of an answer as soon as it is whole; a report may tell of leaving

The head of a stream was heard with its first event, which may be seconds later; a load report of a server that leaves took the leaving back, because its header was not part of the report; and what follows from a notice could end the transfer whose headers were still to be read.

Tests: head_comes_before_the_body (test_client), the report in answers_tell_of_leaving_and_pauses.

--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -34,8 +34,9 @@
   char *echo_name; /* NULL: none is asked for */
   char *echo_value;
   bool echoed;
-  bool crossed; /* the answer is one to another request */
-  bool headed;  /* head() was called */
+  bool crossed;    /* the answer is one to another request */
+  bool headed;     /* head() was called */
+  bool head_whole; /* all headers of the final answer are there */
   bool close_ends;
   bool fresh;
   bool head;
--- a/net/client.c
+++ b/net/client.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  HTTP_FINAL = 200, /* lower statuses come before the final answer */
   DEFAULT_CONNECT_MS = 1000,
   DEFAULT_ANSWER_BYTES = 8 * 1024 * 1024,
   /* libcurl's own default of 4 for each transfer would close most of the
@@ -31,6 +32,15 @@
   MAX_IDLE_READS = 12
 };
 
+static void
+queue (transfer_t *transfer)
+{
+  if (transfer->queued)
+    return;
+  transfer->queued = true;
+  g_array_append_val (transfer->client->ready, transfer->handle);
+}
+
 static size_t
 on_body (char *bytes, size_t one, size_t size, void *data)
 {
@@ -48,11 +58,8 @@
       return 0;
     }
   g_string_append_len (easy->received, bytes, (gssize)size);
-  if (transfer->handler->data && !transfer->queued)
-    {
-      transfer->queued = true;
-      g_array_append_val (client->ready, transfer->handle);
-    }
+  if (transfer->handler->data)
+    queue (transfer);
   return size;
 }
 
@@ -78,11 +85,17 @@
          && memcmp (from, transfer->echo_value, (size_t)(end - from)) == 0;
 }
 
+static bool
+is_last_line (const char *bytes, size_t size)
+{
+  return size <= 2 && (*bytes == '\r' || *bytes == '\n');
+}
+
 static bool
 check_echo (transfer_t *transfer, const char *bytes, size_t size)
 {
   bool named;
-  bool end = size <= 2 && (*bytes == '\r' || *bytes == '\n');
+  bool end = is_last_line (bytes, size);
   if (is_echo (transfer, bytes, size, &named))
     transfer->echoed = true;
   else
@@ -90,6 +103,19 @@
   return !transfer->crossed;
 }
 
+/* The head may tell what matters now, long before the first byte of the
+   body.  */
+static void
+take_head (transfer_t *transfer)
+{
+  long status = 0;
+  curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
+  if (status < HTTP_FINAL || transfer->headed || !transfer->handler->head)
+    return;
+  transfer->head_whole = true;
+  queue (transfer);
+}
+
 static size_t
 /* NOLINTNEXTLINE(readability-non-const-parameter) */
 on_header (char *bytes, size_t one, size_t size, void *data)
@@ -99,10 +125,14 @@
   easy->transfer->header_bytes += size;
   if (easy->transfer->echo_name && !check_echo (easy->transfer, bytes, size))
     return 0;
-  if (easy->transfer->header_bytes <= MAX_HEADER_BYTES)
-    return size;
-  easy->transfer->oversized = true;
-  return 0;
+  if (easy->transfer->header_bytes > MAX_HEADER_BYTES)
+    {
+      easy->transfer->oversized = true;
+      return 0;
+    }
+  if (is_last_line (bytes, size))
+    take_head (easy->transfer);
+  return size;
 }
 
 /* Called on the connection just before the request is written.  The second
@@ -281,15 +311,6 @@
   curl_global_cleanup ();
 }
 
-static void
-queue (transfer_t *transfer)
-{
-  if (transfer->queued)
-    return;
-  transfer->queued = true;
-  g_array_append_val (transfer->client->ready, transfer->handle);
-}
-
 /* Let TRANSFER fail from the loop without having been started.  */
 static void
 fail_later (transfer_t *transfer)
@@ -594,6 +615,8 @@
       if (!transfer)
         continue;
       transfer->queued = false;
+      if (transfer->head_whole && !deliver_head (transfer))
+        continue;
       if (transfer->handler->data && transfer->easy
           && transfer->easy->received->len)
         deliver_data (transfer);
--- a/net/client.h
+++ b/net/client.h
@@ -55,8 +55,9 @@
      the transfer fails with KWF_FAIL_WITHHELD.  To look only: no transfer may
      be started or cancelled.  NULL: it always is.  */
   bool (*may_send) (void *data);
-  /* The head of the answer arrived; may be NULL.  Called once before data()
-     or done().  The body is empty.  */
+  /* The head of the answer arrived; may be NULL.  Called once, as soon as it
+     is there, before data(), done() and, if it came, failed().  The body is
+     empty.  */
   void (*head) (void *data, kwf_handle_t transfer,
                 const client_answer_t *answer);
   /* Streaming: bytes arrived.  NULL: the body is collected.  STATUS is the
--- a/net/relay.c
+++ b/net/relay.c
@@ -54,7 +54,6 @@
   transfer->status = answer->status;
   transfer->content_type = g_strdup (answer->content_type);
   transfer->instance->dialect->read_facts (&transfer->facts, answer);
-  notice_read (transfer->instance, transfer->attempt, NULL, answer);
   transfer->headers = g_ptr_array_new_with_free_func (g_free);
   for (size_t i = 0; i < answer->n_headers; i++)
     if (!is_own_header (answer->headers[i].name))
@@ -64,6 +63,8 @@
         g_ptr_array_add (transfer->headers,
                          g_strdup (answer->headers[i].value));
       }
+  /* Last: what follows from it may end this transfer.  */
+  notice_read (transfer->instance, transfer->attempt, NULL, answer);
 }
 
 static void
--- a/test/common-script.c
+++ b/test/common-script.c
@@ -17,6 +17,7 @@
     "5\r\nhello\r\n",
     true },
   { "undelimited", "HTTP/1.1 200 OK\r\n\r\nhel", true },
+  { "head", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", false },
   { "stall", "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nab", false },
   { "stream",
     "HTTP/1.1 201 OK\r\nContent-Type: text/event-stream\r\n"
--- a/test/test_client.c
+++ b/test/test_client.c
@@ -33,6 +33,7 @@
   GString *body;   /* of the last answer, or all stream bytes */
   GString *bodies; /* of all whole answers, a space after each */
   int chunks;
+  int heads;
   kwf_handle_t cancel_on_data;
   bool header_seen; /* "X-Test: a b" in a whole answer */
 } world_t;
@@ -370,6 +371,39 @@
     }
 }
 
+static void
+on_head (void *data, kwf_handle_t transfer, const client_answer_t *answer)
+{
+  (void)transfer;
+  world_t *world = data;
+  world->heads++;
+  world->status = answer->status;
+}
+
+/* Guards against what the head of a stream tells being heard with its first
+   byte only, seconds later.  */
+static void
+head_comes_before_the_body (void **state)
+{
+  static const client_handler_t headed = {
+    .head = on_head, .data = on_data, .done = on_done, .failed = on_failed
+  };
+  world_t *world = *state;
+  client_request_t request = get (world);
+  world->script = "head";
+  kwf_handle_t transfer
+      = client_start (world->client, &request, &headed, world);
+  assert_true (run_until (world->loop, &world->heads, 1, 1));
+  assert_int_equal (world->status, 200);
+  assert_int_equal (world->ended, 0);
+  client_cancel (world->client, transfer);
+  world->script = "stream";
+  request.close_ends = true;
+  client_start (world->client, &request, &headed, world);
+  assert_true (run_until (world->loop, &world->ended, 1, 5));
+  assert_int_equal (world->heads, 2);
+}
+
 static bool
 never (void *data)
 {
@@ -669,6 +703,7 @@
     TEST (time_out_before_sending),
     TEST (ended_connects_leave_no_watcher),
     TEST (request_is_withheld_when_the_decision_is_void),
+    TEST (head_comes_before_the_body),
     TEST (oversized_answers),
     TEST (given_up_transfer_resets),
     TEST (cancelled_transfer),
--- a/test/test_platform_words.c
+++ b/test/test_platform_words.c
@@ -286,6 +286,18 @@
       assert_true (notice.pause_ns
                    == MAX (cases[i].pause_ms, 0) * KWF_NS_PER_MS);
     }
+  /* A report that tells it does not take it back.  */
+  header_t header = { "Server-Leaving", "1" };
+  client_answer_t answer = { .status = 200,
+                             .body = "{\"models\":[]}",
+                             .body_size = 13,
+                             .headers = &header,
+                             .n_headers = 1 };
+  kwf_report_event_t report = { 0 };
+  GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  assert_true (platform_dialect.read_report (&report, texts, &answer));
+  assert_true (report.leaving);
+  g_ptr_array_free (texts, TRUE);
 }
 
 static const char *
