--- a/test/common-rows.c
+++ b/test/common-rows.c
@@ -36,6 +36,7 @@
   GPtrArray *rows; /* of row_t */
   GArray *waiting; /* of waiting_t */
   int64_t version;
+  bool silent;
   ev_timer look;
 };
 
@@ -122,6 +123,8 @@
 static void
 answer_waiting (rows_t *rows)
 {
+  if (rows->silent)
+    return;
   for (guint i = rows->waiting->len; i-- > 0;)
     {
       waiting_t waiting = g_array_index (rows->waiting, waiting_t, i);
@@ -196,6 +199,8 @@
 serve (connection_t *connection, const char *request, void *data)
 {
   rows_t *rows = data;
+  if (rows->silent)
+    return;
   if (g_str_has_prefix (request, "POST /-/rows-tx"))
     {
       transact (rows, connection, request);
@@ -267,3 +272,9 @@
   g_free (encoded);
   answer_waiting (rows);
 }
+
+void
+rows_set_silent (rows_t *rows, bool silent)
+{
+  rows->silent = silent;
+}
--- a/test/common-rows.h
+++ b/test/common-rows.h
@@ -5,6 +5,7 @@
 #define KNAPWEEDFORK_TEST_COMMON_ROWS_H
 
 #include <ev.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct rows rows_t;
@@ -19,4 +20,7 @@
 void rows_put (rows_t *rows, const char *table, const char *key,
                const char *value);
 
+/* Answer nothing from now on, or again.  */
+void rows_set_silent (rows_t *rows, bool silent);
+
 #endif
--- a/test/test_notice.c
+++ b/test/test_notice.c
@@ -373,6 +373,46 @@
   g_array_free (sent, TRUE);
 }
 
+/* Load pattern: one of two copies asks for pauses again and again while many
+   call.  Callers must not notice, and the extra attempts stay few: one for
+   each pause and what crossed it.  */
+static void
+pauses_of_one_copy_cost_few_attempts (void **state)
+{
+  core_world_t *world = *state;
+  enum
+  {
+    N = 50,
+    APART_MS = 100,
+    PAUSE_MS = 900
+  };
+  kwf_handle_t next = 1;
+  int n_pauses = 0;
+  int n_extra = 0;
+  for (int round = 0; round < N; round++)
+    {
+      sent_t sent = send_one (world, next++, "/read/x");
+      assert_true (sent.attempt);
+      bool pauses = strcmp (sent.server, "d1") == 0;
+      if (pauses)
+        {
+          n_pauses++;
+          refuse (world, &sent, PAUSE_MS);
+          GArray *again = g_array_new (FALSE, TRUE, sizeof (sent_t));
+          assert_int_equal (collect (world, again), 1);
+          n_extra++;
+          sent = g_array_index (again, sent_t, 0);
+          g_array_free (again, TRUE);
+          assert_string_equal (sent.server, "d2");
+        }
+      end (world, &sent, 200, false);
+      assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
+      core_world_pass (world, APART_MS);
+    }
+  assert_in_range (n_pauses, 3, 1 + N * APART_MS / PAUSE_MS);
+  assert_int_equal (n_extra, n_pauses);
+}
+
 /* Guards against a pause or a leaving that a new configuration forgets.  */
 static void
 notices_outlast_a_new_configuration (void **state)
@@ -542,6 +582,7 @@
     TEST (leaving_is_told_between_instances),
     TEST (pause_is_kept_and_ends),
     TEST (callers_return_apart_when_all_copies_pause),
+    TEST (pauses_of_one_copy_cost_few_attempts),
     TEST (notices_outlast_a_new_configuration),
     cmocka_unit_test (nothing_is_sent_against_a_notice),
   };
--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -2,6 +2,7 @@
    servers and callers are played on the protocol's own words.  */
 
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -264,6 +265,54 @@
   assert_int_equal (favoured (world), i);
 }
 
+/* Guards against a server that is used again while the store is silent, or
+   because the settings were read again or the process stood still.  */
+static void
+leaving_outlasts_the_store_and_signals (void **state)
+{
+  world_t *world = *state;
+  int i = favoured (world);
+  world->desks[i].leaves = true;
+  assert_int_equal (count (world, i, 1), 1);
+  rows_set_silent (world->rows, true);
+  for (int round = 0; round < 3; round++)
+    {
+      process_signal (&world->daemon, SIGHUP);
+      assert_int_equal (count (world, i, 10), 0);
+      process_signal (&world->daemon, SIGSTOP);
+      run_for (world->loop, 0.4);
+      process_signal (&world->daemon, SIGCONT);
+      assert_int_equal (count (world, i, 10), 0);
+    }
+  rows_set_silent (world->rows, false);
+  put_server (world, i, 1);
+  run_for (world->loop, 0.5);
+  assert_int_equal (count (world, i, 10), 0);
+}
+
+/* Guards against a pause that is counted anew, or not at all, by a process
+   that stood still meanwhile.  */
+static void
+pause_goes_on_while_the_process_stands_still (void **state)
+{
+  world_t *world = *state;
+  int i = favoured (world);
+  world->desks[i].pause = "2";
+  assert_int_equal (count (world, i, 1), 1);
+  process_signal (&world->daemon, SIGHUP);
+  process_signal (&world->daemon, SIGSTOP);
+  run_for (world->loop, 1.0);
+  process_signal (&world->daemon, SIGCONT);
+  assert_int_equal (count (world, i, 3), 0);
+  process_signal (&world->daemon, SIGSTOP);
+  run_for (world->loop, 1.2);
+  process_signal (&world->daemon, SIGCONT);
+  /* At the end of the pause one request is let in, then more.  */
+  assert_in_range (count (world, i, 5), 1, 5);
+  run_for (world->loop, 1.1);
+  assert_int_equal (favoured (world), i);
+}
+
 /* Guards against a change of the configuration that is not in force in
    time.  */
 static void
@@ -289,6 +338,8 @@
   const struct CMUnitTest tests[] = {
     TEST (server_that_says_it_leaves_gets_no_more),
     TEST (server_that_asks_for_a_pause_gets_one),
+    TEST (leaving_outlasts_the_store_and_signals),
+    TEST (pause_goes_on_while_the_process_stands_still),
     TEST (route_is_added_and_dropped_in_time),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
