Let requests under way grow after a pause, not beginnings

After a pause as many requests might begin in a second as had been under way before, which for calls of 30 ms is a thirtieth of the pace.

Now the requests under way grow from one to what they were, over half of the pause and a second at most, and callers come back at the pace that requests began with before.

--- a/lib/backend.h
+++ b/lib/backend.h
@@ -36,8 +36,12 @@
   int64_t entry;          /* newest revision of its entry that may have been
                              written before it told that it leaves */
   int64_t pause_until_ns; /* 0: never asked for a pause */
+  int64_t ramp_ns;        /* after it, with fewer requests under way */
   int share;              /* requests under way when it asked for the pause */
-  int began;              /* requests since the pause ended */
+  int began;              /* requests since PACE_NS */
+  int began_before;       /* in the time of the same length before */
+  int64_t pace_ns;
+  int pace; /* requests begun in such a time before the pause */
   int turned_away[NOTICE_LANES]; /* callers, during the pause */
 } notice_t;
 
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -5,9 +5,13 @@
 #include "follower.h"
 #include "request.h"
 
-/* Time after a pause in which as many requests may begin as were under way
-   when it was asked for: one second is longer than most calls take.  */
+/* Time after a pause in which the requests under way may grow from one to as
+   many as there were before it: longer than most calls take, and a part of the
+   pause, since a slow return costs as much as a longer pause.  */
 #define RAMP_NS (1 * KWF_NS_PER_S)
+#define RAMP_PART 2
+/* Beginnings are counted over this time, for the pace of returning callers. */
+#define PACE_NS (1 * KWF_NS_PER_S)
 /* Callers that are turned away during one pause come back within this time;
    their own deadlines are some seconds.  */
 #define RETURN_MOST_NS (5 * KWF_NS_PER_S)
@@ -47,10 +51,11 @@
   if (!notice_is_paused (server, now_ns))
     {
       notice->share = MAX (server->open_attempts, 1);
+      notice->pace = MAX (MAX (notice->began, notice->began_before), 1);
       memset (notice->turned_away, 0, sizeof notice->turned_away);
     }
   notice->pause_until_ns = until_ns;
-  notice->began = 0;
+  notice->ramp_ns = MIN (RAMP_NS, (until_ns - now_ns) / RAMP_PART);
   kwf_effects_log (
       effects, 228, KWF_LOG_INFO, NULL,
       "server=%s wants nothing for %lld ms, under_way=%d", server->id,
@@ -182,17 +187,25 @@
 {
   const notice_t *notice = &server->notice;
   int64_t since_ns = now_ns - notice->pause_until_ns;
-  if (!notice->pause_until_ns || since_ns >= RAMP_NS)
+  if (!notice->pause_until_ns || since_ns >= notice->ramp_ns)
     return true;
   return since_ns >= 0
-         && notice->began < 1 + (int)(notice->share * since_ns / RAMP_NS);
+         && server->open_attempts
+                < 1 + (int)(notice->share * since_ns / notice->ramp_ns);
 }
 
 void
 notice_began (server_t *server, int64_t now_ns)
 {
-  if (now_ns - server->notice.pause_until_ns < RAMP_NS)
-    server->notice.began++;
+  notice_t *notice = &server->notice;
+  int64_t since_ns = now_ns - notice->pace_ns;
+  if (since_ns >= PACE_NS)
+    {
+      notice->began_before = since_ns < 2 * PACE_NS ? notice->began : 0;
+      notice->began = 0;
+      notice->pace_ns = now_ns;
+    }
+  notice->began++;
 }
 
 int64_t
@@ -202,7 +215,7 @@
   int lane = CLAMP (priority, 0, NOTICE_LANES - 1);
   int64_t turn = notice->turned_away[lane]++;
   /* Later classes leave room between them for those before.  */
-  int64_t apart_ns = RAMP_NS / notice->share * (1 + lane);
+  int64_t apart_ns = PACE_NS / notice->pace * (1 + lane);
   return MAX (notice->pause_until_ns - now_ns, 0)
          + turn * apart_ns % RETURN_MOST_NS;
 }
