Let an instance that has just begun ask in time for what it was not told

Cause: an instance without links takes itself for the reader. For 3 s after its start it then leaves others the time to tell it, and asked only when what it knew was 3 s old, whatever the bound: 2 s here, and on the grown sites 3 s, from its first read on, which is later than its start.

It now has the patience of one that listens. roles_follow_from_the_members (test_follower) asked for more than 2 s, which is the fault; it now asks for less than the bound, and failed before.

--- a/lib/follower.c
+++ b/lib/follower.c
@@ -89,7 +89,9 @@
   switch (follower_role (session))
     {
     case FOLLOWER_READS:
-      return is_starting (session) ? START_NS : 0;
+      if (!is_starting (session))
+        return 0;
+      break;
     case FOLLOWER_PASSES:
       return part_of (session, PASSES_PART);
     case FOLLOWER_LISTENS:
