Bound the time to the first byte of a question's answer, not its whole length

In a storm of configurations the answer to a question holds all versions that were missed, some 600 kB, which takes a link of 10 Mbit/s half a second.

Test: slow_answer_is_not_cut (test_feed).

--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -36,6 +36,7 @@
   bool echoed;
   bool crossed;    /* the answer is one to another request */
   bool headed;     /* head() was called */
+  bool hurried;    /* LIMIT also bounds the time to the first byte */
   bool head_whole; /* all headers of the final answer are there */
   bool close_ends;
   bool fresh;
--- a/net/client.c
+++ b/net/client.c
@@ -327,7 +327,9 @@
   (void)loop;
   (void)events;
   transfer_t *transfer = timer->data;
-  if (transfer->sent || transfer->finished)
+  bool answered
+      = transfer->hurried ? transfer->header_bytes > 0 : transfer->sent;
+  if (answered || transfer->finished)
     return;
   transfer->finished = true;
   transfer->code = CURLE_OPERATION_TIMEDOUT;
@@ -335,13 +337,17 @@
   client_deliver (transfer->client);
 }
 
-/* libcurl doesn't measure the time that a transfer waits for one of the
-   bounded connections.  */
+/* libcurl measures neither the time that a transfer waits for one of the
+   bounded connections nor that to the first byte of the answer.  */
 static void
-limit_waiting (transfer_t *transfer, int64_t timeout_ns)
+limit_waiting (transfer_t *transfer, const client_request_t *request)
 {
   client_t *client = transfer->client;
-  if (!client->options.max_connections || timeout_ns <= 0)
+  transfer->hurried = request->first_byte_ns > 0;
+  int64_t timeout_ns
+      = transfer->hurried ? request->first_byte_ns : request->timeout_ns;
+  if ((!client->options.max_connections && !transfer->hurried)
+      || timeout_ns <= 0)
     return;
   ev_now_update (client->loop);
   ev_timer_set (&transfer->limit, (double)timeout_ns / 1e9, 0.0);
@@ -370,7 +376,7 @@
   easy->transfer = transfer;
   easy->error[0] = 0;
   client_request_set (transfer, request);
-  limit_waiting (transfer, request->timeout_ns);
+  limit_waiting (transfer, request);
   if (curl_multi_add_handle (client->multi, easy->curl) != CURLM_OK)
     fail_later (transfer);
   return handle;
--- a/net/client.h
+++ b/net/client.h
@@ -82,6 +82,7 @@
   const void *body; /* copied; NULL: none */
   size_t body_size;
   int64_t timeout_ns;      /* for the whole transfer; 0: none */
+  int64_t first_byte_ns;   /* less, to the first byte of the answer; 0: none */
   size_t max_answer_bytes; /* 0: that of the client */
   /* A header that the answer must have with this value, else the answer is
      one to another request: the transfer fails with KWF_FAIL_BROKEN and its
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -367,6 +367,29 @@
   assert_int_equal (world->row, 8);
 }
 
+/* Guards against a long answer that is cut while it arrives: all changes of a
+   storm come in one.  */
+static void
+slow_answer_is_not_cut (void **state)
+{
+  world_t *world = *state;
+  start (world, PATIENCE_NS);
+  world->holds = true;
+  assert_true (run_until (world->loop, &world->n_polls, 1, 5));
+  char body[256];
+  int size = g_snprintf (body, sizeof body,
+                         "{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":"
+                         "\"k\",\"value\":\"dg==\",\"ver\":8}],\"ver\":8,"
+                         "\"now_ms\":%lld,\"truncated\":false}",
+                         (long long)store_ms ());
+  connection_print (world->one,
+                    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size);
+  run_for (world->loop, 0.7);
+  connection_write (world->one, body, (size_t)size);
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 8);
+}
+
 /* Guards against a first row, such as the configuration, that is missed
    because the table was empty when it was read.  */
 static void
@@ -479,6 +502,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (unanswered_question_is_repeated_in_time,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (slow_answer_is_not_cut, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (news_held_back_on_a_link_are_old, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (answers_held_back_are_old, set_up,
