Read the configuration's row instead of every version since the question

The table has one row, which is never removed; a question now reads it.

Test: few_rows_are_read_instead_of_their_changes (test_feed).

--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -38,6 +38,7 @@
   /* The instance.  */
   int64_t patience_ns;
   int64_t fresh_ms;
+  bool few_rows;
   int64_t row;    /* version of "k" that is known */
   bool went_back; /* an older row was given */
   int n_ends;
@@ -153,6 +154,7 @@
                           &(feed_options_t){ .table = "t",
                                              .number = 2,
                                              .fresh_ms = world->fresh_ms,
+                                             .few_rows = world->few_rows,
                                              .clock = &world->clock,
                                              .handler = &handler,
                                              .data = world });
@@ -367,6 +369,26 @@
   assert_int_equal (world->row, 8);
 }
 
+/* Guards against an answer with every version of a large row, in a storm of
+   changes.  */
+static void
+few_rows_are_read_instead_of_their_changes (void **state)
+{
+  world_t *world = *state;
+  world->few_rows = true;
+  start (world, PATIENCE_NS);
+  world->version = 9;
+  assert_true (run_until (world->loop, &world->n_reads, 2, 5));
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 9);
+  assert_int_equal (world->n_polls, 0);
+  told (world, 11, 12, true);
+  world->version = 12;
+  assert_true (run_until (world->loop, &world->n_reads, 3, 5));
+  run_for (world->loop, 0.1);
+  assert_int_equal (world->row, 12);
+}
+
 /* Guards against a long answer that is cut while it arrives: all changes of a
    storm come in one.  */
 static void
@@ -502,6 +524,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (unanswered_question_is_repeated_in_time,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        few_rows_are_read_instead_of_their_changes, set_up, tear_down),
     cmocka_unit_test_setup_teardown (slow_answer_is_not_cut, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (news_held_back_on_a_link_are_old, set_up,
