Read a server's limit, log which calls reach it

Callers saw nothing; a backend server that named a limit got more than it allows, and no log tells why.

Events 232 to 235, two counters, and the kind of each attempt in 222. No decision changes: the limit is read, logged and not kept. Numbers that are no limit are refused (test_platform_decode: only_valid_limits_are_read).

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -113,6 +113,11 @@
    outage rule lets this instance serve now.  */
 bool kwf_core_may_send (const kwf_core_t *core, kwf_handle_t attempt);
 
+/* Whether the server that gave the answer of NOTICE is known to have named a
+   limit on its requests.  */
+bool kwf_core_knows_limit (const kwf_core_t *core,
+                           const kwf_notice_event_t *notice);
+
 /* Metrics in the Prometheus text format; free with free.  */
 char *kwf_core_metrics (const kwf_core_t *core);
 
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -244,6 +244,23 @@
   bool running;          /* accepted, not carried out yet */
 } kwf_order_event_t;
 
+/* What a backend server answers.  */
+typedef enum
+{
+  KWF_ANSWER_REQUEST, /* a caller's request */
+  KWF_ANSWER_REPORT,  /* a question for its load report */
+  KWF_ANSWER_ORDER,
+  KWF_ANSWER_KINDS
+} kwf_answer_kind_t;
+
+/* Whether an answer names a limit on the requests that the server takes.  */
+typedef enum
+{
+  KWF_LIMIT_NOT_NAMED,
+  KWF_LIMIT_NAMED,
+  KWF_LIMIT_UNREADABLE /* the header is there without a valid number */
+} kwf_limit_header_t;
+
 /* What a backend server says about itself in the headers of an answer.  */
 typedef struct
 {
@@ -255,6 +272,11 @@
   int64_t pause_ns; /* time in which the server wants no new request; 0: no
                        pause */
   bool unreadable;  /* the header asks for a pause but has no valid time */
+  kwf_answer_kind_t kind;
+  bool success; /* the status of the answer is 2xx */
+  kwf_limit_header_t limit;
+  double limit_per_s; /* valid with KWF_LIMIT_NAMED: requests a second from all
+                         instances together */
 } kwf_notice_event_t;
 
 typedef struct
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -18,6 +18,19 @@
 /* A trial holds its server at most this long.  */
 #define TRIAL_MAX_NS (60 * KWF_NS_PER_S)
 
+/* What the next attempt of REQUEST is, for the log.  */
+static const char *
+attempt_kind (const request_t *request, bool hedge)
+{
+  if (hedge)
+    return "hedge";
+  if (request->trial)
+    return "trial";
+  if (request->forwarded)
+    return "resume";
+  return request->n_attempts > 1 ? "retry" : "first";
+}
+
 static void
 start_attempt (kwf_core_t *core, request_t *request, server_t *server,
                bool hedge, kwf_effects_t *effects)
@@ -45,11 +58,12 @@
   kwf_effects_log (
       effects, 222, KWF_LOG_INFO, request->id,
       "sent to server=%s attempt=%d/%d load=%d+%d/%d sent_since=%d "
-      "age_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+      "age_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT " kind=%s",
       server->id, request->n_attempts, request->max_attempts, server->running,
       server->waiting, server->slots, server->sent,
       (now_ns - request->arrived_ns) / KWF_NS_PER_MS,
-      (request->deadline_ns - now_ns) / KWF_NS_PER_MS);
+      (request->deadline_ns - now_ns) / KWF_NS_PER_MS,
+      attempt_kind (request, hedge));
   backend_attempt_started (core->backend, server, now_ns);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
   effect->start
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -611,6 +611,7 @@
   server->probe_again = false;
   server->probe_since_ns = now_ns;
   server->sent_at_probe = server->sent;
+  notice_log_report_request (server, effects);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_PROBE);
   effect->probe.server = server->id;
   effect->probe.address = server->address;
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -10,6 +10,7 @@
 
 #include <knapweedfork/core.h>
 
+#include "limit.h"
 #include "window.h"
 
 typedef enum
@@ -106,6 +107,7 @@
   int ejections;
 
   notice_t notice;
+  limit_t limit;
   bool listed; /* in the latest membership list */
   bool member_leaving;
   bool report_leaving;
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -59,7 +59,9 @@
 {
   uint64_t leaving;
   uint64_t pauses;
-  uint64_t unreadable; /* pauses without a valid time */
+  uint64_t unreadable;        /* pauses without a valid time */
+  uint64_t limits;            /* limits, and changes of their rate */
+  uint64_t limits_unreadable; /* limits without a valid number */
 } notice_counts_t;
 
 /* Waiting requests, and the state of shedding and preemption.  */
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -26,6 +26,7 @@
 notice_reset (server_t *server)
 {
   server->notice = (notice_t){ 0 };
+  server->limit = (limit_t){ 0 };
 }
 
 static void
@@ -107,6 +108,51 @@
   return same ? attempt->server : NULL;
 }
 
+bool
+kwf_core_knows_limit (const kwf_core_t *core, const kwf_notice_event_t *notice)
+{
+  const server_t *server = announcing_server (core, notice);
+  return server && server->limit.named;
+}
+
+static void
+handle_limit (kwf_core_t *core, server_t *server,
+              const kwf_notice_event_t *event, kwf_effects_t *effects)
+{
+  static const char *const kinds[KWF_ANSWER_KINDS]
+      = { [KWF_ANSWER_REQUEST] = "request",
+          [KWF_ANSWER_REPORT] = "report",
+          [KWF_ANSWER_ORDER] = "order" };
+  limit_t *limit = &server->limit;
+  if (event->limit == KWF_LIMIT_UNREADABLE)
+    {
+      core->notices.limits_unreadable++;
+      if (!limit->unreadable)
+        kwf_effects_log (effects, 233, KWF_LOG_WARNING, NULL,
+                         "server=%s names a limit that cannot be read",
+                         server->id);
+      limit->unreadable = true;
+    }
+  switch (limit_handle_answer (limit, event))
+    {
+    case LIMIT_UNCHANGED:
+      break;
+    case LIMIT_SET:
+      core->notices.limits++;
+      kwf_effects_log (effects, 232, KWF_LOG_INFO, NULL,
+                       "server=%s names a limit of %g requests a second, in "
+                       "an answer to a %s",
+                       server->id, limit->rate_per_s, kinds[event->kind]);
+      break;
+    case LIMIT_ENDED:
+      kwf_effects_log (effects, 234, KWF_LOG_INFO, NULL,
+                       "server=%s names no limit any more, in an answer to a "
+                       "%s",
+                       server->id, kinds[event->kind]);
+      break;
+    }
+}
+
 void
 notice_handle_event (kwf_core_t *core, const kwf_notice_event_t *event,
                      kwf_effects_t *effects)
@@ -115,6 +161,7 @@
   server_t *server = announcing_server (core, event);
   if (!server)
     return;
+  handle_limit (core, server, event, effects);
   notice_counts_t *counts = &core->notices;
   counts->unreadable += event->unreadable;
   if (event->unreadable)
@@ -235,6 +282,16 @@
          + turn * spacing_ns % RETURN_SPREAD_NS;
 }
 
+void
+notice_log_report_request (const server_t *server, kwf_effects_t *effects)
+{
+  if (server->limit.named)
+    kwf_effects_log (effects, 235, KWF_LOG_INFO, NULL,
+                     "load report of server=%s is requested, which names a "
+                     "limit",
+                     server->id);
+}
+
 int64_t
 notice_next_probe_ns (const server_t *server)
 {
@@ -259,6 +316,10 @@
       "# TYPE kwf_server_notices_total counter\n"
       "kwf_server_notices_total{kind=\"leaving\"} %" G_GUINT64_FORMAT "\n"
       "kwf_server_notices_total{kind=\"pause\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n",
-      counts->leaving, counts->pauses, counts->unreadable);
+      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_server_notices_total{kind=\"limit\"} %" G_GUINT64_FORMAT "\n"
+      "kwf_server_notices_total{kind=\"limit_unreadable\"} "
+      "%" G_GUINT64_FORMAT "\n",
+      counts->leaving, counts->pauses, counts->unreadable, counts->limits,
+      counts->limits_unreadable);
 }
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -1,5 +1,6 @@
 /* notice.h - what a backend server announces with its answers: that it leaves,
-   or that it wants a pause from this instance.
+   that it wants a pause from this instance, or that it takes only so many
+   requests a second.
 
    Leaving holds for the process that announced it, from the first answer that
    was read, whatever the membership list says; other instances are told.  It
@@ -64,6 +65,11 @@
 /* A probe of SERVER starts: set the time of the next one.  */
 void notice_probe_started (server_t *server, int64_t now_ns);
 
+/* The load report of SERVER is requested: log it if the server names a
+   limit.  */
+void notice_log_report_request (const server_t *server,
+                                kwf_effects_t *effects);
+
 /* Append counters in the Prometheus text format.  */
 void notices_write_metrics (const kwf_core_t *core, GString *out);
 
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -6,6 +6,7 @@
 #include "engine-control.h"
 #include "election.h"
 #include "fanout.h"
+#include "notice.h"
 #include "rebalance.h"
 
 /* Period of the placement rounds, and the least time between two rounds that
@@ -829,7 +830,14 @@
   int requests = 0;
   while (g_hash_table_iter_next (&iter, NULL, &value)
          && requests < MAX_REPORT_REQUESTS)
-    requests += engine_control_request_report (value, &context);
+    {
+      const engine_control_t *engine = value;
+      if (!engine_control_request_report (value, &context))
+        continue;
+      requests++;
+      notice_log_report_request (
+          backend_find (direct->sources.backend, engine->id), effects);
+    }
   for (size_t i = 0; i < kwf_lists_n_services (lists); i++)
     {
       const kwf_service_t *service = kwf_lists_service_at (lists, i);
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -177,9 +177,10 @@
                         caller_request_t *caller_request);
 
 /* Passes the server's notice in ANSWER, if there is one, to the core.  ATTEMPT
-   was answered; 0: ANSWER is to a probe or an order to SERVER.  */
-void notice_read (instance_t *instance, kwf_handle_t attempt,
-                  const char *server, const client_answer_t *answer);
+   was answered; 0: ANSWER, of another KIND, came from SERVER.  */
+void notice_read (instance_t *instance, kwf_answer_kind_t kind,
+                  kwf_handle_t attempt, const char *server,
+                  const client_answer_t *answer);
 
 /* probe.c: request the load report of a backend server.  */
 void probe_start (instance_t *instance, const char *server,
--- a/net/order.c
+++ b/net/order.c
@@ -35,7 +35,7 @@
 {
   (void)transfer;
   const pending_order_t *order = data;
-  notice_read (order->instance, 0, order->server, answer);
+  notice_read (order->instance, KWF_ANSWER_ORDER, 0, order->server, answer);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_order_event_t event = { .status = answer->status };
   order->instance->protocol->read_order (&event, texts, answer);
--- a/net/probe.c
+++ b/net/probe.c
@@ -28,7 +28,7 @@
 {
   (void)transfer;
   probe_t *probe = data;
-  notice_read (probe->instance, 0, probe->server, answer);
+  notice_read (probe->instance, KWF_ANSWER_REPORT, 0, probe->server, answer);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_report_event_t report = { 0 };
   report.valid
--- a/net/protocol.h
+++ b/net/protocol.h
@@ -54,7 +54,8 @@
   const char *echo_name;
   /* Read what the server reports about itself in the head of ANSWER.  */
   void (*read_facts) (answer_facts_t *facts, const client_answer_t *answer);
-  /* Read the server's notice that it leaves or pauses; false: ANSWER has none.
+  /* Read the server's notice that it leaves, wants a pause, or names a limit;
+     false: ANSWER has none.
      NULL: the interface has no notices.  */
   bool (*read_notice) (kwf_notice_event_t *notice,
                        const client_answer_t *answer);
--- a/net/relay.c
+++ b/net/relay.c
@@ -67,7 +67,8 @@
       }
   /* Last, because the core may end this transfer when it is given the
      notice.  */
-  notice_read (transfer->instance, transfer->attempt, NULL, answer);
+  notice_read (transfer->instance, KWF_ANSWER_REQUEST, transfer->attempt, NULL,
+               answer);
 }
 
 static void
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -315,6 +315,52 @@
 }
 
 /* Guards against a request that another server or organisation answers.  */
+/* Guards against limits that no server named: those that are no decimal
+   number, and two that contradict each other.  */
+static void
+only_valid_limits_are_read (void **state)
+{
+  (void)state;
+  const struct
+  {
+    const char *first;
+    const char *second;
+    kwf_limit_header_t found;
+    double per_s;
+  } cases[] = {
+    { NULL, NULL, KWF_LIMIT_NOT_NAMED, 0 },
+    { "1.9", NULL, KWF_LIMIT_NAMED, 1.9 },
+    { "0", NULL, KWF_LIMIT_NAMED, 0 },
+    { "200", NULL, KWF_LIMIT_NAMED, 200 },
+    { "1e9", NULL, KWF_LIMIT_NAMED, 1e9 },
+    { "", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "-1", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "nan", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "inf", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "2,5", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "2 a second", NULL, KWF_LIMIT_UNREADABLE, 0 },
+    { "2", "2", KWF_LIMIT_UNREADABLE, 0 },
+    { "2", "x", KWF_LIMIT_UNREADABLE, 0 },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      header_t headers[2];
+      size_t n = 0;
+      if (cases[i].first)
+        headers[n++] = (header_t){ "server-limit", cases[i].first };
+      if (cases[i].second)
+        headers[n++] = (header_t){ "Server-Limit", cases[i].second };
+      client_answer_t answer
+          = { .status = 200, .headers = headers, .n_headers = n };
+      kwf_notice_event_t notice = { 0 };
+      assert_int_equal (rows_protocol.read_notice (&notice, &answer),
+                        cases[i].found != KWF_LIMIT_NOT_NAMED);
+      assert_int_equal (notice.limit, cases[i].found);
+      if (notice.limit == KWF_LIMIT_NAMED)
+        assert_float_equal (notice.limit_per_s, cases[i].per_s, 1e-9);
+    }
+}
+
 static void
 attempts_name_server_and_organisation (void **state)
 {
@@ -400,6 +446,7 @@
     cmocka_unit_test (rows_are_read),
     cmocka_unit_test (answers_tell_whether_the_request_ran),
     cmocka_unit_test (answers_tell_of_leaving_and_pauses),
+    cmocka_unit_test (only_valid_limits_are_read),
     cmocka_unit_test (attempts_name_server_and_organisation),
     cmocka_unit_test (order_names_the_number_before_it),
     cmocka_unit_test (events_are_cut_at_their_ends),
