--- /dev/null
+++ b/test/common-core-fleet.c
@@ -0,0 +1,945 @@
+#include "common-core-fleet.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "lib/lists-build.h"
+#include "net/message.h"
+
+#define LINK_NS (5 * CORE_FLEET_MS)
+#define LINK_RETRY_NS (200 * CORE_FLEET_MS)
+/* A link notices that its other end is silent after this time.  */
+#define SILENCE_NS (1500 * CORE_FLEET_MS)
+#define STORE_NS (4 * CORE_FLEET_MS)
+#define FEED_NS (15 * CORE_FLEET_MS)
+#define SERVER_NS (3 * CORE_FLEET_MS)
+/* An instance counts for the rule when it has been told for this long.  */
+#define TOLD_NS (500 * CORE_FLEET_MS)
+/* The rule holds from this time after the limit was first named, and for
+   instances that were undisturbed for as long.  */
+#define IN_TOUCH_NS (3 * KWF_NS_PER_S)
+#define RETRY_NS (1 * KWF_NS_PER_S)
+
+typedef enum
+{
+  TASK_TIMER,
+  TASK_STORE_REPLY,
+  TASK_ROWS,
+  TASK_START,
+  TASK_LINK,
+  TASK_LINK_DOWN,
+  TASK_MESSAGE,
+  TASK_ARRIVAL,
+  TASK_ANSWER,
+  TASK_REQUEST
+} task_type_t;
+
+typedef struct
+{
+  task_type_t type;
+  core_fleet_instance_t *to;
+  uint64_t incarnation; /* of the instance TO */
+  core_fleet_instance_t *from;
+  uint64_t from_incarnation;
+  GByteArray *bytes; /* message */
+  kwf_handle_t op;   /* store reply */
+  kwf_store_reply_t reply;
+  kwf_row_t row;
+  kwf_handle_t request;
+  kwf_handle_t attempt;
+  int server;
+  kwf_answer_kind_t kind;
+  char order_id[24];
+  bool named; /* the answer names a limit */
+  double limit;
+  int64_t timer_ns;
+  uint64_t server_incarnation;
+} task_t;
+
+static struct timespec
+to_timespec (int64_t now_ns)
+{
+  return (struct timespec){ .tv_sec = now_ns / KWF_NS_PER_S,
+                            .tv_nsec = now_ns % KWF_NS_PER_S };
+}
+
+static struct timespec
+fleet_time (const kwf_clock_t *clock)
+{
+  return to_timespec (((const core_fleet_clock_t *)clock)->fleet->now_ns);
+}
+
+static void
+fleet_fill (kwf_random_t *random, void *buffer, size_t size)
+{
+  core_fleet_random_t *source = (core_fleet_random_t *)random;
+  for (size_t i = 0; i < size; i++)
+    ((unsigned char *)buffer)[i] = (unsigned char)random_next (&source->state);
+}
+
+static const kwf_clock_ops_t clock_ops
+    = { .monotonic = fleet_time, .wall = fleet_time };
+static const kwf_random_ops_t random_ops = { .fill = fleet_fill };
+
+uint64_t
+core_fleet_random (core_fleet_t *fleet, uint64_t below)
+{
+  return random_next (&fleet->state) % below;
+}
+
+double
+core_fleet_random_unit (core_fleet_t *fleet)
+{
+  return (double)(random_next (&fleet->state) >> 11) / (double)(1ULL << 53);
+}
+
+static task_t *
+add_task (core_fleet_t *fleet, task_type_t type, int64_t delay_ns,
+          core_fleet_instance_t *to)
+{
+  task_t *task = g_new0 (task_t, 1);
+  task->type = type;
+  task->to = to;
+  task->incarnation = to ? to->incarnation : 0;
+  heap_push (&fleet->tasks, fleet->now_ns + delay_ns, task);
+  return task;
+}
+
+static void
+task_free (task_t *task)
+{
+  if (task->bytes)
+    g_byte_array_free (task->bytes, TRUE);
+  g_free (task);
+}
+
+static bool *
+pair (core_fleet_t *fleet, bool *table, const core_fleet_instance_t *a,
+      const core_fleet_instance_t *b)
+{
+  return &table[a->index * fleet->n_instances + b->index];
+}
+
+/* Lists with the service "desk" and an organisation that is never at its
+   rate.  */
+static kwf_lists_t *
+make_lists (int64_t timeout_ns)
+{
+  static const kwf_split_t split = { "desk", 1 };
+  static const char *const prefixes[] = { "/0/", "/1/", "/2/" };
+  kwf_lists_t *lists = lists_new ();
+  lists_add_service (lists, &(kwf_service_t){ .name = "desk" });
+  lists_add_organisation (lists, &(kwf_organisation_t){ .name = "o",
+                                                        .plan = "",
+                                                        .branch = "",
+                                                        .rate = 1e6,
+                                                        .burst = 1e6,
+                                                        .by_request = true });
+  for (int i = 0; i < (int)G_N_ELEMENTS (prefixes); i++)
+    lists_add_route (lists, &(kwf_route_t){ .name = prefixes[i],
+                                            .host = "h.example",
+                                            .prefix = prefixes[i],
+                                            .splits = &split,
+                                            .n_splits = 1,
+                                            .idempotent = true,
+                                            .max_attempts = 2,
+                                            .priority = i,
+                                            .timeout_ns = timeout_ns });
+  return lists;
+}
+
+static void run_effects (core_fleet_instance_t *instance);
+
+static void
+step (core_fleet_instance_t *instance, const kwf_event_t *event)
+{
+  kwf_effects_clear (instance->effects);
+  kwf_core_step (instance->core, event, instance->effects);
+  run_effects (instance);
+}
+
+static void
+feed_members (core_fleet_instance_t *instance)
+{
+  core_fleet_t *fleet = instance->fleet;
+  kwf_member_t *members = g_new0 (kwf_member_t, fleet->n_servers);
+  for (int i = 0; i < fleet->n_servers; i++)
+    members[i] = (kwf_member_t){ .id = fleet->servers[i].id,
+                                 .kind = KWF_MEMBER_SERVICE,
+                                 .name = "desk",
+                                 .address = "127.0.0.1:11",
+                                 .data_centre = "c0",
+                                 .described = true,
+                                 .revision = fleet->servers[i].revision,
+                                 .incarnation = fleet->servers[i].incarnation,
+                                 .slots = 64 };
+  step (instance, &(kwf_event_t){
+                      .type = KWF_EV_MEMBERS,
+                      .members = { .valid = true,
+                                   .members = members,
+                                   .n_members = (size_t)fleet->n_servers } });
+  g_free (members);
+}
+
+/* What the feeds bring to a process that has started.  */
+static void
+feed_first_state (core_fleet_instance_t *instance)
+{
+  static const kwf_key_grant_t key = { "k", "o" };
+  core_fleet_t *fleet = instance->fleet;
+  GArray *rows = g_array_new (FALSE, TRUE, sizeof (kwf_row_t));
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, fleet->table->table);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (rows, value, 1);
+  step (instance,
+        &(kwf_event_t){ .type = KWF_EV_ROWS,
+                        .rows = { .revision = fleet->table->revision,
+                                  .rows = (kwf_row_t *)(void *)rows->data,
+                                  .n_rows = rows->len } });
+  g_array_free (rows, TRUE);
+  kwf_lists_t *lists = make_lists (fleet->deadline_ns);
+  step (instance,
+        &(kwf_event_t){
+            .type = KWF_EV_CONFIG,
+            .config
+            = { .version = 1, .lists = &lists, .keys = &key, .n_keys = 1 } });
+  feed_members (instance);
+}
+
+/* Links.  */
+
+static void
+feed_link (core_fleet_instance_t *instance, const core_fleet_instance_t *peer,
+           bool up, bool refused)
+{
+  kwf_event_t event = { .type = up ? KWF_EV_PEER_UP : KWF_EV_PEER_DOWN,
+                        .peer = { .instance = peer->name,
+                                  .incarnation = peer->incarnation,
+                                  .refused = refused } };
+  if (instance->alive)
+    step (instance, &event);
+}
+
+static void
+close_link (core_fleet_instance_t *a, core_fleet_instance_t *b, bool refused)
+{
+  core_fleet_t *fleet = a->fleet;
+  if (!*pair (fleet, fleet->linked, a, b))
+    return;
+  *pair (fleet, fleet->linked, a, b) = false;
+  *pair (fleet, fleet->linked, b, a) = false;
+  feed_link (a, b, false, refused);
+  feed_link (b, a, false, refused);
+  add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
+  add_task (fleet, TASK_LINK, LINK_RETRY_NS, b)->from = a;
+}
+
+/* Opens the link that TASK->to wants to TASK->from, or tries again.  */
+static void
+run_link (core_fleet_t *fleet, const task_t *task)
+{
+  core_fleet_instance_t *a = task->to;
+  core_fleet_instance_t *b = task->from;
+  if (*pair (fleet, fleet->linked, a, b) || !*pair (fleet, fleet->wanted, a, b)
+      || !a->alive)
+    return;
+  if (!b->alive || a->cut || b->cut || a->frozen || b->frozen)
+    {
+      add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
+      return;
+    }
+  *pair (fleet, fleet->linked, a, b) = true;
+  *pair (fleet, fleet->linked, b, a) = true;
+  feed_link (a, b, true, false);
+  feed_link (b, a, true, false);
+}
+
+static void
+send_message (core_fleet_instance_t *from, const char *name,
+              const kwf_message_t *message)
+{
+  core_fleet_t *fleet = from->fleet;
+  int index = (int)g_ascii_strtoll (name + 1, NULL, 10);
+  core_fleet_instance_t *to = &fleet->instances[index];
+  if (index >= fleet->n_instances || !*pair (fleet, fleet->linked, from, to)
+      || from->cut || to->cut)
+    return;
+  from->n_messages++;
+  GByteArray *bytes = g_byte_array_new ();
+  if (message_encode (bytes, message) != KWF_OK)
+    g_error ("a message of type %d cannot be encoded", (int)message->type);
+  task_t *task = add_task (fleet, TASK_MESSAGE, LINK_NS, to);
+  task->bytes = bytes;
+  task->from = from;
+  task->from_incarnation = from->incarnation;
+}
+
+static void
+deliver_message (core_fleet_t *fleet, const task_t *task)
+{
+  kwf_message_t message;
+  kwf_error_t error;
+  if (task->from->incarnation != task->from_incarnation
+      || !*pair (fleet, fleet->linked, task->from, task->to))
+    return;
+  msgpack_zone *zone = msgpack_zone_new (1024);
+  if (message_decode (&message, task->bytes->data, task->bytes->len, zone,
+                      &error)
+      != KWF_OK)
+    g_error ("%s", error.message);
+  step (task->to,
+        &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                        .peer = { .instance = task->from->name,
+                                  .incarnation = task->from_incarnation,
+                                  .message = &message } });
+  msgpack_zone_free (zone);
+}
+
+/* The table.  */
+
+static void
+commit (core_fleet_instance_t *instance, kwf_handle_t op, const kwf_txn_t *txn)
+{
+  core_fleet_t *fleet = instance->fleet;
+  task_t *task = add_task (fleet, TASK_STORE_REPLY, STORE_NS, instance);
+  task->op = op;
+  task->reply.outcome = KWF_STORE_UNKNOWN;
+  if (fleet->store_down || instance->cut)
+    return;
+  int64_t before = fleet->table->revision;
+  task->reply = fleet_sim_commit (fleet->table, txn);
+  for (size_t i = 0; i < txn->n_puts && fleet->table->revision > before; i++)
+    for (int k = 0; k < fleet->n_instances; k++)
+      add_task (fleet, TASK_ROWS, FEED_NS, &fleet->instances[k])->row
+          = *fleet_sim_get_row (fleet->table, txn->puts[i].key);
+}
+
+/* Servers.  */
+
+double
+core_fleet_allowed (double limit)
+{
+  return 1.5 * limit * (double)CORE_FLEET_WINDOW_NS / (double)KWF_NS_PER_S + 5;
+}
+
+static bool
+counts_for_rule (const core_fleet_t *fleet, const core_fleet_server_t *server,
+                 int instance)
+{
+  int64_t told_ns = server->told_ns[instance];
+  return told_ns && fleet->now_ns - told_ns >= TOLD_NS
+         && fleet->now_ns - fleet->instances[instance].disturbed_ns
+                >= IN_TOUCH_NS;
+}
+
+/* Judges the window that ends with the last arrival at SERVER.  */
+static void
+judge (const core_fleet_t *fleet, core_fleet_server_t *server)
+{
+  if (!server->names || fleet->now_ns - server->named_ns < IN_TOUCH_NS)
+    return;
+  int n = 0;
+  for (guint i = server->arrivals->len; i-- > 0;)
+    {
+      const core_fleet_arrival_t *arrival
+          = &g_array_index (server->arrivals, core_fleet_arrival_t, i);
+      if (fleet->now_ns - arrival->at_ns >= CORE_FLEET_WINDOW_NS)
+        break;
+      n += counts_for_rule (fleet, server, arrival->instance);
+    }
+  server->n_excessive += n > core_fleet_allowed (server->limit);
+  if (n <= server->most)
+    return;
+  server->most = n;
+  server->most_ns = fleet->now_ns;
+}
+
+static int
+find_server (const core_fleet_t *fleet, const char *id)
+{
+  for (int i = 0; i < fleet->n_servers; i++)
+    if (strcmp (fleet->servers[i].id, id) == 0)
+      return i;
+  g_error ("no server %s", id);
+}
+
+static void
+run_arrival (core_fleet_t *fleet, const task_t *task)
+{
+  core_fleet_server_t *server = &fleet->servers[task->server];
+  core_fleet_arrival_t arrival
+      = { fleet->now_ns, task->to->index, task->kind };
+  g_array_append_val (server->arrivals, arrival);
+  judge (fleet, server);
+  int64_t delay_ns
+      = SERVER_NS + (task->kind == KWF_ANSWER_REQUEST ? fleet->service_ns : 0);
+  task_t *answer = add_task (fleet, TASK_ANSWER, delay_ns, task->to);
+  answer->incarnation = task->incarnation;
+  answer->request = task->request;
+  answer->attempt = task->attempt;
+  answer->server = task->server;
+  answer->kind = task->kind;
+  answer->named = server->names;
+  answer->limit = server->limit;
+  answer->server_incarnation = server->incarnation;
+}
+
+static void
+run_answer (core_fleet_t *fleet, const task_t *task)
+{
+  core_fleet_server_t *server = &fleet->servers[task->server];
+  core_fleet_instance_t *instance = task->to;
+  if (server->incarnation != task->server_incarnation)
+    {
+      step (instance,
+            &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                            .attempt = { .attempt = task->attempt,
+                                         .request = task->request,
+                                         .failure = KWF_FAIL_BROKEN } });
+      return;
+    }
+  kwf_event_t notice = {
+    .type = KWF_EV_NOTICE,
+    .notice = { .attempt = task->attempt, .kind = task->kind, .success = true }
+  };
+  if (task->named && !fleet->deaf)
+    {
+      notice.notice.limit = KWF_LIMIT_NAMED;
+      notice.notice.limit_per_s = task->limit;
+    }
+  if (task->kind != KWF_ANSWER_REQUEST)
+    notice.notice.server = server->id;
+  if (task->named && !server->told_ns[instance->index])
+    server->told_ns[instance->index] = fleet->now_ns;
+  if (notice.notice.limit != KWF_LIMIT_NOT_NAMED
+      || kwf_core_knows_limit (instance->core, &notice.notice))
+    step (instance, &notice);
+  if (task->kind == KWF_ANSWER_REQUEST)
+    step (instance, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                    .attempt = { .attempt = task->attempt,
+                                                 .request = task->request,
+                                                 .status = 200 } });
+  else
+    step (instance,
+          &(kwf_event_t){ .type = KWF_EV_REPORT,
+                          .report = { .server = server->id,
+                                      .valid = true,
+                                      .incarnation = server->incarnation } });
+}
+
+/* Callers.  */
+
+static core_fleet_request_t *
+request_at (const core_fleet_t *fleet, kwf_handle_t handle)
+{
+  return &g_array_index (fleet->requests, core_fleet_request_t, handle - 1);
+}
+
+static void
+plan_request (core_fleet_t *fleet, kwf_handle_t handle, int64_t delay_ns)
+{
+  add_task (fleet, TASK_REQUEST, delay_ns, NULL)->request = handle;
+}
+
+static void
+end_request (core_fleet_t *fleet, kwf_handle_t handle, int status)
+{
+  core_fleet_request_t *request = request_at (fleet, handle);
+  request->ended = true;
+  request->status = status;
+  request->ended_ns = fleet->now_ns;
+}
+
+/* The caller comes back when it was told to, if that is early enough.  */
+static void
+refuse_request (core_fleet_t *fleet, kwf_handle_t handle, int status,
+                int64_t retry_ns)
+{
+  const core_fleet_request_t *request = request_at (fleet, handle);
+  int64_t left_ns = request->deadline_ns - fleet->now_ns;
+  if (retry_ns >= 0 && retry_ns <= left_ns / 3 && request->n_tries < 8)
+    plan_request (fleet, handle, MAX (retry_ns, CORE_FLEET_MS));
+  else
+    end_request (fleet, handle, status);
+}
+
+static void
+handle_reply (core_fleet_instance_t *instance, const kwf_reply_t *reply)
+{
+  core_fleet_t *fleet = instance->fleet;
+  if (reply->status == 200)
+    end_request (fleet, reply->request, 200);
+  else
+    refuse_request (fleet, reply->request, reply->status,
+                    reply->retry_after_ms < 0
+                        ? -1
+                        : reply->retry_after_ms * CORE_FLEET_MS);
+}
+
+static int
+random_live_instance (core_fleet_t *fleet)
+{
+  int index = (int)core_fleet_random (fleet, (uint64_t)fleet->n_instances);
+  for (int i = 0; i < fleet->n_instances; i++)
+    {
+      const core_fleet_instance_t *instance
+          = &fleet->instances[(index + i) % fleet->n_instances];
+      if (instance->alive && kwf_core_ready (instance->core))
+        return instance->index;
+    }
+  return -1;
+}
+
+static void
+run_request (core_fleet_t *fleet, const task_t *task)
+{
+  static const char *const paths[] = { "/0/x", "/1/x", "/2/x" };
+  core_fleet_request_t *request = request_at (fleet, task->request);
+  request->n_tries++;
+  request->instance = random_live_instance (fleet);
+  if (request->instance < 0
+      || (fleet->gate && !fleet->gate (fleet, request->instance)))
+    {
+      refuse_request (fleet, task->request, 503, RETRY_NS);
+      return;
+    }
+  core_fleet_instance_t *instance = &fleet->instances[request->instance];
+  task_t *event = g_new0 (task_t, 1);
+  *event = (task_t){ .type = TASK_REQUEST,
+                     .to = instance,
+                     .incarnation = instance->incarnation,
+                     .request = task->request };
+  if (instance->frozen)
+    {
+      g_ptr_array_add (instance->kept, event);
+      return;
+    }
+  g_free (event);
+  step (instance,
+        &(kwf_event_t){ .type = KWF_EV_REQUEST,
+                        .request = { .handle = task->request,
+                                     .kind = KWF_REQUEST_ROUTED,
+                                     .id = "r",
+                                     .key_digest = "k",
+                                     .host = "h.example",
+                                     .path = paths[request->priority],
+                                     .fingerprint = task->request } });
+}
+
+void
+core_fleet_request (core_fleet_t *fleet, int priority)
+{
+  core_fleet_request_t request
+      = { .sent_ns = fleet->now_ns,
+          .deadline_ns = fleet->now_ns + fleet->deadline_ns,
+          .priority = priority };
+  g_array_append_val (fleet->requests, request);
+  plan_request (fleet, fleet->requests->len, 0);
+}
+
+void
+core_fleet_run_callers (core_fleet_t *fleet, double rate, int64_t until_ns)
+{
+  for (;;)
+    {
+      double gap_s = -log (1 - core_fleet_random_unit (fleet)) / rate;
+      int64_t next_ns = fleet->now_ns + (int64_t)(gap_s * 1e9);
+      if (next_ns >= until_ns)
+        break;
+      core_fleet_run (fleet, next_ns);
+      core_fleet_request (fleet, (int)core_fleet_random (fleet, 3));
+    }
+  core_fleet_run (fleet, until_ns);
+}
+
+/* Effects.  */
+
+static void
+start_call (core_fleet_instance_t *instance, kwf_answer_kind_t kind,
+            const char *server, kwf_handle_t request, kwf_handle_t attempt)
+{
+  task_t *task = add_task (instance->fleet, TASK_ARRIVAL, SERVER_NS, instance);
+  task->server = find_server (instance->fleet, server);
+  task->kind = kind;
+  task->request = request;
+  task->attempt = attempt;
+}
+
+static void
+want_link (core_fleet_instance_t *instance, const char *name, bool wanted)
+{
+  core_fleet_t *fleet = instance->fleet;
+  int index = (int)g_ascii_strtoll (name + 1, NULL, 10);
+  core_fleet_instance_t *peer = &fleet->instances[index];
+  *pair (fleet, fleet->wanted, instance, peer) = wanted;
+  if (wanted)
+    add_task (fleet, TASK_LINK, LINK_NS, instance)->from = peer;
+  else
+    close_link (instance, peer, false);
+}
+
+static void
+set_timer (core_fleet_instance_t *instance, int64_t at_ns)
+{
+  core_fleet_t *fleet = instance->fleet;
+  instance->timer_ns = at_ns;
+  add_task (fleet, TASK_TIMER, MAX (at_ns - fleet->now_ns, 0), instance)
+      ->timer_ns
+      = at_ns;
+}
+
+static void
+run_effect (core_fleet_instance_t *instance, const kwf_effect_t *effect)
+{
+  switch (effect->type)
+    {
+    case KWF_FX_TIMER:
+      set_timer (instance, effect->timer_ns);
+      break;
+    case KWF_FX_STORE:
+      commit (instance, effect->store.op, &effect->store.txn);
+      break;
+    case KWF_FX_PROBE:
+      start_call (instance, KWF_ANSWER_REPORT, effect->probe.server, 0, 0);
+      break;
+    case KWF_FX_PEER_LINK:
+      want_link (instance, effect->link.instance, true);
+      break;
+    case KWF_FX_PEER_UNLINK:
+      want_link (instance, effect->link.instance, false);
+      break;
+    case KWF_FX_PEER_SEND:
+      send_message (instance, effect->send.instance, &effect->send.message);
+      break;
+    case KWF_FX_ATTEMPT_START:
+      start_call (instance, KWF_ANSWER_REQUEST, effect->start.server,
+                  effect->start.request, effect->start.attempt);
+      break;
+    case KWF_FX_REPLY:
+      handle_reply (instance, &effect->reply);
+      break;
+    case KWF_FX_FORWARD_END:
+      end_request (instance->fleet, effect->attempt.request, 200);
+      break;
+    case KWF_FX_LOG:
+      if (instance->fleet->verbose)
+        g_print ("%9.3f %s %d %s\n", (double)instance->fleet->now_ns / 1e9,
+                 instance->name, effect->log.number, effect->log.text);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Stepping another instance from here would clear no effects of this one: each
+   has its own.  */
+static void
+run_effects (core_fleet_instance_t *instance)
+{
+  kwf_effects_t *effects = instance->effects;
+  instance->effects = kwf_effects_new ();
+  for (size_t i = 0; i < kwf_effects_count (effects); i++)
+    run_effect (instance, kwf_effects_at (effects, i));
+  kwf_effects_free (effects);
+}
+
+/* Instances.  */
+
+void
+core_fleet_start (core_fleet_t *fleet, int index)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  instance->incarnation++;
+  instance->alive = true;
+  instance->frozen = false;
+  instance->timer_ns = 0;
+  instance->disturbed_ns = fleet->now_ns;
+  instance->clock = (core_fleet_clock_t){ { &clock_ops }, fleet };
+  instance->random
+      = (core_fleet_random_t){ { &random_ops }, random_next (&fleet->state) };
+  kwf_core_free (instance->core);
+  instance->core = kwf_core_new (
+      &(kwf_core_options_t){ .instance = instance->name,
+                             .incarnation = instance->incarnation,
+                             .data_centre = instance->data_centre,
+                             .cores = 0.25,
+                             .caller_address = instance->address,
+                             .peer_address = instance->address,
+                             .lease_ns = 300 * KWF_NS_PER_S,
+                             .renew_ns = 100 * KWF_NS_PER_S,
+                             .address_lifetime_ns = KWF_NS_PER_S,
+                             .default_timeout_ns = 60 * KWF_NS_PER_S,
+                             .retry_share = 0.2,
+                             .push_updates = true,
+                             .overdraft = 1000,
+                             .clock = &instance->clock.clock,
+                             .random = &instance->random.random });
+  step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
+  add_task (fleet, TASK_START, STORE_NS + CORE_FLEET_MS, instance);
+}
+
+void
+core_fleet_kill (core_fleet_t *fleet, int index)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  instance->alive = false;
+  instance->disturbed_ns = fleet->now_ns;
+  for (int i = 0; i < fleet->n_instances; i++)
+    close_link (instance, &fleet->instances[i], true);
+  for (guint i = 0; i < fleet->requests->len; i++)
+    {
+      const core_fleet_request_t *request = request_at (fleet, i + 1);
+      if (!request->ended && request->instance == index)
+        refuse_request (fleet, i + 1, 0, 0);
+    }
+}
+
+void
+core_fleet_freeze (core_fleet_t *fleet, int index)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  instance->frozen = true;
+  instance->disturbed_ns = fleet->now_ns;
+  add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
+}
+
+static void run_task (core_fleet_t *fleet, task_t *task);
+
+void
+core_fleet_thaw (core_fleet_t *fleet, int index)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  instance->frozen = false;
+  instance->disturbed_ns = fleet->now_ns;
+  GPtrArray *kept = instance->kept;
+  instance->kept = g_ptr_array_new ();
+  for (guint i = 0; i < kept->len; i++)
+    run_task (fleet, kept->pdata[i]);
+  g_ptr_array_free (kept, TRUE);
+}
+
+void
+core_fleet_set_cut (core_fleet_t *fleet, int index, bool cut)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  instance->cut = cut;
+  instance->disturbed_ns = fleet->now_ns;
+  if (cut)
+    add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
+}
+
+/* The links of an instance that is still frozen or cut are closed.  */
+static void
+run_link_down (core_fleet_t *fleet, const task_t *task)
+{
+  if (task->from->alive && (task->from->frozen || task->from->cut))
+    for (int i = 0; i < fleet->n_instances; i++)
+      close_link (task->from, &fleet->instances[i], false);
+}
+
+void
+core_fleet_restart_server (core_fleet_t *fleet, int index)
+{
+  core_fleet_server_t *server = &fleet->servers[index];
+  server->incarnation++;
+  server->revision++;
+  server->names = false;
+  memset (server->told_ns, 0,
+          (size_t)fleet->n_instances * sizeof *server->told_ns);
+  for (int i = 0; i < fleet->n_instances; i++)
+    if (fleet->instances[i].alive && !fleet->instances[i].frozen)
+      feed_members (&fleet->instances[i]);
+}
+
+void
+core_fleet_name_limit (core_fleet_t *fleet, int index, double limit)
+{
+  core_fleet_server_t *server = &fleet->servers[index];
+  server->names = true;
+  server->limit = limit;
+  server->named_ns = fleet->now_ns;
+}
+
+void
+core_fleet_end_limit (core_fleet_t *fleet, int index)
+{
+  core_fleet_server_t *server = &fleet->servers[index];
+  server->names = false;
+  memset (server->told_ns, 0,
+          (size_t)fleet->n_instances * sizeof *server->told_ns);
+}
+
+int
+core_fleet_count (const core_fleet_t *fleet, int server, int64_t from_ns,
+                  int64_t until_ns)
+{
+  const GArray *arrivals = fleet->servers[server].arrivals;
+  int n = 0;
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      int64_t at_ns = g_array_index (arrivals, core_fleet_arrival_t, i).at_ns;
+      n += at_ns >= from_ns && at_ns < until_ns;
+    }
+  return n;
+}
+
+/* Tasks.  */
+
+static void
+run_timer (core_fleet_instance_t *instance, const task_t *task)
+{
+  if (instance->timer_ns != task->timer_ns)
+    return;
+  instance->timer_ns = 0;
+  step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
+}
+
+static void
+run_for_instance (core_fleet_t *fleet, task_t *task)
+{
+  core_fleet_instance_t *to = task->to;
+  kwf_event_t event = { 0 };
+  switch (task->type)
+    {
+    case TASK_TIMER:
+      run_timer (to, task);
+      break;
+    case TASK_STORE_REPLY:
+      event.type = KWF_EV_STORE_REPLY;
+      event.store.op = task->op;
+      event.store.reply = task->reply;
+      step (to, &event);
+      break;
+    case TASK_ROWS:
+      event.type = KWF_EV_ROWS;
+      event.rows = (kwf_rows_event_t){ task->row.version, &task->row, 1 };
+      step (to, &event);
+      break;
+    case TASK_START:
+      feed_first_state (to);
+      break;
+    case TASK_MESSAGE:
+      deliver_message (fleet, task);
+      break;
+    case TASK_ANSWER:
+      run_answer (fleet, task);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+run_task (core_fleet_t *fleet, task_t *task)
+{
+  core_fleet_instance_t *to = task->to;
+  if (task->type == TASK_LINK)
+    run_link (fleet, task);
+  else if (task->type == TASK_LINK_DOWN)
+    run_link_down (fleet, task);
+  else if (task->type == TASK_ARRIVAL)
+    run_arrival (fleet, task);
+  else if (task->type == TASK_REQUEST)
+    run_request (fleet, task);
+  else if (to->alive && to->incarnation == task->incarnation)
+    {
+      if (to->frozen)
+        {
+          g_ptr_array_add (to->kept, task);
+          return;
+        }
+      run_for_instance (fleet, task);
+    }
+  task_free (task);
+}
+
+void
+core_fleet_run (core_fleet_t *fleet, int64_t until_ns)
+{
+  const heap_item_t *first;
+  while ((first = heap_first (&fleet->tasks)) && first->at_ns <= until_ns)
+    {
+      fleet->now_ns = MAX (fleet->now_ns, first->at_ns);
+      run_task (fleet, heap_pop (&fleet->tasks));
+    }
+  fleet->now_ns = until_ns;
+}
+
+core_fleet_t *
+core_fleet_new (uint64_t seed, int n_instances, int n_servers)
+{
+  core_fleet_t *fleet = g_new0 (core_fleet_t, 1);
+  *fleet = (core_fleet_t){ .now_ns = KWF_NS_PER_S,
+                           .state = seed,
+                           .n_instances = n_instances,
+                           .n_servers = n_servers,
+                           .service_ns = 50 * CORE_FLEET_MS,
+                           .deadline_ns = 15 * KWF_NS_PER_S };
+  size_t n = (size_t)n_instances;
+  fleet->instances = g_new0 (core_fleet_instance_t, n);
+  fleet->servers = g_new0 (core_fleet_server_t, (size_t)n_servers);
+  fleet->linked = g_new0 (bool, n *n);
+  fleet->wanted = g_new0 (bool, n *n);
+  fleet->table = fleet_sim_new (seed, 1);
+  /* An instance takes revision 0 for a table that it has not read.  */
+  fleet->table->revision = 1;
+  fleet->requests = g_array_new (FALSE, TRUE, sizeof (core_fleet_request_t));
+  heap_init (&fleet->tasks);
+  for (int i = 0; i < n_servers; i++)
+    {
+      core_fleet_server_t *server = &fleet->servers[i];
+      g_snprintf (server->id, sizeof server->id, "d%d", i);
+      server->incarnation = 1;
+      server->revision = 1 + i;
+      server->told_ns = g_new0 (int64_t, n);
+      server->arrivals
+          = g_array_new (FALSE, TRUE, sizeof (core_fleet_arrival_t));
+    }
+  for (int i = 0; i < n_instances; i++)
+    {
+      core_fleet_instance_t *instance = &fleet->instances[i];
+      instance->fleet = fleet;
+      instance->index = i;
+      instance->effects = kwf_effects_new ();
+      instance->kept = g_ptr_array_new ();
+      g_snprintf (instance->name, sizeof instance->name, "i%03d", i);
+      g_snprintf (instance->address, sizeof instance->address, "10.0.%d.%d:80",
+                  i / 250, i % 250);
+      g_snprintf (instance->data_centre, sizeof instance->data_centre, "c%d",
+                  i % 4);
+    }
+  for (int i = 0; i < n_instances; i++)
+    core_fleet_start (fleet, i);
+  return fleet;
+}
+
+void
+core_fleet_free (core_fleet_t *fleet)
+{
+  while (heap_first (&fleet->tasks))
+    task_free (heap_pop (&fleet->tasks));
+  heap_clear (&fleet->tasks);
+  for (int i = 0; i < fleet->n_instances; i++)
+    {
+      core_fleet_instance_t *instance = &fleet->instances[i];
+      kwf_core_free (instance->core);
+      kwf_effects_free (instance->effects);
+      for (guint k = 0; k < instance->kept->len; k++)
+        task_free (instance->kept->pdata[k]);
+      g_ptr_array_free (instance->kept, TRUE);
+    }
+  for (int i = 0; i < fleet->n_servers; i++)
+    {
+      g_free (fleet->servers[i].told_ns);
+      g_array_free (fleet->servers[i].arrivals, TRUE);
+    }
+  fleet_sim_free (fleet->table);
+  g_array_free (fleet->requests, TRUE);
+  g_free (fleet->instances);
+  g_free (fleet->servers);
+  g_free (fleet->linked);
+  g_free (fleet->wanted);
+  g_free (fleet);
+}
--- /dev/null
+++ b/test/common-core-fleet.h
@@ -0,0 +1,152 @@
+/* common-core-fleet.h - a fleet of real cores on a fake clock, in the mode in
+   which membership and configuration arrive as events, with backend servers
+   that may name a limit on their requests.
+
+   Messages between instances are encoded and decoded as on a link.  All random
+   choices follow from the seed.  */
+
+#ifndef KNAPWEEDFORK_TEST_COMMON_CORE_FLEET_H
+#define KNAPWEEDFORK_TEST_COMMON_CORE_FLEET_H
+
+#include <glib.h>
+#include <msgpack.h>
+
+#include <knapweedfork/core.h>
+
+#include "standin/common-heap.h"
+#include "common-fleet-sim.h"
+
+#define CORE_FLEET_MS KWF_NS_PER_MS
+/* A server judges its limit over this time.  */
+#define CORE_FLEET_WINDOW_NS (4 * KWF_NS_PER_S)
+
+typedef struct core_fleet core_fleet_t;
+
+typedef struct
+{
+  kwf_clock_t clock; /* first member */
+  const core_fleet_t *fleet;
+} core_fleet_clock_t;
+
+typedef struct
+{
+  kwf_random_t random; /* first member */
+  uint64_t state;
+} core_fleet_random_t;
+
+typedef struct
+{
+  core_fleet_t *fleet;
+  int index;
+  char name[8];
+  char address[24];
+  char data_centre[4];
+  uint64_t incarnation;
+  kwf_core_t *core;
+  kwf_effects_t *effects;
+  core_fleet_clock_t clock;
+  core_fleet_random_t random;
+  bool alive;
+  bool frozen; /* events are kept until it is thawed */
+  bool cut;    /* no path to the other instances and to the store */
+  GPtrArray *kept;
+  int64_t timer_ns;
+  int64_t disturbed_ns; /* when it was last killed, started, frozen, thawed,
+                           cut or healed */
+  uint64_t n_messages;  /* sent */
+} core_fleet_instance_t;
+
+/* A request, order or question that reached a server.  */
+typedef struct
+{
+  int64_t at_ns;
+  int instance;
+  kwf_answer_kind_t kind;
+} core_fleet_arrival_t;
+
+typedef struct
+{
+  char id[8];
+  uint64_t incarnation;
+  int64_t revision;
+  bool names; /* its answers name LIMIT */
+  double limit;
+  int64_t named_ns; /* when it first did; 0: it has not */
+  int64_t *told_ns; /* for each instance, when that passed on such an answer
+                       for the first time; 0: it has not */
+  GArray *arrivals; /* of core_fleet_arrival_t */
+  int most;         /* arrivals in one window from instances that had been
+                       told, while the limit stood */
+  int64_t most_ns;  /* end of that window */
+  int n_excessive;  /* windows with more than the rule allows */
+} core_fleet_server_t;
+
+typedef struct
+{
+  int64_t sent_ns; /* by the caller, for the first time */
+  int64_t deadline_ns;
+  int instance;
+  int priority;
+  bool ended;
+  int status;
+  int64_t ended_ns;
+  int n_tries;
+} core_fleet_request_t;
+
+struct core_fleet
+{
+  int64_t now_ns;
+  uint64_t state;
+  int n_instances;
+  core_fleet_instance_t *instances;
+  int n_servers;
+  core_fleet_server_t *servers;
+  bool *linked; /* n_instances squared */
+  bool *wanted;
+  heap_t tasks;
+  fleet_sim_t *table;
+  bool store_down;
+  GArray *requests; /* of core_fleet_request_t; the handle is 1 + the index */
+  int64_t service_ns;  /* time that a server takes for a request */
+  int64_t deadline_ns; /* time that a caller waits in all */
+  bool deaf;           /* what the servers name is not passed to the cores */
+  /* Whether an instance may take a request now; NULL: always.  What it may not
+     take is refused to be tried again a second later.  */
+  bool (*gate) (core_fleet_t *fleet, int instance);
+  void *data;
+  bool verbose;
+};
+
+/* N_SERVERS copies of the service "desk".  The instances start at once.  */
+core_fleet_t *core_fleet_new (uint64_t seed, int n_instances, int n_servers);
+void core_fleet_free (core_fleet_t *fleet);
+
+void core_fleet_run (core_fleet_t *fleet, int64_t until_ns);
+uint64_t core_fleet_random (core_fleet_t *fleet, uint64_t below);
+double core_fleet_random_unit (core_fleet_t *fleet);
+
+void core_fleet_kill (core_fleet_t *fleet, int index);
+void core_fleet_start (core_fleet_t *fleet, int index);
+void core_fleet_freeze (core_fleet_t *fleet, int index);
+void core_fleet_thaw (core_fleet_t *fleet, int index);
+void core_fleet_set_cut (core_fleet_t *fleet, int index, bool cut);
+
+/* The process of SERVER is replaced; the new one names no limit.  */
+void core_fleet_restart_server (core_fleet_t *fleet, int server);
+void core_fleet_name_limit (core_fleet_t *fleet, int server, double limit);
+void core_fleet_end_limit (core_fleet_t *fleet, int server);
+
+/* A caller sends a request to a live instance.  */
+void core_fleet_request (core_fleet_t *fleet, int priority);
+/* Callers send RATE requests a second at random times until UNTIL_NS.  */
+void core_fleet_run_callers (core_fleet_t *fleet, double rate,
+                             int64_t until_ns);
+
+/* Arrivals at SERVER from FROM_NS on, before UNTIL_NS.  */
+int core_fleet_count (const core_fleet_t *fleet, int server, int64_t from_ns,
+                      int64_t until_ns);
+
+/* What the rule allows in a window: one and a half times LIMIT, and five.  */
+double core_fleet_allowed (double limit);
+
+#endif
