Keep a server's limit with permits of one owner

Cause: an announcement of a server was not read, and what holds for the whole fleet was left to each instance alone: 8 instances chose the server by load.

Now an instance that reads a limit, its change or its end tells all others, and each call to the server needs a permit of the limit's owner, the live hub that rendezvous hashing chooses for that server. The owner gives slots one interval of the limit apart, so the permits keep the limit whoever holds them, however many instances there are and however small the limit is. Permits end by their holder's clock and come back when they were not spent; what was sent before the limit was known, and calls that cannot wait, push the next slot back. A request without a permit goes to another copy, else waits for a slot in time, else is refused at once with a time to come back. News have versions, so that late ones change nothing.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -273,7 +273,8 @@
                        pause */
   bool unreadable;  /* the header asks for a pause but has no valid time */
   kwf_answer_kind_t kind;
-  bool success; /* the status of the answer is 2xx */
+  int64_t asked_ns; /* when SERVER was asked; not used with ATTEMPT */
+  bool success;     /* the status of the answer is 2xx */
   kwf_limit_header_t limit;
   double limit_per_s; /* valid with KWF_LIMIT_NAMED: requests a second from all
                          instances together */
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -38,7 +38,10 @@
   KWF_MSG_LEADERSHIP_EXPIRED, /* the sender is no longer placement leader,
                                  because its lease expired */
   KWF_MSG_UNREACHABLE,        /* instances that the sender cannot reach */
-  KWF_MSG_SERVER_LEAVING /* a backend server announced that it is leaving */
+  KWF_MSG_SERVER_LEAVING, /* a backend server announced that it is leaving */
+  KWF_MSG_SERVER_LIMIT,   /* a backend server names a limit, or no more */
+  KWF_MSG_PERMIT_ASK,     /* to the owner of a limit: permits wanted */
+  KWF_MSG_PERMIT_GRANT    /* reply: permits granted */
 } kwf_message_type_t;
 
 /* RENEW: the sender's session row, which a peer is asked to write.  */
@@ -186,6 +189,40 @@
   bool forwarded; /* the sender received it from another instance */
 } kwf_server_leaving_t;
 
+/* What an instance knows of a server's limit (lib/limit.h).  */
+typedef struct
+{
+  const char *server;
+  uint64_t incarnation;
+  int64_t version;
+  bool named;
+  double rate_per_s;
+  bool forwarded; /* the sender received it from another instance */
+} kwf_server_limit_t;
+
+typedef struct
+{
+  kwf_server_limit_t limit;
+  int64_t number;        /* of the question; the grant repeats it */
+  int64_t n;             /* permits wanted; 0: no answer is needed */
+  int64_t patience_ns;   /* no permit is wanted that starts later */
+  int64_t n_unspent;     /* permits that come back */
+  int64_t n_unpermitted; /* calls that the sender made without a permit */
+} kwf_permit_ask_t;
+
+typedef struct
+{
+  const char *server;
+  uint64_t incarnation;
+  int64_t number;
+  int64_t n;
+  int64_t start_ns; /* start of the first permit, after the question; negative:
+                       it could have started before */
+  int64_t spacing_ns; /* between two permits */
+  int64_t free_ns;    /* start of the first slot that is left, after the
+                         question */
+} kwf_permit_grant_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -208,6 +245,9 @@
     int64_t leadership_expired; /* fencing token of the leadership */
     kwf_unreachable_t unreachable;
     kwf_server_leaving_t leaving;
+    kwf_server_limit_t server_limit;
+    kwf_permit_ask_t permit_ask;
+    kwf_permit_grant_t permit_grant;
   };
 } kwf_message_t;
 
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -423,7 +423,8 @@
       core->backend, crash_trial_server (core->crash, result->fingerprint));
   if (!check_before_send (core, request, now_ns, effects))
     return;
-  if (!server || !server_usable (server, now_ns))
+  if (!server || !server_usable (server, now_ns)
+      || !limit_may_call (&server->limit, LIMIT_WAIT_MAX_NS, now_ns))
     {
       request->trial = false;
       crash_trial_ended (core->crash, request->fingerprint, false, effects);
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -604,6 +604,17 @@
     apply_member (backend, &event->members[i], !event->after_outage, now_ns);
 }
 
+void
+backend_count_call (server_t *server, int64_t now_ns, kwf_effects_t *effects)
+{
+  limit_count_call (&server->limit, now_ns);
+  if (server->limit.named)
+    kwf_effects_log (effects, 235, KWF_LOG_INFO, NULL,
+                     "call of this instance's own to server=%s, which names a "
+                     "limit",
+                     server->id);
+}
+
 static void
 start_probe (server_t *server, int64_t now_ns, kwf_effects_t *effects)
 {
@@ -611,7 +622,7 @@
   server->probe_again = false;
   server->probe_since_ns = now_ns;
   server->sent_at_probe = server->sent;
-  notice_log_report_request (server, effects);
+  backend_count_call (server, now_ns, effects);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_PROBE);
   effect->probe.server = server->id;
   effect->probe.address = server->address;
@@ -732,6 +743,7 @@
 {
   (void)backend;
   notice_request_started (server, now_ns);
+  limit_count_call (&server->limit, now_ns);
   server->sent++;
   server->open_attempts++;
   server->unanswered++;
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -171,6 +171,10 @@
 bool server_usable (const server_t *server, int64_t now_ns);
 bool server_leaving (const server_t *server);
 
+/* Whether SERVER, which is usable, may be sent one more request now.  Slow
+   start, window and limit all have to allow it.  */
+bool server_may_take_one_more (server_t *server, int64_t now_ns);
+
 /* Whether SERVER may become usable soon: the one attempt that its half-open
    circuit allows is running.  */
 bool server_half_open_busy (const server_t *server, int64_t now_ns);
@@ -209,6 +213,10 @@
 void backend_drop_resident (backend_t *backend, server_t *server,
                             const char *model, const char *adapter);
 
+/* A question for a load report or an order is sent to SERVER.  */
+void backend_count_call (server_t *server, int64_t now_ns,
+                         kwf_effects_t *effects);
+
 /* Bookkeeping of attempts.  The first data of an attempt closes a half-open
    circuit.  */
 void backend_attempt_answered (backend_t *backend, server_t *server);
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -16,6 +16,7 @@
 #include "demand.h"
 #include "fleet-load.h"
 #include "metric.h"
+#include "permit.h"
 #include "placement.h"
 #include "policy.h"
 #include "queue.h"
@@ -49,6 +50,7 @@
   SHED_ORGANISATION, /* too many requests of its organisation wait */
   SHED_FULL,         /* too many requests wait */
   SHED_NO_COPY,      /* no engine will hold its model or adapter in time */
+  SHED_LIMIT,        /* the limits of the servers leave no room in time */
   SHED_DISPLACED,    /* a request that goes first took its place in the
                         queue */
   N_SHED_REASONS
@@ -59,9 +61,7 @@
 {
   uint64_t leaving;
   uint64_t pauses;
-  uint64_t unreadable;        /* pauses without a valid time */
-  uint64_t limits;            /* limits, and changes of their rate */
-  uint64_t limits_unreadable; /* limits without a valid number */
+  uint64_t unreadable; /* pauses without a valid time */
 } notice_counts_t;
 
 /* Waiting requests, and the state of shedding and preemption.  */
@@ -105,6 +105,7 @@
   metrics_t *metrics;
   budget_t budget;
   policy_t *policy;
+  permits_t *permits;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
   wait_queue_t waits;
--- a/lib/core.c
+++ b/lib/core.c
@@ -33,6 +33,7 @@
                                                     .demand = core->demand });
   core->metrics = metrics_new ();
   core->policy = policy_default ();
+  core->permits = permits_new (own);
   core->loads = own->push_updates ? fleet_load_new (own->clock) : NULL;
   budget_init (&core->budget, own->retry_share, now_ns);
   hedge_delays_init (core->hedge_delays, now_ns);
@@ -56,6 +57,7 @@
   hedge_delays_clear (core->hedge_delays);
   metrics_free (core->metrics);
   fleet_load_free (core->loads);
+  permits_free (core->permits);
   placement_free (core->placement);
   demand_free (core->demand);
   crash_free (core->crash);
@@ -148,6 +150,7 @@
   if (event->type == KWF_EV_PEER_MESSAGE
       && event->peer.message->type == KWF_MSG_SERVER_LEAVING)
     notice_handle_peer (core, &event->peer, effects);
+  permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
@@ -206,6 +209,43 @@
     answer_forward_withheld (core, effects);
 }
 
+bool
+kwf_core_knows_limit (const kwf_core_t *core, const kwf_notice_event_t *notice)
+{
+  const server_t *server = notice_server (core, notice);
+  return server && server->limit.named;
+}
+
+static void
+handle_limit (kwf_core_t *core, const kwf_notice_event_t *notice,
+              kwf_effects_t *effects)
+{
+  server_t *server = notice_server (core, notice);
+  const attempt_t *attempt = kwf_slots_get (core->attempts, notice->attempt);
+  if (server)
+    permits_handle_notice (
+        core->permits, core->session, server, notice,
+        notice->server ? notice->asked_ns : attempt->sent_ns, effects);
+}
+
+/* Get permits for the requests that wait for a server with a limit, and shed
+   those that cannot have one in time.  */
+static void
+run_permits (kwf_core_t *core, kwf_effects_t *effects)
+{
+  if (!permits_active (core->permits))
+    return;
+  int64_t now_ns = kwf_now_ns (core->options.clock);
+  waits_count_for_permits (core, now_ns);
+  permits_result_t result
+      = permits_run (core->permits, core->session, core->backend, effects);
+  core->waits.recheck |= result.usable && core->waits.queue.length;
+  if (!result.denied)
+    return;
+  core->waits.next_sweep_ns = now_ns;
+  waits_tick (core, now_ns, effects);
+}
+
 static void
 step_operator (kwf_core_t *core, const kwf_event_t *event,
                kwf_effects_t *effects)
@@ -236,6 +276,7 @@
   tick_ns = MIN (tick_ns, placement_next_tick_ns (core->placement));
   tick_ns = MIN (tick_ns, requests_next_tick_ns (core));
   tick_ns = MIN (tick_ns, waits_next_tick_ns (core));
+  tick_ns = MIN (tick_ns, permits_next_tick_ns (core->permits));
   if (core->loads)
     tick_ns = MIN (tick_ns, fleet_load_next_tick_ns (core->loads));
   return MIN (tick_ns, stop_next_tick_ns (core));
@@ -281,6 +322,7 @@
       answer_failed (core, &event->attempt, effects);
       break;
     case KWF_EV_NOTICE:
+      handle_limit (core, &event->notice, effects);
       notice_handle_event (core, &event->notice, effects);
       step_modules (core, event, effects);
       break;
@@ -307,6 +349,7 @@
     }
   handle_results (core, effects);
   handle_crash_change (core, effects);
+  run_permits (core, effects);
   if (core->waits.recheck)
     {
       waits_run_rechecks (core, effects);
--- a/lib/fanout.c
+++ b/lib/fanout.c
@@ -194,3 +194,36 @@
     if (member.linked)
       fn (member.instance, data);
 }
+
+typedef struct
+{
+  const kwf_message_t *message;
+  const char *except;
+  kwf_effects_t *effects;
+} decision_t;
+
+static void
+send_decision (const char *instance, void *data)
+{
+  const decision_t *decision = data;
+  if (strcmp (instance, decision->except) != 0)
+    *session_send (instance, decision->message->type, decision->effects)
+        = *decision->message;
+}
+
+void
+fanout_send_decision (const session_t *session, const kwf_message_t *message,
+                      kwf_effects_t *effects)
+{
+  decision_t decision = { message, "", effects };
+  fanout_broadcast_targets (session, send_decision, &decision);
+}
+
+void
+fanout_forward_decision (const session_t *session, const char *from,
+                         const kwf_message_t *message, kwf_effects_t *effects)
+{
+  decision_t decision = { message, from, effects };
+  if (session_is_large (session) && fanout_role (session) != FANOUT_LEAF)
+    fanout_local_members (session, send_decision, &decision);
+}
--- a/lib/fanout.h
+++ b/lib/fanout.h
@@ -43,6 +43,17 @@
 void fanout_broadcast_targets (const session_t *session, kwf_instance_fn_t fn,
                                void *data);
 
+/* Sends MESSAGE, whose strings live as long as EFFECTS, to the targets of
+   fanout_broadcast_targets.  */
+void fanout_send_decision (const session_t *session,
+                           const kwf_message_t *message,
+                           kwf_effects_t *effects);
+/* MESSAGE, a decision that instance FROM made, has arrived: in a large fleet,
+   a relay passes it on to the instances of its data centre.  */
+void fanout_forward_decision (const session_t *session, const char *from,
+                              const kwf_message_t *message,
+                              kwf_effects_t *effects);
+
 /* Returns the relay of this instance's data centre (the first hub of the fleet
    if the data centre has no hub); "" if this instance is that relay.  */
 const char *fanout_own_relay (const session_t *session);
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -1,5 +1,18 @@
 /* limit.h - the requests a second that a backend server takes from the whole
-   fleet, as its answers name them.  */
+   fleet, as its answers name them, and the permits that keep to it.
+
+   While a server names a limit, each call to it needs a permit: a right to one
+   call within LIMIT_PERMIT_NS of its start.  One instance, the owner of the
+   limit, grants the permits of the fleet (lib/permit.h).  It gives them slots
+   that are one interval of the limit apart, so that all permits together keep
+   the limit whoever holds them.  A permit ends by its holder's clock; one that
+   was not spent goes back to the owner.
+
+   What is known of a limit has a version, which is higher at each change that
+   any instance learns from an answer.  News of a lower version are old,
+   however late they arrive.
+
+   The functions read no clock and send nothing.  Times are in nanoseconds.  */
 
 #ifndef KNAPWEEDFORK_LIMIT_H
 #define KNAPWEEDFORK_LIMIT_H
@@ -7,17 +20,57 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <knapweedfork/clock.h>
 #include <knapweedfork/event.h>
 
 /* Higher limits are cut to this.  */
 #define LIMIT_MAX_PER_S 1e6
+/* A server that takes none, or nearly none, is still tried at this rate: only
+   its answer tells that the limit has ended.  */
+#define LIMIT_MIN_PER_S 0.1
+/* How long a permit may be spent after its start.  */
+#define LIMIT_PERMIT_NS (500 * KWF_NS_PER_MS)
+/* Permits that one instance holds for one server.  */
+#define LIMIT_PERMITS_MAX 64
+/* No request waits longer for a permit; the time of lower classes is a half
+   and a quarter of it.  */
+#define LIMIT_WAIT_MAX_NS (3 * KWF_NS_PER_S)
+/* After its end a limit grows for this long before it is dropped, so that the
+   load returns slowly.  */
+#define LIMIT_RETURN_NS (2 * KWF_NS_PER_S)
 
 typedef struct
 {
   bool named;
   double rate_per_s;
-  bool named_in[KWF_ANSWER_KINDS]; /* answers of this kind have named one */
+  int64_t version;  /* 0: no limit has been named */
+  int64_t named_ns; /* when this instance last learnt that it stands */
+  int64_t ended_ns; /* when it learnt of the end; 0: it has not ended */
+  bool named_in[KWF_ANSWER_KINDS]; /* answers of this kind have named it */
   bool unreadable;                 /* an answer had no valid number */
+
+  /* The holder of permits.  */
+  int64_t permits[LIMIT_PERMITS_MAX]; /* their starts, in order */
+  int n_permits;
+  int n_unspent;       /* permits that go back to the owner */
+  int n_unpermitted;   /* calls without a permit that the owner has not been
+                          told of */
+  int n_waiting;       /* requests that wait for a permit */
+  int64_t patience_ns; /* of the most patient of them */
+  bool wished;         /* calls went elsewhere for want of a permit */
+  int64_t wish_ns;     /* patience of these calls */
+  uint64_t owner_hash;
+  int64_t asked_ns; /* when the open question was sent to the owner; 0: there
+                       is none */
+  int64_t ask_number;
+  int n_asked; /* permits in the open question */
+  int64_t next_ask_ns;
+  int64_t free_ns; /* start of the first free slot, as the owner last said */
+  int n_refused;   /* callers that were told when to come back */
+
+  /* The owner.  */
+  int64_t slot_ns;    /* end of the last slot that was granted */
+  int64_t granted_ns; /* when a permit was last granted */
 } limit_t;
 
 typedef enum
@@ -27,8 +80,76 @@
   LIMIT_ENDED
 } limit_change_t;
 
-/* An answer of the server was read.  */
+/* An answer was read.  ASKED_NS: when its request was sent.  An answer without
+   a limit ends it only if the server was asked after this instance last learnt
+   that the limit stands.  */
 limit_change_t limit_handle_answer (limit_t *limit,
-                                    const kwf_notice_event_t *answer);
+                                    const kwf_notice_event_t *answer,
+                                    int64_t asked_ns, int64_t now_ns);
+
+/* News of another instance.  */
+limit_change_t limit_handle_news (limit_t *limit, int64_t version, bool named,
+                                  double rate_per_s, int64_t now_ns);
+
+/* End a limit that no answer has confirmed.  */
+void limit_end (limit_t *limit, int64_t now_ns);
+
+/* Whether calls need a permit: the limit stands, or ended within
+   LIMIT_RETURN_NS.  */
+bool limit_in_force (const limit_t *limit, int64_t now_ns);
+/* Permits a second at NOW_NS.  */
+double limit_rate (const limit_t *limit, int64_t now_ns);
+/* Whether the limit is too low for a server that runs SLOTS requests at once
+   to count as a copy of its models.  */
+bool limit_is_scarce (const limit_t *limit, int slots);
+
+/* The holder.  */
+
+/* Whether a call may be made now.  If not, a permit is asked for, in case a
+   later call wants it: one that starts within PATIENCE_NS.  */
+bool limit_may_call (limit_t *limit, int64_t patience_ns, int64_t now_ns);
+/* A call is made: spend a permit or, if there is none, count the call for the
+   owner.  */
+void limit_count_call (limit_t *limit, int64_t now_ns);
+/* Permits whose time is over go back, and so do those beyond what waits.  */
+void limit_return_permits (limit_t *limit, int64_t now_ns);
+/* The owner changed: permits that have not started are not valid any more.  */
+void limit_change_owner (limit_t *limit, uint64_t owner_hash, int64_t now_ns);
+/* Number of permits to ask for now, and the patience of what they are for; 0:
+   none.  */
+int limit_wanted (const limit_t *limit, int64_t now_ns, int64_t *patience_ns);
+/* Take N permits that were asked for at ASKED_NS and start START_NS after it,
+   SPACING_NS apart.  */
+void limit_take_permits (limit_t *limit, int n, int64_t asked_ns,
+                         int64_t start_ns, int64_t spacing_ns, int64_t now_ns);
+/* Time until a request can be sent before which AHEAD others wait; 0: not
+   known.  */
+int64_t limit_start_in_ns (const limit_t *limit, int ahead, int64_t now_ns);
+/* Time after which a caller of PRIORITY that is refused now is to come back,
+   when N_INSTANCES share the limit.  */
+int64_t limit_retry_after_ns (limit_t *limit, int priority, int n_instances,
+                              int64_t now_ns);
+/* When the permits next need attention.  */
+int64_t limit_next_ns (const limit_t *limit, int64_t now_ns);
+
+/* The owner.  SHARE: part of the limit that it may grant.  */
+
+typedef struct
+{
+  int n;
+  int64_t start_ns; /* start of the first slot, after NOW_NS; may be before
+                       it */
+  int64_t spacing_ns;
+  int64_t free_ns; /* start of the first slot that is left, after NOW_NS */
+} limit_grant_t;
+
+/* The limit becomes known to an instance that may be its owner: nothing is
+   granted until the others have told what they sent.  */
+void limit_hold_grants (limit_t *limit, int64_t now_ns);
+limit_grant_t limit_grant (limit_t *limit, int n, int64_t patience_ns,
+                           double share, int64_t now_ns);
+/* N calls were made without a permit; N permits were not spent.  */
+void limit_charge (limit_t *limit, int n, double share, int64_t now_ns);
+void limit_refund (limit_t *limit, int n, double share, int64_t now_ns);
 
 #endif
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -69,37 +69,19 @@
       (long long)((until_ns - now_ns) / KWF_NS_PER_MS), server->open_attempts);
 }
 
-typedef struct
-{
-  const kwf_server_leaving_t *leaving;
-  const char *from;
-  kwf_effects_t *effects;
-} peer_message_t;
-
-static void
-send_leaving (const char *instance, void *data)
-{
-  const peer_message_t *context = data;
-  if (strcmp (instance, context->from) != 0)
-    session_send (instance, KWF_MSG_SERVER_LEAVING, context->effects)->leaving
-        = *context->leaving;
-}
-
 static void
 tell_peers (const session_t *session, const server_t *server,
             kwf_effects_t *effects)
 {
-  kwf_server_leaving_t leaving
-      = { .server = kwf_effects_strdup (effects, server->id),
-          .incarnation = server->incarnation };
-  peer_message_t context = { &leaving, "", effects };
-  fanout_broadcast_targets (session, send_leaving, &context);
+  kwf_message_t message
+      = { .type = KWF_MSG_SERVER_LEAVING,
+          .leaving = { .server = kwf_effects_strdup (effects, server->id),
+                       .incarnation = server->incarnation } };
+  fanout_send_decision (session, &message, effects);
 }
 
-/* The server that EVENT is about; NULL: the answer is not of its present
-   process.  */
-static server_t *
-announcing_server (const kwf_core_t *core, const kwf_notice_event_t *event)
+server_t *
+notice_server (const kwf_core_t *core, const kwf_notice_event_t *event)
 {
   if (event->server)
     return backend_find (core->backend, event->server);
@@ -108,60 +90,14 @@
   return same ? attempt->server : NULL;
 }
 
-bool
-kwf_core_knows_limit (const kwf_core_t *core, const kwf_notice_event_t *notice)
-{
-  const server_t *server = announcing_server (core, notice);
-  return server && server->limit.named;
-}
-
-static void
-handle_limit (kwf_core_t *core, server_t *server,
-              const kwf_notice_event_t *event, kwf_effects_t *effects)
-{
-  static const char *const kinds[KWF_ANSWER_KINDS]
-      = { [KWF_ANSWER_REQUEST] = "request",
-          [KWF_ANSWER_REPORT] = "report",
-          [KWF_ANSWER_ORDER] = "order" };
-  limit_t *limit = &server->limit;
-  if (event->limit == KWF_LIMIT_UNREADABLE)
-    {
-      core->notices.limits_unreadable++;
-      if (!limit->unreadable)
-        kwf_effects_log (effects, 233, KWF_LOG_WARNING, NULL,
-                         "server=%s names a limit that cannot be read",
-                         server->id);
-      limit->unreadable = true;
-    }
-  switch (limit_handle_answer (limit, event))
-    {
-    case LIMIT_UNCHANGED:
-      break;
-    case LIMIT_SET:
-      core->notices.limits++;
-      kwf_effects_log (effects, 232, KWF_LOG_INFO, NULL,
-                       "server=%s names a limit of %g requests a second, in "
-                       "an answer to a %s",
-                       server->id, limit->rate_per_s, kinds[event->kind]);
-      break;
-    case LIMIT_ENDED:
-      kwf_effects_log (effects, 234, KWF_LOG_INFO, NULL,
-                       "server=%s names no limit any more, in an answer to a "
-                       "%s",
-                       server->id, kinds[event->kind]);
-      break;
-    }
-}
-
 void
 notice_handle_event (kwf_core_t *core, const kwf_notice_event_t *event,
                      kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
-  server_t *server = announcing_server (core, event);
+  server_t *server = notice_server (core, event);
   if (!server)
     return;
-  handle_limit (core, server, event, effects);
   notice_counts_t *counts = &core->notices;
   counts->unreadable += event->unreadable;
   if (event->unreadable)
@@ -197,14 +133,12 @@
   /* Pass on only the message of the instance that read the answer.  Instances
      may differ in their view of who passes messages on, and two of them could
      send this one back and forth without end.  */
-  if (!session_is_large (core->session) || announced->forwarded
-      || fanout_role (core->session) == FANOUT_LEAF)
+  if (announced->forwarded)
     return;
-  kwf_server_leaving_t forwarded = *announced;
-  forwarded.server = kwf_effects_strdup (effects, announced->server);
-  forwarded.forwarded = true;
-  peer_message_t context = { &forwarded, peer->instance, effects };
-  fanout_local_members (core->session, send_leaving, &context);
+  kwf_message_t forwarded = *peer->message;
+  forwarded.leaving.server = kwf_effects_strdup (effects, announced->server);
+  forwarded.leaving.forwarded = true;
+  fanout_forward_decision (core->session, peer->instance, &forwarded, effects);
 }
 
 static void
@@ -269,6 +203,17 @@
   notice->n_started++;
 }
 
+int
+notice_recent_starts (const server_t *server, int64_t now_ns)
+{
+  const notice_t *notice = &server->notice;
+  int64_t since_ns = now_ns - notice->period_start_ns;
+  if (since_ns >= 2 * PERIOD_NS)
+    return 0;
+  return notice->n_started
+         + (since_ns < PERIOD_NS ? notice->n_started_before : 0);
+}
+
 int64_t
 notice_retry_after_ns (server_t *server, int priority, int64_t now_ns)
 {
@@ -282,16 +227,6 @@
          + turn * spacing_ns % RETURN_SPREAD_NS;
 }
 
-void
-notice_log_report_request (const server_t *server, kwf_effects_t *effects)
-{
-  if (server->limit.named)
-    kwf_effects_log (effects, 235, KWF_LOG_INFO, NULL,
-                     "load report of server=%s is requested, which names a "
-                     "limit",
-                     server->id);
-}
-
 int64_t
 notice_next_probe_ns (const server_t *server)
 {
@@ -316,10 +251,6 @@
       "# TYPE kwf_server_notices_total counter\n"
       "kwf_server_notices_total{kind=\"leaving\"} %" G_GUINT64_FORMAT "\n"
       "kwf_server_notices_total{kind=\"pause\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_server_notices_total{kind=\"limit\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_server_notices_total{kind=\"limit_unreadable\"} "
-      "%" G_GUINT64_FORMAT "\n",
-      counts->leaving, counts->pauses, counts->unreadable, counts->limits,
-      counts->limits_unreadable);
+      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n",
+      counts->leaving, counts->pauses, counts->unreadable);
 }
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -1,6 +1,5 @@
 /* notice.h - what a backend server announces with its answers: that it leaves,
-   that it wants a pause from this instance, or that it takes only so many
-   requests a second.
+   or that it wants a pause from this instance.
 
    Leaving holds for the process that announced it, from the first answer that
    was read, whatever the membership list says; other instances are told.  It
@@ -25,6 +24,11 @@
 /* SERVER is a new process: forget what the former one announced.  */
 void notice_reset (server_t *server);
 
+/* The server that EVENT is about; NULL: the answer is not of its present
+   process.  */
+server_t *notice_server (const kwf_core_t *core,
+                         const kwf_notice_event_t *event);
+
 /* Handle an announcement that came with an answer (KWF_EV_NOTICE).  */
 void notice_handle_event (kwf_core_t *core, const kwf_notice_event_t *event,
                           kwf_effects_t *effects);
@@ -54,6 +58,9 @@
 /* Count a request that starts at SERVER.  */
 void notice_request_started (server_t *server, int64_t now_ns);
 
+/* Requests that started at SERVER within the last one to two seconds.  */
+int notice_recent_starts (const server_t *server, int64_t now_ns);
+
 /* Count a caller of PRIORITY that is refused because SERVER and all other
    copies pause.  Return the time from NOW_NS after which it should come
    back.  */
@@ -65,11 +72,6 @@
 /* A probe of SERVER starts: set the time of the next one.  */
 void notice_probe_started (server_t *server, int64_t now_ns);
 
-/* The load report of SERVER is requested: log it if the server names a
-   limit.  */
-void notice_log_report_request (const server_t *server,
-                                kwf_effects_t *effects);
-
 /* Append counters in the Prometheus text format.  */
 void notices_write_metrics (const kwf_core_t *core, GString *out);
 
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -6,7 +6,6 @@
 #include "engine-control.h"
 #include "election.h"
 #include "fanout.h"
-#include "notice.h"
 #include "rebalance.h"
 
 /* Period of the placement rounds, and the least time between two rounds that
@@ -835,8 +834,9 @@
       if (!engine_control_request_report (value, &context))
         continue;
       requests++;
-      notice_log_report_request (
-          backend_find (direct->sources.backend, engine->id), effects);
+      server_t *server = backend_find (direct->sources.backend, engine->id);
+      if (server)
+        backend_count_call (server, now_ns, effects);
     }
   for (size_t i = 0; i < kwf_lists_n_services (lists); i++)
     {
--- a/lib/request.h
+++ b/lib/request.h
@@ -200,6 +200,9 @@
 void waits_recheck_server (kwf_core_t *core, server_t *server);
 /* Mark all servers in this way.  */
 void waits_recheck_all (kwf_core_t *core);
+/* Count, at each server whose limit is in force, the requests that wait for a
+   permit.  */
+void waits_count_for_permits (kwf_core_t *core, int64_t now_ns);
 void waits_run_rechecks (kwf_core_t *core, kwf_effects_t *effects);
 /* Every 100 ms, try each queued request again, as servers may have come or
    gone; shed those that would start too late, or preempt streams for them.  */
--- a/lib/route.c
+++ b/lib/route.c
@@ -1,7 +1,5 @@
 #include "route.h"
 
-#include "notice.h"
-
 #include <string.h>
 #include <xxhash.h>
 
@@ -70,14 +68,6 @@
          && !was_tried (query, server);
 }
 
-static bool
-may_take_one_more (const server_t *server, int64_t now_ns)
-{
-  return notice_slow_start_allows (server, now_ns)
-         && (server->kind == KWF_MEMBER_SERVICE
-             || window_has_room (&server->window, server->open_attempts));
-}
-
 static double
 expected_load (const route_query_t *query, const server_t *server)
 {
@@ -224,9 +214,9 @@
                   route_result_t *result)
 {
   bool first_may_take
-      = first_eligible && may_take_one_more (candidates[0], now_ns);
+      = first_eligible && server_may_take_one_more (candidates[0], now_ns);
   bool second_may_take
-      = second_eligible && may_take_one_more (candidates[1], now_ns);
+      = second_eligible && server_may_take_one_more (candidates[1], now_ns);
   result->verdict = ROUTE_FOUND;
   if (first_may_take && second_may_take)
     result->server = first_unless_overloaded (query, candidates);
@@ -320,6 +310,21 @@
   return found;
 }
 
+/* Whether a request that waits for SERVER is expected to start sooner than one
+   that waits for OTHER, as far as their limits tell.  */
+static bool
+waits_less (const server_t *server, const server_t *other, int64_t now_ns)
+{
+  const limit_t *limit = &server->limit;
+  const limit_t *other_limit = &other->limit;
+  if (!limit_in_force (other_limit, now_ns))
+    return false;
+  return !limit_in_force (limit, now_ns)
+         || limit_start_in_ns (limit, limit->n_waiting, now_ns)
+                < limit_start_in_ns (other_limit, other_limit->n_waiting,
+                                     now_ns);
+}
+
 /* Choose a holder with room and a low load for its size.  */
 static route_result_t
 choose_least (const GPtrArray *holders, const route_query_t *query,
@@ -334,10 +339,10 @@
       server_t *server = g_ptr_array_index (holders, i);
       if (!route_is_eligible (query, server, now_ns))
         continue;
-      if (may_take_one_more (server, now_ns))
+      if (server_may_take_one_more (server, now_ns))
         g_ptr_array_add (servers, server);
-      else
-        full = full ? full : server;
+      else if (!full || waits_less (server, full, now_ns))
+        full = server;
       shared |= server->others_known;
     }
   result.server = shared ? least_loaded_of_sample (servers, query)
@@ -392,7 +397,7 @@
     }
   result.verdict = ROUTE_FOUND;
   result.server = other;
-  if (!may_take_one_more (other, now_ns))
+  if (!server_may_take_one_more (other, now_ns))
     result = (route_result_t){ .verdict = ROUTE_NO_ROOM, .full = { other } };
   return result;
 }
--- a/lib/server.c
+++ b/lib/server.c
@@ -64,6 +64,15 @@
          && now_ns >= server->ejected_until_ns;
 }
 
+bool
+server_may_take_one_more (server_t *server, int64_t now_ns)
+{
+  return notice_slow_start_allows (server, now_ns)
+         && (server->kind == KWF_MEMBER_SERVICE
+             || window_has_room (&server->window, server->open_attempts))
+         && limit_may_call (&server->limit, 0, now_ns);
+}
+
 bool
 server_half_open_busy (const server_t *server, int64_t now_ns)
 {
@@ -101,6 +110,8 @@
     return "open";
   if (server->circuit == CIRCUIT_OPEN)
     return "half_open";
+  if (limit_in_force (&server->limit, now_ns))
+    return "limited";
   if (server_silent (server))
     return "silent";
   return "live";
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -47,7 +47,7 @@
 }
 
 static json_t *
-server_json (const server_t *server, int64_t now_ns)
+server_json (const session_t *session, const server_t *server, int64_t now_ns)
 {
   json_t *models = json_array ();
   GHashTableIter iter;
@@ -67,7 +67,7 @@
                                                 "version", resident->version,
                                                 "adapters", adapters));
     }
-  return json_pack (
+  json_t *object = json_pack (
       "{s:s,s:s,s:s,s:s?,s:s?,s:s,s:I,s:i,s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:o}",
       "id", server->id, "kind",
       server->kind == KWF_MEMBER_SERVICE ? "service" : "engine", "name",
@@ -81,6 +81,15 @@
       (json_int_t)(MAX (server->notice.pause_until_ns - now_ns, 0)
                    / KWF_NS_PER_MS),
       "models", models);
+  if (limit_in_force (&server->limit, now_ns))
+    json_object_set_new (object, "limit",
+                         json_pack ("{s:f,s:b,s:s,s:i,s:i}", "per_s",
+                                    limit_rate (&server->limit, now_ns),
+                                    "ended", (int)!server->limit.named,
+                                    "owner", permits_owner (session, server),
+                                    "permits", server->limit.n_permits,
+                                    "waiting", server->limit.n_waiting));
+  return object;
 }
 
 static json_t *
@@ -108,7 +117,8 @@
   const GPtrArray *servers = backend_servers (core->backend);
   for (guint i = 0; i < servers->len; i++)
     json_array_append_new (
-        array, server_json (g_ptr_array_index (servers, i), now_ns));
+        array,
+        server_json (core->session, g_ptr_array_index (servers, i), now_ns));
   return array;
 }
 
@@ -245,6 +255,7 @@
                       (double)core->n_trials);
   metric_write_value (out, "kwf_retry_budget_denied_total", "counter",
                       (double)core->budget.denied);
+  permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
   placement_write_metrics (core->placement, out);
   metric_write_value (out, "kwf_crash_suspects", "gauge", (double)suspects);
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -33,12 +33,11 @@
 #define RETRY_MIN_NS (100 * KWF_NS_PER_MS)
 #define RETRY_MAX_NS (60 * KWF_NS_PER_S)
 
-static const char *const causes[N_SHED_REASONS]
-    = { [SHED_DEADLINE] = "deadline",
-        [SHED_ORGANISATION] = "organisation_full",
-        [SHED_FULL] = "full",
-        [SHED_NO_COPY] = "no_copy",
-        [SHED_DISPLACED] = "pushed_out" };
+static const char *const causes[N_SHED_REASONS] = {
+  [SHED_DEADLINE] = "deadline", [SHED_ORGANISATION] = "organisation_full",
+  [SHED_FULL] = "full",         [SHED_NO_COPY] = "no_copy",
+  [SHED_LIMIT] = "limit",       [SHED_DISPLACED] = "pushed_out"
+};
 
 void
 waits_init (kwf_core_t *core, int64_t now_ns)
@@ -56,6 +55,14 @@
   budget_init (&core->waits.preempts, options->preempt_share, now_ns);
 }
 
+static const char *const messages[N_SHED_REASONS]
+    = { [SHED_DEADLINE] = "too many requests wait for this model",
+        [SHED_ORGANISATION] = "too many requests wait for this model",
+        [SHED_FULL] = "too many requests wait for this model",
+        [SHED_NO_COPY] = "no server has this model in time",
+        [SHED_LIMIT] = "the servers take no more requests now",
+        [SHED_DISPLACED] = "too many requests wait for this model" };
+
 static request_t *
 request_of (queue_item_t *item)
 {
@@ -95,6 +102,33 @@
              : 0;
 }
 
+static int64_t
+first_token_ns (const kwf_core_t *core)
+{
+  return (int64_t)(core->waits.first_token_s * (double)KWF_NS_PER_S);
+}
+
+/* The server that REQUEST waits for, if its limit is in force; NULL: none.  */
+static server_t *
+awaited_limited (const kwf_core_t *core, const request_t *request,
+                 int64_t now_ns)
+{
+  const server_t *server = request->awaited[0];
+  if (!server || request->awaited[1]
+      || !limit_in_force (&server->limit, now_ns))
+    return NULL;
+  return backend_find (core->backend, server->id);
+}
+
+/* How long REQUEST waits for a permit at most.  */
+static int64_t
+patience_ns (const kwf_core_t *core, const request_t *request, int64_t now_ns)
+{
+  int64_t left_ns = request->deadline_ns - now_ns - first_token_ns (core);
+  return CLAMP (left_ns, 0, LIMIT_WAIT_MAX_NS)
+         >> CLAMP (request->priority, 0, QUEUE_LANES - 1);
+}
+
 typedef struct
 {
   const request_t *request;
@@ -119,12 +153,6 @@
   return false;
 }
 
-static int64_t
-first_token_ns (const kwf_core_t *core)
-{
-  return (int64_t)(core->waits.first_token_s * (double)KWF_NS_PER_S);
-}
-
 /* Shedding.  */
 
 static void
@@ -150,9 +178,7 @@
                     .retry_after_ms
                     = CLAMP (retry_after_ns, RETRY_MIN_NS, RETRY_MAX_NS)
                       / KWF_NS_PER_MS,
-                    .message = cause == SHED_NO_COPY
-                                   ? "no server has this model in time"
-                                   : "too many requests wait for this model" },
+                    .message = messages[cause] },
       effects);
 }
 
@@ -212,6 +238,21 @@
   shed (core, request, SHED_NO_COPY, loading ? left_ns : retry_ns, effects);
 }
 
+/* Shed REQUEST, which waits for a permit for SERVER behind AHEAD others, when
+   the owner of the limit has none in time.  */
+static void
+check_permit_wait (kwf_core_t *core, request_t *request, server_t *server,
+                   double ahead, int64_t now_ns, kwf_effects_t *effects)
+{
+  int64_t start_in_ns = limit_start_in_ns (&server->limit, (int)ahead, now_ns);
+  if (request->n_ran || start_in_ns <= patience_ns (core, request, now_ns))
+    return;
+  shed (core, request, SHED_LIMIT,
+        limit_retry_after_ns (&server->limit, request->priority,
+                              permits_n_live (core->permits), now_ns),
+        effects);
+}
+
 /* Check whether REQUEST, which waits behind AHEAD others, can start in time.
    If it would be late and has not run before, it is shed.  For an urgent
    request a stream is preempted instead, if there is one.  A request for a
@@ -225,6 +266,12 @@
       check_model_wait (core, request, now_ns, effects);
       return;
     }
+  server_t *limited = awaited_limited (core, request, now_ns);
+  if (limited)
+    {
+      check_permit_wait (core, request, limited, ahead, now_ns, effects);
+      return;
+    }
   int64_t start_in_ns = start_after_ns (request, ahead);
   int64_t latest_start_in_ns
       = request->deadline_ns - now_ns - first_token_ns (core);
@@ -398,7 +445,7 @@
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
   while (server_usable (server, now_ns)
-         && window_has_room (&server->window, server->open_attempts))
+         && server_may_take_one_more (server, now_ns))
     {
       queue_item_t *item
           = queue_walk (&core->waits.queue, waits_for_server, server);
@@ -477,6 +524,49 @@
   g_array_free (handles, TRUE);
 }
 
+typedef struct
+{
+  const kwf_core_t *core;
+  int64_t now_ns;
+  GPtrArray *servers; /* those whose limit is in force */
+} permit_count_t;
+
+/* The awaited server may be gone, so it is only compared.  */
+static bool
+count_for_permits (queue_item_t *item, void *data)
+{
+  const permit_count_t *count = data;
+  const request_t *request = request_of (item);
+  guint at;
+  if (request->awaited[1]
+      || !g_ptr_array_find (count->servers, request->awaited[0], &at))
+    return false;
+  limit_t *limit = &((server_t *)count->servers->pdata[at])->limit;
+  limit->n_waiting++;
+  limit->patience_ns = MAX (limit->patience_ns,
+                            patience_ns (count->core, request, count->now_ns));
+  return false;
+}
+
+void
+waits_count_for_permits (kwf_core_t *core, int64_t now_ns)
+{
+  const GPtrArray *servers = backend_servers (core->backend);
+  permit_count_t count = { core, now_ns, g_ptr_array_new () };
+  for (guint i = 0; i < servers->len; i++)
+    {
+      server_t *server = servers->pdata[i];
+      if (!limit_in_force (&server->limit, now_ns))
+        continue;
+      server->limit.n_waiting = 0;
+      server->limit.patience_ns = 0;
+      g_ptr_array_add (count.servers, server);
+    }
+  if (count.servers->len)
+    queue_walk (&core->waits.queue, count_for_permits, &count);
+  g_ptr_array_free (count.servers, TRUE);
+}
+
 void
 waits_tick (kwf_core_t *core, int64_t now_ns, kwf_effects_t *effects)
 {
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -177,9 +177,10 @@
                         caller_request_t *caller_request);
 
 /* Passes the server's notice in ANSWER, if there is one, to the core.  ATTEMPT
-   was answered; 0: ANSWER, of another KIND, came from SERVER.  */
+   was answered; 0: SERVER, which was asked at ASKED_NS, gave an answer of
+   another KIND.  */
 void notice_read (instance_t *instance, kwf_answer_kind_t kind,
-                  kwf_handle_t attempt, const char *server,
+                  kwf_handle_t attempt, const char *server, int64_t asked_ns,
                   const client_answer_t *answer);
 
 /* probe.c: request the load report of a backend server.  */
--- a/net/message.c
+++ b/net/message.c
@@ -211,6 +211,74 @@
   unreachable->n_names = count;
 }
 
+static void
+put_server_limit (wire_writer_t *writer, const kwf_server_limit_t *limit)
+{
+  wire_put_text (writer, limit->server);
+  wire_put_uint (writer, limit->incarnation);
+  wire_put_int (writer, limit->version);
+  wire_put_bool (writer, limit->named);
+  wire_put_amount (writer, limit->rate_per_s);
+  wire_put_bool (writer, limit->forwarded);
+}
+
+static void
+read_server_limit (wire_reader_t *reader, kwf_server_limit_t *limit)
+{
+  limit->server = wire_get_text (reader);
+  limit->incarnation = wire_get_uint (reader);
+  limit->version = wire_get_int (reader);
+  limit->named = wire_get_bool (reader);
+  limit->rate_per_s = wire_get_amount (reader);
+  limit->forwarded = wire_get_bool (reader);
+}
+
+static void
+put_permit_ask (wire_writer_t *writer, const kwf_permit_ask_t *ask)
+{
+  put_server_limit (writer, &ask->limit);
+  wire_put_int (writer, ask->number);
+  wire_put_int (writer, ask->n);
+  wire_put_int (writer, ask->patience_ns);
+  wire_put_int (writer, ask->n_unspent);
+  wire_put_int (writer, ask->n_unpermitted);
+}
+
+static void
+read_permit_ask (wire_reader_t *reader, kwf_permit_ask_t *ask)
+{
+  read_server_limit (reader, &ask->limit);
+  ask->number = wire_get_int (reader);
+  ask->n = wire_get_int (reader);
+  ask->patience_ns = wire_get_int (reader);
+  ask->n_unspent = wire_get_int (reader);
+  ask->n_unpermitted = wire_get_int (reader);
+}
+
+static void
+put_permit_grant (wire_writer_t *writer, const kwf_permit_grant_t *grant)
+{
+  wire_put_text (writer, grant->server);
+  wire_put_uint (writer, grant->incarnation);
+  wire_put_int (writer, grant->number);
+  wire_put_int (writer, grant->n);
+  wire_put_int (writer, grant->start_ns);
+  wire_put_int (writer, grant->spacing_ns);
+  wire_put_int (writer, grant->free_ns);
+}
+
+static void
+read_permit_grant (wire_reader_t *reader, kwf_permit_grant_t *grant)
+{
+  grant->server = wire_get_text (reader);
+  grant->incarnation = wire_get_uint (reader);
+  grant->number = wire_get_int (reader);
+  grant->n = wire_get_int (reader);
+  grant->start_ns = wire_get_int (reader);
+  grant->spacing_ns = wire_get_int (reader);
+  grant->free_ns = wire_get_int (reader);
+}
+
 /* Number of fields of a message type; -1: unknown type.  */
 static int
 field_count (int64_t type)
@@ -238,6 +306,7 @@
       return 2;
     case KWF_MSG_SHARE_REQUEST:
     case KWF_MSG_SHARE_GRANT:
+    case KWF_MSG_SERVER_LIMIT:
       return 6;
     case KWF_MSG_RESIDENCY:
     case KWF_MSG_FEED:
@@ -246,6 +315,10 @@
       return 3;
     case KWF_MSG_SERVER_LEAVING:
       return 4;
+    case KWF_MSG_PERMIT_ASK:
+      return 11;
+    case KWF_MSG_PERMIT_GRANT:
+      return 7;
     default:
       return -1;
     }
@@ -329,6 +402,15 @@
       wire_put_int (writer, message->leaving.age_ns);
       wire_put_bool (writer, message->leaving.forwarded);
       break;
+    case KWF_MSG_SERVER_LIMIT:
+      put_server_limit (writer, &message->server_limit);
+      break;
+    case KWF_MSG_PERMIT_ASK:
+      put_permit_ask (writer, &message->permit_ask);
+      break;
+    case KWF_MSG_PERMIT_GRANT:
+      put_permit_grant (writer, &message->permit_grant);
+      break;
     }
 }
 
@@ -411,6 +493,15 @@
       message->leaving.age_ns = wire_get_int (reader);
       message->leaving.forwarded = wire_get_bool (reader);
       break;
+    case KWF_MSG_SERVER_LIMIT:
+      read_server_limit (reader, &message->server_limit);
+      break;
+    case KWF_MSG_PERMIT_ASK:
+      read_permit_ask (reader, &message->permit_ask);
+      break;
+    case KWF_MSG_PERMIT_GRANT:
+      read_permit_grant (reader, &message->permit_grant);
+      break;
     }
 }
 
--- a/net/order.c
+++ b/net/order.c
@@ -16,6 +16,7 @@
 typedef struct
 {
   instance_t *instance;
+  int64_t asked_ns;
   const char *id; /* in SERVER, after the server's id */
   char server[];
 } pending_order_t;
@@ -35,7 +36,8 @@
 {
   (void)transfer;
   const pending_order_t *order = data;
-  notice_read (order->instance, KWF_ANSWER_ORDER, 0, order->server, answer);
+  notice_read (order->instance, KWF_ANSWER_ORDER, 0, order->server,
+               order->asked_ns, answer);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_order_event_t event = { .status = answer->status };
   order->instance->protocol->read_order (&event, texts, answer);
@@ -73,6 +75,7 @@
   pending_order_t *pending
       = g_malloc (sizeof *pending + server_size + id_size);
   pending->instance = instance;
+  pending->asked_ns = kwf_now_ns (kwf_clock_system ());
   pending->id = pending->server + server_size;
   memcpy (pending->server, order->server, server_size);
   memcpy (pending->server + server_size, order->id, id_size);
--- a/net/probe.c
+++ b/net/probe.c
@@ -11,6 +11,7 @@
 typedef struct
 {
   instance_t *instance;
+  int64_t asked_ns;
   char server[64];
 } probe_t;
 
@@ -28,7 +29,8 @@
 {
   (void)transfer;
   probe_t *probe = data;
-  notice_read (probe->instance, KWF_ANSWER_REPORT, 0, probe->server, answer);
+  notice_read (probe->instance, KWF_ANSWER_REPORT, 0, probe->server,
+               probe->asked_ns, answer);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_report_event_t report = { 0 };
   report.valid
@@ -55,6 +57,7 @@
   const protocol_t *protocol = instance->protocol;
   probe_t *probe = g_new0 (probe_t, 1);
   probe->instance = instance;
+  probe->asked_ns = kwf_now_ns (kwf_clock_system ());
   g_hash_table_add (instance->control_calls, probe);
   g_strlcpy (probe->server, server, sizeof probe->server);
   header_t expect = { protocol->expect_server_header, probe->server };
--- a/net/relay.c
+++ b/net/relay.c
@@ -68,7 +68,7 @@
   /* Last, because the core may end this transfer when it is given the
      notice.  */
   notice_read (transfer->instance, KWF_ANSWER_REQUEST, transfer->attempt, NULL,
-               answer);
+               0, answer);
 }
 
 static void
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -31,6 +31,17 @@
   { .type = KWF_MSG_LEAVE },
   { .type = KWF_MSG_LEADERSHIP_EXPIRED, .leadership_expired = 41 },
   { .type = KWF_MSG_SERVER_LEAVING, .leaving = { "s1", 5, 12, true } },
+  { .type = KWF_MSG_SERVER_LIMIT,
+    .server_limit = { "s1", 5, 3, true, 1.9, true } },
+  { .type = KWF_MSG_PERMIT_ASK,
+    .permit_ask = { .limit = { "s1", 5, 4, false, 0, false },
+                    .number = 7,
+                    .n = 2,
+                    .patience_ns = 5000000000,
+                    .n_unspent = 1,
+                    .n_unpermitted = 3 } },
+  { .type = KWF_MSG_PERMIT_GRANT,
+    .permit_grant = { "s1", 5, 7, 2, -1000, 500000000, 11 } },
   { .type = KWF_MSG_UNREACHABLE,
     .unreachable = { .names = names, .n_names = 2 } },
   { .type = KWF_MSG_RENEW,
@@ -123,6 +134,17 @@
     }
 }
 
+static void
+assert_same_limit (const kwf_server_limit_t *a, const kwf_server_limit_t *b)
+{
+  assert_string_equal (a->server, b->server);
+  assert_true (a->incarnation == b->incarnation);
+  assert_true (a->version == b->version);
+  assert_int_equal (a->named, b->named);
+  assert_true (a->rate_per_s == b->rate_per_s);
+  assert_int_equal (a->forwarded, b->forwarded);
+}
+
 static void
 assert_same (const kwf_message_t *a, const kwf_message_t *b)
 {
@@ -226,6 +248,26 @@
       assert_true (a->leaving.age_ns == b->leaving.age_ns);
       assert_int_equal (a->leaving.forwarded, b->leaving.forwarded);
       break;
+    case KWF_MSG_SERVER_LIMIT:
+      assert_same_limit (&a->server_limit, &b->server_limit);
+      break;
+    case KWF_MSG_PERMIT_ASK:
+      assert_same_limit (&a->permit_ask.limit, &b->permit_ask.limit);
+      assert_true (a->permit_ask.number == b->permit_ask.number);
+      assert_true (a->permit_ask.n == b->permit_ask.n);
+      assert_true (a->permit_ask.patience_ns == b->permit_ask.patience_ns);
+      assert_true (a->permit_ask.n_unspent == b->permit_ask.n_unspent);
+      assert_true (a->permit_ask.n_unpermitted == b->permit_ask.n_unpermitted);
+      break;
+    case KWF_MSG_PERMIT_GRANT:
+      assert_string_equal (a->permit_grant.server, b->permit_grant.server);
+      assert_true (a->permit_grant.incarnation == b->permit_grant.incarnation);
+      assert_true (a->permit_grant.number == b->permit_grant.number);
+      assert_true (a->permit_grant.n == b->permit_grant.n);
+      assert_true (a->permit_grant.start_ns == b->permit_grant.start_ns);
+      assert_true (a->permit_grant.spacing_ns == b->permit_grant.spacing_ns);
+      assert_true (a->permit_grant.free_ns == b->permit_grant.free_ns);
+      break;
     case KWF_MSG_LEADERSHIP_EXPIRED:
       assert_true (a->leadership_expired == b->leadership_expired);
       break;
