Keep the limit of an engine with orders and reports, too

Cause: the placement took its calls for free, and a copy behind a small limit for a copy like any other.

Now an engine whose limit could not fill its slots in 4 s is left out of the placement: its models and adapters are loaded elsewhere, and orders and reports go to it only with a permit, for what requests wait for and no other engine has.

--- a/lib/engine-control.c
+++ b/lib/engine-control.c
@@ -544,15 +544,21 @@
 }
 
 bool
-engine_control_request_report (engine_control_t *engine,
-                               const engine_control_context_t *context)
+engine_control_report_is_due (const engine_control_t *engine, int64_t now_ns)
 {
   bool check_due
       = (engine->in_progress_model || is_unloading_adapters (engine))
-        && context->now_ns >= engine->next_check_ns;
-  if (!engine->usable || engine->order_id
-      || (!engine->needs_report && !check_due)
-      || context->now_ns < engine->not_before_ns)
+        && now_ns >= engine->next_check_ns;
+  return engine->usable && !engine->order_id
+         && (engine->needs_report || check_due)
+         && now_ns >= engine->not_before_ns;
+}
+
+bool
+engine_control_request_report (engine_control_t *engine,
+                               const engine_control_context_t *context)
+{
+  if (!engine_control_report_is_due (engine, context->now_ns))
     return false;
   engine->not_before_ns = context->now_ns + 2 * RETRY_NS;
   engine->next_check_ns = context->now_ns + PROGRESS_CHECK_NS;
--- a/lib/engine-control.h
+++ b/lib/engine-control.h
@@ -56,6 +56,8 @@
                                 store */
   bool usable; /* listed and not leaving, and its address did not refuse the
                   last connection */
+  bool scarce; /* it names a limit so low that it counts as no copy of its
+                  models (lib/limit.h) */
   /* The order in flight.  */
   char *order_id; /* NULL: none */
   order_kind_t kind;
@@ -131,8 +133,11 @@
                                 const char *model, const char *adapter,
                                 const engine_control_context_t *context);
 
-/* Request a load report if one is needed and due, with the effect
-   KWF_FX_PROBE.  Return whether it was requested.  */
+/* Whether a load report is needed and due.  */
+bool engine_control_report_is_due (const engine_control_t *engine,
+                                   int64_t now_ns);
+/* Request a load report if it is due, with the effect KWF_FX_PROBE.  Return
+   whether it was requested.  */
 bool engine_control_request_report (engine_control_t *engine,
                                     const engine_control_context_t *context);
 
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -46,6 +46,8 @@
 /* Upper limit of the time of a load from an engine's own memory or disk: the
    time of a load from the weight store, divided by this number.  */
 #define LOCAL_LOAD_DIVISOR 2
+/* How long an order to an engine with a limit waits for a permit.  */
+#define ORDER_PATIENCE_NS (1 * KWF_NS_PER_S)
 /* Memory in MB that is kept free for each adapter slot, besides the
    models.  */
 #define ADAPTER_SLOT_MB 128
@@ -149,6 +151,7 @@
           continue;
         }
       engine->usable = !server_leaving (server) && !server->refused;
+      engine->scarce = limit_is_scarce (&server->limit, server->slots);
       engine->not_before_ns
           = MAX (engine->not_before_ns, server->notice.pause_until_ns);
     }
@@ -389,9 +392,12 @@
   gpointer value;
   g_hash_table_iter_init (&iter, direct->engines);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((engine_control_t *)value)->usable
-        && strcmp (((engine_control_t *)value)->service, service->name) == 0)
-      g_ptr_array_add (fleet->engine_controls, value);
+    {
+      const engine_control_t *engine = value;
+      if (engine->usable && !engine->scarce
+          && strcmp (engine->service, service->name) == 0)
+        g_ptr_array_add (fleet->engine_controls, value);
+    }
   fleet->n_engines = (int)fleet->engine_controls->len;
   fleet->engines = g_new0 (rebalance_engine_t, fleet->n_engines + 1);
   for (int i = 0; i < fleet->n_engines; i++)
@@ -425,6 +431,17 @@
       = MIN (direct->load_credit + passed_s * rate, 1 + LOADS_BURST);
 }
 
+static void
+send_order (placement_direct_t *direct, engine_control_t *engine,
+            order_kind_t kind, const char *model, const char *adapter,
+            const engine_control_context_t *context)
+{
+  server_t *server = backend_find (direct->sources.backend, engine->id);
+  if (server)
+    backend_count_call (server, context->now_ns, context->effects);
+  engine_control_send_order (engine, kind, model, adapter, context);
+}
+
 /* Order an unload.  All instances are notified first, so that they stop
    sending requests to the model or adapter.  */
 static void
@@ -441,8 +458,7 @@
   *(*adapter ? &direct->n_adapter_unloads : &direct->n_unloads) += 1;
   char *name = g_strdup (model);
   char *adapter_copy = g_strdup (adapter);
-  engine_control_send_order (engine, ORDER_UNLOAD, name, adapter_copy,
-                             context);
+  send_order (direct, engine, ORDER_UNLOAD, name, adapter_copy, context);
   g_free (name);
   g_free (adapter_copy);
 }
@@ -459,7 +475,7 @@
       = model ? model->load_ns / (local ? LOCAL_LOAD_DIVISOR : 1) : 0;
   direct->load_credit -= local ? 0 : 1;
   direct->n_loads++;
-  engine_control_send_order (engine, ORDER_LOAD, name, "", &load_context);
+  send_order (direct, engine, ORDER_LOAD, name, "", &load_context);
 }
 
 /* Log STEP with its reasons: the demand for the model, and the models on
@@ -506,7 +522,7 @@
   bool expired = context->now_ns - engine->evicting_since_ns > EVICTING_MAX_NS;
   if (!engine->evicting_for)
     return;
-  if (!model || expired || !engine->usable
+  if (!model || expired || !engine->usable || engine->scarce
       || engine_control_find_model (engine, engine->evicting_for))
     {
       g_clear_pointer (&engine->evicting_for, g_free);
@@ -594,6 +610,7 @@
   const char *adapter;
   int copies;
   double rate;
+  bool scarce; /* all copies of the model are on engines with a scarce limit */
 } adapter_t;
 
 /* Number of copies that an adapter should have: its share of the model's
@@ -607,7 +624,9 @@
   double model_rate = demand_rate (demand, adapter->model->name, NULL);
   if (demand_waiting (demand, adapter->model->name, adapter->adapter).waiting)
     return MAX (1, adapter->copies);
-  if (adapter->rate <= 0 || model_rate <= 0)
+  /* Orders use up a scarce limit, so that only those are sent that requests
+     wait for.  */
+  if (adapter->rate <= 0 || model_rate <= 0 || adapter->scarce)
     return 0;
   double copies
       = adapter->rate / model_rate * resident_copies * ADAPTER_COPIES_FACTOR;
@@ -648,12 +667,15 @@
   return found;
 }
 
-/* The least loaded engine that has the model and not the adapter.  */
+/* The least loaded engine that has the model and not the adapter.  An engine
+   with a scarce limit is taken only where all copies have one, and with a
+   permit.  */
 static engine_control_t *
 find_adapter_engine (const placement_direct_t *direct,
                      const adapter_t *adapter, int64_t now_ns)
 {
   engine_control_t *best = NULL;
+  server_t *best_server = NULL;
   double best_load = 0;
   GHashTableIter iter;
   gpointer value;
@@ -663,18 +685,22 @@
       engine_control_t *engine = value;
       const engine_model_t *model_state
           = engine_control_find_model (engine, adapter->model->name);
-      const server_t *server
-          = backend_find (direct->sources.backend, engine->id);
+      server_t *server = backend_find (direct->sources.backend, engine->id);
       if (!model_state || model_state->state != ENGINE_MODEL_RESIDENT
-          || !server || !engine_control_is_ready (engine, now_ns)
+          || engine->scarce != adapter->scarce || !server
+          || !engine_control_is_ready (engine, now_ns)
           || g_hash_table_contains (model_state->adapters, adapter->adapter))
         continue;
       double load = server_load (server) + engine_control_n_adapters (engine);
       if (best && load >= best_load)
         continue;
       best = engine;
+      best_server = server;
       best_load = load;
     }
+  if (best && best->scarce
+      && !limit_may_call (&best_server->limit, ORDER_PATIENCE_NS, now_ns))
+    return NULL;
   return best;
 }
 
@@ -691,8 +717,8 @@
   if (engine_control_n_adapters (engine) < service->adapter_slots)
     {
       direct->n_adapter_loads++;
-      engine_control_send_order (engine, ORDER_LOAD, adapter->model->name,
-                                 adapter->adapter, context);
+      send_order (direct, engine, ORDER_LOAD, adapter->model->name,
+                  adapter->adapter, context);
       return true;
     }
   const char *model;
@@ -706,39 +732,64 @@
   return true;
 }
 
+/* The resident copies of a model on usable engines.  */
+typedef struct
+{
+  GPtrArray *list; /* of engine_model_t */
+  bool scarce;     /* all of them are on engines with a scarce limit */
+} copies_t;
+
+static void
+copies_free (void *data)
+{
+  copies_t *copies = data;
+  g_ptr_array_unref (copies->list);
+  g_free (copies);
+}
+
+/* A copy on an engine with a scarce limit counts only if there is no other. */
 static void
-add_copy (GHashTable *copies, const char *model, engine_model_t *model_state)
+add_copy (GHashTable *table, const char *model, engine_model_t *model_state,
+          bool scarce)
 {
-  GPtrArray *list = g_hash_table_lookup (copies, model);
-  if (!list)
+  copies_t *copies = g_hash_table_lookup (table, model);
+  if (!copies)
     {
-      list = g_ptr_array_new ();
-      g_hash_table_insert (copies, (gpointer)model, list);
+      copies = g_new0 (copies_t, 1);
+      copies->list = g_ptr_array_new ();
+      copies->scarce = scarce;
+      g_hash_table_insert (table, (gpointer)model, copies);
     }
-  g_ptr_array_add (list, model_state);
+  if (copies->scarce && !scarce)
+    g_ptr_array_set_size (copies->list, 0);
+  else if (scarce && !copies->scarce)
+    return;
+  copies->scarce = scarce;
+  g_ptr_array_add (copies->list, model_state);
 }
 
 /* Find the resident copies on usable engines: those that are not leaving and
    whose address did not refuse the last connection.  Returns a table from a
-   model name to a GPtrArray of engine_model_t.  */
+   model name to copies_t.  */
 static GHashTable *
 find_resident_copies (const placement_direct_t *direct)
 {
-  GHashTable *copies = g_hash_table_new_full (
-      g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  GHashTable *copies
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, copies_free);
   GHashTableIter iter;
-  gpointer engine;
+  gpointer value;
   g_hash_table_iter_init (&iter, direct->engines);
-  while (g_hash_table_iter_next (&iter, NULL, &engine))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
+      const engine_control_t *engine = value;
       GHashTableIter models;
       gpointer name;
       gpointer model_state;
-      g_hash_table_iter_init (&models, ((engine_control_t *)engine)->models);
-      while (((engine_control_t *)engine)->usable
+      g_hash_table_iter_init (&models, engine->models);
+      while (engine->usable
              && g_hash_table_iter_next (&models, &name, &model_state))
         if (((engine_model_t *)model_state)->state == ENGINE_MODEL_RESIDENT)
-          add_copy (copies, name, model_state);
+          add_copy (copies, name, model_state, engine->scarce);
     }
   return copies;
 }
@@ -746,7 +797,7 @@
 /* Return the number of orders sent.  */
 static int
 place_adapters_of (placement_direct_t *direct, const kwf_service_t *service,
-                   const kwf_model_t *model, const GPtrArray *resident_copies,
+                   const kwf_model_t *model, const copies_t *resident_copies,
                    const engine_control_context_t *context)
 {
   int orders = 0;
@@ -756,13 +807,13 @@
           = { .model = model,
               .adapter = model->adapters[i],
               .rate = demand_rate (direct->sources.demand, model->name,
-                                   model->adapters[i]) };
-      for (guint k = 0; k < resident_copies->len; k++)
+                                   model->adapters[i]),
+              .scarce = resident_copies->scarce };
+      const GPtrArray *list = resident_copies->list;
+      for (guint k = 0; k < list->len; k++)
         adapter.copies += g_hash_table_contains (
-            ((engine_model_t *)resident_copies->pdata[k])->adapters,
-            adapter.adapter);
-      if (adapter.copies
-          < copies_wanted (direct, &adapter, (int)resident_copies->len))
+            ((engine_model_t *)list->pdata[k])->adapters, adapter.adapter);
+      if (adapter.copies < copies_wanted (direct, &adapter, (int)list->len))
         orders += place_adapter (direct, service, &adapter, context);
     }
   return orders;
@@ -782,7 +833,7 @@
     {
       direct->next_model = (first + i + 1) % n;
       const kwf_model_t *model = kwf_lists_model_at (lists, (first + i) % n);
-      const GPtrArray *resident_copies
+      const copies_t *resident_copies
           = g_hash_table_lookup (copies_by_model, model->name);
       if (resident_copies && model->n_adapters
           && g_strcmp0 (model->service, service->name) == 0)
@@ -803,6 +854,22 @@
   return until_ns == INT64_MAX ? 0 : until_ns;
 }
 
+/* Request a load report from ENGINE if that is due.  Return whether it was
+   requested.  */
+static bool
+request_report (const placement_direct_t *direct, engine_control_t *engine,
+                const engine_control_context_t *context)
+{
+  server_t *server = backend_find (direct->sources.backend, engine->id);
+  if (!server || !engine_control_report_is_due (engine, context->now_ns)
+      || (engine->scarce
+          && !limit_may_call (&server->limit, ORDER_PATIENCE_NS,
+                              context->now_ns)))
+    return false;
+  backend_count_call (server, context->now_ns, context->effects);
+  return engine_control_request_report (engine, context);
+}
+
 static void
 run_round (placement_direct_t *direct, int64_t now_ns, kwf_effects_t *effects)
 {
@@ -829,15 +896,7 @@
   int requests = 0;
   while (g_hash_table_iter_next (&iter, NULL, &value)
          && requests < MAX_REPORT_REQUESTS)
-    {
-      const engine_control_t *engine = value;
-      if (!engine_control_request_report (value, &context))
-        continue;
-      requests++;
-      server_t *server = backend_find (direct->sources.backend, engine->id);
-      if (server)
-        backend_count_call (server, now_ns, effects);
-    }
+    requests += request_report (direct, value, &context);
   for (size_t i = 0; i < kwf_lists_n_services (lists); i++)
     {
       const kwf_service_t *service = kwf_lists_service_at (lists, i);
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -31,7 +31,9 @@
   TASK_MESSAGE,
   TASK_ARRIVAL,
   TASK_ANSWER,
-  TASK_REQUEST
+  TASK_REQUEST,
+  TASK_MEMBERS,
+  TASK_LOADED
 } task_type_t;
 
 typedef struct
@@ -50,10 +52,13 @@
   int server;
   kwf_answer_kind_t kind;
   char order_id[24];
+  core_fleet_order_t order;
+  int status; /* of the answer to a request or an order */
   bool named; /* the answer names a limit */
   double limit;
   int64_t timer_ns;
   uint64_t server_incarnation;
+  int64_t asked_ns;
 } task_t;
 
 static struct timespec
@@ -123,9 +128,9 @@
 /* Lists with the service "desk" and an organisation that is never at its
    rate.  */
 static kwf_lists_t *
-make_lists (int64_t timeout_ns)
+make_lists (const core_fleet_t *fleet)
 {
-  static const kwf_split_t split = { "desk", 1 };
+  const kwf_split_t split = { fleet->n_models ? "models" : "desk", 1 };
   static const char *const prefixes[] = { "/0/", "/1/", "/2/" };
   kwf_lists_t *lists = lists_new ();
   lists_add_service (lists, &(kwf_service_t){ .name = "desk" });
@@ -136,15 +141,18 @@
                                                         .burst = 1e6,
                                                         .by_request = true });
   for (int i = 0; i < (int)G_N_ELEMENTS (prefixes); i++)
-    lists_add_route (lists, &(kwf_route_t){ .name = prefixes[i],
-                                            .host = "h.example",
-                                            .prefix = prefixes[i],
-                                            .splits = &split,
-                                            .n_splits = 1,
-                                            .idempotent = true,
-                                            .max_attempts = 2,
-                                            .priority = i,
-                                            .timeout_ns = timeout_ns });
+    lists_add_route (lists,
+                     &(kwf_route_t){ .name = prefixes[i],
+                                     .host = "h.example",
+                                     .prefix = prefixes[i],
+                                     .splits = &split,
+                                     .n_splits = 1,
+                                     .idempotent = true,
+                                     .max_attempts = 2,
+                                     .priority = i,
+                                     .timeout_ns = fleet->deadline_ns });
+  if (fleet->n_models)
+    core_fleet_add_models (fleet, lists);
   return lists;
 }
 
@@ -164,20 +172,30 @@
   core_fleet_t *fleet = instance->fleet;
   kwf_member_t *members = g_new0 (kwf_member_t, fleet->n_servers);
   for (int i = 0; i < fleet->n_servers; i++)
-    members[i] = (kwf_member_t){ .id = fleet->servers[i].id,
-                                 .kind = KWF_MEMBER_SERVICE,
-                                 .name = "desk",
-                                 .address = "127.0.0.1:11",
-                                 .data_centre = "c0",
-                                 .described = true,
-                                 .revision = fleet->servers[i].revision,
-                                 .incarnation = fleet->servers[i].incarnation,
-                                 .slots = 64 };
+    {
+      const core_fleet_server_t *server = &fleet->servers[i];
+      members[i] = (kwf_member_t){ .id = server->id,
+                                   .kind = server->engine ? KWF_MEMBER_ENGINE
+                                                          : KWF_MEMBER_SERVICE,
+                                   .name = server->engine ? "models" : "desk",
+                                   .address = "127.0.0.1:11",
+                                   .data_centre = "c0",
+                                   .described = true,
+                                   .revision = server->revision,
+                                   .incarnation = server->incarnation,
+                                   .slots = 64 };
+      if (server->engine)
+        members[i].models = core_fleet_residents (fleet, server->engine,
+                                                  &members[i].n_models);
+    }
   step (instance, &(kwf_event_t){
                       .type = KWF_EV_MEMBERS,
                       .members = { .valid = true,
                                    .members = members,
                                    .n_members = (size_t)fleet->n_servers } });
+  for (int i = 0; i < fleet->n_servers; i++)
+    core_fleet_residents_free ((kwf_resident_t *)members[i].models,
+                               members[i].n_models);
   g_free (members);
 }
 
@@ -199,7 +217,7 @@
                                   .rows = (kwf_row_t *)(void *)rows->data,
                                   .n_rows = rows->len } });
   g_array_free (rows, TRUE);
-  kwf_lists_t *lists = make_lists (fleet->deadline_ns);
+  kwf_lists_t *lists = make_lists (fleet);
   step (instance,
         &(kwf_event_t){
             .type = KWF_EV_CONFIG,
@@ -365,6 +383,44 @@
   g_error ("no server %s", id);
 }
 
+static core_fleet_request_t *
+request_at (const core_fleet_t *fleet, kwf_handle_t handle)
+{
+  return &g_array_index (fleet->requests, core_fleet_request_t, handle - 1);
+}
+
+static bool
+has_what_it_needs (const core_fleet_t *fleet,
+                   const core_fleet_server_t *server, kwf_handle_t handle)
+{
+  const core_fleet_request_t *request = request_at (fleet, handle);
+  return !server->engine
+         || core_fleet_engine_has (server->engine, request->model,
+                                   request->adapter);
+}
+
+/* The list tells all instances what an engine holds now.  */
+static void
+change_entry (core_fleet_t *fleet, core_fleet_server_t *server)
+{
+  server->revision += fleet->n_servers;
+  for (int i = 0; i < fleet->n_instances; i++)
+    add_task (fleet, TASK_MEMBERS, FEED_NS, &fleet->instances[i]);
+}
+
+static int
+run_order (core_fleet_t *fleet, core_fleet_server_t *server,
+           const core_fleet_order_t *order)
+{
+  int status = core_fleet_order (fleet, server, order);
+  if (core_fleet_engine_busy (server->engine))
+    add_task (fleet, TASK_LOADED, 5 * KWF_NS_PER_S, NULL)->server
+        = (int)(server - fleet->servers);
+  else if (order->adapter < 0)
+    change_entry (fleet, server);
+  return status;
+}
+
 static void
 run_arrival (core_fleet_t *fleet, const task_t *task)
 {
@@ -373,9 +429,16 @@
       = { fleet->now_ns, task->to->index, task->kind };
   g_array_append_val (server->arrivals, arrival);
   judge (fleet, server);
-  int64_t delay_ns
-      = SERVER_NS + (task->kind == KWF_ANSWER_REQUEST ? fleet->service_ns : 0);
+  int status = 200;
+  if (task->kind == KWF_ANSWER_ORDER)
+    status = run_order (fleet, server, &task->order);
+  else if (task->kind == KWF_ANSWER_REQUEST)
+    status = has_what_it_needs (fleet, server, task->request) ? 200 : 421;
+  bool runs = task->kind == KWF_ANSWER_REQUEST && status == 200;
+  int64_t delay_ns = SERVER_NS + (runs ? fleet->service_ns : 0);
   task_t *answer = add_task (fleet, TASK_ANSWER, delay_ns, task->to);
+  answer->status = status;
+  g_strlcpy (answer->order_id, task->order_id, sizeof answer->order_id);
   answer->incarnation = task->incarnation;
   answer->request = task->request;
   answer->attempt = task->attempt;
@@ -384,6 +447,31 @@
   answer->named = server->names;
   answer->limit = server->limit;
   answer->server_incarnation = server->incarnation;
+  answer->asked_ns = task->asked_ns;
+}
+
+static void
+feed_report (core_fleet_instance_t *instance,
+             const core_fleet_server_t *server)
+{
+  kwf_event_t event = { .type = KWF_EV_REPORT,
+                        .report = { .server = server->id,
+                                    .valid = true,
+                                    .resume = true,
+                                    .fencing = true,
+                                    .incarnation = server->incarnation } };
+  kwf_report_event_t *report = &event.report;
+  kwf_resident_t *models = NULL;
+  if (server->engine)
+    {
+      models = core_fleet_residents (instance->fleet, server->engine,
+                                     &report->n_models);
+      report->models = models;
+      report->orders = core_fleet_engine_orders (server->engine);
+      report->busy = core_fleet_engine_busy (server->engine);
+    }
+  step (instance, &event);
+  core_fleet_residents_free (models, report->n_models);
 }
 
 static void
@@ -391,6 +479,9 @@
 {
   core_fleet_server_t *server = &fleet->servers[task->server];
   core_fleet_instance_t *instance = task->to;
+  if (server->incarnation != task->server_incarnation
+      && task->kind != KWF_ANSWER_REQUEST)
+    return;
   if (server->incarnation != task->server_incarnation)
     {
       step (instance,
@@ -417,26 +508,26 @@
       || kwf_core_knows_limit (instance->core, &notice.notice))
     step (instance, &notice);
   if (task->kind == KWF_ANSWER_REQUEST)
-    step (instance, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
-                                    .attempt = { .attempt = task->attempt,
-                                                 .request = task->request,
-                                                 .status = 200 } });
-  else
     step (instance,
-          &(kwf_event_t){ .type = KWF_EV_REPORT,
-                          .report = { .server = server->id,
-                                      .valid = true,
-                                      .incarnation = server->incarnation } });
+          &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                          .attempt = { .attempt = task->attempt,
+                                       .request = task->request,
+                                       .status = task->status,
+                                       .not_run = task->status == 421,
+                                       .misplaced = task->status == 421 } });
+  else if (task->kind == KWF_ANSWER_ORDER)
+    step (instance,
+          &(kwf_event_t){ .type = KWF_EV_ORDER_REPLY,
+                          .order = { .server = server->id,
+                                     .id = task->order_id,
+                                     .status = task->status,
+                                     .running = task->status == 202 } });
+  else
+    feed_report (instance, server);
 }
 
 /* Callers.  */
 
-static core_fleet_request_t *
-request_at (const core_fleet_t *fleet, kwf_handle_t handle)
-{
-  return &g_array_index (fleet->requests, core_fleet_request_t, handle - 1);
-}
-
 static void
 plan_request (core_fleet_t *fleet, kwf_handle_t handle, int64_t delay_ns)
 {
@@ -518,14 +609,32 @@
     }
   g_free (event);
   step (instance,
-        &(kwf_event_t){ .type = KWF_EV_REQUEST,
-                        .request = { .handle = task->request,
-                                     .kind = KWF_REQUEST_ROUTED,
-                                     .id = "r",
-                                     .key_digest = "k",
-                                     .host = "h.example",
-                                     .path = paths[request->priority],
-                                     .fingerprint = task->request } });
+        &(kwf_event_t){
+            .type = KWF_EV_REQUEST,
+            .request
+            = { .handle = task->request,
+                .kind = KWF_REQUEST_ROUTED,
+                .id = "r",
+                .key_digest = "k",
+                .host = "h.example",
+                .path = paths[request->priority],
+                .model = request->model < 0
+                             ? NULL
+                             : core_fleet_model_name (request->model),
+                .adapter = request->adapter < 0
+                               ? NULL
+                               : core_fleet_adapter_name (request->adapter),
+                .fingerprint = task->request } });
+}
+
+/* Model i gets a part of the requests that falls with i.  */
+static void
+choose_model (core_fleet_t *fleet, core_fleet_request_t *request)
+{
+  double unit = core_fleet_random_unit (fleet);
+  request->model = (int)(unit * unit * unit * fleet->n_models);
+  if (request->model % 2 == 0 && core_fleet_random (fleet, 2))
+    request->adapter = (int)core_fleet_random (fleet, CORE_FLEET_ADAPTERS / 2);
 }
 
 void
@@ -534,7 +643,11 @@
   core_fleet_request_t request
       = { .sent_ns = fleet->now_ns,
           .deadline_ns = fleet->now_ns + fleet->deadline_ns,
-          .priority = priority };
+          .priority = priority,
+          .model = -1,
+          .adapter = -1 };
+  if (fleet->n_models)
+    choose_model (fleet, &request);
   g_array_append_val (fleet->requests, request);
   plan_request (fleet, fleet->requests->len, 0);
 }
@@ -556,7 +669,7 @@
 
 /* Effects.  */
 
-static void
+static task_t *
 start_call (core_fleet_instance_t *instance, kwf_answer_kind_t kind,
             const char *server, kwf_handle_t request, kwf_handle_t attempt)
 {
@@ -565,6 +678,23 @@
   task->kind = kind;
   task->request = request;
   task->attempt = attempt;
+  task->asked_ns = instance->fleet->now_ns;
+  return task;
+}
+
+static void
+start_order (core_fleet_instance_t *instance, const kwf_order_t *order)
+{
+  task_t *task = start_call (instance, KWF_ANSWER_ORDER, order->server, 0, 0);
+  g_strlcpy (task->order_id, order->id, sizeof task->order_id);
+  task->order = (core_fleet_order_t){
+    .model = (int)g_ascii_strtoll (order->model + 1, NULL, 10),
+    .adapter = *order->adapter
+                   ? (int)g_ascii_strtoll (order->adapter + 1, NULL, 10)
+                   : -1,
+    .load = strcmp (order->order, "load") == 0,
+    .after = order->after
+  };
 }
 
 static void
@@ -604,6 +734,9 @@
     case KWF_FX_PROBE:
       start_call (instance, KWF_ANSWER_REPORT, effect->probe.server, 0, 0);
       break;
+    case KWF_FX_ORDER:
+      start_order (instance, &effect->order);
+      break;
     case KWF_FX_PEER_LINK:
       want_link (instance, effect->link.instance, true);
       break;
@@ -674,6 +807,8 @@
                              .retry_share = 0.2,
                              .push_updates = true,
                              .overdraft = 1000,
+                             .placement = { .dynamic = fleet->n_models > 0,
+                                            .lease_ns = 3 * KWF_NS_PER_S },
                              .clock = &instance->clock.clock,
                              .random = &instance->random.random });
   step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
@@ -785,6 +920,24 @@
   return n;
 }
 
+double
+core_fleet_served (const core_fleet_t *fleet, int64_t from_ns,
+                   int64_t until_ns)
+{
+  int n = 0;
+  int n_served = 0;
+  for (guint i = 0; i < fleet->requests->len; i++)
+    {
+      const core_fleet_request_t *request
+          = &g_array_index (fleet->requests, core_fleet_request_t, i);
+      if (request->sent_ns < from_ns || request->sent_ns >= until_ns)
+        continue;
+      n++;
+      n_served += request->ended && request->status == 200;
+    }
+  return n ? (double)n_served / n : 0;
+}
+
 /* Tasks.  */
 
 static void
@@ -820,6 +973,9 @@
     case TASK_START:
       feed_first_state (to);
       break;
+    case TASK_MEMBERS:
+      feed_members (to);
+      break;
     case TASK_MESSAGE:
       deliver_message (fleet, task);
       break;
@@ -843,6 +999,11 @@
     run_arrival (fleet, task);
   else if (task->type == TASK_REQUEST)
     run_request (fleet, task);
+  else if (task->type == TASK_LOADED)
+    {
+      if (core_fleet_finish_load (fleet, &fleet->servers[task->server]))
+        change_entry (fleet, &fleet->servers[task->server]);
+    }
   else if (to->alive && to->incarnation == task->incarnation)
     {
       if (to->frozen)
@@ -867,14 +1028,15 @@
   fleet->now_ns = until_ns;
 }
 
-core_fleet_t *
-core_fleet_new (uint64_t seed, int n_instances, int n_servers)
+static core_fleet_t *
+new_fleet (uint64_t seed, int n_instances, int n_servers, int n_models)
 {
   core_fleet_t *fleet = g_new0 (core_fleet_t, 1);
   *fleet = (core_fleet_t){ .now_ns = KWF_NS_PER_S,
                            .state = seed,
                            .n_instances = n_instances,
                            .n_servers = n_servers,
+                           .n_models = n_models,
                            .service_ns = 50 * CORE_FLEET_MS,
                            .deadline_ns = 15 * KWF_NS_PER_S };
   size_t n = (size_t)n_instances;
@@ -893,6 +1055,8 @@
       g_snprintf (server->id, sizeof server->id, "d%d", i);
       server->incarnation = 1;
       server->revision = 1 + i;
+      if (n_models)
+        server->engine = core_fleet_engine_new (n_models);
       server->told_ns = g_new0 (int64_t, n);
       server->arrivals
           = g_array_new (FALSE, TRUE, sizeof (core_fleet_arrival_t));
@@ -910,11 +1074,26 @@
       g_snprintf (instance->data_centre, sizeof instance->data_centre, "c%d",
                   i % 4);
     }
+  if (n_models)
+    core_fleet_place_models (fleet);
   for (int i = 0; i < n_instances; i++)
     core_fleet_start (fleet, i);
   return fleet;
 }
 
+core_fleet_t *
+core_fleet_new (uint64_t seed, int n_instances, int n_servers)
+{
+  return new_fleet (seed, n_instances, n_servers, 0);
+}
+
+core_fleet_t *
+core_fleet_new_engines (uint64_t seed, int n_instances, int n_engines,
+                        int n_models)
+{
+  return new_fleet (seed, n_instances, n_engines, n_models);
+}
+
 void
 core_fleet_free (core_fleet_t *fleet)
 {
@@ -932,6 +1111,7 @@
     }
   for (int i = 0; i < fleet->n_servers; i++)
     {
+      core_fleet_engine_free (fleet->servers[i].engine);
       g_free (fleet->servers[i].told_ns);
       g_array_free (fleet->servers[i].arrivals, TRUE);
     }
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -21,6 +21,7 @@
 #define CORE_FLEET_WINDOW_NS (4 * KWF_NS_PER_S)
 
 typedef struct core_fleet core_fleet_t;
+typedef struct core_fleet_engine core_fleet_engine_t;
 
 typedef struct
 {
@@ -67,6 +68,7 @@
 typedef struct
 {
   char id[8];
+  core_fleet_engine_t *engine; /* NULL: a copy of the service "desk" */
   uint64_t incarnation;
   int64_t revision;
   bool names; /* its answers name LIMIT */
@@ -87,6 +89,8 @@
   int64_t deadline_ns;
   int instance;
   int priority;
+  int model;   /* -1: none */
+  int adapter; /* -1: none */
   bool ended;
   int status;
   int64_t ended_ns;
@@ -97,28 +101,33 @@
 {
   int64_t now_ns;
   uint64_t state;
-  int n_instances;
   core_fleet_instance_t *instances;
-  int n_servers;
   core_fleet_server_t *servers;
   bool *linked; /* n_instances squared */
   bool *wanted;
   heap_t tasks;
   fleet_sim_t *table;
-  bool store_down;
   GArray *requests; /* of core_fleet_request_t; the handle is 1 + the index */
   int64_t service_ns;  /* time that a server takes for a request */
   int64_t deadline_ns; /* time that a caller waits in all */
-  bool deaf;           /* what the servers name is not passed to the cores */
   /* Whether an instance may take a request now; NULL: always.  What it may not
      take is refused to be tried again a second later.  */
   bool (*gate) (core_fleet_t *fleet, int instance);
   void *data;
+  int n_instances;
+  int n_servers;
+  int n_models; /* 0: the servers are no engines */
+  bool store_down;
+  bool deaf; /* what the servers name is not passed to the cores */
   bool verbose;
 };
 
 /* N_SERVERS copies of the service "desk".  The instances start at once.  */
 core_fleet_t *core_fleet_new (uint64_t seed, int n_instances, int n_servers);
+/* N_ENGINES engines, which hold N_MODELS models between them: a few models get
+   most of the requests, and every other one has adapters.  */
+core_fleet_t *core_fleet_new_engines (uint64_t seed, int n_instances,
+                                      int n_engines, int n_models);
 void core_fleet_free (core_fleet_t *fleet);
 
 void core_fleet_run (core_fleet_t *fleet, int64_t until_ns);
@@ -142,6 +151,11 @@
 void core_fleet_run_callers (core_fleet_t *fleet, double rate,
                              int64_t until_ns);
 
+/* Part of the requests sent from FROM_NS on, before UNTIL_NS, that were
+   served.  */
+double core_fleet_served (const core_fleet_t *fleet, int64_t from_ns,
+                          int64_t until_ns);
+
 /* Arrivals at SERVER from FROM_NS on, before UNTIL_NS.  */
 int core_fleet_count (const core_fleet_t *fleet, int server, int64_t from_ns,
                       int64_t until_ns);
@@ -149,4 +163,41 @@
 /* What the rule allows in a window: one and a half times LIMIT, and five.  */
 double core_fleet_allowed (double limit);
 
+/* common-core-fleet-engines.c */
+
+#define CORE_FLEET_ADAPTERS 8 /* of a model that has any */
+
+typedef struct
+{
+  int model;
+  int adapter; /* -1: the model itself */
+  bool load;
+  int64_t after; /* number of orders that must have been accepted before */
+} core_fleet_order_t;
+
+core_fleet_engine_t *core_fleet_engine_new (int n_models);
+void core_fleet_engine_free (core_fleet_engine_t *engine);
+/* Places the models before the start: the first ones on several engines.  */
+void core_fleet_place_models (core_fleet_t *fleet);
+/* Adds the models, and the service "models" that holds them, to LISTS.  */
+void core_fleet_add_models (const core_fleet_t *fleet, kwf_lists_t *lists);
+/* Carries out ORDER and returns the status of the answer.  */
+int core_fleet_order (core_fleet_t *fleet, core_fleet_server_t *server,
+                      const core_fleet_order_t *order);
+/* Completes a load of a model that is done.  Returns whether the engine's
+   entry in the list changed.  */
+bool core_fleet_finish_load (const core_fleet_t *fleet,
+                             core_fleet_server_t *server);
+bool core_fleet_engine_has (const core_fleet_engine_t *engine, int model,
+                            int adapter);
+/* What the engine holds; free with core_fleet_residents_free.  */
+kwf_resident_t *core_fleet_residents (const core_fleet_t *fleet,
+                                      const core_fleet_engine_t *engine,
+                                      size_t *n);
+void core_fleet_residents_free (kwf_resident_t *residents, size_t n);
+int64_t core_fleet_engine_orders (const core_fleet_engine_t *engine);
+bool core_fleet_engine_busy (const core_fleet_engine_t *engine);
+const char *core_fleet_model_name (int model);
+const char *core_fleet_adapter_name (int adapter);
+
 #endif
