--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -18,6 +18,8 @@
 #include "net/client.h"
 
 #define N_SERVERS 2
+/* Daemons that a test may start beside the first one.  */
+#define N_OTHERS 2
 /* A change of the tables must be in force after this time.  */
 #define FRESH_S 2.0
 /* A process that has just started waits for another instance to poll for
@@ -33,6 +35,8 @@
   listener_t *listener;
   bool is_leaving;   /* its answers say that it is leaving */
   const char *pause; /* Retry-After of the next answer, a 503; NULL: 200 */
+  const char *limit; /* Server-Limit of its answers; NULL: none */
+  GArray *arrivals;  /* of int64_t: when requests came, in ns */
   int n_requests;
   char last_id[40];
 } backend_t;
@@ -43,6 +47,7 @@
   client_t *client;
   fake_store_t *store;
   process_t daemon;
+  process_t others[N_OTHERS];
   char *directory;
   char *settings;
   backend_t backends[N_SERVERS];
@@ -59,16 +64,20 @@
   g_strlcpy (backend->last_id, id ? id + 16 : "", sizeof backend->last_id);
   backend->last_id[strcspn (backend->last_id, "\r")] = '\0';
   backend->n_requests++;
+  int64_t now_ns = kwf_now_ns (kwf_clock_system ());
+  g_array_append_val (backend->arrivals, now_ns);
   const char *pause = backend->pause;
   backend->pause = NULL;
-  connection_print (connection,
-                    "HTTP/1.1 %s\r\nContent-Length: 2\r\n"
-                    "X-Request-Id: %s\r\nX-Server-Stamp: s\r\n%s%s%s%s\r\nok",
-                    pause ? "503 Service Unavailable" : "200 OK",
-                    backend->last_id,
-                    backend->is_leaving ? "Server-Leaving: 1\r\n" : "",
-                    pause ? "X-Not-Run: 1\r\nRetry-After: " : "",
-                    pause ? pause : "", pause ? "\r\n" : "");
+  connection_print (
+      connection,
+      "HTTP/1.1 %s\r\nContent-Length: 2\r\n"
+      "X-Request-Id: %s\r\nX-Server-Stamp: s\r\n%s%s%s%s%s%s%s"
+      "\r\nok",
+      pause ? "503 Service Unavailable" : "200 OK", backend->last_id,
+      backend->is_leaving ? "Server-Leaving: 1\r\n" : "",
+      pause ? "X-Not-Run: 1\r\nRetry-After: " : "", pause ? pause : "",
+      pause ? "\r\n" : "", backend->limit ? "Server-Limit: " : "",
+      backend->limit ? backend->limit : "", backend->limit ? "\r\n" : "");
 }
 
 static void
@@ -92,9 +101,9 @@
   fixture->status = 0;
 }
 
-/* Calls PATH; returns the status.  */
+/* Calls PATH at DAEMON; returns the status.  */
 static int
-call (fixture_t *fixture, const char *path)
+call_at (fixture_t *fixture, const process_t *daemon, const char *path)
 {
   static const client_handler_t handler
       = { .done = on_done, .failed = on_failed };
@@ -105,7 +114,7 @@
                          { "X-Deadline-Ms", "3000" } };
   client_start (fixture->client,
                 &(client_request_t){ .method = "GET",
-                                     .address = fixture->daemon.address,
+                                     .address = daemon->address,
                                      .target = path,
                                      .headers = headers,
                                      .n_headers = G_N_ELEMENTS (headers),
@@ -116,6 +125,12 @@
   return fixture->status;
 }
 
+static int
+call (fixture_t *fixture, const char *path)
+{
+  return call_at (fixture, &fixture->daemon, path);
+}
+
 /* Writes the configuration, with or without a second route.  */
 static void
 put_config (fixture_t *fixture, bool second)
@@ -152,10 +167,10 @@
 }
 
 static void
-start_daemon (fixture_t *fixture)
+start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
 {
   char *text = g_strdup_printf (
-      "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
+      "[instance]\nid = \"%s\"\ndata_centre = \"c\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
@@ -163,13 +178,21 @@
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\nretry_share = 0.1\n"
       "[placement]\nmode = \"dynamic\"\n",
-      fake_store_address (fixture->store), (int)(FRESH_S * 1000));
+      id, fake_store_address (fixture->store), (int)(FRESH_S * 1000));
   assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", fixture->settings, NULL };
-  assert_true (process_start (&fixture->daemon, "knapweedforkd", args));
+  assert_true (process_start (daemon, "knapweedforkd", args));
   /* Other addresses follow on the same line.  */
-  fixture->daemon.address[strcspn (fixture->daemon.address, ",")] = '\0';
+  daemon->address[strcspn (daemon->address, ",")] = '\0';
+}
+
+static void
+wait_for_daemon (fixture_t *fixture, const process_t *daemon)
+{
+  for (int i = 0; i < 100 && call_at (fixture, daemon, "/r/x") != 200; i++)
+    run_for (fixture->loop, 0.1);
+  assert_int_equal (fixture->status, 200);
 }
 
 static int
@@ -187,12 +210,12 @@
       fixture->backends[i].fixture = fixture;
       fixture->backends[i].listener
           = listener_start (fixture->loop, serve, &fixture->backends[i]);
+      fixture->backends[i].arrivals
+          = g_array_new (FALSE, FALSE, sizeof (int64_t));
       put_server (fixture, i, 1);
     }
-  start_daemon (fixture);
-  for (int i = 0; i < 100 && call (fixture, "/r/x") != 200; i++)
-    run_for (fixture->loop, 0.1);
-  assert_int_equal (fixture->status, 200);
+  start_daemon (fixture, &fixture->daemon, "i1");
+  wait_for_daemon (fixture, &fixture->daemon);
   *state = fixture;
   return 0;
 }
@@ -202,9 +225,14 @@
 {
   fixture_t *fixture = *state;
   process_kill (&fixture->daemon);
+  for (int i = 0; i < N_OTHERS; i++)
+    process_kill (&fixture->others[i]);
   client_free (fixture->client);
   for (int i = 0; i < N_SERVERS; i++)
-    listener_stop (fixture->backends[i].listener);
+    {
+      listener_stop (fixture->backends[i].listener);
+      g_array_free (fixture->backends[i].arrivals, TRUE);
+    }
   fake_store_stop (fixture->store);
   ev_loop_destroy (fixture->loop);
   g_unlink (fixture->settings);
@@ -334,6 +362,74 @@
     }
 }
 
+/* Most requests that reached BACKEND in some 4 s that end after FROM_NS.  */
+static int
+most_in_4_s (const backend_t *backend, int64_t from_ns)
+{
+  int most = 0;
+  for (guint i = 0; i < backend->arrivals->len; i++)
+    {
+      int64_t end_ns = g_array_index (backend->arrivals, int64_t, i);
+      int n = 0;
+      for (guint k = 0; k <= i && end_ns >= from_ns; k++)
+        n += end_ns - g_array_index (backend->arrivals, int64_t, k)
+             < 4 * KWF_NS_PER_S;
+      most = MAX (most, n);
+    }
+  return most;
+}
+
+/* Calls all live daemons in turn for SECONDS, 40 times a second.  */
+static void
+call_in_turn (fixture_t *fixture, double seconds)
+{
+  const process_t *daemons[]
+      = { &fixture->daemon, &fixture->others[0], &fixture->others[1] };
+  int64_t end_ns = kwf_now_ns (kwf_clock_system ())
+                   + (int64_t)(seconds * (double)KWF_NS_PER_S);
+  for (int i = 0; kwf_now_ns (kwf_clock_system ()) < end_ns; i++)
+    {
+      const process_t *daemon = daemons[i % (1 + N_OTHERS)];
+      if (!daemon->pid)
+        continue;
+      assert_int_equal (call_at (fixture, daemon, "/r/x"), 200);
+      run_for (fixture->loop, 0.025);
+    }
+}
+
+/* Guards against a backend server that gets more requests from several
+   processes together than the limit that it names, also after the end of one
+   of them, and against a limit that outlasts its end.  */
+static void
+server_gets_more_than_its_limit_from_all_processes (void **state)
+{
+  fixture_t *fixture = *state;
+  backend_t *backend = &fixture->backends[0];
+  static const char *const ids[N_OTHERS] = { "i2", "i3" };
+  for (int i = 0; i < N_OTHERS; i++)
+    {
+      start_daemon (fixture, &fixture->others[i], ids[i]);
+      wait_for_daemon (fixture, &fixture->others[i]);
+    }
+  call_in_turn (fixture, START_S);
+  int before = backend->n_requests;
+  call_in_turn (fixture, 1);
+  assert_true (backend->n_requests > before + 6);
+  backend->limit = "2";
+  int64_t named_ns = kwf_now_ns (kwf_clock_system ());
+  call_in_turn (fixture, 6);
+  process_kill (&fixture->others[0]);
+  call_in_turn (fixture, 6);
+  int most = most_in_4_s (backend, named_ns + 3 * KWF_NS_PER_S);
+  print_message ("at most %d requests in 4 s, allowed 17\n", most);
+  assert_in_range (most, 1, 17);
+  backend->limit = NULL;
+  call_in_turn (fixture, 4);
+  before = backend->n_requests;
+  call_in_turn (fixture, 1);
+  assert_true (backend->n_requests > before + 6);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -344,6 +440,7 @@
     TEST (server_that_asks_for_a_pause_gets_one),
     TEST (leaving_outlasts_the_store_and_signals),
     TEST (pause_goes_on_while_the_process_stands_still),
+    TEST (server_gets_more_than_its_limit_from_all_processes),
     TEST (route_is_added_and_dropped_in_time),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
