Keep a limit through faults, restarts and changes

- A new owner began with an empty account.
Now each instance tells it of its calls of the last 4 s, and it grants nothing for 250 ms.
- A limit that came back while the one before it faded out, or a lower one, left the permits of the old one.
Now it begins anew.
- When the list showed a new process, its limit, which answers had told of before the list did, was forgotten, and what waited was sent at once.
Now it stands until an answer ends it.
- Requests waited for a permit again and again.

--- a/lib/limit.c
+++ b/lib/limit.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#define COUNTER_NS (KWF_NS_PER_S / 2)
+
 /* Slots that passed unused may be granted later, up to this part of a second
    of the limit and within these numbers.  */
 #define BURST_S 0.25
@@ -14,6 +16,8 @@
 #define CHARGE_MAX_NS (4 * KWF_NS_PER_S)
 /* Time in which the instances tell a new owner what they sent before.  */
 #define HOLD_NS (250 * KWF_NS_PER_MS)
+/* A new process is tried at this rate at least.  */
+#define RESTART_MIN_PER_S 1.0
 /* Time in which the rate of a limit that ended doubles.  */
 #define RETURN_DOUBLE_NS (250 * KWF_NS_PER_MS)
 /* An owner that does not answer within this time is asked again.  */
@@ -99,6 +103,59 @@
   return was_named ? LIMIT_ENDED : LIMIT_UNCHANGED;
 }
 
+/* Move the counters on to NOW_NS.  */
+static void
+advance_counters (limit_t *limit, int64_t now_ns)
+{
+  int64_t n = (now_ns - limit->counted_ns) / COUNTER_NS;
+  if (n <= 0)
+    return;
+  limit->counted_ns += n * COUNTER_NS;
+  int shift = (int)MIN (n, LIMIT_COUNTERS);
+  memmove (limit->calls + shift, limit->calls,
+           (size_t)(LIMIT_COUNTERS - shift) * sizeof *limit->calls);
+  memset (limit->calls, 0, (size_t)shift * sizeof *limit->calls);
+}
+
+static int
+recent_calls (limit_t *limit, int64_t span_ns, int64_t now_ns)
+{
+  int n = 0;
+  advance_counters (limit, now_ns);
+  for (int i = 0; i <= span_ns / COUNTER_NS; i++)
+    n += limit->calls[i];
+  return n;
+}
+
+void
+limit_begin (limit_t *limit, int64_t now_ns)
+{
+  limit->n_permits = 0;
+  limit->n_unspent = 0;
+  limit->n_unpermitted = recent_calls (limit, LIMIT_BEFORE_NS, now_ns);
+  limit->owner_hash = 0;
+  limit->asked_ns = 0;
+  limit->next_ask_ns = now_ns;
+  limit->free_ns = 0;
+  limit_hold_grants (limit, LIMIT_BEFORE_NS, now_ns);
+}
+
+void
+limit_restart (limit_t *limit)
+{
+  limit_t next = { .counted_ns = limit->counted_ns };
+  memcpy (next.calls, limit->calls, sizeof next.calls);
+  if (limit->named)
+    {
+      next.named = true;
+      next.rate_per_s = MAX (limit->rate_per_s, RESTART_MIN_PER_S);
+      next.version = limit->version;
+      next.named_ns = limit->named_ns;
+      next.slot_ns = limit->slot_ns;
+    }
+  *limit = next;
+}
+
 void
 limit_end (limit_t *limit, int64_t now_ns)
 {
@@ -171,6 +228,8 @@
 void
 limit_count_call (limit_t *limit, int64_t now_ns)
 {
+  advance_counters (limit, now_ns);
+  limit->calls[0]++;
   if (!limit_in_force (limit, now_ns))
     return;
   return_ended (limit, now_ns);
@@ -195,6 +254,8 @@
 {
   if (limit->owner_hash == owner_hash)
     return;
+  if (limit->owner_hash)
+    limit->n_unpermitted = recent_calls (limit, LIMIT_WINDOW_NS, now_ns);
   limit->owner_hash = owner_hash;
   int n = 0;
   while (n < limit->n_permits && limit->permits[n] <= now_ns)
@@ -295,9 +356,10 @@
 }
 
 void
-limit_hold_grants (limit_t *limit, int64_t now_ns)
+limit_hold_grants (limit_t *limit, int64_t span_ns, int64_t now_ns)
 {
-  limit->slot_ns = MAX (limit->slot_ns, now_ns + HOLD_NS);
+  limit->slot_ns = MAX (limit->slot_ns, now_ns - span_ns);
+  limit->hold_ns = now_ns + HOLD_NS;
   limit->granted_ns = now_ns;
 }
 
@@ -306,6 +368,11 @@
              int64_t now_ns)
 {
   limit_grant_t grant = { .spacing_ns = interval_ns (limit, share, now_ns) };
+  if (now_ns < limit->hold_ns)
+    {
+      grant.free_ns = MAX (limit->hold_ns, limit->slot_ns) - now_ns;
+      return grant;
+    }
   drop_passed_slots (limit, grant.spacing_ns, now_ns);
   grant.start_ns = limit->slot_ns - now_ns;
   while (grant.n < n && limit->slot_ns <= now_ns + patience_ns)
@@ -323,7 +390,8 @@
 limit_charge (limit_t *limit, int n, double share, int64_t now_ns)
 {
   int64_t slot_interval_ns = interval_ns (limit, share, now_ns);
-  drop_passed_slots (limit, slot_interval_ns, now_ns);
+  if (now_ns >= limit->hold_ns)
+    drop_passed_slots (limit, slot_interval_ns, now_ns);
   limit->slot_ns
       = MAX (limit->slot_ns, MIN (limit->slot_ns + n * slot_interval_ns,
                                   now_ns + CHARGE_MAX_NS));
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -38,6 +38,13 @@
 /* After its end a limit grows for this long before it is dropped, so that the
    load returns slowly.  */
 #define LIMIT_RETURN_NS (2 * KWF_NS_PER_S)
+/* A new owner takes account of the calls of this time.  */
+#define LIMIT_WINDOW_NS (4 * KWF_NS_PER_S)
+/* The same for the first owner after a limit is named: what was sent long
+   before does not concern the limit.  */
+#define LIMIT_BEFORE_NS (1 * KWF_NS_PER_S)
+/* Counters of LIMIT_WINDOW_NS, and one that is being filled.  */
+#define LIMIT_COUNTERS 9
 
 typedef struct
 {
@@ -49,6 +56,10 @@
   bool named_in[KWF_ANSWER_KINDS]; /* answers of this kind have named it */
   bool unreadable;                 /* an answer had no valid number */
 
+  /* Calls of this instance, whether or not there is a limit.  */
+  int calls[LIMIT_COUNTERS]; /* the newest first */
+  int64_t counted_ns;        /* start of the newest counter */
+
   /* The holder of permits.  */
   int64_t permits[LIMIT_PERMITS_MAX]; /* their starts, in order */
   int n_permits;
@@ -70,6 +81,7 @@
 
   /* The owner.  */
   int64_t slot_ns;    /* end of the last slot that was granted */
+  int64_t hold_ns;    /* nothing is granted before this time */
   int64_t granted_ns; /* when a permit was last granted */
 } limit_t;
 
@@ -91,6 +103,12 @@
 limit_change_t limit_handle_news (limit_t *limit, int64_t version, bool named,
                                   double rate_per_s, int64_t now_ns);
 
+/* The server has named a limit where none stood, or a lower one: forget the
+   permits of earlier ones, and count for the owner what was sent lately.  */
+void limit_begin (limit_t *limit, int64_t now_ns);
+/* The server is a new process.  Its limit may have been read before the
+   membership list showed the process, so it stands until an answer ends it. */
+void limit_restart (limit_t *limit);
 /* End a limit that no answer has confirmed.  */
 void limit_end (limit_t *limit, int64_t now_ns);
 
@@ -113,7 +131,8 @@
 void limit_count_call (limit_t *limit, int64_t now_ns);
 /* Permits whose time is over go back, and so do those beyond what waits.  */
 void limit_return_permits (limit_t *limit, int64_t now_ns);
-/* The owner changed: permits that have not started are not valid any more.  */
+/* The owner changed: permits that have not started are not valid any more, and
+   the new owner is told of the calls of the last LIMIT_WINDOW_NS.  */
 void limit_change_owner (limit_t *limit, uint64_t owner_hash, int64_t now_ns);
 /* Number of permits to ask for now, and the patience of what they are for; 0:
    none.  */
@@ -143,9 +162,9 @@
   int64_t free_ns; /* start of the first slot that is left, after NOW_NS */
 } limit_grant_t;
 
-/* The limit becomes known to an instance that may be its owner: nothing is
-   granted until the others have told what they sent.  */
-void limit_hold_grants (limit_t *limit, int64_t now_ns);
+/* This instance may be the owner from now on.  It grants nothing until the
+   others have told what they sent within SPAN_NS.  */
+void limit_hold_grants (limit_t *limit, int64_t span_ns, int64_t now_ns);
 limit_grant_t limit_grant (limit_t *limit, int n, int64_t patience_ns,
                            double share, int64_t now_ns);
 /* N calls were made without a permit; N permits were not spent.  */
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -26,7 +26,7 @@
 notice_reset (server_t *server)
 {
   server->notice = (notice_t){ 0 };
-  server->limit = (limit_t){ 0 };
+  limit_restart (&server->limit);
 }
 
 static void
@@ -203,17 +203,6 @@
   notice->n_started++;
 }
 
-int
-notice_recent_starts (const server_t *server, int64_t now_ns)
-{
-  const notice_t *notice = &server->notice;
-  int64_t since_ns = now_ns - notice->period_start_ns;
-  if (since_ns >= 2 * PERIOD_NS)
-    return 0;
-  return notice->n_started
-         + (since_ns < PERIOD_NS ? notice->n_started_before : 0);
-}
-
 int64_t
 notice_retry_after_ns (server_t *server, int priority, int64_t now_ns)
 {
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -21,7 +21,8 @@
 /* Upper limit of a pause in nanoseconds; longer ones are cut.  */
 #define NOTICE_PAUSE_MAX_NS (60 * KWF_NS_PER_S)
 
-/* SERVER is a new process: forget what the former one announced.  */
+/* SERVER is a new process: forget what the former one announced, except for a
+   limit (limit_restart).  */
 void notice_reset (server_t *server);
 
 /* The server that EVENT is about; NULL: the answer is not of its present
@@ -58,9 +59,6 @@
 /* Count a request that starts at SERVER.  */
 void notice_request_started (server_t *server, int64_t now_ns);
 
-/* Requests that started at SERVER within the last one to two seconds.  */
-int notice_recent_starts (const server_t *server, int64_t now_ns);
-
 /* Count a caller of PRIORITY that is refused because SERVER and all other
    copies pause.  Return the time from NOW_NS after which it should come
    back.  */
--- a/lib/permit.c
+++ b/lib/permit.c
@@ -1,11 +1,11 @@
 #include "permit.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 #include "fanout.h"
-#include "notice.h"
 
 /* Without an owner, or an answer that grants what was asked, the next question
    waits this long at least and at most.  */
@@ -17,6 +17,9 @@
 /* A limit of which no permit was granted for this long ends: no answer can
    confirm it.  */
 #define LAPSE_NS (30 * KWF_NS_PER_S)
+/* A limit below this part of the one before it is a new one: permits of the
+   old one end.  */
+#define NEW_LIMIT_PART 0.9
 /* Shortest time between two runs.  */
 #define RUN_NS (2 * KWF_NS_PER_MS)
 /* The view of the members is taken again after this time at the latest.  */
@@ -142,11 +145,18 @@
   fanout_send_decision (session, &message, effects);
 }
 
+/* The limit that stands for SERVER, in requests a second; INFINITY: none.  */
+static double
+standing_limit (const server_t *server)
+{
+  return server->limit.named ? server->limit.rate_per_s : INFINITY;
+}
+
 /* CHANGE of SERVER's limit was learnt FROM an answer or an instance.
-   WAS_IN_FORCE: the limit before it was.  */
+   BEFORE_PER_S: the limit that stood until then.  */
 static void
 handle_change (permits_t *permits, server_t *server, limit_change_t change,
-               bool was_in_force, const char *from, int64_t now_ns,
+               double before_per_s, const char *from, int64_t now_ns,
                kwf_effects_t *effects)
 {
   limit_t *limit = &server->limit;
@@ -160,12 +170,8 @@
                      "server=%s names no limit any more, version=%" PRId64
                      ", learnt from %s",
                      server->id, limit->version, from);
-  if (change == LIMIT_SET && !was_in_force)
-    {
-      limit->n_unpermitted = notice_recent_starts (server, now_ns);
-      limit->owner_hash = 0;
-      limit_hold_grants (limit, now_ns);
-    }
+  if (change == LIMIT_SET && limit->rate_per_s < NEW_LIMIT_PART * before_per_s)
+    limit_begin (limit, now_ns);
   permits->active |= change != LIMIT_UNCHANGED;
   permits->next_ns = MIN (permits->next_ns, now_ns);
 }
@@ -190,12 +196,12 @@
                          server->id);
       limit->unreadable = true;
     }
-  bool was_in_force = limit_in_force (limit, now_ns);
+  double before_per_s = standing_limit (server);
   limit_change_t change = limit_handle_answer (limit, event, asked_ns, now_ns);
   if (change == LIMIT_UNCHANGED)
     return;
   permits->limits += change == LIMIT_SET;
-  handle_change (permits, server, change, was_in_force, kinds[event->kind],
+  handle_change (permits, server, change, before_per_s, kinds[event->kind],
                  now_ns, effects);
   tell_peers (session, server, effects);
 }
@@ -210,11 +216,11 @@
   server_t *server = backend_find (backend, news->server);
   if (!server || server->incarnation != news->incarnation)
     return NULL;
-  bool was_in_force = limit_in_force (&server->limit, now_ns);
+  double before_per_s = standing_limit (server);
   limit_change_t change = limit_handle_news (
       &server->limit, news->version, news->named, news->rate_per_s, now_ns);
   if (change != LIMIT_UNCHANGED)
-    handle_change (permits, server, change, was_in_force, from, now_ns,
+    handle_change (permits, server, change, before_per_s, from, now_ns,
                    effects);
   return server;
 }
@@ -307,9 +313,11 @@
   limit->free_ns = limit->asked_ns + MAX (grant->free_ns, 0);
   limit->asked_ns = 0;
   limit->wished = false;
-  limit->next_ask_ns = n < limit->n_asked
-                           ? now_ns + ask_again_ns (permits, limit, now_ns)
-                           : now_ns;
+  limit->next_ask_ns = now_ns;
+  if (n < limit->n_asked)
+    limit->next_ask_ns += ask_again_ns (permits, limit, now_ns);
+  if (limit->n_waiting)
+    limit->next_ask_ns = MIN (limit->next_ask_ns, limit->free_ns);
 }
 
 static void
@@ -471,10 +479,12 @@
   uint64_t hash = XXH64 (owner, strlen (owner), 1);
   if (hash == limit->owner_hash)
     return;
+  bool first = !limit->owner_hash;
   limit_change_owner (limit, hash, now_ns);
   if (strcmp (owner, permits->instance) != 0)
     return;
-  limit_hold_grants (limit, now_ns);
+  if (!first)
+    limit_hold_grants (limit, LIMIT_WINDOW_NS, now_ns);
   kwf_effects_log (effects, 236, KWF_LOG_INFO, NULL,
                    "this instance owns the limit of server=%s: %g requests a "
                    "second, live=%d share=%.2f",
@@ -493,8 +503,8 @@
       || !owns (permits, session, server))
     return;
   limit_end (limit, now_ns);
-  handle_change (permits, server, LIMIT_ENDED, true, "no answer for long",
-                 now_ns, effects);
+  handle_change (permits, server, LIMIT_ENDED, 0, "no answer for long", now_ns,
+                 effects);
   tell_peers (session, server, effects);
 }
 
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -120,13 +120,15 @@
   return backend_find (core->backend, server->id);
 }
 
-/* How long REQUEST waits for a permit at most.  */
+/* How much longer REQUEST waits for a permit at most.  */
 static int64_t
 patience_ns (const kwf_core_t *core, const request_t *request, int64_t now_ns)
 {
-  int64_t left_ns = request->deadline_ns - now_ns - first_token_ns (core);
-  return CLAMP (left_ns, 0, LIMIT_WAIT_MAX_NS)
-         >> CLAMP (request->priority, 0, QUEUE_LANES - 1);
+  int64_t most_ns
+      = LIMIT_WAIT_MAX_NS >> CLAMP (request->priority, 0, QUEUE_LANES - 1);
+  int64_t latest_ns = MIN (request->deadline_ns - first_token_ns (core),
+                           request->arrived_ns + most_ns);
+  return MAX (latest_ns - now_ns, 0);
 }
 
 typedef struct
@@ -245,7 +247,8 @@
                    double ahead, int64_t now_ns, kwf_effects_t *effects)
 {
   int64_t start_in_ns = limit_start_in_ns (&server->limit, (int)ahead, now_ns);
-  if (request->n_ran || start_in_ns <= patience_ns (core, request, now_ns))
+  int64_t most_ns = patience_ns (core, request, now_ns);
+  if (request->n_ran || (most_ns && start_in_ns <= most_ns))
     return;
   shed (core, request, SHED_LIMIT,
         limit_retry_after_ns (&server->limit, request->priority,
--- a/net/message.c
+++ b/net/message.c
@@ -537,8 +537,9 @@
   if (field_count (type) < 0)
     {
       wire_close (&reader);
-      return kwf_fail (error, KWF_INVALID, "read message", NULL,
-                       "unknown message type %lld", (long long)type);
+      return kwf_fail (error, type > 0 ? KWF_NOT_FOUND : KWF_INVALID,
+                       "read message", NULL, "unknown message type %lld",
+                       (long long)type);
     }
   message->type = (kwf_message_type_t)type;
   read_fields (&reader, message);
--- a/net/message.h
+++ b/net/message.h
@@ -25,7 +25,8 @@
 kwf_status_t message_encode (GByteArray *out, const kwf_message_t *message);
 
 /* Decodes the SIZE bytes of one message.  Strings and rows are allocated in
-   ZONE, which the caller clears or frees.  KWF_INVALID: message_encode would
+   ZONE, which the caller clears or frees.  KWF_NOT_FOUND: the type is not
+   known; a newer build may have sent it.  KWF_INVALID: message_encode would
    not have written these bytes.  */
 kwf_status_t message_decode (kwf_message_t *message, const void *bytes,
                              size_t size, msgpack_zone *zone,
--- a/net/peer-link.c
+++ b/net/peer-link.c
@@ -265,7 +265,12 @@
       link_close (link, false, &error);
       return;
     }
-  if (message_decode (&message, bytes, body, &peers->zone, &error) != KWF_OK)
+  kwf_status_t status
+      = message_decode (&message, bytes, body, &peers->zone, &error);
+  /* A newer build sends messages that this one does not know.  */
+  if (status == KWF_NOT_FOUND)
+    peers_report (peers, &error);
+  else if (status != KWF_OK)
     link_close (link, false, &error);
   else if (message.type != KWF_MSG_PING)
     peers->handler->message (peers->data, link->theirs.instance,
