--- a/bench/run.sh
+++ b/bench/run.sh
@@ -10,6 +10,7 @@
 here=$(dirname "$0")
 bash "$here/path.sh" "$BIN" "$MODE"
 "$BIN/bench_state" "--$MODE"
+"$BIN/bench_limit" "$MODE"
 if [ "$MODE" = full ]; then
   "$BIN/bench_share" 10
   bash "$here/queue.sh" "$BIN" 5
