Log what a finished answer lacks, decide nothing by it

The logs had no line for an answer that ended as complete, so the hypotheses could not be told apart. Event 251 and the metric kwf_answers_not_whole_total now name what an answer lacks when libcurl reports its transfer as complete: the end of the head, an end of the body, the id, the servers' stamp, the end of the last event. net/whole.c is the place that is to decide it; so far it only tells.

--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -35,6 +35,7 @@
   char address[64];
   char *expected_name; /* header that the answer must repeat; NULL: none */
   char *expected_value;
+  char *success_header; /* header that a success must bear; NULL: none */
   bool has_expected_header;
   bool mismatched;         /* the answer belongs to another request */
   bool head_delivered;     /* the handler's head() was called */
--- a/net/client-request.c
+++ b/net/client-request.c
@@ -169,6 +169,7 @@
       transfer->expected_name = g_strdup (request->expected_header->name);
       transfer->expected_value = g_strdup (request->expected_header->value);
     }
+  transfer->success_header = g_strdup (request->success_header);
   transfer->allow_close_delimited = request->allow_close_delimited;
   set_method (transfer, request);
   set_headers (transfer, request);
--- a/net/client.c
+++ b/net/client.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "../lib/logging.h"
 #include "client-internal.h"
 
 enum
@@ -113,11 +114,11 @@
 {
   long status = 0;
   curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
-  if (status < HTTP_FINAL || transfer->head_delivered
-      || !transfer->handler->head)
+  if (status < HTTP_FINAL)
     return;
   transfer->head_complete = true;
-  queue_handler_call (transfer);
+  if (transfer->handler->head && !transfer->head_delivered)
+    queue_handler_call (transfer);
 }
 
 static size_t
@@ -293,6 +294,7 @@
   g_free (transfer->body);
   g_free (transfer->expected_name);
   g_free (transfer->expected_value);
+  g_free (transfer->success_header);
   curl_slist_free_all (transfer->headers);
   kwf_slots_remove (client->transfers, transfer->handle);
 }
@@ -446,6 +448,42 @@
          && g_ascii_strcasecmp (header->value, "chunked") == 0;
 }
 
+/* Judges the answer of TRANSFER, which libcurl reports as complete.  */
+static whole_t
+check_whole (const client_transfer_t *transfer)
+{
+  CURL *curl = transfer->easy->curl;
+  const client_handler_t *handler = transfer->handler;
+  struct curl_header *header;
+  long status = 0;
+  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
+  return whole_check (&(whole_facts_t){
+      .status = (int)status,
+      .head_ended = transfer->head_complete,
+      .delimited = is_delimited (transfer),
+      .may_end_close = transfer->allow_close_delimited,
+      .has_id = !transfer->expected_name || transfer->has_expected_header,
+      .has_stamp = !transfer->success_header
+                   || curl_easy_header (curl, transfer->success_header, 0,
+                                        CURLH_HEADER, -1, &header)
+                          == CURLHE_OK,
+      .between_parts = !handler->may_end || handler->may_end (transfer->data),
+  });
+}
+
+static void
+note_fault (client_transfer_t *transfer, whole_t whole)
+{
+  long status = 0;
+  curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
+  transfer->client->counts.not_whole[whole]++;
+  logging_event (251, KWF_LOG_WARNING,
+                 "the answer of %s is not whole: cause=%s status=%ld "
+                 "head_bytes=%zu body_bytes=%zu",
+                 transfer->address, whole_name (whole), status,
+                 transfer->header_bytes, transfer->body_bytes);
+}
+
 static kwf_failure_t
 transfer_failure (const client_transfer_t *transfer)
 {
@@ -559,6 +597,9 @@
       deliver_failure (transfer, failure_cause (transfer));
       return;
     }
+  whole_t whole = check_whole (transfer);
+  if (whole != WHOLE_YES)
+    note_fault (transfer, whole);
   if (!transfer->allow_close_delimited && !is_delimited (transfer))
     {
       deliver_failure (
--- a/net/client.h
+++ b/net/client.h
@@ -17,6 +17,7 @@
 #include <knapweedfork/status.h>
 
 #include "server.h"
+#include "whole.h"
 
 typedef struct client client_t;
 
@@ -33,7 +34,8 @@
 /* Counters since client_new.  */
 typedef struct
 {
-  uint64_t oversized; /* answers that exceeded a limit */
+  uint64_t oversized;          /* answers that exceeded a limit */
+  uint64_t not_whole[N_WHOLE]; /* finished transfers of each kind */
 } client_counts_t;
 
 /* OPTIONS NULL: defaults.  Returns NULL when libcurl cannot be initialised. */
@@ -67,6 +69,9 @@
      done().  */
   void (*data) (void *data, kwf_handle_t transfer, int status,
                 const char *content_type, const char *bytes, size_t size);
+  /* Whether the body that was passed to data() may end here.  NULL: always
+     true.  */
+  bool (*may_end) (void *data);
   /* The answer is complete.  TRANSFER is not valid any more afterwards.  */
   void (*done) (void *data, kwf_handle_t transfer,
                 const client_answer_t *answer);
@@ -93,6 +98,8 @@
      belongs to another request: the transfer fails with KWF_FAIL_BROKEN and
      its connection is closed.  NULL: no check.  */
   const header_t *expected_header;
+  /* Name of a header that a success (2xx) must bear; NULL: none.  */
+  const char *success_header;
   bool allow_close_delimited; /* accept an answer without a length whose end is
                       the end of its connection */
   bool new_connection; /* never send it on a kept connection, which the server
--- a/net/operator.c
+++ b/net/operator.c
@@ -193,6 +193,18 @@
   json_decref (body);
 }
 
+/* Counts finished transfers whose answers are not whole.  */
+static void
+write_not_whole (GString *out, const char *to, const client_t *client)
+{
+  const uint64_t *counts = client_counts (client)->not_whole;
+  for (int i = WHOLE_YES + 1; i < N_WHOLE; i++)
+    g_string_append_printf (out,
+                            "kwf_answers_not_whole_total{to=\"%s\",cause="
+                            "\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            to, whole_name ((whole_t)i), counts[i]);
+}
+
 static void
 reply_metrics (instance_t *instance, kwf_handle_t handle)
 {
@@ -207,6 +219,9 @@
       "kwf_answers_oversized_total{to=\"control\"} %" G_GUINT64_FORMAT "\n",
       client_counts (instance->client)->oversized,
       client_counts (instance->control)->oversized);
+  g_string_append (text, "# TYPE kwf_answers_not_whole_total counter\n");
+  write_not_whole (text, "requests", instance->client);
+  write_not_whole (text, "control", instance->control);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, handle, 200, "text/plain; version=0.0.4", text->str);
--- a/net/protocol.h
+++ b/net/protocol.h
@@ -52,6 +52,8 @@
                        const char *last_event);
   /* Header with the request id, which each answer must repeat.  */
   const char *echo_name;
+  /* Header that a server's successes bear; NULL: none.  */
+  const char *stamp_name;
   /* Read what the server reports about itself in the head of ANSWER.  */
   void (*read_facts) (answer_facts_t *facts, const client_answer_t *answer);
   /* Read the server's notice that it leaves, wants a pause, or names a limit;
--- a/net/relay.c
+++ b/net/relay.c
@@ -91,6 +91,15 @@
   g_string_append_len (transfer->body, bytes, (gssize)size);
 }
 
+static bool
+may_end (void *data)
+{
+  const transfer_t *transfer = data;
+  const routed_stream_t *routed_stream = &transfer->routed_stream;
+  return !is_event_stream (transfer)
+         || routed_stream->whole == routed_stream->bytes->len;
+}
+
 static void
 on_done (void *data, kwf_handle_t handle, const client_answer_t *answer)
 {
@@ -126,6 +135,7 @@
   static const client_handler_t handler = { .may_send = may_send,
                                             .head = on_head,
                                             .data = on_data,
+                                            .may_end = may_end,
                                             .done = on_done,
                                             .failed = on_failed };
   int64_t left_ns = MAX (start->deadline_ns - kwf_now_ns (kwf_clock_system ()),
@@ -154,6 +164,7 @@
     .body_size = request->body_size,
     .timeout_ns = left_ns,
     .expected_header = &expected_header,
+    .success_header = instance->protocol->stamp_name,
     .allow_close_delimited = true,
     .new_connection = !start->repeatable,
   };
