Fail an answer whose connection ends inside its head

Cause: the client took libcurl's CURLE_OK for a whole answer. libcurl reports it for a head that ends with its connection: without the blank line there is no header yet that names a length or chunks, so no body is missing, and the id of the request was looked for at the blank line only. The relay then had status 200 without a content type, and sent it as a whole answer.

--- a/net/client.c
+++ b/net/client.c
@@ -600,10 +600,9 @@
   whole_t whole = check_whole (transfer);
   if (whole != WHOLE_YES)
     note_fault (transfer, whole);
-  if (!transfer->allow_close_delimited && !is_delimited (transfer))
+  if (whole == WHOLE_HEAD_CUT || whole == WHOLE_NO_END)
     {
-      deliver_failure (
-          transfer, "the answer ended with its connection and has no length");
+      deliver_failure (transfer, whole_cause (whole));
       return;
     }
   client_t *client = transfer->client;
--- a/net/whole.c
+++ b/net/whole.c
@@ -27,3 +27,17 @@
   };
   return names[whole];
 }
+
+const char *
+whole_cause (whole_t whole)
+{
+  static const char *const causes[N_WHOLE] = {
+    [WHOLE_YES] = "the answer is whole",
+    [WHOLE_HEAD_CUT] = "the connection ended before the end of the headers",
+    [WHOLE_NO_END] = "the answer ended with its connection and has no length",
+    [WHOLE_FOREIGN] = "the answer belongs to another request",
+    [WHOLE_NO_STAMP] = "the answer lacks the stamp of a server's success",
+    [WHOLE_PART_CUT] = "the answer ended inside an event",
+  };
+  return causes[whole];
+}
--- a/net/whole.h
+++ b/net/whole.h
@@ -40,4 +40,7 @@
 /* Name of WHOLE for logs and metrics.  */
 const char *whole_name (whole_t whole);
 
+/* The same as a text for an error.  */
+const char *whole_cause (whole_t whole);
+
 #endif
