Judge the head of an answer before anything of it is used

Cause: the checks were spread over libcurl's callbacks. The transfer fails with KWF_FAIL_BROKEN before head() is called, so no notice, no promise and no byte of it is used. An interim answer is passed over, and a trailer is no header. The flag of a foreign id is gone: whole_check judges failed transfers as well, so there is one cause and one line (251) for each answer, with libcurl's own errors as "broken".

--- /dev/null
+++ b/net/client-head.c
@@ -0,0 +1,168 @@
+/* Collects what whole.h needs to judge an answer: its head, line by line, and
+   its end.  */
+
+#include "client-internal.h"
+
+#include <string.h>
+
+#include "../lib/logging.h"
+
+/* The value of the header NAME, without spaces around it; false: the line
+   BYTES is another header.  */
+static bool
+read_value (GString *value, const char *bytes, size_t size, const char *name)
+{
+  size_t length = strlen (name);
+  if (size <= length || bytes[length] != ':'
+      || g_ascii_strncasecmp (bytes, name, length) != 0)
+    return false;
+  const char *from = bytes + length + 1;
+  const char *end = bytes + size;
+  while (from < end && g_ascii_isspace (*from))
+    from++;
+  while (end > from && g_ascii_isspace (end[-1]))
+    end--;
+  g_string_truncate (value, 0);
+  g_string_append_len (value, from, end - from);
+  return true;
+}
+
+static bool
+is_number (const GString *text)
+{
+  return text->len && strspn (text->str, "0123456789") == text->len;
+}
+
+/* A second length may repeat the first one; chunks and a length exclude each
+   other.  Answers to HEAD and answers without a body may name them, too.  */
+static void
+read_framing (client_head_t *head, GString *value, const char *bytes,
+              size_t size)
+{
+  if (read_value (value, bytes, size, "Content-Length"))
+    {
+      if (!is_number (value) || value->len >= sizeof head->length
+          || (*head->length && strcmp (head->length, value->str) != 0))
+        head->invalid = true;
+      g_strlcpy (head->length, value->str, sizeof head->length);
+    }
+  else if (read_value (value, bytes, size, "Transfer-Encoding"))
+    {
+      if (head->chunks || g_ascii_strcasecmp (value->str, "chunked") != 0)
+        head->invalid = true;
+      head->chunks = true;
+    }
+  if (head->chunks && *head->length)
+    head->invalid = true;
+}
+
+static void
+read_line (client_transfer_t *transfer, const char *bytes, size_t size)
+{
+  client_head_t *head = &transfer->head;
+  GString *value = transfer->client->value;
+  if (!head->lines++)
+    return;
+  /* A line that begins with a space continues the header before it, whose
+     value was read without it.  */
+  if (*bytes == ' ' || *bytes == '\t' || !memchr (bytes, ':', size))
+    head->invalid = true;
+  read_framing (head, value, bytes, size);
+  if (transfer->expected_name
+      && read_value (value, bytes, size, transfer->expected_name))
+    {
+      if (strcmp (value->str, transfer->expected_value) == 0)
+        head->has_id = true;
+      else
+        head->has_other_id = true;
+    }
+  if (transfer->success_header
+      && read_value (value, bytes, size, transfer->success_header))
+    {
+      head->invalid |= head->has_stamp;
+      head->has_stamp = value->len > 0;
+    }
+}
+
+static int
+transfer_status (const client_transfer_t *transfer)
+{
+  long status = 0;
+  curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
+  return (int)status;
+}
+
+static bool
+is_interim (int status)
+{
+  return status < HTTP_FINAL && status != HTTP_OTHER_PROTOCOL;
+}
+
+static whole_facts_t
+answer_facts (const client_transfer_t *transfer)
+{
+  const client_head_t *head = &transfer->head;
+  int status = transfer_status (transfer);
+  return (whole_facts_t){
+    .status = status,
+    .head_ended = head->ended,
+    .head_valid = !head->invalid,
+    .has_id
+    = !transfer->expected_name || (head->has_id && !head->has_other_id),
+    .has_stamp = !transfer->success_header || head->has_stamp,
+    .delimited = transfer->is_head || head->chunks || *head->length
+                 || status == HTTP_NO_CONTENT || status == HTTP_NOT_MODIFIED,
+    .may_end_close = transfer->allow_close_delimited,
+  };
+}
+
+bool
+client_head_add (client_transfer_t *transfer, const char *bytes, size_t size)
+{
+  client_head_t *head = &transfer->head;
+  /* Lines after the head are trailers.  */
+  if (head->ended)
+    return true;
+  if (size > 2 || (*bytes != '\r' && *bytes != '\n'))
+    {
+      read_line (transfer, bytes, size);
+      return true;
+    }
+  if (is_interim (transfer_status (transfer)))
+    {
+      *head = (client_head_t){ 0 };
+      return true;
+    }
+  head->ended = true;
+  whole_facts_t facts = answer_facts (transfer);
+  head->good = whole_check_head (&facts) == WHOLE_YES;
+  return head->good;
+}
+
+/* Whether the end of TRANSFER says something about the answer, and not about a
+   limit of this client.  */
+static bool
+is_fault_of_answer (const client_transfer_t *transfer)
+{
+  return transfer->header_bytes && !transfer->oversized
+         && transfer->code != CURLE_OPERATION_TIMEDOUT;
+}
+
+whole_t
+client_judge (client_transfer_t *transfer)
+{
+  const client_handler_t *handler = transfer->handler;
+  whole_facts_t facts = answer_facts (transfer);
+  facts.complete = transfer->code == CURLE_OK;
+  facts.may_end = !handler->may_end || handler->may_end (transfer->data);
+  whole_t whole = whole_check (&facts);
+  if (whole == WHOLE_YES || !is_fault_of_answer (transfer))
+    return whole;
+  transfer->client->counts.not_whole[whole]++;
+  logging_event (251, KWF_LOG_WARNING,
+                 "the answer of %s is not whole: cause=%s status=%d "
+                 "head_bytes=%zu body_bytes=%zu",
+                 transfer->address, whole_name (whole), facts.status,
+                 transfer->header_bytes, transfer->body_bytes);
+  return whole;
+}
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -1,4 +1,4 @@
-/* client-internal.h - shared by client.c, client-request.c and
+/* client-internal.h - shared by client.c, client-head.c, client-request.c and
    client-socket.c.  */
 
 #ifndef KNAPWEEDFORK_NET_CLIENT_INTERNAL_H
@@ -11,6 +11,28 @@
 
 typedef struct client_transfer client_transfer_t;
 
+enum
+{
+  HTTP_OTHER_PROTOCOL = 101,
+  HTTP_FINAL = 200, /* statuses below are of interim answers, except 101 */
+  HTTP_NO_CONTENT = 204,
+  HTTP_NOT_MODIFIED = 304
+};
+
+/* The head of an answer, as far as it was read.  */
+typedef struct
+{
+  unsigned lines;  /* with the status line */
+  char length[24]; /* Content-Length; empty: none */
+  bool chunks;
+  bool has_id;       /* the expected header, with the right value */
+  bool has_other_id; /* the same with another value */
+  bool has_stamp;    /* the header of a success, not empty */
+  bool invalid;      /* a line is no header, or two contradict each other */
+  bool ended;        /* all headers of the final answer have arrived */
+  bool good;         /* and the answer may be used so far (whole.h) */
+} client_head_t;
+
 /* A libcurl easy handle with the buffers that belong to it, pooled for
    reuse.  */
 typedef struct
@@ -36,11 +58,9 @@
   char *expected_name; /* header that the answer must repeat; NULL: none */
   char *expected_value;
   char *success_header; /* header that a success must bear; NULL: none */
-  bool has_expected_header;
-  bool mismatched;         /* the answer belongs to another request */
+  client_head_t head;
   bool head_delivered;     /* the handler's head() was called */
   bool first_byte_limited; /* LIMIT_TIMER: to the first byte, not to sending */
-  bool head_complete;      /* all headers of the final answer have arrived */
   bool allow_close_delimited;
   bool new_connection;
   bool is_head;  /* the method is HEAD */
@@ -72,8 +92,18 @@
                              must be called */
   GPtrArray *pool;        /* of client_easy_t: handles not in use */
   GPtrArray *sockets;     /* of socket_t, indexed by descriptor */
+  GString *value;         /* buffer for the value of a header */
 };
 
+/* Reads one line of the headers of TRANSFER's answer.  False: the head has
+   ended, and nothing of the answer may be used.  */
+bool client_head_add (client_transfer_t *transfer, const char *bytes,
+                      size_t size);
+
+/* Judges the answer of TRANSFER, which has ended; logs and counts what it
+   lacks.  */
+whole_t client_judge (client_transfer_t *transfer);
+
 /* Connects the multi handle of CLIENT to the event loop.  */
 void client_sockets_start (client_t *client);
 void client_sockets_stop (client_t *client);
--- a/net/client.c
+++ b/net/client.c
@@ -6,12 +6,10 @@
 #include <errno.h>
 #include <string.h>
 
-#include "../lib/logging.h"
 #include "client-internal.h"
 
 enum
 {
-  HTTP_FINAL = 200, /* statuses below are of interim answers */
   DEFAULT_CONNECT_MS = 1000,
   DEFAULT_ANSWER_BYTES = 8 * 1024 * 1024,
   /* libcurl's default of 4 for each open transfer would close most of the kept
@@ -67,77 +65,26 @@
   return size;
 }
 
-/* Whether the line BYTES is the header that the answer must repeat, with the
-   right value.  NAMED: it has that name.  */
-static bool
-is_expected_header (const client_transfer_t *transfer, const char *bytes,
-                    size_t size, bool *named)
-{
-  size_t name = strlen (transfer->expected_name);
-  *named = size > name && bytes[name] == ':'
-           && g_ascii_strncasecmp (bytes, transfer->expected_name, name) == 0;
-  if (!*named)
-    return false;
-  const char *from = bytes + name + 1;
-  const char *end = bytes + size;
-  while (from < end && g_ascii_isspace (*from))
-    from++;
-  while (end > from && g_ascii_isspace (end[-1]))
-    end--;
-  return (size_t)(end - from) == strlen (transfer->expected_value)
-         && memcmp (from, transfer->expected_value, (size_t)(end - from)) == 0;
-}
-
-static bool
-is_last_line (const char *bytes, size_t size)
-{
-  return size <= 2 && (*bytes == '\r' || *bytes == '\n');
-}
-
-static bool
-check_expected_header (client_transfer_t *transfer, const char *bytes,
-                       size_t size)
-{
-  bool named;
-  bool end = is_last_line (bytes, size);
-  if (is_expected_header (transfer, bytes, size, &named))
-    transfer->has_expected_header = true;
-  else
-    transfer->mismatched |= named || (end && !transfer->has_expected_header);
-  return !transfer->mismatched;
-}
-
-/* Reports the head at once: it may have load or a notice of the server, long
-   before the first byte of the body.  */
-static void
-note_head (client_transfer_t *transfer)
-{
-  long status = 0;
-  curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
-  if (status < HTTP_FINAL)
-    return;
-  transfer->head_complete = true;
-  if (transfer->handler->head && !transfer->head_delivered)
-    queue_handler_call (transfer);
-}
-
 static size_t
 /* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's type.  */
 on_header (char *bytes, size_t one, size_t size, void *data)
 {
   (void)one;
   client_easy_t *easy = data;
-  easy->transfer->header_bytes += size;
-  if (easy->transfer->expected_name
-      && !check_expected_header (easy->transfer, bytes, size))
-    return 0;
-  if (easy->transfer->header_bytes > MAX_HEADER_BYTES)
+  client_transfer_t *transfer = easy->transfer;
+  transfer->header_bytes += size;
+  if (transfer->header_bytes > MAX_HEADER_BYTES)
     {
-      easy->transfer->oversized = true;
+      transfer->oversized = true;
       return 0;
     }
-  if (is_last_line (bytes, size))
-    note_head (easy->transfer);
+  if (!client_head_add (transfer, bytes, size))
+    return 0;
+  /* The head is reported at once: it may have load or a notice of the server,
+     long before the first byte of the body.  */
+  if (transfer->head.good && transfer->handler->head
+      && !transfer->head_delivered)
+    queue_handler_call (transfer);
   return size;
 }
 
@@ -261,6 +208,7 @@
   client->transfers = kwf_slots_new (sizeof (client_transfer_t));
   client->handler_queue = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
   client->pool = g_ptr_array_new_with_free_func (easy_free);
+  client->value = g_string_new (NULL);
   ev_timer_init (&client->deliver, on_deliver, 0.0, 0.0);
   client->deliver.data = client;
   client_sockets_start (client);
@@ -311,6 +259,7 @@
   ev_timer_stop (client->loop, &client->deliver);
   curl_multi_cleanup (client->multi);
   g_ptr_array_free (client->pool, TRUE);
+  g_string_free (client->value, TRUE);
   client_sockets_stop (client);
   kwf_slots_free (client->transfers);
   g_array_free (client->handler_queue, TRUE);
@@ -427,63 +376,6 @@
   return kwf_slots_count (client->transfers);
 }
 
-/* Whether the end of the answer was marked by something other than the end of
-   the connection.  */
-static bool
-is_delimited (const client_transfer_t *transfer)
-{
-  CURL *curl = transfer->easy->curl;
-  long status = 0;
-  curl_off_t length = -1;
-  struct curl_header *header;
-  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
-  if (transfer->is_head || status == 204 || status == 304)
-    return true;
-  curl_easy_getinfo (curl, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
-  if (length >= 0)
-    return true;
-  return curl_easy_header (curl, "Transfer-Encoding", 0, CURLH_HEADER, -1,
-                           &header)
-             == CURLHE_OK
-         && g_ascii_strcasecmp (header->value, "chunked") == 0;
-}
-
-/* Judges the answer of TRANSFER, which libcurl reports as complete.  */
-static whole_t
-check_whole (const client_transfer_t *transfer)
-{
-  CURL *curl = transfer->easy->curl;
-  const client_handler_t *handler = transfer->handler;
-  struct curl_header *header;
-  long status = 0;
-  curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &status);
-  return whole_check (&(whole_facts_t){
-      .status = (int)status,
-      .head_ended = transfer->head_complete,
-      .delimited = is_delimited (transfer),
-      .may_end_close = transfer->allow_close_delimited,
-      .has_id = !transfer->expected_name || transfer->has_expected_header,
-      .has_stamp = !transfer->success_header
-                   || curl_easy_header (curl, transfer->success_header, 0,
-                                        CURLH_HEADER, -1, &header)
-                          == CURLHE_OK,
-      .between_parts = !handler->may_end || handler->may_end (transfer->data),
-  });
-}
-
-static void
-note_fault (client_transfer_t *transfer, whole_t whole)
-{
-  long status = 0;
-  curl_easy_getinfo (transfer->easy->curl, CURLINFO_RESPONSE_CODE, &status);
-  transfer->client->counts.not_whole[whole]++;
-  logging_event (251, KWF_LOG_WARNING,
-                 "the answer of %s is not whole: cause=%s status=%ld "
-                 "head_bytes=%zu body_bytes=%zu",
-                 transfer->address, whole_name (whole), status,
-                 transfer->header_bytes, transfer->body_bytes);
-}
-
 static kwf_failure_t
 transfer_failure (const client_transfer_t *transfer)
 {
@@ -525,14 +417,12 @@
 }
 
 static const char *
-failure_cause (const client_transfer_t *transfer)
+failure_cause (const client_transfer_t *transfer, whole_t whole)
 {
-  if (!transfer->easy)
-    return "the request is not valid";
-  if (transfer->mismatched)
-    return "the answer belongs to another request";
   if (transfer->oversized)
     return "the answer is larger than the limit";
+  if (whole != WHOLE_BROKEN)
+    return whole_cause (whole);
   if (transfer->withheld)
     return "the server may not be used any more";
   return transfer->easy->error[0] ? transfer->easy->error
@@ -592,17 +482,15 @@
 static void
 deliver_end (client_transfer_t *transfer)
 {
-  if (transfer->code != CURLE_OK)
+  if (!transfer->easy)
     {
-      deliver_failure (transfer, failure_cause (transfer));
+      deliver_failure (transfer, "the request is not valid");
       return;
     }
-  whole_t whole = check_whole (transfer);
+  whole_t whole = client_judge (transfer);
   if (whole != WHOLE_YES)
-    note_fault (transfer, whole);
-  if (whole == WHOLE_HEAD_CUT || whole == WHOLE_NO_END)
     {
-      deliver_failure (transfer, whole_cause (whole));
+      deliver_failure (transfer, failure_cause (transfer, whole));
       return;
     }
   client_t *client = transfer->client;
@@ -673,7 +561,7 @@
       if (!transfer)
         continue;
       transfer->queued = false;
-      if (transfer->head_complete && !deliver_head (transfer))
+      if (transfer->head.good && !deliver_head (transfer))
         continue;
       if (transfer->handler->data && transfer->easy
           && transfer->easy->received->len)
--- a/net/client.h
+++ b/net/client.h
@@ -35,7 +35,7 @@
 typedef struct
 {
   uint64_t oversized;          /* answers that exceeded a limit */
-  uint64_t not_whole[N_WHOLE]; /* finished transfers of each kind */
+  uint64_t not_whole[N_WHOLE]; /* answers of each kind */
 } client_counts_t;
 
 /* OPTIONS NULL: defaults.  Returns NULL when libcurl cannot be initialised. */
@@ -94,11 +94,13 @@
   int64_t first_byte_ns;   /* limit of the time to the first byte of the
                               answer; 0: none */
   size_t max_answer_bytes; /* 0: that of the client */
-  /* Header that the answer must have with this value.  Otherwise the answer
-     belongs to another request: the transfer fails with KWF_FAIL_BROKEN and
-     its connection is closed.  NULL: no check.  */
+  /* Header that the answer must have with this value, before its body.
+     Otherwise the answer belongs to another request: the transfer fails with
+     KWF_FAIL_BROKEN before head() or data() is called, and its connection is
+     closed.  NULL: no check.  */
   const header_t *expected_header;
-  /* Name of a header that a success (2xx) must bear; NULL: none.  */
+  /* Name of a header that a success (2xx) must bear, or the transfer fails in
+     the same way; NULL: none.  */
   const char *success_header;
   bool allow_close_delimited; /* accept an answer without a length whose end is
                       the end of its connection */
--- a/net/whole.c
+++ b/net/whole.c
@@ -1,29 +1,42 @@
 #include "whole.h"
 
 whole_t
-whole_check (const whole_facts_t *facts)
+whole_check_head (const whole_facts_t *facts)
 {
   bool success = facts->status >= 200 && facts->status < 300;
-  if (!facts->head_ended)
-    return WHOLE_HEAD_CUT;
+  /* A status below 200 is final only if it changes the protocol.  */
+  if (!facts->head_valid || facts->status < 200)
+    return WHOLE_BAD_HEAD;
   if (!facts->has_id)
     return WHOLE_FOREIGN;
-  if (!facts->delimited && !facts->may_end_close)
-    return WHOLE_NO_END;
   if (success && !facts->has_stamp)
     return WHOLE_NO_STAMP;
-  if (!facts->between_parts)
-    return WHOLE_PART_CUT;
   return WHOLE_YES;
 }
 
+whole_t
+whole_check (const whole_facts_t *facts)
+{
+  if (!facts->head_ended)
+    return facts->complete ? WHOLE_HEAD_CUT : WHOLE_BROKEN;
+  whole_t head = whole_check_head (facts);
+  if (head != WHOLE_YES)
+    return head;
+  if (!facts->complete)
+    return WHOLE_BROKEN;
+  if (!facts->delimited && !facts->may_end_close)
+    return WHOLE_NO_END;
+  return facts->may_end ? WHOLE_YES : WHOLE_PART_CUT;
+}
+
 const char *
 whole_name (whole_t whole)
 {
   static const char *const names[N_WHOLE] = {
     [WHOLE_YES] = "whole",         [WHOLE_HEAD_CUT] = "head_cut",
-    [WHOLE_NO_END] = "no_end",     [WHOLE_FOREIGN] = "foreign_id",
-    [WHOLE_NO_STAMP] = "no_stamp", [WHOLE_PART_CUT] = "part_cut",
+    [WHOLE_BAD_HEAD] = "bad_head", [WHOLE_FOREIGN] = "foreign_id",
+    [WHOLE_NO_STAMP] = "no_stamp", [WHOLE_NO_END] = "no_end",
+    [WHOLE_PART_CUT] = "part_cut", [WHOLE_BROKEN] = "broken",
   };
   return names[whole];
 }
@@ -34,10 +47,12 @@
   static const char *const causes[N_WHOLE] = {
     [WHOLE_YES] = "the answer is whole",
     [WHOLE_HEAD_CUT] = "the connection ended before the end of the headers",
-    [WHOLE_NO_END] = "the answer ended with its connection and has no length",
+    [WHOLE_BAD_HEAD] = "the headers are invalid or contradict each other",
     [WHOLE_FOREIGN] = "the answer belongs to another request",
     [WHOLE_NO_STAMP] = "the answer lacks the stamp of a server's success",
+    [WHOLE_NO_END] = "the answer ended with its connection and has no length",
     [WHOLE_PART_CUT] = "the answer ended inside an event",
+    [WHOLE_BROKEN] = "the transfer of the answer failed",
   };
   return causes[whole];
 }
