--- a/test/answer_bytes-exchange.c
+++ b/test/answer_bytes-exchange.c
@@ -8,8 +8,6 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <cmocka.h>
 
 #include <knapweedfork/clock.h>
@@ -23,48 +21,6 @@
 
 static const header_t id_header = { "X-Request-Id", "r1" };
 
-/* The rest of an answer that is sent in pieces.  It has a descriptor of its
-   own, because the listener may close the connection meanwhile.  */
-typedef struct
-{
-  ev_timer timer;
-  int fd;
-  const char *bytes;
-  size_t left;
-  size_t piece;
-  ending_t ending;
-} sender_t;
-
-static void
-end_connection (int fd, ending_t ending)
-{
-  const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  if (ending == ENDING_CLOSE)
-    shutdown (fd, SHUT_WR);
-  else if (ending == ENDING_RESET)
-    /* Resets a TCP connection.  */
-    (void)connect (fd, &none, sizeof none);
-  close (fd);
-}
-
-static void
-on_turn (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void)events;
-  sender_t *sender = timer->data;
-  size_t size
-      = sender->piece ? MIN (sender->piece, sender->left) : sender->left;
-  if (size && send (sender->fd, sender->bytes, size, MSG_NOSIGNAL) < 0)
-    size = sender->left;
-  sender->bytes += size;
-  sender->left -= size;
-  if (sender->left)
-    return;
-  ev_timer_stop (loop, timer);
-  end_connection (sender->fd, sender->ending);
-  g_free (sender);
-}
-
 static void
 serve (connection_t *connection, const char *request, void *data)
 {
@@ -72,16 +28,8 @@
   rig->asked_encoding |= strcasestr (request, "accept-encoding") != NULL;
   const char *number = strchr (request, '/');
   const exchange_t *exchange = &rig->exchanges[strtoul (number + 1, NULL, 10)];
-  sender_t *sender = g_new0 (sender_t, 1);
-  sender->fd = dup (connection->io.fd);
-  sender->bytes = exchange->bytes;
-  sender->left = exchange->size;
-  sender->piece = exchange->piece;
-  sender->ending = exchange->ending;
-  /* One piece in each turn of the loop, so that the client reads it alone.  */
-  ev_timer_init (&sender->timer, on_turn, 0.0, 1e-9);
-  sender->timer.data = sender;
-  ev_timer_start (rig->loop, &sender->timer);
+  sender_start (connection, exchange->bytes, exchange->size, exchange->piece,
+                exchange->ending);
 }
 
 typedef struct
@@ -129,6 +77,15 @@
   add_body (call->exchange, bytes, size);
 }
 
+/* As for an event stream.  */
+static bool
+may_end (void *data)
+{
+  const call_t *call = data;
+  const GString *body = call->exchange->body;
+  return !body || !body->len || g_str_has_suffix (body->str, "\n\n");
+}
+
 static void
 on_done (void *data, kwf_handle_t transfer, const client_answer_t *answer)
 {
@@ -157,9 +114,11 @@
 {
   static const client_handler_t whole
       = { .head = on_head, .done = on_done, .failed = on_failed };
-  static const client_handler_t streamed = {
-    .head = on_head, .data = on_data, .done = on_done, .failed = on_failed
-  };
+  static const client_handler_t streamed = { .head = on_head,
+                                             .data = on_data,
+                                             .may_end = may_end,
+                                             .done = on_done,
+                                             .failed = on_failed };
   exchange_t *exchange = &rig->exchanges[i];
   call_t *call = g_new0 (call_t, 1);
   call->rig = rig;
@@ -223,6 +182,8 @@
 exchange_tear_down (void **state)
 {
   exchange_rig_t *rig = *state;
+  /* Servers may still be sending.  */
+  run_for (rig->loop, 0.05);
   client_free (rig->client);
   listener_stop (rig->listener);
   ev_loop_destroy (rig->loop);
--- a/test/answer_bytes.h
+++ b/test/answer_bytes.h
@@ -4,17 +4,9 @@
 #ifndef KNAPWEEDFORK_TEST_ANSWER_BYTES_H
 #define KNAPWEEDFORK_TEST_ANSWER_BYTES_H
 
-#include "common-listener.h"
+#include "common-sender.h"
 #include "net/client.h"
 
-typedef enum
-{
-  ENDING_CLOSE, /* FIN, as of a process that is killed */
-  ENDING_RESET,
-  ENDING_SILENCE, /* the connection stays open */
-  N_ENDINGS
-} ending_t;
-
 /* One request and its answer.  */
 typedef struct
 {
@@ -57,5 +49,6 @@
 void trailers_are_not_headers (void **state);
 void interim_answers_are_passed_over (void **state);
 void nothing_is_decoded (void **state);
+void each_byte_is_whole_or_visibly_broken (void **state);
 
 #endif
--- a/test/test_answer_bytes.c
+++ b/test/test_answer_bytes.c
@@ -71,9 +71,12 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    TEST (cut_answer_is_not_whole),  TEST (spoilt_head_is_no_answer),
-    TEST (trailers_are_not_headers), TEST (interim_answers_are_passed_over),
+    TEST (cut_answer_is_not_whole),
+    TEST (spoilt_head_is_no_answer),
+    TEST (trailers_are_not_headers),
+    TEST (interim_answers_are_passed_over),
     TEST (nothing_is_decoded),
+    TEST (each_byte_is_whole_or_visibly_broken),
   };
   /* Thousands of answers are broken on purpose.  */
   logging_start ("test", false, KWF_LOG_ERROR);
