Limit what brings nothing in bytes, not in reads

A whole answer failed with "larger than the limit" when its head came in small reads: 12 reads in a row without the end of a header line were the limit, meant as about 10 MB of chunk framing. On a real network the kernel cuts reads where it likes. A caller whose request a server had refused got 502 for it, and the server a bad mark.

Evidence (test_answer_bytes): "whole, but failed: refusal, 91 bytes, in pieces of 1: the answer is larger than the limit"; test_answer_relay: "a whole answer that its caller did not get: route /n/, length, in pieces of 1; 1 attempts, status 502".

The limit is now 1 MiB of received bytes, which the kernel counts (TCP_INFO); it is asked only after a read that brought neither a header line nor a byte of the body. test_flood passes.

--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -73,8 +73,9 @@
   size_t header_bytes;
   size_t body_bytes;
   size_t max_answer_bytes;
-  size_t progress;     /* header and body bytes at the last read */
-  unsigned idle_reads; /* reads since then that brought neither */
+  size_t progress;    /* header and body bytes at the last read */
+  uint64_t idle_from; /* bytes that the socket had received at the first read
+                         since then; 0: the last read brought either */
 };
 
 struct client
@@ -115,10 +116,8 @@
    for reuse.  */
 void client_sockets_release (client_t *client, client_easy_t *easy);
 
-/* Called after a read from the socket of TRANSFER.  Ends the transfer with
-   KWF_FAIL_OVERSIZED after many reads in a row that brought neither a header
-   line nor a byte of the body.  */
-void client_check_progress (client_transfer_t *transfer);
+/* Ends TRANSFER with KWF_FAIL_OVERSIZED; the caller runs client_deliver.  */
+void client_end_oversized (client_transfer_t *transfer);
 
 /* Makes the close of connection FD reset it (RST).  Otherwise the kernel could
    still deliver unsent bytes when the network recovers, after the transfer was
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -8,10 +8,13 @@
 
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <linux/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Limit of the bytes in a row that bring no whole header line and no byte of a
+   body, but parts of the chunked framing.  */
+#define MAX_IDLE_BYTES (UINT64_C (1) << 20)
 /* Limit of reads that discard what a server sent on an idle connection.  */
 #define MAX_DISCARD_READS 64
 
@@ -47,6 +50,34 @@
       break;
 }
 
+/* Bytes that the kernel has received on FD, read or not.  */
+static uint64_t
+received_bytes (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  (void)getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return info.tcpi_bytes_received;
+}
+
+/* Called after a read from SOCKET for TRANSFER.  */
+static void
+check_progress (const socket_t *socket, client_transfer_t *transfer)
+{
+  size_t progress = transfer->header_bytes + transfer->body_bytes;
+  if (progress != transfer->progress)
+    {
+      transfer->progress = progress;
+      transfer->idle_from = 0;
+      return;
+    }
+  uint64_t received = received_bytes (socket->io.fd);
+  if (!transfer->idle_from)
+    transfer->idle_from = received;
+  if (received - transfer->idle_from > MAX_IDLE_BYTES)
+    client_end_oversized (transfer);
+}
+
 static void
 on_socket (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -67,7 +98,7 @@
   socket = find_socket (client, fd);
   if (events & EV_READ && socket && !socket->idle && socket->easy
       && socket->easy->transfer)
-    client_check_progress (socket->easy->transfer);
+    check_progress (socket, socket->easy->transfer);
   client_deliver (client);
 }
 
--- a/net/client.c
+++ b/net/client.c
@@ -26,11 +26,7 @@
   DEFAULT_TOTAL_BYTES = 64 * 1024 * 1024,
   /* When the bodies together exceed the limit, transfers with more than this
      are ended.  */
-  LARGE_BYTES = 256 * 1024,
-  /* Limit of reads in a row that bring no whole header line and no byte of a
-     body, but parts of the chunked framing.  One read of libcurl may take up
-     to 100 times RECEIVE_BYTES, so these are about 10 MB.  */
-  MAX_IDLE_READS = 12
+  LARGE_BYTES = 256 * 1024
 };
 
 /* Lets client_deliver call the handler of TRANSFER.  */
@@ -356,13 +352,9 @@
 }
 
 void
-client_check_progress (client_transfer_t *transfer)
+client_end_oversized (client_transfer_t *transfer)
 {
-  size_t progress = transfer->header_bytes + transfer->body_bytes;
-  transfer->idle_reads
-      = progress == transfer->progress ? transfer->idle_reads + 1 : 0;
-  transfer->progress = progress;
-  if (transfer->idle_reads <= MAX_IDLE_READS || transfer->finished)
+  if (transfer->finished)
     return;
   transfer->oversized = true;
   transfer->finished = true;
