Let a stream without a length end between events only

Line ends alone are no event.

What remains: a stream without a length that ends between events, or another body without one, cannot be told from a whole one.

--- a/net/client-head.c
+++ b/net/client-head.c
@@ -154,7 +154,8 @@
   const client_handler_t *handler = transfer->handler;
   whole_facts_t facts = answer_facts (transfer);
   facts.complete = transfer->code == CURLE_OK;
-  facts.may_end = !handler->may_end || handler->may_end (transfer->data);
+  facts.may_end = !handler->may_end
+                  || handler->may_end (transfer->data, facts.delimited);
   whole_t whole = whole_check (&facts);
   if (whole == WHOLE_YES || !is_fault_of_answer (transfer))
     return whole;
--- a/net/client.h
+++ b/net/client.h
@@ -69,9 +69,10 @@
      done().  */
   void (*data) (void *data, kwf_handle_t transfer, int status,
                 const char *content_type, const char *bytes, size_t size);
-  /* Whether the body that was passed to data() may end here.  NULL: always
-     true.  */
-  bool (*may_end) (void *data);
+  /* Whether the body that was passed to data() may end here.  DELIMITED: the
+     server marked the end, by a length or chunks.  False: the transfer fails.
+     NULL: always true.  */
+  bool (*may_end) (void *data, bool delimited);
   /* The answer is complete.  TRANSFER is not valid any more afterwards.  */
   void (*done) (void *data, kwf_handle_t transfer,
                 const client_answer_t *answer);
--- a/net/relay.c
+++ b/net/relay.c
@@ -91,13 +91,15 @@
   g_string_append_len (transfer->body, bytes, (gssize)size);
 }
 
+/* A body with a length or chunks ends where its server says, even inside an
+   event, and is passed on as it is.  A stream that ends with its connection is
+   cut if that is inside an event.  */
 static bool
-may_end (void *data)
+may_end (void *data, bool delimited)
 {
   const transfer_t *transfer = data;
-  const routed_stream_t *routed_stream = &transfer->routed_stream;
-  return !is_event_stream (transfer)
-         || routed_stream->whole == routed_stream->bytes->len;
+  return delimited || !is_event_stream (transfer)
+         || routed_stream_between_events (&transfer->routed_stream);
 }
 
 static void
@@ -201,7 +203,8 @@
 {
   if (is_event_stream (transfer))
     {
-      /* Bytes after the last whole event also belong to the answer.  */
+      /* What is left after the last whole event belongs to the answer, too:
+         may_end lets no cut event come here.  */
       routed_stream_t *routed_stream = &transfer->routed_stream;
       routed_stream->whole = routed_stream->bytes->len;
       relay_forward (instance, transfer, caller_request);
--- a/net/routed-stream.c
+++ b/net/routed-stream.c
@@ -85,6 +85,17 @@
   return stream->whole > before;
 }
 
+bool
+routed_stream_between_events (const routed_stream_t *stream)
+{
+  const char *rest = stream->bytes->str + stream->whole;
+  size_t size = stream->bytes->len - stream->whole;
+  for (size_t i = 0; i < size; i++)
+    if (rest[i] != '\r' && rest[i] != '\n')
+      return false;
+  return true;
+}
+
 void
 routed_stream_take (routed_stream_t *stream, size_t size)
 {
--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -28,6 +28,9 @@
 bool routed_stream_add (routed_stream_t *stream, const char *bytes,
                         size_t size);
 
+/* Whether nothing but line ends follows the last whole event.  */
+bool routed_stream_between_events (const routed_stream_t *stream);
+
 /* Removes the first SIZE bytes, which were passed on.  */
 void routed_stream_take (routed_stream_t *stream, size_t size);
 
