--- a/test/answer_relay-check.c
+++ b/test/answer_relay-check.c
@@ -71,7 +71,7 @@
                    is_stream (kind) ? "text/event-stream" : "text/plain");
   if (kind != ANSWER_UNSTAMPED)
     g_string_append_printf (answer, "X-Server-Stamp: s%d\r\n", attempt);
-  if (kind == ANSWER_REFUSAL)
+  if (kind == ANSWER_REFUSAL || kind == ANSWER_NOT_RUN)
     g_string_append (answer, "X-Not-Run: 1\r\n");
   if (kind == ANSWER_CHUNKS || kind == ANSWER_STREAM_CHUNKS
       || kind == ANSWER_STREAM_TAIL)
--- a/test/answer_relay.h
+++ b/test/answer_relay.h
@@ -8,7 +8,8 @@
 
 typedef enum
 {
-  ANSWER_LENGTH, /* a body with a length */
+  ANSWER_LENGTH,  /* a body with a length */
+  ANSWER_NOT_RUN, /* the same, which says that it was not run */
   ANSWER_CHUNKS,
   ANSWER_OPEN, /* a body that ends with its connection */
   ANSWER_STREAM_LENGTH,
--- a/test/test_answer_relay.c
+++ b/test/test_answer_relay.c
@@ -131,9 +131,9 @@
              const char *fault)
 {
   static const char *const kinds[N_ANSWERS]
-      = { "length",         "chunks",       "open",         "stream, length",
-          "stream, chunks", "stream, open", "stream, tail", "refusal",
-          "failure",        "no stamp",     "foreign id" };
+      = { "length",         "length, not run", "chunks",       "open",
+          "stream, length", "stream, chunks",  "stream, open", "stream, tail",
+          "refusal",        "failure",         "no stamp",     "foreign id" };
   static const char *const spoils[N_SPOILS]
       = { "none", "cut", "rubbish", "rubbish after", "second answer" };
   static const char *const endings[N_ENDINGS] = { "FIN", "reset", "silence" };
@@ -197,8 +197,8 @@
 {
   static const size_t pieces[] = { 0, 1, 7, 100 };
   static const answer_kind_t plain[]
-      = { ANSWER_LENGTH,  ANSWER_CHUNKS,    ANSWER_OPEN,   ANSWER_REFUSAL,
-          ANSWER_FAILURE, ANSWER_UNSTAMPED, ANSWER_FOREIGN };
+      = { ANSWER_LENGTH,  ANSWER_NOT_RUN, ANSWER_CHUNKS,    ANSWER_OPEN,
+          ANSWER_REFUSAL, ANSWER_FAILURE, ANSWER_UNSTAMPED, ANSWER_FOREIGN };
   static const answer_kind_t streams[]
       = { ANSWER_STREAM_LENGTH, ANSWER_STREAM_CHUNKS, ANSWER_STREAM_OPEN,
           ANSWER_STREAM_TAIL,   ANSWER_REFUSAL,       ANSWER_FAILURE,
