Add a failing test: a repeat on the connection of its first attempt

Two entries with one address, as after a restart under another id, refuse a request and keep the connection; the repeat must come on another one:

--- a/test/answer_relay.h
+++ b/test/answer_relay.h
@@ -29,6 +29,7 @@
   ROUTE_ONCE,
   ROUTE_STREAM, /* may not be resumed */
   ROUTE_RESUMABLE,
+  ROUTE_TWIN, /* repeatable, of a service whose servers share an address */
   N_ROUTES
 } route_kind_t;
 
--- a/test/test_answer_relay.c
+++ b/test/test_answer_relay.c
@@ -23,6 +23,7 @@
 /* Calls with good answers after each case, so that the retry budget lasts.  */
 #define N_GOOD 10
 #define MAX_AT_ONCE 32
+#define N_REPEATS 20
 /* Beyond the deadline of 1 s that the callers send.  */
 #define LIMIT_S 1.6
 #define RUBBISH "\x01\x02\xfe\xff rubb"
@@ -35,6 +36,7 @@
   [ROUTE_REPEATABLE] = { "/r/", "\"kind\":\"idempotent\"" },
   [ROUTE_ONCE] = { "/n/", "\"kind\":\"non_idempotent\"" },
   [ROUTE_STREAM] = { "/s/", "\"kind\":\"stream\"" },
+  [ROUTE_TWIN] = { "/w/", "\"kind\":\"idempotent\"" },
   [ROUTE_RESUMABLE] = { "/t/", "\"kind\":\"stream\",\"resumable\":true" },
 };
 
@@ -49,6 +51,7 @@
   relay_case_t relay_case;
   char id[24];
   int arrivals;
+  int connection; /* number of the connection of the first arrival */
 } flight_t;
 
 struct fixture
@@ -57,6 +60,8 @@
   fake_store_t *store;
   process_t daemon;
   listener_t *servers[N_SERVERS];
+  listener_t *twin; /* of the second service: two entries have its address, as
+                       after a restart under another id */
   char *directory;
   char *settings;
   GHashTable *flights; /* by id */
@@ -67,6 +72,7 @@
   int n_reached; /* cases whose request reached a server */
   int n_second;  /* whose request reached a second one */
   int n_faults;
+  int n_reused; /* repeats on the connection of the first attempt */
   int last_status;
 };
 
@@ -91,16 +97,50 @@
   g_string_free (bytes, TRUE);
 }
 
-static void
-serve (connection_t *connection, const char *request, void *data)
+/* The call under way to which REQUEST belongs; NULL: none.  */
+static flight_t *
+find_flight (const fixture_t *fixture, const char *request)
 {
-  const fixture_t *fixture = data;
   char id[24] = "";
   const char *at = strcasestr (request, "\r\nx-request-id: ");
-  const char *last = strcasestr (request, "\r\nlast-event-id: ");
   g_strlcpy (id, at ? at + 16 : "", sizeof id);
   id[strcspn (id, "\r")] = '\0';
-  flight_t *flight = g_hash_table_lookup (fixture->flights, id);
+  return g_hash_table_lookup (fixture->flights, id);
+}
+
+/* Refuses a request and keeps the connection; answers its repeat, on the same
+   connection after a late copy of another answer to it.  */
+static void
+serve_twin (connection_t *connection, const char *request, void *data)
+{
+  fixture_t *fixture = data;
+  flight_t *flight = find_flight (fixture, request);
+  if (!flight)
+    {
+      connection_close (connection);
+      return;
+    }
+  bool first = ++flight->arrivals == 1;
+  bool reused = !first && flight->connection == connection->number;
+  flight->connection = connection->number;
+  fixture->n_second += !first;
+  fixture->n_reused += reused;
+  for (int late = reused; late >= 0; late--)
+    {
+      GString *bytes
+          = relay_answer (first ? ANSWER_REFUSAL : ANSWER_LENGTH, flight->id,
+                          late ? 9 : flight->arrivals, 0);
+      connection_write (connection, bytes->str, bytes->len);
+      g_string_free (bytes, TRUE);
+    }
+}
+
+static void
+serve (connection_t *connection, const char *request, void *data)
+{
+  const fixture_t *fixture = data;
+  const char *last = strcasestr (request, "\r\nlast-event-id: ");
+  flight_t *flight = find_flight (fixture, request);
   if (!flight)
     {
       connection_close (connection);
@@ -110,11 +150,11 @@
   const relay_case_t *relay_case = &flight->relay_case;
   if (flight->arrivals == 1 && !relay_case->good)
     {
-      send_spoilt (connection, relay_case, id);
+      send_spoilt (connection, relay_case, flight->id);
       return;
     }
   GString *bytes
-      = relay_answer (relay_kind (relay_case, flight->arrivals), id,
+      = relay_answer (relay_kind (relay_case, flight->arrivals), flight->id,
                       flight->arrivals, last ? atoi (last + 17) : 0);
   connection_write (connection, bytes->str, bytes->len);
   g_string_free (bytes, TRUE);
@@ -204,7 +244,7 @@
           ANSWER_STREAM_TAIL,   ANSWER_REFUSAL,       ANSWER_FAILURE,
           ANSWER_UNSTAMPED,     ANSWER_FOREIGN };
   relay_case_t relay_case
-      = { .route = (route_kind_t)pick (fixture, N_ROUTES),
+      = { .route = (route_kind_t)pick (fixture, ROUTE_TWIN),
           .spoil = (spoil_t)pick (fixture, N_SPOILS),
           .ending = (ending_t)pick (fixture, N_ENDINGS),
           .piece = pieces[pick (fixture, G_N_ELEMENTS (pieces))] };
@@ -235,32 +275,41 @@
     }
 }
 
+static void
+put_server (fixture_t *fixture, const char *service, int i,
+            const char *address)
+{
+  char key[8];
+  g_snprintf (key, sizeof key, "%c%d", *service, i);
+  char *text = g_strdup_printf (
+      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
+      "\"1\",\"slots\":64,\"state\":\"ready\",\"seq\":1,\"born\":1}",
+      service, address);
+  rows_put (fixture->store, "servers", key, text);
+  g_free (text);
+}
+
 static void
 put_tables (fixture_t *fixture)
 {
   GString *text = g_string_new ("{\"version\":1,\"services\":[{\"name\":"
-                                "\"desk\"}],\"tenants\":[],\"routes\":[");
+                                "\"desk\"},{\"name\":\"twin\"}],"
+                                "\"tenants\":[],\"routes\":[");
   for (int i = 0; i < N_ROUTES; i++)
     g_string_append_printf (
         text,
         "%s{\"name\":\"r%d\",\"hostname\":\"h.example\",\"path_prefix\":"
-        "\"%s\",\"backend\":\"desk\",%s,\"max_attempts\":2,"
+        "\"%s\",\"backend\":\"%s\",%s,\"max_attempts\":2,"
         "\"timeout_ms\":2000}",
-        i ? "," : "", i, routes[i].prefix, routes[i].settings);
+        i ? "," : "", i, routes[i].prefix, i == ROUTE_TWIN ? "twin" : "desk",
+        routes[i].settings);
   g_string_append (text, "]}");
   rows_put (fixture->store, "op", "config", text->str);
-  for (int i = 0; i < N_SERVERS; i++)
-    {
-      char key[8];
-      g_snprintf (key, sizeof key, "d%d", i);
-      g_string_printf (text,
-                       "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":"
-                       "\"c\",\"version\":\"1\",\"slots\":64,\"state\":"
-                       "\"ready\",\"seq\":1,\"born\":1}",
-                       fixture->servers[i]->address);
-      rows_put (fixture->store, "servers", key, text->str);
-    }
   g_string_free (text, TRUE);
+  for (int i = 0; i < N_SERVERS; i++)
+    put_server (fixture, "desk", i, fixture->servers[i]->address);
+  for (int i = 0; i < 2; i++)
+    put_server (fixture, "twin", i, fixture->twin->address);
 }
 
 static void
@@ -295,6 +344,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   for (int i = 0; i < N_SERVERS; i++)
     fixture->servers[i] = listener_start (fixture->loop, serve, fixture);
+  fixture->twin = listener_start (fixture->loop, serve_twin, fixture);
   put_tables (fixture);
   start_daemon (fixture);
   for (int i = 0; i < 100 && fixture->last_status != 200; i++)
@@ -319,6 +369,7 @@
   run_for (fixture->loop, 0.05);
   for (int i = 0; i < N_SERVERS; i++)
     listener_stop (fixture->servers[i]);
+  listener_stop (fixture->twin);
   fake_store_stop (fixture->store);
   ev_loop_destroy (fixture->loop);
   g_hash_table_destroy (fixture->flights);
@@ -326,7 +377,8 @@
   g_rmdir (fixture->directory);
   g_free (fixture->settings);
   g_free (fixture->directory);
-  g_rand_free (fixture->random);
+  if (fixture->random)
+    g_rand_free (fixture->random);
   g_free (fixture);
   return 0;
 }
@@ -356,10 +408,35 @@
   assert_true (fixture->n_reached > fixture->n_cases * 3 / 4);
 }
 
+/* Guards against a late copy of an earlier answer to the same request that is
+   taken for the answer to its repeat.  */
+static void
+repeat_uses_another_connection (void **state)
+{
+  static const relay_case_t relay_case = { .good = true,
+                                           .route = ROUTE_TWIN,
+                                           .kind = ANSWER_REFUSAL,
+                                           .second = ANSWER_LENGTH };
+  fixture_t *fixture = *state;
+  for (int i = 0; i < N_REPEATS; i++)
+    {
+      start_flight (fixture, &relay_case);
+      assert_true (
+          run_until (fixture->loop, &fixture->n_ended, i + 1, LIMIT_S + 1));
+    }
+  print_message ("%d repeats, %d on the connection of the first attempt\n",
+                 fixture->n_second, fixture->n_reused);
+  assert_true (fixture->n_second > 0);
+  assert_int_equal (fixture->n_reused, 0);
+  assert_int_equal (fixture->n_faults, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (repeat_uses_another_connection, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (broken_answers_are_visible, set_up,
                                      tear_down),
   };
