Send each repeat of a request on a connection of its own

Every attempt after the first now opens a connection, as attempts that must not be repeated always did.

--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -71,6 +71,7 @@
   GArray *headers; /* of header_t, for the backend server; the strings belong
                       to the server's request */
   bool idempotent;
+  int attempts;          /* attempts started so far */
   bool answer_begun;     /* the status and headers of the answer were sent */
   char *resume_event_id; /* ROUTED: id of the last event that the caller
                         already has; NULL: none */
@@ -146,6 +147,11 @@
 /* Frees TRANSFER, but does not end its HTTP transfer.  */
 void transfer_free (void *transfer);
 
+/* Whether the next attempt needs a connection that carried no request yet: if
+   the request must not be sent twice, or was sent before.  */
+bool transfer_needs_connection (const caller_request_t *caller_request,
+                                bool repeatable);
+
 /* Ends a transfer and reports it to the core by calling REPORT_FN.  A complete
    answer (TYPE is KWF_EV_ATTEMPT_END) is kept until its request ends; failed
    transfers are released.  */
--- a/net/relay.c
+++ b/net/relay.c
@@ -168,7 +168,8 @@
     .expected_header = &expected_header,
     .success_header = instance->protocol->stamp_name,
     .allow_close_delimited = true,
-    .new_connection = !start->repeatable,
+    .new_connection
+    = transfer_needs_connection (caller_request, start->repeatable),
   };
   transfer->client_handle
       = client_start (instance->client, &out, &handler, transfer);
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -195,6 +195,15 @@
   return transfer;
 }
 
+/* The id in an answer does not tell a late copy of the answer to an earlier
+   attempt from the answer to this one.  */
+bool
+transfer_needs_connection (const caller_request_t *caller_request,
+                           bool repeatable)
+{
+  return !repeatable || caller_request->attempts > 1;
+}
+
 /* Headers that every backend server gets.  */
 static void
 add_backend_headers (GArray *headers, const caller_request_t *caller_request,
@@ -230,7 +239,8 @@
     .body = request->body_size ? request->body : NULL,
     .body_size = request->body_size,
     .timeout_ns = MAX (left, KWF_NS_PER_MS),
-    .new_connection = !caller_request->idempotent,
+    .new_connection
+    = transfer_needs_connection (caller_request, caller_request->idempotent),
   };
   char *body = NULL;
   if (caller_request->kind == KWF_REQUEST_COMPLETION)
@@ -265,6 +275,7 @@
   if (!caller_request || !request)
     return;
   transfer_t *transfer = new_transfer (instance, start);
+  caller_request->attempts++;
   if (caller_request->kind == KWF_REQUEST_ROUTED)
     relay_start (instance, transfer, start, caller_request, request);
   else
