Judge completion streams in the one place, too

An engine's "usage" is charged up to the request's max_tokens only: a number beyond it, up to 2^63, went into the quota of the organisation.

--- a/net/transfer.c
+++ b/net/transfer.c
@@ -48,6 +48,23 @@
     transfer->content_type = g_strdup (content_type);
 }
 
+static void
+on_head (void *data, kwf_handle_t handle, const client_answer_t *answer)
+{
+  (void)handle;
+  keep_head (data, answer->status, answer->content_type);
+}
+
+/* An event stream without [DONE] was cut short, whatever marked its end.  */
+static bool
+may_end (void *data, bool delimited)
+{
+  (void)delimited;
+  const transfer_t *transfer = data;
+  return !is_event_stream (transfer->status, transfer->content_type)
+         || transfer->completion_stream.done;
+}
+
 static void
 on_data (void *data, kwf_handle_t handle, int status, const char *content_type,
          const char *bytes, size_t size)
@@ -92,8 +109,8 @@
   transfer_finish (transfer, type, event, report_event);
 }
 
-/* Completion tokens of a whole answer by its "usage".  Without that,
-   max_tokens counts, so that no answer is free of charge.  */
+/* Completion tokens of a whole answer by its "usage", at most max_tokens.
+   Without that, max_tokens counts, so that no answer is free of charge.  */
 static int64_t
 used_tokens (const transfer_t *transfer)
 {
@@ -106,11 +123,10 @@
       = json_loadb (transfer->body->str, transfer->body->len, 0, NULL);
   const json_t *used
       = json_object_get (json_object_get (root, "usage"), "completion_tokens");
-  int64_t tokens = json_is_integer (used)
-                       ? json_integer_value (used)
-                       : caller_request->completion.max_tokens;
+  int64_t most = caller_request->completion.max_tokens;
+  int64_t tokens = json_is_integer (used) ? json_integer_value (used) : most;
   json_decref (root);
-  return MAX (tokens, 0);
+  return CLAMP (tokens, 0, most);
 }
 
 /* The headers of an answer of a plain service are passed on; for a model
@@ -145,14 +161,6 @@
   keep_headers (transfer, answer);
   bool streamed = is_event_stream (transfer->status, transfer->content_type)
                   && transfer->completion_stream.bytes;
-  /* An event stream without [DONE] was cut short although its transfer is
-     complete.  */
-  if (streamed && !transfer->completion_stream.done)
-    {
-      finish (transfer, KWF_EV_ATTEMPT_FAILED,
-              (kwf_attempt_event_t){ .failure = KWF_FAIL_BROKEN });
-      return;
-    }
   kwf_attempt_event_t event
       = { .status = transfer->status, .content_type = transfer->content_type };
   if (!streamed)
@@ -181,8 +189,11 @@
 
 static const client_handler_t whole_handler
     = { .done = on_done, .failed = on_failed };
-static const client_handler_t stream_handler
-    = { .data = on_data, .done = on_done, .failed = on_failed };
+static const client_handler_t stream_handler = { .head = on_head,
+                                                 .data = on_data,
+                                                 .may_end = may_end,
+                                                 .done = on_done,
+                                                 .failed = on_failed };
 
 static transfer_t *
 new_transfer (instance_t *instance, const kwf_attempt_start_t *start)
