--- /dev/null
+++ b/test/common-daemon.c
@@ -0,0 +1,191 @@
+#include "common-daemon.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+
+#include <knapweedfork/clock.h>
+
+#include "common-listener.h"
+
+void
+test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
+                   const char *routes)
+{
+  *daemon = (test_daemon_t){ .loop = loop };
+  daemon->store = fake_store_start (loop);
+  daemon->directory = g_dir_make_tmp ("kwf-daemon-XXXXXX", NULL);
+  daemon->settings = g_build_filename (daemon->directory, "s.toml", NULL);
+  char *config = g_strdup_printf (
+      "{\"version\":1,\"services\":[{\"name\":\"desk\"}],\"routes\":[%s],"
+      "\"tenants\":[]}",
+      routes);
+  rows_put (daemon->store, "op", "config", config);
+  g_free (config);
+  char *text = g_strdup_printf (
+      "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
+      "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
+      "[operator]\nlisten = \"127.0.0.1:0\"\n"
+      "[peers]\nlisten = \"127.0.0.1:0\"\n"
+      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
+      "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
+      "[backend]\nretry_share = 0.2\n"
+      "[placement]\nmode = \"dynamic\"\n",
+      fake_store_address (daemon->store));
+  assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
+  g_free (text);
+  const char *args[] = { "--config", daemon->settings, NULL };
+  assert_true (process_start (&daemon->process, "knapweedforkd", args));
+  /* Other addresses follow on the same line.  */
+  daemon->process.address[strcspn (daemon->process.address, ",")] = '\0';
+}
+
+void
+test_daemon_stop (test_daemon_t *daemon)
+{
+  process_kill (&daemon->process);
+  fake_store_stop (daemon->store);
+  g_unlink (daemon->settings);
+  g_rmdir (daemon->directory);
+  g_free (daemon->settings);
+  g_free (daemon->directory);
+}
+
+void
+test_daemon_add_server (const test_daemon_t *daemon, const char *name,
+                        const char *address)
+{
+  char *text = g_strdup_printf (
+      "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
+      "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":1}",
+      address);
+  rows_put (daemon->store, "servers", name, text);
+  g_free (text);
+}
+
+/* One connection of raw_call.  */
+typedef struct
+{
+  ev_io io; /* first member */
+  raw_answer_t *answer;
+  const char *until;
+  int ended;
+} raw_caller_t;
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void)events;
+  raw_caller_t *caller = (raw_caller_t *)io;
+  GString *bytes = caller->answer->bytes;
+  char buffer[4096];
+  ssize_t n = recv (io->fd, buffer, sizeof buffer, 0);
+  if (n > 0)
+    g_string_append_len (bytes, buffer, n);
+  else if (n < 0 && errno == EAGAIN)
+    return;
+  caller->answer->closed = n <= 0;
+  caller->answer->reset = n < 0;
+  if (n > 0 && !(caller->until && strstr (bytes->str, caller->until)))
+    return;
+  caller->ended = 1;
+  ev_io_stop (loop, io);
+}
+
+static int
+connect_to (const char *address)
+{
+  const char *colon = strrchr (address, ':');
+  struct sockaddr_in in
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10)),
+          .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_true (fd >= 0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&in, sizeof in), 0);
+  return fd;
+}
+
+void
+raw_call (struct ev_loop *loop, const char *address, const char *request,
+          const char *until, double limit_s, raw_answer_t *answer)
+{
+  *answer = (raw_answer_t){ .bytes = g_string_new (NULL) };
+  raw_caller_t caller = { .answer = answer, .until = until };
+  int64_t began_ns = kwf_now_ns (kwf_clock_system ());
+  int fd = connect_to (address);
+  assert_int_equal (send (fd, request, strlen (request), MSG_NOSIGNAL),
+                    strlen (request));
+  ev_io_init (&caller.io, on_readable, fd, EV_READ);
+  ev_io_start (loop, &caller.io);
+  run_until (loop, &caller.ended, 1, limit_s);
+  ev_io_stop (loop, &caller.io);
+  close (fd);
+  answer->seconds = (double)(kwf_now_ns (kwf_clock_system ()) - began_ns)
+                    / (double)KWF_NS_PER_S;
+}
+
+void
+raw_answer_clear (raw_answer_t *answer)
+{
+  g_string_free (answer->bytes, TRUE);
+}
+
+int
+raw_answer_status (const raw_answer_t *answer)
+{
+  const char *space = strchr (answer->bytes->str, ' ');
+  return g_str_has_prefix (answer->bytes->str, "HTTP/1.") && space
+             ? (int)strtol (space, NULL, 10)
+             : 0;
+}
+
+/* The bytes of the chunks at AT.  */
+static char *
+join_chunks (const char *at, bool *whole)
+{
+  GString *body = g_string_new (NULL);
+  for (;;)
+    {
+      char *data;
+      size_t size = strtoul (at, &data, 16);
+      *whole = data != at && !size && g_str_has_prefix (data, "\r\n\r\n");
+      if (data == at || !size || !g_str_has_prefix (data, "\r\n"))
+        break;
+      data += 2;
+      g_string_append_len (body, data, (gssize)strnlen (data, size));
+      if (strnlen (data, size) < size)
+        break;
+      at = data + size + 2;
+    }
+  return g_string_free (body, FALSE);
+}
+
+char *
+raw_answer_body (const raw_answer_t *answer, bool *whole)
+{
+  const char *head = answer->bytes->str;
+  const char *end = strstr (head, "\r\n\r\n");
+  *whole = false;
+  if (!end)
+    return g_strdup ("");
+  const char *body = end + 4;
+  const char *length = strcasestr (head, "\r\nContent-Length:");
+  const char *chunked = strcasestr (head, "\r\nTransfer-Encoding: chunked");
+  if (chunked && chunked < end)
+    return join_chunks (body, whole);
+  if (length && length < end)
+    *whole = strlen (body) == strtoul (length + 17, NULL, 10);
+  else
+    *whole = answer->closed && !answer->reset;
+  return g_strdup (body);
+}
