Let only its own events or a visible end follow a begun stream

Callers whose stream broke off got nothing more until their own time was up when the next server answered with anything else than a stream: 400, 404, 500, 503, a plain 200 or 204. A run that left out events, or one of a stream without ids, was joined to the first one, and the stream ended as complete.

The cause: what a caller had got was known in two places as a flag (request.forwarded, answer_begun), and each way to the caller checked it in its own way or not at all. answer_end passed the other answer on, server_reply did nothing because a stream was under way, and the request counted as ended. Nothing looked at where a resumed run begins.

Now one table (lib/delivery) says for each state of the caller's answer what may follow. The core asks it before it lets an answer pass: another answer, or a gap, goes to the next server within attempts and budget, else the stream is broken off. The network side asks it for each part that it sends; what must not follow is logged (252), and the answer is broken off instead of left without an end. Where the ids of a stream were consecutive, a run that begins later than with the next id leaves out events; a stream whose last event has no id is not resumed at all.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -92,9 +92,14 @@
   kwf_handle_t attempt;
   kwf_handle_t request;
   int64_t tokens; /* DATA, END: tokens generated so far by this attempt */
+  /* DATA only.  */
+  bool gap;       /* events are missing before these, which go on with a stream
+                     of an earlier attempt; none of them was kept */
+  bool no_resume; /* the last event has no id after which another attempt could
+                     go on */
   /* END only.  */
   int status;       /* HTTP status */
-  const char *body; /* whole body; NULL for a stream */
+  const char *body; /* whole body; NULL for a stream of events */
   size_t body_size;
   const char *content_type;
   bool not_run;   /* the server says that it did not run the request */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -10,6 +10,8 @@
    whether its server crashed.  */
 #define CRASH_CHECK_NS (KWF_NS_PER_S / 2)
 
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY_REQUESTS 429
 #define HTTP_SERVER_ERROR 500
@@ -51,7 +53,7 @@
       now_ns - attempt->sent_ns, now_ns);
   request->state = REQUEST_STREAMING;
   request_set_action (core, request, 0);
-  if (request->forwarded)
+  if (request_has_begun (request))
     return;
   hedge_delay_record (&core->hedge_delays[hedge_delay_kind (request)],
                       now_ns - attempt->sent_ns, now_ns);
@@ -79,7 +81,7 @@
 }
 
 static void
-add_forward_effect (kwf_effects_t *effects, kwf_effect_type_t type,
+add_attempt_effect (kwf_effects_t *effects, kwf_effect_type_t type,
                     const attempt_t *attempt)
 {
   kwf_effect_t *effect = kwf_effects_add (effects, type);
@@ -103,8 +105,9 @@
     request->first_data_ns = now_ns;
   request->last_data_ns = now_ns;
   request->delivered = delivered;
-  request->forwarded = true;
-  add_forward_effect (effects, KWF_FX_FORWARD, attempt);
+  request->no_resume = attempt->no_resume;
+  if (delivery_step (&request->delivery, DELIVERY_EVENTS) != DELIVER_NOTHING)
+    add_attempt_effect (effects, KWF_FX_FORWARD, attempt);
 }
 
 static void
@@ -115,6 +118,41 @@
                      event->slots);
 }
 
+/* ATTEMPT is over: dispatch the request again, unless its other attempt still
+   runs.  */
+static void
+retry (kwf_core_t *core, attempt_t *attempt, outcome_t outcome,
+       error_code_t code, kwf_effects_t *effects)
+{
+  request_t *request = attempt->request;
+  if (request->n_tried < ROUTE_MAX_TRIED)
+    request->tried_servers[request->n_tried++] = attempt->server;
+  attempt_remove (core, attempt, outcome, now_of (core));
+  if (request->attempt)
+    return;
+  request->last_code = code;
+  if (request->trial)
+    {
+      request->trial = false;
+      request->trial_used = true;
+      crash_trial_ended (core->crash, request->fingerprint, false, effects);
+    }
+  attempt_dispatch (core, request, effects);
+}
+
+/* ATTEMPT answered with something that must not follow what the caller has
+   got.  */
+static void
+reject_run (kwf_core_t *core, attempt_t *attempt, outcome_t outcome,
+            const char *cause, kwf_effects_t *effects)
+{
+  kwf_effects_log (effects, 237, KWF_LOG_WARNING, attempt->request->id,
+                   "a begun stream does not go on at server=%s: %s",
+                   attempt->server->id, cause);
+  attempt->request->retry_same_server = false;
+  retry (core, attempt, outcome, CODE_STREAM_BROKEN, effects);
+}
+
 void
 answer_data (kwf_core_t *core, const kwf_attempt_event_t *event,
              kwf_effects_t *effects)
@@ -125,9 +163,20 @@
   request_t *request = attempt->request;
   int64_t now_ns = now_of (core);
   update_load (attempt, event);
+  if (event->gap
+      && delivery_action (request->delivery, DELIVERY_GAP) == DELIVER_RETRY)
+    {
+      add_attempt_effect (effects, KWF_FX_ATTEMPT_CANCEL, attempt);
+      crash_connection_ended (core->crash, request->fingerprint,
+                              attempt->server->id, attempt->incarnation,
+                              false);
+      reject_run (core, attempt, OUTCOME_BAD, "it leaves out events", effects);
+      return;
+    }
   if (request->state != REQUEST_STREAMING)
     handle_first_data (core, attempt, now_ns, effects);
   attempt->tokens = event->tokens;
+  attempt->no_resume = event->no_resume;
   if (session_may_act (core->session))
     forward_data (attempt, now_ns, effects);
   else
@@ -140,8 +189,10 @@
 {
   request_t *request = attempt->request;
   request->delivered = attempt->resume_from + attempt->tokens;
-  if (!request->detached)
-    add_forward_effect (effects, KWF_FX_FORWARD_END, attempt);
+  if (delivery_step (&request->delivery,
+                     attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
+      != DELIVER_NOTHING)
+    add_attempt_effect (effects, KWF_FX_FORWARD_END, attempt);
   attempt_remove (core, attempt, attempt->failed ? OUTCOME_BAD : OUTCOME_GOOD,
                   now_of (core));
   if (!request->trial)
@@ -157,28 +208,6 @@
              || status >= HTTP_SERVER_ERROR);
 }
 
-/* ATTEMPT is over: dispatch the request again, unless its other attempt still
-   runs.  */
-static void
-retry (kwf_core_t *core, attempt_t *attempt, outcome_t outcome,
-       error_code_t code, kwf_effects_t *effects)
-{
-  request_t *request = attempt->request;
-  if (request->n_tried < ROUTE_MAX_TRIED)
-    request->tried_servers[request->n_tried++] = attempt->server;
-  attempt_remove (core, attempt, outcome, now_of (core));
-  if (request->attempt)
-    return;
-  request->last_code = code;
-  if (request->trial)
-    {
-      request->trial = false;
-      request->trial_used = true;
-      crash_trial_ended (core->crash, request->fingerprint, false, effects);
-    }
-  attempt_dispatch (core, request, effects);
-}
-
 static void
 handle_engine_failure (kwf_core_t *core, attempt_t *attempt, int status,
                        kwf_effects_t *effects)
@@ -244,6 +273,16 @@
              : OUTCOME_BAD;
 }
 
+/* The same of an answer that must not follow what the caller has got: a
+   request that is refused may have been refused for what it is.  */
+static outcome_t
+rejected_outcome (const kwf_core_t *core, const attempt_t *attempt, int status)
+{
+  return status >= HTTP_BAD_REQUEST && status < HTTP_SERVER_ERROR
+             ? OUTCOME_NEUTRAL
+             : server_outcome (core, attempt, status);
+}
+
 /* Handle an answer to a routed request that is not forwarded.  False: it is to
    be forwarded.  */
 static bool
@@ -285,6 +324,16 @@
       handle_engine_failure (core, attempt, event->status, effects);
       return;
     }
+  attempt->stream = event->status == HTTP_OK && !event->body;
+  if (delivery_action (request->delivery,
+                       attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
+      == DELIVER_RETRY)
+    {
+      reject_run (core, attempt,
+                  rejected_outcome (core, attempt, event->status),
+                  "its answer is no stream", effects);
+      return;
+    }
   int64_t now_ns = now_of (core);
   if (request->state != REQUEST_STREAMING)
     handle_first_data (core, attempt, now_ns, effects);
@@ -528,7 +577,7 @@
     {
       /* A request that must not be repeated runs to its end, so that its
          answer is stored for the caller's next try.  */
-      request->detached = true;
+      delivery_step (&request->delivery, DELIVERY_GONE);
       return;
     }
   request_end (core, request, CODE_CALLER_GONE, effects);
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -26,7 +26,7 @@
     return "hedge";
   if (request->trial)
     return "trial";
-  if (request->forwarded)
+  if (request_has_begun (request))
     return "resume";
   return request->n_attempts > 1 ? "retry" : "first";
 }
@@ -74,7 +74,7 @@
                                .deadline_ns = request->deadline_ns,
                                .resume_from = attempt->resume_from,
                                .priority = request->priority,
-                               .resumes = request->forwarded,
+                               .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
                                .organisation = request->organisation };
 }
@@ -87,7 +87,7 @@
 {
   if (budget_take (&core->budget))
     return true;
-  if (request->forwarded)
+  if (request_has_begun (request))
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
                   "the stream broke and the retry budget is used up", effects);
   else
@@ -115,7 +115,7 @@
     }
   if (request->trial)
     core->n_trials++;
-  else if (request->forwarded)
+  else if (request_has_begun (request))
     core->n_resumes++;
   else if (extra)
     core->n_retries++;
@@ -126,7 +126,7 @@
   int64_t hedge_ns
       = hedge_delay_ns (&core->hedge_delays[hedge_delay_kind (request)]);
   bool may_hedge = hedge_ns && request->idempotent && !request->trial
-                   && !request->forwarded
+                   && !request_has_begun (request)
                    && request->kind != KWF_REQUEST_ROUTED;
   request_set_action (core, request,
                       may_hedge ? kwf_now_ns (core->options.clock) + hedge_ns
@@ -197,7 +197,7 @@
                  route_verdict_t verdict, kwf_effects_t *effects)
 {
   server_t *paused = first_pause_to_end (core, request);
-  if (paused && !request->forwarded && !request->n_ran)
+  if (paused && !request_has_begun (request) && !request->n_ran)
     {
       int64_t now_ns = kwf_now_ns (core->options.clock);
       int64_t after_ns
@@ -207,7 +207,7 @@
                     effects);
       return;
     }
-  if (request->forwarded)
+  if (request_has_begun (request))
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
                   "the stream broke and no server can resume it", effects);
   else if (suspect)
@@ -360,7 +360,8 @@
     }
   bool suspect = crash == CRASH_SUSPECT;
   if (request->n_attempts >= request->max_attempts
-      || (suspect && request->trial_used))
+      || (suspect && request->trial_used)
+      || (request_has_begun (request) && request->no_resume))
     {
       refuse_unrouted (core, request, suspect, ROUTE_UNAVAILABLE, effects);
       return;
@@ -409,8 +410,8 @@
       request_refuse (
           core, request,
           &(refusal_t){ .code = CODE_SUSPECT_NOT_RETRIED,
-                        .run
-                        = request->forwarded ? KWF_RUN_YES : KWF_RUN_UNKNOWN,
+                        .run = request_has_begun (request) ? KWF_RUN_YES
+                                                           : KWF_RUN_UNKNOWN,
                         .retry_after_ms = 5000,
                         .message = "the request ran on a server that "
                                    "crashed, and its trial could not be "
--- a/lib/preempt.c
+++ b/lib/preempt.c
@@ -14,9 +14,9 @@
                   int64_t now_ns)
 {
   if (stream->priority != KWF_PRIORITY_OVERNIGHT || !stream->stream
-      || stream->state != REQUEST_STREAMING || !stream->forwarded
-      || stream->withheld || stream->trial || stream->hedge
-      || !stream->attempt)
+      || stream->state != REQUEST_STREAMING || !request_has_begun (stream)
+      || stream->no_resume || stream->withheld || stream->trial
+      || stream->hedge || !stream->attempt)
     return false;
   const server_t *server = stream->attempt->server;
   return (request->awaited[0] == server || request->awaited[1] == server)
--- a/lib/request.c
+++ b/lib/request.c
@@ -13,6 +13,12 @@
   return request->model != NULL;
 }
 
+bool
+request_has_begun (const request_t *request)
+{
+  return request->delivery == DELIVERY_BEGUN;
+}
+
 request_t *
 request_find (const kwf_core_t *core, kwf_handle_t handle)
 {
@@ -225,7 +231,7 @@
       = refusal->status ? refusal->status : error_code_status (refusal->code);
   if (request->kind == KWF_REQUEST_ROUTED)
     limited.status = error_code_run_status (status, refusal->run);
-  if (!request->detached)
+  if (delivery_step (&request->delivery, DELIVERY_ERROR) != DELIVER_NOTHING)
     add_reply (request->handle, &limited, effects);
   request_end (core, request, refusal->code, effects);
 }
@@ -236,7 +242,7 @@
               kwf_effects_t *effects)
 {
   kwf_run_t run = KWF_RUN_NO;
-  if (request->forwarded)
+  if (request_has_begun (request))
     run = KWF_RUN_YES;
   else if (request->n_ran)
     run = KWF_RUN_UNKNOWN;
--- a/net/caller.c
+++ b/net/caller.c
@@ -95,24 +95,59 @@
   free (body);
 }
 
-void
-caller_reply (instance_t *instance, const kwf_reply_t *reply)
+delivery_action_t
+caller_deliver (instance_t *instance, caller_request_t *caller_request,
+                delivery_input_t input)
+{
+  delivery_t before = caller_request->delivery;
+  delivery_action_t action = delivery_step (&caller_request->delivery, input);
+  if (action != DELIVER_NOTHING && action != DELIVER_RETRY)
+    return action;
+  logging_event (
+      252, KWF_LOG_ERROR, "request %s: %s cannot follow an answer that is %s",
+      caller_request->id, delivery_input_name (input), delivery_name (before));
+  /* Other runs are the core's to start, so nobody else ends this answer.  */
+  if (action == DELIVER_RETRY)
+    {
+      delivery_step (&caller_request->delivery, DELIVERY_ERROR);
+      server_abort (instance->caller_server, caller_request->handle);
+    }
+  return DELIVER_NOTHING;
+}
+
+static void
+send_reply (instance_t *instance, caller_request_t *caller_request,
+            const kwf_reply_t *reply)
 {
-  caller_request_t *caller_request
-      = g_hash_table_lookup (instance->requests, &reply->request);
-  if (!caller_request)
-    return;
   header_t id = { "X-Request-Id", caller_request->id };
   bool routed = caller_request->kind == KWF_REQUEST_ROUTED;
-  if (reply->code && caller_request->answer_begun && routed)
+  delivery_action_t action
+      = caller_deliver (instance, caller_request,
+                        reply->code ? DELIVERY_ERROR : DELIVERY_ANSWER);
+  if (action == DELIVER_BREAK && routed)
     server_abort (instance->caller_server, reply->request);
-  else if (reply->code && caller_request->answer_begun)
+  else if (action == DELIVER_BREAK)
     end_stream_with_error (instance, reply);
-  else if (reply->code)
+  else if (action == DELIVER_WHOLE && reply->code)
     reply_error (instance, reply, caller_request->id, routed);
-  else
+  else if (action == DELIVER_WHOLE)
     server_reply (instance->caller_server, reply->request, reply->status,
                   reply->content_type, &id, 1, reply->body, reply->body_size);
+}
+
+void
+caller_reply (instance_t *instance, const kwf_reply_t *reply)
+{
+  caller_request_t *caller_request
+      = g_hash_table_lookup (instance->requests, &reply->request);
+  if (!caller_request)
+    {
+      logging_event (252, KWF_LOG_ERROR,
+                     "reply %s to a request that is not open", reply->code);
+      server_abort (instance->caller_server, reply->request);
+      return;
+    }
+  send_reply (instance, caller_request, reply);
   caller_request_release (instance, reply->request);
 }
 
@@ -162,7 +197,7 @@
 {
   caller_request_t *caller_request = g_new0 (caller_request_t, 1);
   caller_request->handle = request->handle;
-  caller_request->last_id = -1;
+  caller_request->position = STREAM_POSITION_START;
   caller_request->kept_attempts
       = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
   if (given)
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -9,6 +9,7 @@
 #include <knapweedfork/core.h>
 
 #include "../lib/completion.h"
+#include "../lib/delivery.h"
 #include "../lib/logging.h"
 #include "client.h"
 #include "protocol.h"
@@ -71,11 +72,11 @@
   GArray *headers; /* of header_t, for the backend server; the strings belong
                       to the server's request */
   bool idempotent;
-  bool answer_begun;     /* the status and headers of the answer were sent */
-  char *resume_event_id; /* ROUTED: id of the last event that the caller
-                        already has; NULL: none */
-  int64_t last_id;       /* ROUTED: id of the last event passed on; -1: none */
-  GArray *kept_attempts; /* of kwf_handle_t: with a complete answer */
+  delivery_t delivery;        /* of the answer */
+  char *resume_event_id;      /* ROUTED: id of the last event that the caller
+                             already has; NULL: none */
+  stream_position_t position; /* ROUTED: after the last event passed on */
+  GArray *kept_attempts;      /* of kwf_handle_t: with a complete answer */
 } caller_request_t;
 
 /* One attempt on a backend server, with the answer of its HTTP transfer, which
@@ -130,6 +131,12 @@
 /* Carries out KWF_FX_REPLY: answers the request with REPLY, or ends with an
    error an answer that was begun.  */
 void caller_reply (instance_t *instance, const kwf_reply_t *reply);
+/* What is left to do with INPUT, an answer or a part of one for
+   CALLER_REQUEST.  What must not follow the parts before is logged, and the
+   answer is broken off: DELIVER_NOTHING.  */
+delivery_action_t caller_deliver (instance_t *instance,
+                                  caller_request_t *caller_request,
+                                  delivery_input_t input);
 /* Refuses a request that was not passed to the core.  */
 void caller_refuse (instance_t *instance, kwf_handle_t request, const char *id,
                     int status, const char *code, const char *message);
@@ -140,8 +147,10 @@
    transfer_discard releases an answer that was kept.  */
 void transfer_start (instance_t *instance, const kwf_attempt_start_t *start);
 void transfer_cancel (instance_t *instance, kwf_handle_t attempt);
-void transfer_forward (instance_t *instance, kwf_handle_t attempt);
-void transfer_forward_end (instance_t *instance, kwf_handle_t attempt);
+void transfer_forward (instance_t *instance, kwf_handle_t request,
+                       kwf_handle_t attempt);
+void transfer_forward_end (instance_t *instance, kwf_handle_t request,
+                           kwf_handle_t attempt);
 void transfer_discard (instance_t *instance, kwf_handle_t attempt);
 /* Frees TRANSFER, but does not end its HTTP transfer.  */
 void transfer_free (void *transfer);
@@ -162,7 +171,7 @@
                           const header_t *extra_header);
 /* Sends the complete answer of TRANSFER to the caller.  */
 void transfer_reply (instance_t *instance, const transfer_t *transfer,
-                     const caller_request_t *caller_request,
+                     caller_request_t *caller_request,
                      const header_t *extra_header);
 
 /* relay.c: attempts of routed requests (KWF_REQUEST_ROUTED: host and path
--- a/net/instance.c
+++ b/net/instance.c
@@ -253,10 +253,12 @@
       transfer_cancel (instance, effect->attempt.attempt);
       break;
     case KWF_FX_FORWARD:
-      transfer_forward (instance, effect->attempt.attempt);
+      transfer_forward (instance, effect->attempt.request,
+                        effect->attempt.attempt);
       break;
     case KWF_FX_FORWARD_END:
-      transfer_forward_end (instance, effect->attempt.attempt);
+      transfer_forward_end (instance, effect->attempt.request,
+                            effect->attempt.attempt);
       break;
     case KWF_FX_REPLY:
       caller_reply (instance, &effect->reply);
--- a/net/relay.c
+++ b/net/relay.c
@@ -81,9 +81,13 @@
   transfer_t *transfer = data;
   if (is_event_stream (transfer))
     {
-      if (routed_stream_add (&transfer->routed_stream, bytes, size))
-        report_event (transfer, KWF_EV_ATTEMPT_DATA,
-                      (kwf_attempt_event_t){ 0 });
+      routed_stream_t *stream = &transfer->routed_stream;
+      if (routed_stream_add (stream, bytes, size))
+        report_event (
+            transfer, KWF_EV_ATTEMPT_DATA,
+            (kwf_attempt_event_t){
+                .gap = stream->gap,
+                .no_resume = !stream_position_is_known (&stream->position) });
       return;
     }
   if (!transfer->body)
@@ -108,7 +112,12 @@
   if (answer->body_size)
     on_data (transfer, handle, answer->status, answer->content_type,
              answer->body, answer->body_size);
+  bool stream = is_event_stream (transfer);
+  if (!stream && !transfer->body)
+    transfer->body = g_string_new (NULL);
   kwf_attempt_event_t event = { .status = transfer->status,
+                                .body = stream ? NULL : transfer->body->str,
+                                .body_size = stream ? 0 : transfer->body->len,
                                 .not_run = transfer->facts.not_run,
                                 .misplaced = transfer->facts.misplaced,
                                 .content_type = transfer->content_type };
@@ -145,13 +154,13 @@
   GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
   g_array_append_vals (headers, caller_request->headers->data,
                        caller_request->headers->len);
-  bool resumes = start->resumes && caller_request->last_id >= 0;
   g_snprintf (last_event, sizeof last_event, "%" G_GINT64_FORMAT,
-              caller_request->last_id);
+              caller_request->position.last_id);
   instance->protocol->add_headers (
       headers, texts, start, left_ns / KWF_NS_PER_MS,
-      resumes ? last_event : caller_request->resume_event_id);
-  routed_stream_init (&transfer->routed_stream, caller_request->last_id);
+      start->resumes ? last_event : caller_request->resume_event_id);
+  routed_stream_init (&transfer->routed_stream, &caller_request->position,
+                      start->resumes);
   header_t expected_header
       = { instance->protocol->echo_name, caller_request->id };
   client_request_t out = {
@@ -179,17 +188,19 @@
                caller_request_t *caller_request)
 {
   routed_stream_t *routed_stream = &transfer->routed_stream;
-  if (!caller_request->answer_begun)
+  delivery_action_t action
+      = caller_deliver (instance, caller_request, DELIVERY_EVENTS);
+  if (action == DELIVER_NOTHING)
+    return;
+  if (action == DELIVER_BEGIN)
     {
       GArray *headers = transfer_headers (transfer, NULL);
-      caller_request->answer_begun = true;
       server_begin (instance->caller_server, caller_request->handle,
                     transfer->status, transfer->content_type,
                     (const header_t *)(void *)headers->data, headers->len);
       g_array_free (headers, TRUE);
     }
-  caller_request->last_id
-      = MAX (caller_request->last_id, routed_stream->last_id);
+  caller_request->position = routed_stream->position;
   server_write (instance->caller_server, caller_request->handle,
                 routed_stream->bytes->str, routed_stream->whole);
   routed_stream_take (routed_stream, routed_stream->whole);
@@ -205,7 +216,9 @@
       routed_stream_t *routed_stream = &transfer->routed_stream;
       routed_stream->whole = routed_stream->bytes->len;
       relay_forward (instance, transfer, caller_request);
-      server_end (instance->caller_server, caller_request->handle);
+      if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
+          == DELIVER_END)
+        server_end (instance->caller_server, caller_request->handle);
       return;
     }
   transfer_reply (instance, transfer, caller_request, NULL);
--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -2,7 +2,9 @@
    divided into whole events.
 
    When a stream is resumed at another server, events with ids up to the last
-   one that the caller has are left out, so that none is repeated.  */
+   one that the caller has are left out, so that none is repeated.  Ids need
+   not be consecutive; but where they have been so far, a run that begins later
+   than with the next one leaves out events.  */
 
 #ifndef KNAPWEEDFORK_NET_ROUTED_STREAM_H
 #define KNAPWEEDFORK_NET_ROUTED_STREAM_H
@@ -12,19 +14,39 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Where a stream stands after an event.  */
 typedef struct
 {
-  GString *bytes;  /* received and not yet passed on */
-  size_t whole;    /* length of the whole events at the start of BYTES */
-  int64_t count;   /* whole events so far */
-  int64_t last_id; /* id of the last whole event; -1: none */
+  int64_t last_id; /* of the last event with an id; -1: none */
+  bool no_id;      /* data without an id followed that one */
+  int n_ids;       /* events of this stream with an id */
+  bool jumps;      /* some id was not one more than the one before */
+} stream_position_t;
+
+#define STREAM_POSITION_START ((stream_position_t){ .last_id = -1 })
+
+typedef struct
+{
+  GString *bytes; /* received and not yet passed on */
+  size_t whole;   /* length of the whole events at the start of BYTES */
+  int64_t count;  /* whole events so far */
+  stream_position_t position;
   int64_t resume_after_id; /* events up to this id are left out; -1: none */
+  bool resumed; /* its next event has to go on after what was passed on */
+  bool gap;     /* it does not: events are missing, and nothing more is kept */
 } routed_stream_t;
 
-void routed_stream_init (routed_stream_t *stream, int64_t resume_after_id);
+/* START is the last position that the caller has, RESUMED: of the same
+   answer.  */
+void routed_stream_init (routed_stream_t *stream,
+                         const stream_position_t *start, bool resumed);
 void routed_stream_clear (routed_stream_t *stream);
 
-/* Appends received bytes.  Returns true when an event became whole.  */
+/* Whether another run can go on after POSITION.  */
+bool stream_position_is_known (const stream_position_t *position);
+
+/* Appends received bytes.  Returns true when an event became whole, or a gap
+   was found.  */
 bool routed_stream_add (routed_stream_t *stream, const char *bytes,
                         size_t size);
 
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -293,45 +293,62 @@
   g_hash_table_remove (instance->attempts, &attempt);
 }
 
-static caller_request_t *
-begin_completion_stream (instance_t *instance, const transfer_t *transfer)
+static void
+begin_completion_stream (instance_t *instance,
+                         const caller_request_t *caller_request)
 {
-  caller_request_t *caller_request
-      = g_hash_table_lookup (instance->requests, &transfer->request);
-  if (!caller_request || caller_request->answer_begun)
-    return caller_request;
-  caller_request->answer_begun = true;
   header_t headers[] = { { "X-Request-Id", caller_request->id },
                          { "Cache-Control", "no-store" } };
   server_begin (instance->caller_server, caller_request->handle, 200,
                 "text/event-stream", headers, G_N_ELEMENTS (headers));
-  return caller_request;
 }
 
-void
-transfer_forward (instance_t *instance, kwf_handle_t attempt)
+static void
+forward_completion (instance_t *instance, transfer_t *transfer,
+                    caller_request_t *caller_request)
 {
-  transfer_t *transfer = g_hash_table_lookup (instance->attempts, &attempt);
-  if (transfer && transfer->routed_stream.bytes)
-    {
-      caller_request_t *routed
-          = g_hash_table_lookup (instance->requests, &transfer->request);
-      if (routed)
-        relay_forward (instance, transfer, routed);
-      return;
-    }
-  if (!transfer || !transfer->completion_stream.bytes)
-    return;
-  caller_request_t *caller_request
-      = begin_completion_stream (instance, transfer);
-  if (!caller_request)
+  delivery_action_t action
+      = caller_deliver (instance, caller_request, DELIVERY_EVENTS);
+  if (action == DELIVER_NOTHING)
     return;
+  if (action == DELIVER_BEGIN)
+    begin_completion_stream (instance, caller_request);
   completion_stream_t *stream = &transfer->completion_stream;
   server_write (instance->caller_server, caller_request->handle,
                 stream->bytes->str, stream->whole);
   completion_stream_take (stream, stream->whole);
 }
 
+/* The open request of REQUEST and the transfer of ATTEMPT; false: one of them
+   is missing, and the answer, which nobody else would end, is broken off.  */
+static bool
+find_answer (instance_t *instance, kwf_handle_t request, kwf_handle_t attempt,
+             caller_request_t **caller_request, transfer_t **transfer)
+{
+  *caller_request = g_hash_table_lookup (instance->requests, &request);
+  *transfer = g_hash_table_lookup (instance->attempts, &attempt);
+  if (*caller_request && *transfer)
+    return true;
+  logging_event (252, KWF_LOG_ERROR, "no %s for a part of an answer",
+                 *caller_request ? "transfer" : "request");
+  server_abort (instance->caller_server, request);
+  return false;
+}
+
+void
+transfer_forward (instance_t *instance, kwf_handle_t request,
+                  kwf_handle_t attempt)
+{
+  caller_request_t *caller_request;
+  transfer_t *transfer;
+  if (!find_answer (instance, request, attempt, &caller_request, &transfer))
+    return;
+  if (caller_request->kind == KWF_REQUEST_ROUTED)
+    relay_forward (instance, transfer, caller_request);
+  else
+    forward_completion (instance, transfer, caller_request);
+}
+
 GArray *
 transfer_headers (const transfer_t *transfer, const header_t *extra_header)
 {
@@ -349,9 +366,11 @@
 
 void
 transfer_reply (instance_t *instance, const transfer_t *transfer,
-                const caller_request_t *caller_request,
-                const header_t *extra_header)
+                caller_request_t *caller_request, const header_t *extra_header)
 {
+  if (caller_deliver (instance, caller_request, DELIVERY_ANSWER)
+      != DELIVER_WHOLE)
+    return;
   GArray *headers = transfer_headers (transfer, extra_header);
   const GString *body = transfer->body;
   server_reply (instance->caller_server, caller_request->handle,
@@ -362,15 +381,16 @@
 }
 
 void
-transfer_forward_end (instance_t *instance, kwf_handle_t attempt)
+transfer_forward_end (instance_t *instance, kwf_handle_t request,
+                      kwf_handle_t attempt)
 {
-  transfer_t *transfer = g_hash_table_lookup (instance->attempts, &attempt);
-  if (!transfer)
-    return;
-  caller_request_t *caller_request
-      = g_hash_table_lookup (instance->requests, &transfer->request);
-  if (!caller_request)
-    return;
+  caller_request_t *caller_request;
+  transfer_t *transfer;
+  if (!find_answer (instance, request, attempt, &caller_request, &transfer))
+    {
+      caller_request_release (instance, request);
+      return;
+    }
   if (caller_request->kind == KWF_REQUEST_ROUTED)
     relay_forward_end (instance, transfer, caller_request);
   else if (transfer->body)
@@ -378,8 +398,10 @@
                     &(header_t){ "X-Request-Id", caller_request->id });
   else
     {
-      transfer_forward (instance, attempt);
-      server_end (instance->caller_server, caller_request->handle);
+      forward_completion (instance, transfer, caller_request);
+      if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
+          == DELIVER_END)
+        server_end (instance->caller_server, caller_request->handle);
     }
   caller_request_release (instance, transfer->request);
 }
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -420,10 +420,11 @@
   for (size_t cut = 0; cut <= size; cut++)
     {
       routed_stream_t events;
-      routed_stream_init (&events, 1);
+      routed_stream_init (&events, &(stream_position_t){ .last_id = 1 },
+                          false);
       routed_stream_add (&events, text, cut);
       routed_stream_add (&events, text + cut, size - cut);
-      assert_int_equal (events.last_id, 2);
+      assert_int_equal (events.position.last_id, 2);
       assert_int_equal (events.count, 2);
       assert_int_equal (strncmp (events.bytes->str,
                                  "id: 2\r\ndata: b\r\n\r\ndata: none\n\n",
@@ -435,12 +436,58 @@
     }
 }
 
+/* Guards against a run that is joined to another one although events are
+   missing between them, or although it is not known where it goes on.  */
+static void
+run_that_leaves_out_events_is_not_joined (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *first;
+    const char *second;
+    bool known; /* another run can go on after the first one */
+    bool gap;
+  } cases[] = {
+    { "id: 1\ndata\n\nid: 2\ndata\n\n", "id: 3\ndata\n\n", true, false },
+    { "id: 1\ndata\n\nid: 2\ndata\n\n", "id: 2\n\nid: 3\n\n", true, false },
+    { "id: 1\ndata\n\nid: 2\ndata\n\n", "id: 4\ndata\n\n", true, true },
+    { "id: 1\ndata\n\nid: 2\ndata\n\n", "data: x\n\n", true, true },
+    { "id: 1\ndata\n\nid: 2\ndata\n\n", ": x\n\nid: 4\n\n", true, true },
+    { "id: 1\ndata\n\nid: 2\n\n: x\n\n", ": x\n\nid: 3\n\n", true, false },
+    /* Ids that jump, or a single one, do not tell which one is next.  */
+    { "id: 1\ndata\n\nid: 5\ndata\n\n", "id: 7\ndata\n\n", true, false },
+    { "id: 1\ndata\n\n", "id: 3\ndata\n\n", true, false },
+    { "id: 1\ndata\n\ndata: x\n\n", "id: 2\ndata\n\n", false, false },
+    { "data: x\n\n", "data: x\n\n", false, false },
+    { "id: 9223372036854775806\n\nid: 9223372036854775807\n\n",
+      "id: 9\n\nid: 9223372036854775808\n\ndata\n\n", true, true },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      routed_stream_t first;
+      routed_stream_t second;
+      routed_stream_init (&first, &STREAM_POSITION_START, false);
+      assert_true (
+          routed_stream_add (&first, cases[i].first, strlen (cases[i].first)));
+      routed_stream_init (&second, &first.position, true);
+      routed_stream_add (&second, cases[i].second, strlen (cases[i].second));
+      if (stream_position_is_known (&first.position) != cases[i].known
+          || second.gap != cases[i].gap)
+        fail_msg ("case %zu: known %d, gap %d", i,
+                  stream_position_is_known (&first.position), second.gap);
+      routed_stream_clear (&first);
+      routed_stream_clear (&second);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (configuration_is_read),
     cmocka_unit_test (coming_adapters_are_read),
+    cmocka_unit_test (run_that_leaves_out_events_is_not_joined),
     cmocka_unit_test (odd_configurations_are_survived),
     cmocka_unit_test (odd_entries_name_no_server),
     cmocka_unit_test (rows_are_read),
