Break a stream off with a reset where it has no chunks

A stream that is broken off looked complete to callers of HTTP/1.0: they get no chunks, so the end of the connection is the end of the answer, and a close by libmicrohttpd or by the kernel, when the process is killed, sends a FIN.

Such a connection is now set to be reset on close from the head of the stream until libmicrohttpd reports the answer as completely sent, so every way out before that is a reset, also the end of the process.

test_begun_answer before: "400 (HTTP/1.0, close): whole after 0.0 s, events 1 and 2", the same with keep-alive, and "killed (HTTP/1.0, close): whole". Now it passes; test_server and test_server_framing pass.

--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -39,6 +39,8 @@
   bool answered;       /* server_reply, server_end or server_abort was called;
                           bytes may still be pending */
   bool streaming;      /* server_begin was called */
+  bool no_chunks;      /* HTTP/1.0: the end of a stream is that of its
+                          connection */
   bool aborted;
   bool gone; /* the caller closed, or its connection was reset */
   bool suspended;
@@ -91,6 +93,10 @@
    already has.  */
 void server_shutdown_connection (server_connection_t *connection);
 
+/* RESET: from now on, a close of the connection resets it and drops unsent
+   bytes, also when this process ends.  False: it closes regularly.  */
+void server_set_reset (const server_connection_t *connection, bool reset);
+
 /* Closes the connection with a reset and drops unsent bytes.  */
 void server_reset_connection (server_request_state_t *request);
 
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -75,6 +75,9 @@
     server_schedule_run (server);
   if (!request)
     return;
+  if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && request->streaming
+      && request->no_chunks)
+    server_set_reset (request->connection, false);
   *context = NULL;
   if (request->handler_called)
     server->n_open--;
@@ -267,12 +270,14 @@
 {
   (void)data;
   (void)mhd;
-  (void)version;
   server_request_state_t *request = *context;
   if (!request)
     return MHD_NO;
   if (!request->public.method)
-    return start_body (request, method, url);
+    {
+      request->no_chunks = strcmp (version, MHD_HTTP_VERSION_1_1) != 0;
+      return start_body (request, method, url);
+    }
   if (*upload_size)
     {
       size_t size = *upload_size;
@@ -291,6 +296,9 @@
     {
       struct MHD_Response *response = request->response;
       request->response = NULL;
+      /* Without a reset, a stream that is broken off looks complete.  */
+      if (request->streaming && request->no_chunks)
+        server_set_reset (request->connection, true);
       enum MHD_Result result
           = MHD_queue_response (mhd, (unsigned)request->status, response);
       MHD_destroy_response (response);
--- a/net/server.c
+++ b/net/server.c
@@ -56,14 +56,19 @@
   server_schedule_run (connection->server);
 }
 
+void
+server_set_reset (const server_connection_t *connection, bool reset)
+{
+  struct linger linger = { .l_onoff = reset };
+  setsockopt (connection->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
 /* Without the reset, a caller that does not read would keep the unsent bytes
    in the kernel for minutes.  */
 void
 server_reset_connection (server_request_state_t *request)
 {
-  struct linger reset = { .l_onoff = 1 };
-  setsockopt (request->connection->fd, SOL_SOCKET, SO_LINGER, &reset,
-              sizeof reset);
+  server_set_reset (request->connection, true);
   server_shutdown_connection (request->connection);
   request->aborted = true;
   request->pending.start = request->pending.end = 0;
--- a/net/server.h
+++ b/net/server.h
@@ -112,7 +112,8 @@
    answered or its caller closed, and server_write and server_end also before
    server_begin.  A write beyond max_pending_bytes resets the connection.
    server_abort closes the connection without the regular end of an answer, so
-   that the caller sees that it is incomplete.  */
+   that the caller sees that it is incomplete: without the last chunk or, for a
+   caller of HTTP/1.0, who gets no chunks, with a reset.  */
 void server_begin (server_t *server, kwf_handle_t request, int status,
                    const char *content_type, const header_t *headers,
                    size_t n_headers);
--- a/test/test_begun_answer.c
+++ b/test/test_begun_answer.c
@@ -34,7 +34,8 @@
 {
   const char *name;
   const char *first;  /* what the first run writes before it breaks off */
-  const char *second; /* what the next run writes before it ends */
+  const char *second; /* what the next run writes before it ends; NULL: the
+                         first one does not end */
   const char *body;   /* what the caller may get */
   bool whole;         /* whether that ends as complete */
 } case_t;
@@ -106,7 +107,8 @@
   connection_print (connection, "%s",
                     fixture->n_runs++ ? fixture->script->second
                                       : fixture->script->first);
-  connection_close (connection);
+  if (fixture->script->second)
+    connection_close (connection);
 }
 
 static int
@@ -248,12 +250,42 @@
   assert_int_equal (bad, 0);
 }
 
+static void
+kill_daemon (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  process_kill (timer->data);
+}
+
+/* Guards against the same when the process ends.  */
+static void
+end_of_the_process_looks_like_an_end (void **state)
+{
+  static const case_t killed = { "killed", BROKEN_OFF, NULL, SEEN_1_2, false };
+  static const char *const versions[] = { "1.1", "1.0" };
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      set_up (state);
+      fixture_t *fixture = *state;
+      wait_for_daemon (fixture);
+      ev_timer timer;
+      ev_timer_init (&timer, kill_daemon, 0.5, 0);
+      timer.data = &fixture->daemon.process;
+      ev_timer_start (fixture->loop, &timer);
+      bool good = holds (fixture, &killed, versions[i], "close");
+      tear_down (state);
+      assert_true (good);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (begun_stream_is_mixed_with_the_next_answer),
     cmocka_unit_test (break_without_chunks_looks_like_an_end),
+    cmocka_unit_test (end_of_the_process_looks_like_an_end),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
