--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -29,7 +29,7 @@
       "{\"version\":1,\"services\":[{\"name\":\"desk\"}],\"routes\":[%s],"
       "\"tenants\":[]}",
       routes);
-  rows_put (daemon->store, "op", "config", config);
+  fake_store_put (daemon->store, "op", "config", config);
   g_free (config);
   char *text = g_strdup_printf (
       "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
@@ -68,7 +68,7 @@
       "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
       "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":1}",
       address);
-  rows_put (daemon->store, "servers", name, text);
+  fake_store_put (daemon->store, "servers", name, text);
   g_free (text);
 }
 
--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -277,8 +277,8 @@
 }
 
 void
-rows_put (fake_store_t *store, const char *table, const char *key,
-          const char *value)
+fake_store_put (fake_store_t *store, const char *table, const char *key,
+                const char *value)
 {
   char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
   store->version++;
--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -18,8 +18,8 @@
 const char *fake_store_address (const fake_store_t *store);
 
 /* Writes VALUE, as the operator or a server does.  */
-void rows_put (fake_store_t *store, const char *table, const char *key,
-               const char *value);
+void fake_store_put (fake_store_t *store, const char *table, const char *key,
+                     const char *value);
 
 /* SILENT: no request is answered from now on.  False: requests are answered
    again.  */
--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -148,7 +148,7 @@
       g_string_append_printf (text, route, "s", "s");
     }
   g_string_append (text, "],\"tenants\":[]}");
-  rows_put (fixture->store, "op", "config", text->str);
+  fake_store_put (fixture->store, "op", "config", text->str);
   g_string_free (text, TRUE);
 }
 
@@ -162,7 +162,7 @@
       "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
       "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":%d}",
       fixture->backends[i].listener->address, (int)born);
-  rows_put (fixture->store, "servers", key, text);
+  fake_store_put (fixture->store, "servers", key, text);
   g_free (text);
 }
 
