--- a/test/test_answer_relay.c
+++ b/test/test_answer_relay.c
@@ -285,7 +285,7 @@
       "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
       "\"1\",\"slots\":64,\"state\":\"ready\",\"seq\":1,\"born\":1}",
       service, address);
-  rows_put (fixture->store, "servers", key, text);
+  fake_store_put (fixture->store, "servers", key, text);
   g_free (text);
 }
 
@@ -304,7 +304,7 @@
         i ? "," : "", i, routes[i].prefix, i == ROUTE_TWIN ? "twin" : "desk",
         routes[i].settings);
   g_string_append (text, "]}");
-  rows_put (fixture->store, "op", "config", text->str);
+  fake_store_put (fixture->store, "op", "config", text->str);
   g_string_free (text, TRUE);
   for (int i = 0; i < N_SERVERS; i++)
     put_server (fixture, "desk", i, fixture->servers[i]->address);
