--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -18,6 +18,7 @@
   char *key;
   char *value; /* base64 */
   int64_t version;
+  json_t *odd; /* fields that its JSON has instead; NULL: none */
 } row_t;
 
 /* A request that is not answered yet: a poll that waits for a change until
@@ -55,6 +56,7 @@
   g_free (row->table);
   g_free (row->key);
   g_free (row->value);
+  json_decref (row->odd);
   g_free (row);
 }
 
@@ -87,14 +89,18 @@
   g_free (row->value);
   row->value = g_strdup (value);
   row->version = store->version;
+  json_decref (row->odd);
+  row->odd = NULL;
 }
 
 static json_t *
 row_json (const row_t *row)
 {
-  return json_pack ("{s:s,s:s,s:s,s:s,s:I}", "table", row->table, "part", "",
-                    "key", row->key, "value", row->value, "ver",
-                    (json_int_t)row->version);
+  json_t *json = json_pack ("{s:s,s:s,s:s,s:s,s:I}", "table", row->table,
+                            "part", "", "key", row->key, "value", row->value,
+                            "ver", (json_int_t)row->version);
+  json_object_update (json, row->odd);
+  return json;
 }
 
 static void
@@ -277,16 +283,33 @@
 }
 
 void
-rows_put (fake_store_t *store, const char *table, const char *key,
-          const char *value)
+rows_put_bytes (fake_store_t *store, const char *table, const char *key,
+                const void *value, size_t size)
 {
-  char *encoded = g_base64_encode ((const guchar *)value, strlen (value));
+  char *encoded = g_base64_encode (value, size);
   store->version++;
   set_row (store, table, key, encoded);
   g_free (encoded);
   answer_open_requests (store);
 }
 
+void
+rows_put (fake_store_t *store, const char *table, const char *key,
+          const char *value)
+{
+  rows_put_bytes (store, table, key, value, strlen (value));
+}
+
+void
+rows_put_odd (fake_store_t *store, const char *table, const char *key,
+              const char *fields)
+{
+  store->version++;
+  set_row (store, table, key, "");
+  find (store, table, key)->odd = json_loads (fields, 0, NULL);
+  answer_open_requests (store);
+}
+
 void
 fake_store_set_silent (fake_store_t *store, bool silent)
 {
--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -7,6 +7,7 @@
 
 #include <ev.h>
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 typedef struct fake_store fake_store_t;
@@ -21,6 +22,14 @@
 void rows_put (fake_store_t *store, const char *table, const char *key,
                const char *value);
 
+/* Writes the SIZE bytes of VALUE.  */
+void rows_put_bytes (fake_store_t *store, const char *table, const char *key,
+                     const void *value, size_t size);
+
+/* Writes a row whose JSON has FIELDS, a JSON object, instead of its own.  */
+void rows_put_odd (fake_store_t *store, const char *table, const char *key,
+                   const char *fields);
+
 /* SILENT: no request is answered from now on.  False: requests are answered
    again.  */
 void fake_store_set_silent (fake_store_t *store, bool silent);
