--- a/test/common-odd.c
+++ b/test/common-odd.c
@@ -19,16 +19,18 @@
 }
 
 static void
-add_bytes (GArray *list, const char *name, char *bytes, size_t size)
+add_bytes (GArray *list, const char *name, GString *text)
 {
-  odd_t odd = { name, bytes, size };
+  odd_t odd = { .name = name, .size = text->len };
+  odd.bytes = g_string_free (text, FALSE);
   g_array_append_val (list, odd);
 }
 
 static void
 add (GArray *list, const char *name, char *text)
 {
-  add_bytes (list, name, text, strlen (text));
+  odd_t odd = { name, text, strlen (text) };
+  g_array_append_val (list, odd);
 }
 
 /* TEXT between LEVELS opening and closing brackets.  */
@@ -160,7 +162,7 @@
   add (list, "no-json", g_strdup ("<html>Bad Gateway</html>"));
   add (list, "cut", g_strdup ("{\"version\":1,\"services\":[{\"na"));
   add (list, "bad-bytes", g_strdup ("\xff\xfe{}"));
-  add_bytes (list, "zero-byte", g_memdup2 ("{}\0{}", 5), 5);
+  add_bytes (list, "zero-byte", g_string_new_len ("{}\0{}", 5));
   add (list, "real-1e400", g_strdup ("{\"version\":1e400}"));
   add (list, "integer-10^30",
        g_strdup ("{\"version\":1000000000000000000000000000000}"));
@@ -183,10 +185,9 @@
   add_large (list, service_json, address_json);
   char *good = entry_with (service_json, address_json, "", NULL);
   size_t size = strlen (good);
-  char *bytes = g_malloc0 (size + 2);
-  memcpy (bytes, good, size);
-  bytes[size + 1] = 'x';
-  add_bytes (list, "zero-byte-after", bytes, size + 2);
+  GString *text = g_string_new (good);
+  g_string_append_len (text, "\0x", 2);
+  add_bytes (list, "zero-byte-after", text);
   add (list, "object-after", g_strconcat (good, "{}", NULL));
   add (list, "cut-at-the-end", g_strndup (good, size - 1));
   g_free (good);
