--- a/test/test_readers.c
+++ b/test/test_readers.c
@@ -55,8 +55,8 @@
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      char *text = repeat (cases[i].head, cases[i].item, cases[i].tail,
-                           ROW_BYTES);
+      char *text
+          = repeat (cases[i].head, cases[i].item, cases[i].tail, ROW_BYTES);
       json_t *root = json_loads (text, 0, NULL);
       assert_non_null (root);
       GArray *models = g_array_new (FALSE, TRUE, sizeof (kwf_resident_t));
