--- a/test/answer_relay.h
+++ b/test/answer_relay.h
@@ -53,8 +53,9 @@
   size_t at;
   size_t piece;
   ending_t ending;
-  answer_kind_t second; /* whole answer of the second server to a request whose
+  answer_kind_t second; /* answer of the second server to a request whose
                            answer has not begun, or that is not resumed */
+  size_t second_at;     /* the bytes of it before FIN; 0: all, and no end */
 } relay_case_t;
 
 /* What a caller saw.  */
--- a/test/test_answer_relay.c
+++ b/test/test_answer_relay.c
@@ -156,7 +156,11 @@
   GString *bytes
       = relay_answer (relay_kind (relay_case, flight->arrivals), flight->id,
                       flight->arrivals, last ? atoi (last + 17) : 0);
-  connection_write (connection, bytes->str, bytes->len);
+  if (relay_case->second_at && flight->arrivals > 1)
+    sender_start (connection, bytes->str,
+                  MIN (bytes->len, relay_case->second_at), 0, ENDING_CLOSE);
+  else
+    connection_write (connection, bytes->str, bytes->len);
   g_string_free (bytes, TRUE);
 }
 
@@ -179,13 +183,13 @@
   static const char *const endings[N_ENDINGS] = { "FIN", "reset", "silence" };
   const relay_case_t *relay_case = &flight->relay_case;
   print_message ("%s: route %s, %s, %s at %zu, then %s, in pieces of %zu, "
-                 "then %s; %d attempts, status %d, %zu bytes\n",
+                 "then %s (%zu); %d attempts, status %d, %zu bytes\n",
                  fault, routes[relay_case->route].prefix,
                  name_of (relay_case->kind, kinds),
                  name_of (relay_case->spoil, spoils), relay_case->at,
                  name_of (relay_case->ending, endings), relay_case->piece,
-                 name_of (relay_case->second, kinds), flight->arrivals,
-                 view->status, view->body->len);
+                 name_of (relay_case->second, kinds), relay_case->second_at,
+                 flight->arrivals, view->status, view->body->len);
 }
 
 static void start_more (fixture_t *fixture);
@@ -253,6 +257,7 @@
           ANSWER_REFUSAL, ANSWER_FAILURE, ANSWER_UNSTAMPED };
   bool stream = relay_case.route >= ROUTE_STREAM;
   relay_case.second = seconds[pick (fixture, G_N_ELEMENTS (seconds))];
+  relay_case.second_at = pick (fixture, 2) ? (size_t)pick (fixture, 200) : 0;
   relay_case.kind = stream ? streams[pick (fixture, G_N_ELEMENTS (streams))]
                            : plain[pick (fixture, G_N_ELEMENTS (plain))];
   GString *bytes = relay_answer (relay_case.kind, "0123456789abcdef", 1, 0);
