Let SIGHUP during the start of the daemon be harmless

Cause: the watcher of SIGHUP starts after the instance, and until then the signal's default action ends the process. Evidence: with settings that are read from a FIFO, SIGHUP sent while the daemon reads them, the test printed 'process_expect (daemon, "listening on "...)' failed, as the process was gone.

The signal is blocked from the start of main; libev unblocks it when the watcher starts, so that a pending one makes the daemon read its settings again.

--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -206,6 +206,17 @@
   return EXIT_OK;
 }
 
+/* Until its handler is there, SIGHUP would end the process.  libev unblocks it
+   when its watcher starts.  */
+static void
+block_hangup (void)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -228,6 +239,7 @@
       "wrong usage or invalid settings.",
   };
   options_t options = { 0 };
+  block_hangup ();
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &options);
   signal (SIGPIPE, SIG_IGN);
--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -6,7 +6,10 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <fcntl.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include <glib/gstdio.h>
@@ -166,10 +169,11 @@
   g_free (text);
 }
 
-static void
-start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
+/* Text of the settings of instance ID; release with g_free.  */
+static char *
+settings_text (const fixture_t *fixture, const char *id)
 {
-  char *text = g_strdup_printf (
+  return g_strdup_printf (
       "[instance]\nid = \"%s\"\ndata_centre = \"c\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
@@ -179,6 +183,12 @@
       "[backend]\nretry_share = 0.1\n"
       "[placement]\nmode = \"dynamic\"\n",
       id, fake_store_address (fixture->store), (int)(FRESH_S * 1000));
+}
+
+static void
+start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
+{
+  char *text = settings_text (fixture, id);
   assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", fixture->settings, NULL };
@@ -430,6 +440,34 @@
   assert_true (backend->n_requests > before + 6);
 }
 
+/* Guards against SIGHUP that ends a process which reads its settings.  The
+   settings are a FIFO until the signal was sent, then a file.  */
+static void
+hangup_during_the_start_is_harmless (void **state)
+{
+  fixture_t *fixture = *state;
+  process_t *daemon = &fixture->others[0];
+  char *text = settings_text (fixture, "i2");
+  char *fifo = g_build_filename (fixture->directory, "fifo", NULL);
+  assert_int_equal (mkfifo (fifo, 0600), 0);
+  const char *args[] = { "--config", fifo, NULL };
+  assert_true (process_spawn (daemon, "knapweedforkd", args));
+  int out = open (fifo, O_WRONLY | O_CLOEXEC);
+  assert_true (out >= 0);
+  process_signal (daemon, SIGHUP);
+  assert_int_equal (g_unlink (fifo), 0);
+  assert_true (g_file_set_contents (fifo, text, -1, NULL));
+  assert_int_equal (write (out, text, strlen (text)), strlen (text));
+  close (out);
+  assert_true (process_expect (daemon, "listening on ", daemon->address,
+                               sizeof daemon->address));
+  daemon->address[strcspn (daemon->address, ",")] = '\0';
+  wait_for_daemon (fixture, daemon);
+  g_unlink (fifo);
+  g_free (fifo);
+  g_free (text);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -442,6 +480,7 @@
     TEST (pause_goes_on_while_the_process_stands_still),
     TEST (server_gets_more_than_its_limit_from_all_processes),
     TEST (route_is_added_and_dropped_in_time),
+    TEST (hangup_during_the_start_is_harmless),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
