Promise "not run" only where a server or this instance knows it

Callers were told "not run, try again" for requests that may run once and that a server had run, or such a request ran at a second server.

A server's 408, 429 or 503 was passed on unchanged also when it does not say that it did not run the request (X-Not-Run); callers rely on the status alone. And "not run" was believed of any status: a 200 with it was sent to another server.

The decision is in one place now, lib/promise: what an answer of a server is worth, and which status an error of this instance may have. A success is no refusal; a status that promises without saying so becomes 502 outcome_unknown for requests that may run once (event 238). Idempotent requests get the server's answer as before. request_refuse no longer takes a caller's word for "not run" if an attempt was sent; all its callers were right in that.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -5,6 +5,7 @@
 
 #include "notice.h"
 #include "error-code.h"
+#include "promise.h"
 
 /* How long a request whose connection broke waits for a load report that shows
    whether its server crashed.  */
@@ -283,6 +284,22 @@
              : server_outcome (core, attempt, status);
 }
 
+/* The request was sent and must not be sent again, and MESSAGE says why it has
+   no result.  */
+static void
+refuse_unrepeatable (kwf_core_t *core, attempt_t *attempt, outcome_t outcome,
+                     const char *message, kwf_effects_t *effects)
+{
+  request_t *request = attempt->request;
+  attempt_remove (core, attempt, outcome, now_of (core));
+  request_refuse (core, request,
+                  &(refusal_t){ .code = CODE_OUTCOME_UNKNOWN,
+                                .run = KWF_RUN_UNKNOWN,
+                                .retry_after_ms = -1,
+                                .message = message },
+                  effects);
+}
+
 /* Handle an answer to a routed request that is not forwarded.  False: it is to
    be forwarded.  */
 static bool
@@ -291,8 +308,21 @@
                        kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
-  if (event->not_run)
+  promise_t promise
+      = promise_of_answer (event->status, event->not_run, request->idempotent);
+  if (promise == PROMISE_NOT_RUN)
     handle_not_run (core, attempt, event, effects);
+  else if (promise == PROMISE_UNPROVEN)
+    {
+      kwf_effects_log (effects, 238, KWF_LOG_WARNING, request->id,
+                       "server=%s answers status=%d without \"not run\"",
+                       attempt->server->id, event->status);
+      refuse_unrepeatable (core, attempt,
+                           server_outcome (core, attempt, event->status),
+                           "the server refused the call, but does not say "
+                           "that it did not run it",
+                           effects);
+    }
   else if (event->status >= HTTP_SERVER_ERROR
            && may_retry_failure (core, request))
     {
@@ -388,6 +418,9 @@
 
 /* Failures.  */
 
+static const char unanswered[]
+    = "the call was sent and no answer came; it is not sent again";
+
 static void
 handle_unsent (kwf_core_t *core, attempt_t *attempt, kwf_failure_t failure,
                kwf_effects_t *effects)
@@ -413,22 +446,6 @@
   retry (core, attempt, outcome, CODE_NO_SERVER, effects);
 }
 
-/* The request was sent, must not be sent again, and has no answer.  */
-static void
-refuse_unrepeatable (kwf_core_t *core, attempt_t *attempt, outcome_t outcome,
-                     kwf_effects_t *effects)
-{
-  request_t *request = attempt->request;
-  attempt_remove (core, attempt, outcome, now_of (core));
-  request_refuse (core, request,
-                  &(refusal_t){ .code = CODE_OUTCOME_UNKNOWN,
-                                .run = KWF_RUN_UNKNOWN,
-                                .retry_after_ms = -1,
-                                .message = "the call was sent and no answer "
-                                           "came; it is not sent again" },
-                  effects);
-}
-
 static void
 handle_broken (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
 {
@@ -439,7 +456,7 @@
   backend_probe_now (core->backend, server, effects);
   if (!request->idempotent)
     {
-      refuse_unrepeatable (core, attempt, OUTCOME_BAD, effects);
+      refuse_unrepeatable (core, attempt, OUTCOME_BAD, unanswered, effects);
       return;
     }
   if (core->options.push_updates)
@@ -470,7 +487,7 @@
   if (request->idempotent)
     retry (core, attempt, OUTCOME_BAD, CODE_BACKEND_ERROR, effects);
   else
-    refuse_unrepeatable (core, attempt, OUTCOME_BAD, effects);
+    refuse_unrepeatable (core, attempt, OUTCOME_BAD, unanswered, effects);
 }
 
 static void
--- a/lib/error-code.c
+++ b/lib/error-code.c
@@ -49,11 +49,3 @@
 {
   return entries[code].status;
 }
-
-int
-error_code_run_status (int status, kwf_run_t run)
-{
-  bool promises
-      = status == 408 || status == 421 || status == 429 || status == 503;
-  return promises && run != KWF_RUN_NO ? 502 : status;
-}
--- a/lib/error-code.h
+++ b/lib/error-code.h
@@ -4,8 +4,6 @@
 #ifndef KNAPWEEDFORK_REFUSAL_H
 #define KNAPWEEDFORK_REFUSAL_H
 
-#include <knapweedfork/effect.h>
-
 typedef enum
 {
   CODE_OK,
@@ -46,9 +44,4 @@
    are never sent.  */
 int error_code_status (error_code_t code);
 
-/* STATUS, or 502 where STATUS would promise too much to a request that ran as
-   RUN says: callers of routes rely on 408, 421, 429 and 503 to mean that
-   nothing ran; 502 promises nothing.  */
-int error_code_run_status (int status, kwf_run_t run);
-
 #endif
--- a/lib/request.c
+++ b/lib/request.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "error-code.h"
+#include "promise.h"
 
 /* Limit of the attempts of a request, unless its route says otherwise.  */
 #define DEFAULT_MAX_ATTEMPTS 3
@@ -222,6 +223,15 @@
   add_reply (handle, refusal, effects);
 }
 
+/* Whether REQUEST ran, by what was sent and forwarded.  */
+static kwf_run_t
+run_of (const request_t *request)
+{
+  if (request_has_begun (request))
+    return KWF_RUN_YES;
+  return request->n_ran ? KWF_RUN_UNKNOWN : KWF_RUN_NO;
+}
+
 void
 request_refuse (kwf_core_t *core, request_t *request, const refusal_t *refusal,
                 kwf_effects_t *effects)
@@ -229,8 +239,10 @@
   refusal_t limited = *refusal;
   int status
       = refusal->status ? refusal->status : error_code_status (refusal->code);
+  if (limited.run == KWF_RUN_NO)
+    limited.run = run_of (request);
   if (request->kind == KWF_REQUEST_ROUTED)
-    limited.status = error_code_run_status (status, refusal->run);
+    limited.status = promise_status (status, limited.run);
   if (delivery_step (&request->delivery, DELIVERY_ERROR) != DELIVER_NOTHING)
     add_reply (request->handle, &limited, effects);
   request_end (core, request, refusal->code, effects);
@@ -241,14 +253,9 @@
               int64_t retry_after_ms, const char *message,
               kwf_effects_t *effects)
 {
-  kwf_run_t run = KWF_RUN_NO;
-  if (request_has_begun (request))
-    run = KWF_RUN_YES;
-  else if (request->n_ran)
-    run = KWF_RUN_UNKNOWN;
   request_refuse (core, request,
                   &(refusal_t){ .code = code,
-                                .run = run,
+                                .run = run_of (request),
                                 .retry_after_ms = retry_after_ms,
                                 .message = message },
                   effects);
--- a/test/test_promise.c
+++ b/test/test_promise.c
@@ -11,6 +11,7 @@
 #include "common-core.h"
 #include "common-daemon.h"
 #include "common-listener.h"
+#include "lib/promise.h"
 
 #define N_SERVERS 2
 
@@ -190,6 +191,33 @@
   assert_int_equal (faults, 0);
 }
 
+/* Guards against a status that promises more than is known, for each status
+   of HTTP.  */
+static void
+each_status_promises_what_is_known (void **state)
+{
+  (void)state;
+  for (int status = 200; status < 600; status++)
+    {
+      bool success = status < 400;
+      assert_int_equal (promise_is_made_by (status), promises (status));
+      assert_int_equal (promise_status (status, KWF_RUN_NO), status);
+      assert_int_equal (promise_status (status, KWF_RUN_YES),
+                        promises (status) ? 502 : status);
+      assert_int_equal (promise_status (status, KWF_RUN_UNKNOWN),
+                        promises (status) ? 502 : status);
+      for (int idempotent = 0; idempotent < 2; idempotent++)
+        {
+          promise_t alone = promise_of_answer (status, false, idempotent);
+          assert_int_equal (promise_of_answer (status, true, idempotent),
+                            success ? PROMISE_NONE : PROMISE_NOT_RUN);
+          assert_int_equal (alone, promises (status) && !idempotent
+                                       ? PROMISE_UNPROVEN
+                                       : PROMISE_NONE);
+        }
+    }
+}
+
 /* Answers of servers that run request "new" and have refused request
    "old".  */
 static const struct
@@ -349,6 +377,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (each_status_promises_what_is_known),
     cmocka_unit_test (promise_is_made_for_a_request_that_may_have_run),
     cmocka_unit_test (refusal_is_believed_of_a_request_that_ran),
   };
