Send one answer to a request, and end each that has begun

A whole answer given after the begin of a stream was dropped without a word: the caller waited for an end until its own time was up. A second answer was dropped without a trace, so the fault behind it could not be found.

The HTTP server now logs both (253); it breaks an answer off that has begun, and drops what comes after a complete one, as before.

--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -5,6 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "../lib/logging.h"
+
 /* The buffer of a stream that is larger than this is freed when it is empty,
    so that idle streams cost little memory.  */
 #define KEPT_PENDING_BYTES 4096
@@ -22,6 +24,37 @@
   return request;
 }
 
+/* The request of HANDLE for PART of an answer; NULL: its caller closed, or it
+   is answered, which is logged.  */
+static server_request_state_t *
+find_answerable (const server_t *server, kwf_handle_t handle, const char *part)
+{
+  const server_request_state_t *request
+      = kwf_slots_get (server->requests, handle);
+  if (request && request->answered && !request->gone)
+    logging_event (253, KWF_LOG_ERROR,
+                   "%s for request %" G_GUINT64_FORMAT
+                   ", which is answered: not sent",
+                   part, handle);
+  return find_open (server, handle);
+}
+
+/* The same for PART that must be the first of an answer.  After another one,
+   the answer is broken off.  */
+static server_request_state_t *
+find_unanswered (server_t *server, kwf_handle_t handle, const char *part)
+{
+  server_request_state_t *request = find_answerable (server, handle, part);
+  if (!request || !request->streaming)
+    return request;
+  logging_event (253, KWF_LOG_ERROR,
+                 "%s for request %" G_GUINT64_FORMAT
+                 ", whose answer has begun: broken off",
+                 part, handle);
+  server_abort (server, handle);
+  return NULL;
+}
+
 const server_request_t *
 server_request (const server_t *server, kwf_handle_t handle)
 {
@@ -57,8 +90,9 @@
               const char *content_type, const header_t *headers,
               size_t n_headers, const void *body, size_t body_size)
 {
-  server_request_state_t *request = find_open (server, handle);
-  if (!request || request->streaming)
+  server_request_state_t *request
+      = find_unanswered (server, handle, "an answer");
+  if (!request)
     return;
   /* libmicrohttpd copies the bytes; its parameter lacks const.  */
   struct MHD_Response *response = MHD_create_response_from_buffer (
@@ -140,8 +174,9 @@
               const char *content_type, const header_t *headers,
               size_t n_headers)
 {
-  server_request_state_t *request = find_open (server, handle);
-  if (!request || request->streaming)
+  server_request_state_t *request
+      = find_unanswered (server, handle, "the begin of an answer");
+  if (!request)
     return;
   struct MHD_Response *response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, BLOCK_SIZE, read_pending, request, NULL);
@@ -180,7 +215,8 @@
 server_write (server_t *server, kwf_handle_t handle, const void *bytes,
               size_t size)
 {
-  server_request_state_t *request = find_open (server, handle);
+  server_request_state_t *request
+      = find_answerable (server, handle, "a part of an answer");
   if (!request || !request->streaming || !size)
     return;
   pending_t *pending = &request->pending;
@@ -197,7 +233,8 @@
 void
 server_end (server_t *server, kwf_handle_t handle)
 {
-  server_request_state_t *request = find_open (server, handle);
+  server_request_state_t *request
+      = find_answerable (server, handle, "the end of an answer");
   if (!request || !request->streaming)
     return;
   request->answered = true;
--- a/net/server.h
+++ b/net/server.h
@@ -102,18 +102,21 @@
 const char *server_header (const server_request_t *request, const char *name);
 
 /* Sends the whole answer.  BODY is copied.  CONTENT_TYPE and HEADERS may be
-   NULL.  Does nothing when the request is answered or its caller closed.  */
+   NULL.  Does nothing when the caller closed; when the request is answered,
+   nothing is sent, and when its answer has begun, that is broken off as by
+   server_abort; both are logged.  */
 void server_reply (server_t *server, kwf_handle_t request, int status,
                    const char *content_type, const header_t *headers,
                    size_t n_headers, const void *body, size_t body_size);
 
 /* Answers in parts: server_begin, any number of server_write, server_end.
-   CONTENT_TYPE NULL: none is sent.  Each does nothing when the request is
-   answered or its caller closed, and server_write and server_end also before
-   server_begin.  A write beyond max_pending_bytes resets the connection.
-   server_abort closes the connection without the regular end of an answer, so
-   that the caller sees that it is incomplete: without the last chunk or, for a
-   caller of HTTP/1.0, who gets no chunks, with a reset.  */
+   CONTENT_TYPE NULL: none is sent.  Each does nothing when the caller closed,
+   or, which is logged, when the request is answered, and server_write and
+   server_end also before server_begin.  A write beyond max_pending_bytes
+   resets the connection. server_abort closes the connection without the
+   regular end of an answer, so that the caller sees that it is incomplete:
+   without the last chunk or, for a caller of HTTP/1.0, who gets no chunks,
+   with a reset.  */
 void server_begin (server_t *server, kwf_handle_t request, int status,
                    const char *content_type, const header_t *headers,
                    size_t n_headers);
--- a/test/common-server.c
+++ b/test/common-server.c
@@ -102,6 +102,20 @@
       pause_ms (BUSY_MS);
       server_reply (server, handle, 200, "text/plain", NULL, 0, "", 0);
     }
+  else if (strcmp (request->path, "/twice") == 0)
+    {
+      server_reply (server, handle, 200, "text/plain", NULL, 0, "first", 5);
+      server_reply (server, handle, 503, "text/plain", NULL, 0, "second", 6);
+      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_write (server, handle, "third", 5);
+      server_end (server, handle);
+    }
+  else if (strcmp (request->path, "/mixed") == 0)
+    {
+      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_write (server, handle, "part", 4);
+      server_reply (server, handle, 503, "text/plain", NULL, 0, "whole", 5);
+    }
   else if (strcmp (request->path, "/abort-first") == 0)
     server_abort (server, handle);
   else if (strcmp (request->path, "/abort-later") == 0)
