Resume a stream only on a route that allows it

An answer of events on a route that is idempotent but not a resumable stream was joined from two runs when its server broke off: whether another run may go on was taken from "idempotent", which says only that the whole request may be run again.

The route says now whether a begun stream may go on elsewhere; otherwise it is broken off.

test_delivery stream_of_another_route_is_not_resumed failed before: a second attempt was started. test_begun_answer, test_routed, test_scenario, test_explore, test_standins, test_notice, test_server_limit pass.

--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -106,5 +106,6 @@
       = request_add (core, &routed, organisation ? organisation->name : "",
                      priority, kwf_now_ns (core->options.clock));
   request->max_attempts = route->max_attempts;
+  request->resumable = route->stream && route->resumable;
   admit_charge (core, request, cost_of (event, organisation), effects);
 }
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -360,8 +360,7 @@
     }
   bool suspect = crash == CRASH_SUSPECT;
   if (request->n_attempts >= request->max_attempts
-      || (suspect && request->trial_used)
-      || (request_has_begun (request) && request->no_resume))
+      || (suspect && request->trial_used) || !request_can_go_on (request))
     {
       refuse_unrouted (core, request, suspect, ROUTE_UNAVAILABLE, effects);
       return;
--- a/lib/preempt.c
+++ b/lib/preempt.c
@@ -15,7 +15,7 @@
 {
   if (stream->priority != KWF_PRIORITY_OVERNIGHT || !stream->stream
       || stream->state != REQUEST_STREAMING || !request_has_begun (stream)
-      || stream->no_resume || stream->withheld || stream->trial
+      || !request_can_go_on (stream) || stream->withheld || stream->trial
       || stream->hedge || !stream->attempt)
     return false;
   const server_t *server = stream->attempt->server;
--- a/lib/request.c
+++ b/lib/request.c
@@ -20,6 +20,13 @@
   return request->delivery == DELIVERY_BEGUN;
 }
 
+bool
+request_can_go_on (const request_t *request)
+{
+  return !request_has_begun (request)
+         || (request->resumable && !request->no_resume);
+}
+
 request_t *
 request_find (const kwf_core_t *core, kwf_handle_t handle)
 {
@@ -94,6 +101,7 @@
     .idempotent = event->idempotent,
     .stream = event->stream,
     .resuming = event->resuming,
+    .resumable = event->kind != KWF_REQUEST_ROUTED,
     .max_attempts = DEFAULT_MAX_ATTEMPTS,
     .prompt_tokens = event->prompt_tokens,
     .fingerprint = crash_fingerprint (organisation, event->fingerprint),
--- a/lib/request.h
+++ b/lib/request.h
@@ -43,9 +43,10 @@
   bool withheld;       /* data arrived while this instance had no lease and is
                           withheld */
   delivery_t delivery; /* of the caller's answer */
-  bool no_resume;  /* no other attempt can go on after what was forwarded */
-  bool trial;      /* the running attempt is a trial of a crash suspect */
-  bool trial_used; /* its trial took place; it may have failed */
+  bool resumable;      /* another attempt may go on with a stream that began */
+  bool no_resume;      /* none can go on after what was forwarded last */
+  bool trial;          /* the running attempt is a trial of a crash suspect */
+  bool trial_used;     /* its trial took place; it may have failed */
   int64_t prompt_tokens;
   double charged;    /* tokens charged to the organisation */
   int64_t delivered; /* tokens forwarded to the caller */
@@ -154,6 +155,9 @@
 /* Whether a part of the answer was sent to the caller.  */
 bool request_has_begun (const request_t *request);
 
+/* Whether another attempt can give the answer, or the rest of it.  */
+bool request_can_go_on (const request_t *request);
+
 /* admit-routed.c: requests whose route is found from host and path.  */
 void admit_routed (kwf_core_t *core, const kwf_request_event_t *event,
                    kwf_effects_t *effects);
--- a/test/test_delivery.c
+++ b/test/test_delivery.c
@@ -192,6 +192,29 @@
   assert_broken_off (world);
 }
 
+/* Guards against a stream that is joined from two runs although its route does
+   not say that it may be resumed.  */
+static void
+stream_of_another_route_is_not_resumed (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  core_world_request (world, 1, "/read/x", NULL);
+  kwf_handle_t first
+      = core_world_effect (world, KWF_FX_ATTEMPT_START)->start.attempt;
+  core_world_step (
+      world, &(kwf_event_t){
+                 .type = KWF_EV_ATTEMPT_DATA,
+                 .attempt = { .attempt = first, .request = 1, .tokens = 1 } });
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                             .attempt = { .attempt = first,
+                                          .request = 1,
+                                          .failure = KWF_FAIL_BROKEN } });
+  assert_null (core_world_effect (world, KWF_FX_ATTEMPT_START));
+  assert_broken_off (world);
+}
+
 #define TEST(name)                                                            \
   cmocka_unit_test_setup_teardown (name, core_world_setup, core_world_teardown)
 
@@ -204,6 +227,7 @@
     TEST (resumed_stream_may_end_without_events),
     TEST (run_with_a_gap_is_cancelled),
     TEST (stream_without_ids_is_not_resumed),
+    TEST (stream_of_another_route_is_not_resumed),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
