Test begun streams in random schedules

test_delivery plays 4,000 schedules of attempts, stops, time and callers that leave, and checks that a caller sees one begin, events of runs that go on, and one end.

--- a/test/test_delivery.c
+++ b/test/test_delivery.c
@@ -12,6 +12,9 @@
 #include "common-core.h"
 #include "lib/delivery.h"
 
+/* Random schedules.  */
+#define N_SCHEDULES 4000
+
 /* Guards against a cell of the table that lets something else follow a begun
    answer than its own events or a visible end.  */
 static void
@@ -215,6 +218,171 @@
   assert_broken_off (world);
 }
 
+/* A caller of a stream in a random schedule.  */
+typedef struct
+{
+  GRand *rand;
+  core_world_t world;
+  kwf_handle_t open; /* attempt that runs; 0: none */
+  bool open_passed;  /* some of its events were passed on */
+  bool whole_stream; /* the attempt that ended was a stream of status 200 */
+  bool begun;
+  bool ended;
+  bool gone;
+  const char *fault; /* NULL: none */
+} schedule_t;
+
+static void
+check_effect (schedule_t *schedule, const kwf_effect_t *effect)
+{
+  switch (effect->type)
+    {
+    case KWF_FX_ATTEMPT_START:
+      if (schedule->ended || schedule->open)
+        schedule->fault = "an attempt after the end, or beside another";
+      else if (effect->start.resumes != schedule->begun)
+        schedule->fault = "an attempt that does not know where it begins";
+      schedule->open = effect->start.attempt;
+      schedule->open_passed = false;
+      break;
+    case KWF_FX_ATTEMPT_CANCEL:
+      schedule->open = 0;
+      break;
+    case KWF_FX_FORWARD:
+      if (schedule->ended)
+        schedule->fault = "events after the end";
+      schedule->begun = true;
+      schedule->open_passed = true;
+      break;
+    case KWF_FX_FORWARD_END:
+      if (schedule->ended)
+        schedule->fault = "a second end";
+      else if (schedule->begun && !schedule->whole_stream)
+        schedule->fault = "another answer in a stream";
+      schedule->ended = true;
+      break;
+    case KWF_FX_REPLY:
+      if (schedule->ended)
+        schedule->fault = "a second answer";
+      else if (!effect->reply.code)
+        schedule->fault = "a whole answer without a run";
+      schedule->ended = true;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+play (schedule_t *schedule, const kwf_event_t *event)
+{
+  bool over = event->type == KWF_EV_ATTEMPT_END
+              || event->type == KWF_EV_ATTEMPT_FAILED;
+  schedule->whole_stream = event->type == KWF_EV_ATTEMPT_END
+                           && event->attempt.status == 200
+                           && !event->attempt.body;
+  if (over)
+    schedule->open = 0;
+  core_world_step (&schedule->world, event);
+  for (size_t i = 0; i < kwf_effects_count (schedule->world.effects); i++)
+    check_effect (schedule, kwf_effects_at (schedule->world.effects, i));
+}
+
+/* The next event of the attempt that runs.  */
+static kwf_event_t
+draw_attempt_event (schedule_t *schedule)
+{
+  static const int statuses[] = { 200, 200, 204, 400, 421, 429, 500, 503 };
+  GRand *rand = schedule->rand;
+  kwf_event_t event
+      = { .attempt = { .attempt = schedule->open, .request = 1 } };
+  switch (g_rand_int_range (rand, 0, 4))
+    {
+    case 0:
+      event.type = KWF_EV_ATTEMPT_END;
+      event.attempt.status = schedule->open_passed
+                                 ? 200
+                                 : statuses[g_rand_int_range (
+                                     rand, 0, G_N_ELEMENTS (statuses))];
+      event.attempt.not_run
+          = event.attempt.status == 421
+            || (!schedule->open_passed && g_rand_boolean (rand));
+      event.attempt.body
+          = schedule->open_passed || g_rand_boolean (rand) ? NULL : "x";
+      break;
+    case 1:
+      event.type = KWF_EV_ATTEMPT_FAILED;
+      event.attempt.failure
+          = schedule->open_passed
+                ? KWF_FAIL_BROKEN
+                : (kwf_failure_t)g_rand_int_range (rand, KWF_FAIL_REFUSED,
+                                                   KWF_FAIL_NOT_SENT + 1);
+      break;
+    default:
+      event.type = KWF_EV_ATTEMPT_DATA;
+      event.attempt.tokens = 1;
+      event.attempt.gap
+          = schedule->begun && !schedule->open_passed && g_rand_boolean (rand);
+      event.attempt.no_resume = g_rand_int_range (rand, 0, 8) == 0;
+      break;
+    }
+  return event;
+}
+
+static void
+play_step (schedule_t *schedule)
+{
+  kwf_event_t event = { .type = KWF_EV_TICK };
+  int draw = g_rand_int_range (schedule->rand, 0, 30);
+  if (draw == 0)
+    {
+      event = (kwf_event_t){ .type = KWF_EV_REQUEST_GONE, .gone = 1 };
+      schedule->gone = true;
+    }
+  else if (draw == 1)
+    event.type = KWF_EV_STOP;
+  else if (draw < 8)
+    schedule->world.clock.now_ns
+        += g_rand_int_range (schedule->rand, 1, 1500) * KWF_NS_PER_MS;
+  else if (schedule->open)
+    event = draw_attempt_event (schedule);
+  play (schedule, &event);
+}
+
+/* Guards against a way to a caller on which something else than its own events
+   or a visible end follows the begin of a stream, or nothing at all.  */
+static void
+stream_has_one_begin_and_one_end (void **state)
+{
+  (void)state;
+  static const char *const paths[] = { "/draft/x", "/read/x" };
+  int begun = 0;
+  for (guint32 seed = 1; seed <= N_SCHEDULES; seed++)
+    {
+      schedule_t schedule = { .rand = g_rand_new_with_seed (seed) };
+      core_world_start (&schedule.world);
+      core_world_servers (&schedule.world);
+      core_world_request (&schedule.world, 1, paths[seed % 2],
+                          seed % 2 ? NULL : "m");
+      const kwf_effect_t *sent
+          = core_world_effect (&schedule.world, KWF_FX_ATTEMPT_START);
+      schedule.open = sent->start.attempt;
+      for (int i = 0; i < 40 && !schedule.fault && !schedule.gone; i++)
+        play_step (&schedule);
+      schedule.world.clock.now_ns += 20 * KWF_NS_PER_S;
+      if (!schedule.gone && !schedule.fault)
+        play (&schedule, &(kwf_event_t){ .type = KWF_EV_TICK });
+      if (!schedule.gone && !schedule.ended && !schedule.fault)
+        schedule.fault = "no end";
+      begun += schedule.begun;
+      if (schedule.fault)
+        fail_msg ("seed %u: %s", seed, schedule.fault);
+      core_world_stop (&schedule.world);
+      g_rand_free (schedule.rand);
+    }
+  assert_true (begun > N_SCHEDULES / 4);
+}
+
 #define TEST(name)                                                            \
   cmocka_unit_test_setup_teardown (name, core_world_setup, core_world_teardown)
 
@@ -226,6 +394,7 @@
     cmocka_unit_test (begun_stream_gets_no_other_answer),
     TEST (resumed_stream_may_end_without_events),
     TEST (run_with_a_gap_is_cancelled),
+    cmocka_unit_test (stream_has_one_begin_and_one_end),
     TEST (stream_without_ids_is_not_resumed),
     TEST (stream_of_another_route_is_not_resumed),
   };
