--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -50,6 +50,9 @@
 bool routed_stream_add (routed_stream_t *stream, const char *bytes,
                         size_t size);
 
+/* Whether nothing but line ends follows the last whole event.  */
+bool routed_stream_between_events (const routed_stream_t *stream);
+
 /* Removes the first SIZE bytes, which were passed on.  */
 void routed_stream_take (routed_stream_t *stream, size_t size);
 
