--- a/test/test_server_answers.c
+++ b/test/test_server_answers.c
@@ -59,6 +59,24 @@
   http_free (&answer);
 }
 
+/* Guards against a stream that looks complete to a caller of HTTP/1.0 that was
+   cut off because it read too slowly.  */
+static void
+slow_reader_without_chunks_sees_the_cut (void **state)
+{
+  test_server_t *fixture = *state;
+  char buffer[65536];
+  ssize_t n;
+  int fd
+      = test_server_open (fixture, "GET /flood HTTP/1.0\r\nHost: h\r\n\r\n");
+  test_server_wait (&fixture->n_gone, 1);
+  do
+    n = recv (fd, buffer, sizeof buffer, 0);
+  while (n > 0);
+  assert_int_equal (n, -1);
+  close (fd);
+}
+
 /* Guards against a body that is read as a request, after a refusal that was
    sent before the body.  */
 static void
@@ -99,6 +117,7 @@
   const struct CMUnitTest tests[] = {
     TEST (second_answer_is_not_sent),
     TEST (whole_answer_after_a_begin_breaks_it_off),
+    TEST (slow_reader_without_chunks_sees_the_cut),
     TEST (body_after_a_refusal_is_no_request),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
