Add a failing test: repeats of a service beyond its budget

The fleet of real cores gets a second service, "quiet", and records by service what callers sent and what arrived again.

--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -131,6 +131,7 @@
 make_lists (const core_fleet_t *fleet)
 {
   const kwf_split_t split = { fleet->n_models ? "models" : "desk", 1 };
+  const kwf_split_t quiet = { "quiet", 1 };
   static const char *const prefixes[] = { "/0/", "/1/", "/2/" };
   kwf_lists_t *lists = lists_new ();
   lists_add_service (lists, &(kwf_service_t){ .name = "desk" });
@@ -151,6 +152,15 @@
                                      .max_attempts = 2,
                                      .priority = i,
                                      .timeout_ns = fleet->deadline_ns });
+  lists_add_service (lists, &(kwf_service_t){ .name = "quiet" });
+  lists_add_route (lists, &(kwf_route_t){ .name = "quiet",
+                                          .host = "h.example",
+                                          .prefix = "/quiet/",
+                                          .splits = &quiet,
+                                          .n_splits = 1,
+                                          .idempotent = true,
+                                          .max_attempts = 3,
+                                          .timeout_ns = fleet->deadline_ns });
   if (fleet->n_models)
     core_fleet_add_models (fleet, lists);
   return lists;
@@ -177,7 +187,9 @@
       members[i] = (kwf_member_t){ .id = server->id,
                                    .kind = server->engine ? KWF_MEMBER_ENGINE
                                                           : KWF_MEMBER_SERVICE,
-                                   .name = server->engine ? "models" : "desk",
+                                   .name = server->engine  ? "models"
+                                           : server->quiet ? "quiet"
+                                                           : "desk",
                                    .address = "127.0.0.1:11",
                                    .data_centre = "c0",
                                    .described = true,
@@ -436,6 +448,32 @@
   return status;
 }
 
+/* Counts the arrival of a request, and one that has arrived before as a
+   repeat.  */
+static void
+count_arrival (core_fleet_t *fleet, const core_fleet_server_t *server,
+               kwf_handle_t handle)
+{
+  guint *n = &g_array_index (fleet->arrived, guint, handle - 1);
+  if (++*n > 1)
+    g_array_append_val (fleet->repeats[server->quiet], fleet->now_ns);
+}
+
+/* Status of the answer to a request.  */
+static int
+run_request_at (core_fleet_t *fleet, const core_fleet_server_t *server,
+                kwf_handle_t handle)
+{
+  count_arrival (fleet, server, handle);
+  if (!has_what_it_needs (fleet, server, handle))
+    return 421;
+  if (server->rejects > 0 && core_fleet_random_unit (fleet) < server->rejects)
+    return 503;
+  if (server->fails > 0 && core_fleet_random_unit (fleet) < server->fails)
+    return 500;
+  return 200;
+}
+
 static void
 run_arrival (core_fleet_t *fleet, const task_t *task)
 {
@@ -448,7 +486,7 @@
   if (task->kind == KWF_ANSWER_ORDER)
     status = run_order (fleet, server, &task->order);
   else if (task->kind == KWF_ANSWER_REQUEST)
-    status = has_what_it_needs (fleet, server, task->request) ? 200 : 421;
+    status = run_request_at (fleet, server, task->request);
   bool runs = task->kind == KWF_ANSWER_REQUEST && status == 200;
   int64_t delay_ns = SERVER_NS + (runs ? fleet->service_ns : 0);
   task_t *answer = add_task (fleet, TASK_ANSWER, delay_ns, task->to);
@@ -530,7 +568,8 @@
                           .attempt = { .attempt = task->attempt,
                                        .request = task->request,
                                        .status = task->status,
-                                       .not_run = task->status == 421,
+                                       .not_run = task->status == 421
+                                                  || task->status == 503,
                                        .misplaced = task->status == 421 } });
   else if (task->kind == KWF_ANSWER_ORDER)
     step (instance,
@@ -619,6 +658,7 @@
   guint index = (guint)task->request;
   core_fleet_request_t *request = request_at (fleet, index);
   request->n_tries++;
+  g_array_append_val (fleet->sent[request->quiet], fleet->now_ns);
   request->instance = random_live_instance (fleet);
   if (request->instance < 0
       || (fleet->gate && !fleet->gate (fleet, request->instance)))
@@ -638,7 +678,9 @@
       return;
     }
   g_free (event);
+  const guint none = 0;
   g_array_append_val (fleet->tries, index);
+  g_array_append_val (fleet->arrived, none);
   request->handle = fleet->tries->len;
   step (instance,
         &(kwf_event_t){
@@ -649,7 +691,7 @@
                 .id = "r",
                 .key_digest = "k",
                 .host = "h.example",
-                .path = paths[request->priority],
+                .path = request->quiet ? "/quiet/x" : paths[request->priority],
                 .model = request->model < 0
                              ? NULL
                              : core_fleet_model_name (request->model),
@@ -680,6 +722,8 @@
           .adapter = -1 };
   if (fleet->n_models)
     choose_model (fleet, &request);
+  if (fleet->quiet_part > 0)
+    request.quiet = core_fleet_random_unit (fleet) < fleet->quiet_part;
   g_array_append_val (fleet->requests, request);
   plan_request (fleet, fleet->requests->len - 1, 0);
 }
@@ -836,7 +880,7 @@
                              .renew_ns = 100 * KWF_NS_PER_S,
                              .address_lifetime_ns = KWF_NS_PER_S,
                              .default_timeout_ns = 60 * KWF_NS_PER_S,
-                             .retry_share = 0.2,
+                             .retry_share = 0.1,
                              .push_updates = true,
                              .overdraft = 1000,
                              .placement = { .dynamic = fleet->n_models > 0,
@@ -897,6 +941,24 @@
     add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
 }
 
+void
+core_fleet_change_fault (core_fleet_t *fleet, int index)
+{
+  core_fleet_instance_t *instance = &fleet->instances[index];
+  if (!instance->alive)
+    core_fleet_start (fleet, index);
+  else if (instance->frozen)
+    core_fleet_thaw (fleet, index);
+  else if (instance->cut)
+    core_fleet_set_cut (fleet, index, false);
+  else if (core_fleet_random (fleet, 3) == 0)
+    core_fleet_kill (fleet, index);
+  else if (core_fleet_random (fleet, 2) == 0)
+    core_fleet_freeze (fleet, index);
+  else
+    core_fleet_set_cut (fleet, index, true);
+}
+
 /* The links of an instance that is still frozen or cut are closed.  */
 static void
 run_link_down (core_fleet_t *fleet, const task_t *task)
@@ -1062,16 +1124,18 @@
 }
 
 static core_fleet_t *
-new_fleet (uint64_t seed, int n_instances, int n_servers, int n_models)
+new_fleet (uint64_t seed, int n_instances, int n_servers, int n_quiet,
+           int n_models)
 {
   core_fleet_t *fleet = g_new0 (core_fleet_t, 1);
   *fleet = (core_fleet_t){ .now_ns = KWF_NS_PER_S,
                            .state = seed,
                            .n_instances = n_instances,
-                           .n_servers = n_servers,
+                           .n_servers = n_servers + n_quiet,
                            .n_models = n_models,
                            .service_ns = 50 * CORE_FLEET_MS,
                            .deadline_ns = 15 * KWF_NS_PER_S };
+  n_servers += n_quiet;
   size_t n = (size_t)n_instances;
   fleet->instances = g_new0 (core_fleet_instance_t, n);
   fleet->servers = g_new0 (core_fleet_server_t, (size_t)n_servers);
@@ -1082,6 +1146,12 @@
   fleet->table->revision = 1;
   fleet->requests = g_array_new (FALSE, TRUE, sizeof (core_fleet_request_t));
   fleet->tries = g_array_new (FALSE, FALSE, sizeof (guint));
+  fleet->arrived = g_array_new (FALSE, FALSE, sizeof (guint));
+  for (int i = 0; i < 2; i++)
+    {
+      fleet->sent[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
+      fleet->repeats[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
+    }
   heap_init (&fleet->tasks);
   for (int i = 0; i < n_servers; i++)
     {
@@ -1089,6 +1159,7 @@
       g_snprintf (server->id, sizeof server->id, "d%d", i);
       server->incarnation = 1;
       server->revision = 1 + i;
+      server->quiet = i >= n_servers - n_quiet;
       if (n_models)
         server->engine = core_fleet_engine_new (n_models);
       server->told_ns = g_new0 (int64_t, n);
@@ -1118,14 +1189,20 @@
 core_fleet_t *
 core_fleet_new (uint64_t seed, int n_instances, int n_servers)
 {
-  return new_fleet (seed, n_instances, n_servers, 0);
+  return new_fleet (seed, n_instances, n_servers, 0, 0);
+}
+
+core_fleet_t *
+core_fleet_new_services (uint64_t seed, int n_instances, int n_servers)
+{
+  return new_fleet (seed, n_instances, n_servers, 2, 0);
 }
 
 core_fleet_t *
 core_fleet_new_engines (uint64_t seed, int n_instances, int n_engines,
                         int n_models)
 {
-  return new_fleet (seed, n_instances, n_engines, n_models);
+  return new_fleet (seed, n_instances, n_engines, 0, n_models);
 }
 
 void
@@ -1152,6 +1229,12 @@
   fleet_sim_free (fleet->table);
   g_array_free (fleet->requests, TRUE);
   g_array_free (fleet->tries, TRUE);
+  g_array_free (fleet->arrived, TRUE);
+  for (int i = 0; i < 2; i++)
+    {
+      g_array_free (fleet->sent[i], TRUE);
+      g_array_free (fleet->repeats[i], TRUE);
+    }
   g_free (fleet->instances);
   g_free (fleet->servers);
   g_free (fleet->linked);
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -68,7 +68,10 @@
 typedef struct
 {
   char id[8];
-  core_fleet_engine_t *engine; /* NULL: a copy of the service "desk" */
+  core_fleet_engine_t *engine; /* NULL: a copy of a service */
+  bool quiet;                  /* of the service "quiet", not "desk" */
+  double rejects;              /* part of the requests that it does not run */
+  double fails; /* part of the requests that it answers with a failure */
   uint64_t incarnation;
   int64_t revision;
   bool names; /* its answers name LIMIT */
@@ -90,6 +93,7 @@
   int64_t deadline_ns;
   int instance;
   int priority;
+  bool quiet;          /* for the service "quiet" */
   int model;           /* -1: none */
   int adapter;         /* -1: none */
   kwf_handle_t handle; /* of the present try */
@@ -109,8 +113,15 @@
   bool *wanted;
   heap_t tasks;
   fleet_sim_t *table;
-  GArray *requests;    /* of core_fleet_request_t */
-  GArray *tries;       /* of guint: the request of each handle, from 1 on */
+  GArray *requests; /* of core_fleet_request_t */
+  GArray *tries;    /* of guint: the request of each handle, from 1 on */
+  /* For each service, "desk" and "quiet": times of int64_t at which callers
+     sent requests for it, and at which a request arrived that had arrived
+     before.  */
+  GArray *sent[2];
+  GArray *repeats[2];
+  GArray *arrived;     /* of guint: arrivals of each handle */
+  double quiet_part;   /* part of the requests that are for "quiet" */
   int64_t service_ns;  /* time that a server takes for a request */
   int64_t deadline_ns; /* time that a caller waits in all */
   /* Whether an instance may take a request now; NULL: always.  What it may not
@@ -127,6 +138,10 @@
 
 /* N_SERVERS copies of the service "desk".  The instances start at once.  */
 core_fleet_t *core_fleet_new (uint64_t seed, int n_instances, int n_servers);
+/* The same, with two more copies of a service "quiet", whose index is
+   N_SERVERS and N_SERVERS + 1.  */
+core_fleet_t *core_fleet_new_services (uint64_t seed, int n_instances,
+                                       int n_servers);
 /* N_ENGINES engines, which hold N_MODELS models between them: a few models get
    most of the requests, and every other one has adapters.  */
 core_fleet_t *core_fleet_new_engines (uint64_t seed, int n_instances,
@@ -143,6 +158,10 @@
 void core_fleet_thaw (core_fleet_t *fleet, int index);
 void core_fleet_set_cut (core_fleet_t *fleet, int index, bool cut);
 
+/* Ends the fault of an instance or begins one, chosen at random: a kill, a
+   freeze or a cut.  */
+void core_fleet_change_fault (core_fleet_t *fleet, int index);
+
 /* The process of SERVER is replaced; the new one names no limit.  */
 void core_fleet_restart_server (core_fleet_t *fleet, int server);
 void core_fleet_name_limit (core_fleet_t *fleet, int server, double limit);
--- /dev/null
+++ b/test/test_retry_budget.c
@@ -0,0 +1,286 @@
+/* Repeats of requests against the budget that a fleet has for each service. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "common-core-fleet.h"
+
+/* Time in which the instances link up and divide the rates.  */
+#define SETTLED_NS (8 * KWF_NS_PER_S)
+/* The rule: arrivals beyond the first of each request in a window, by service,
+   over all instances.  */
+#define WINDOW_NS (10 * KWF_NS_PER_S)
+#define RATIO 0.2
+#define SLACK 56
+
+enum
+{
+  DESK,
+  QUIET,
+  N_SERVICES
+};
+static const char *const service_names[] = { "desk", "quiet" };
+
+typedef struct
+{
+  int n_excessive; /* windows with more than is allowed */
+  int most;        /* repeats in the window that is nearest to the bound */
+  double allowed;  /* in that window */
+  int64_t end_ns;  /* of that window */
+} verdict_t;
+
+/* Entries of TIMES from FROM_NS on, before UNTIL_NS.  They are in order.  */
+static int
+count_between (const GArray *times, int64_t from_ns, int64_t until_ns)
+{
+  guint bounds[2];
+  const int64_t limits[] = { from_ns, until_ns };
+  for (int i = 0; i < 2; i++)
+    {
+      guint low = 0;
+      guint high = times->len;
+      while (low < high)
+        {
+          guint middle = (low + high) / 2;
+          if (g_array_index (times, int64_t, middle) < limits[i])
+            low = middle + 1;
+          else
+            high = middle;
+        }
+      bounds[i] = low;
+    }
+  return (int)(bounds[1] - bounds[0]);
+}
+
+/* What the rule allows in the window that ends at END_NS: a share of the
+   requests of that window, the one before it or the one half a window before
+   it, whichever has most.  */
+static double
+allowed_until (const GArray *sent, int64_t end_ns)
+{
+  int most = 0;
+  for (int i = 0; i < 3; i++)
+    {
+      int64_t until_ns = end_ns - i * WINDOW_NS / 2;
+      int n = count_between (sent, until_ns - WINDOW_NS, until_ns);
+      most = MAX (most, n);
+    }
+  return RATIO * most + SLACK;
+}
+
+/* Judges each window that ends with a repeat.  */
+static verdict_t
+judge (const core_fleet_t *fleet, int service)
+{
+  const GArray *repeats = fleet->repeats[service];
+  verdict_t verdict = { .allowed = SLACK };
+  double nearest = -1;
+  for (guint i = 0; i < repeats->len; i++)
+    {
+      int64_t end_ns = g_array_index (repeats, int64_t, i) + 1;
+      int n = count_between (repeats, end_ns - WINDOW_NS, end_ns);
+      double allowed = allowed_until (fleet->sent[service], end_ns);
+      verdict.n_excessive += n > allowed;
+      if (n / allowed <= nearest)
+        continue;
+      nearest = n / allowed;
+      verdict.most = n;
+      verdict.allowed = allowed;
+      verdict.end_ns = end_ns;
+    }
+  return verdict;
+}
+
+/* Judges both services and returns the number of windows in excess.  */
+static int
+print_verdicts (const core_fleet_t *fleet, const char *what)
+{
+  int n_excessive = 0;
+  for (int i = 0; i < N_SERVICES; i++)
+    {
+      verdict_t verdict = judge (fleet, i);
+      n_excessive += verdict.n_excessive;
+      print_message ("%s, %d instances, %s: %d repeats of %d requests; most "
+                     "%d in a window, %.0f allowed; %d windows in excess\n",
+                     what, fleet->n_instances, service_names[i],
+                     (int)fleet->repeats[i]->len, (int)fleet->sent[i]->len,
+                     verdict.most, verdict.allowed, verdict.n_excessive);
+    }
+  return n_excessive;
+}
+
+/* A fleet that has served a busy and a quiet service for three windows.  */
+static core_fleet_t *
+warm_fleet (uint64_t seed, int n_instances, double rate)
+{
+  core_fleet_t *fleet = core_fleet_new_services (seed, n_instances, 4);
+  fleet->quiet_part = 0.1;
+  core_fleet_run (fleet, SETTLED_NS);
+  core_fleet_run_callers (fleet, rate, SETTLED_NS + 3 * WINDOW_NS);
+  return fleet;
+}
+
+static void
+set_quiet_servers (core_fleet_t *fleet, double rejects, double fails)
+{
+  for (int i = 0; i < fleet->n_servers; i++)
+    if (fleet->servers[i].quiet)
+      {
+        fleet->servers[i].rejects = rejects;
+        fleet->servers[i].fails = fails;
+      }
+}
+
+/* Guards against repeats for a quiet service that the requests for a busy one
+   have paid for.  */
+static void
+busy_service_pays_for_a_quiet_one (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 4; seed++)
+    {
+      core_fleet_t *fleet = warm_fleet (seed, 8, 250);
+      set_quiet_servers (fleet, seed % 2 ? 1 : 0, seed % 2 ? 0 : 1);
+      core_fleet_run_callers (fleet, 250, fleet->now_ns + 2 * WINDOW_NS);
+      int n = print_verdicts (fleet, seed % 2 ? "not run" : "failed");
+      core_fleet_free (fleet);
+      assert_int_equal (n, 0);
+    }
+}
+
+/* Guards against parts of the budget that add up to more than the whole with
+   the number of instances.  */
+static void
+parts_add_up_with_the_instances (void **state)
+{
+  (void)state;
+  static const int sizes[] = { 2, 8, 91 };
+  for (int i = 0; i < (int)G_N_ELEMENTS (sizes); i++)
+    {
+      core_fleet_t *fleet = core_fleet_new_services (7, sizes[i], 4);
+      fleet->quiet_part = 1;
+      core_fleet_run (fleet, SETTLED_NS);
+      core_fleet_run_callers (fleet, 8, SETTLED_NS + 3 * WINDOW_NS);
+      set_quiet_servers (fleet, 1, 0);
+      core_fleet_run_callers (fleet, 40, fleet->now_ns + WINDOW_NS);
+      int n = print_verdicts (fleet, "quiet alone");
+      core_fleet_free (fleet);
+      assert_int_equal (n, 0);
+    }
+}
+
+static int
+schedules (void)
+{
+  const char *text = g_getenv ("KWF_BUDGET_SCHEDULES");
+  return text ? (int)g_ascii_strtoll (text, NULL, 10) : 20;
+}
+
+static int
+n_instances (void)
+{
+  const char *text = g_getenv ("KWF_BUDGET_INSTANCES");
+  return text ? (int)g_ascii_strtoll (text, NULL, 10) : 8;
+}
+
+static void
+change_servers (core_fleet_t *fleet)
+{
+  static const double parts[] = { 0, 0, 0.3, 1 };
+  int index = (int)core_fleet_random (fleet, (uint64_t)fleet->n_servers);
+  if (core_fleet_random (fleet, 4) == 0)
+    {
+      core_fleet_restart_server (fleet, index);
+      return;
+    }
+  fleet->servers[index].rejects = parts[core_fleet_random (fleet, 4)];
+  fleet->servers[index].fails = parts[core_fleet_random (fleet, 4)];
+}
+
+/* Faults of two instances at most and of any servers, in random order.  */
+static void
+run_schedule (core_fleet_t *fleet)
+{
+  double rate = 60 + (double)core_fleet_random (fleet, 200);
+  fleet->quiet_part = 0.05 + 0.3 * core_fleet_random_unit (fleet);
+  core_fleet_run (fleet, SETTLED_NS);
+  core_fleet_run_callers (fleet, rate, SETTLED_NS + WINDOW_NS);
+  int faulty[2] = { -1, -1 };
+  for (int i = 0; i < 30; i++)
+    {
+      int64_t gap_ns
+          = (int64_t)(100 + core_fleet_random (fleet, 2900)) * CORE_FLEET_MS;
+      core_fleet_run_callers (fleet, rate, fleet->now_ns + gap_ns);
+      int *index = &faulty[core_fleet_random (fleet, 2)];
+      if (core_fleet_random (fleet, 2) == 0)
+        change_servers (fleet);
+      else if (*index >= 0)
+        {
+          core_fleet_change_fault (fleet, *index);
+          *index = -1;
+        }
+      else
+        {
+          int next
+              = (int)core_fleet_random (fleet, (uint64_t)fleet->n_instances);
+          if (next == faulty[0] || next == faulty[1])
+            continue;
+          *index = next;
+          core_fleet_change_fault (fleet, next);
+        }
+    }
+}
+
+/* Guards against a budget that is broken while instances end, stand still or
+   are cut off and servers fail.  A seed is played alone with
+   KWF_BUDGET_SEED.  */
+static void
+budget_is_broken_by_a_fault (void **state)
+{
+  (void)state;
+  const char *only = g_getenv ("KWF_BUDGET_SEED");
+  uint64_t first = only ? g_ascii_strtoull (only, NULL, 10) : 1;
+  uint64_t last = only ? first : (uint64_t)schedules ();
+  int n_failures = 0;
+  int n_repeats = 0;
+  double fullest = 0;
+  for (uint64_t seed = first; seed <= last; seed++)
+    {
+      core_fleet_t *fleet = core_fleet_new_services (seed, n_instances (), 3);
+      fleet->verbose = only != NULL;
+      run_schedule (fleet);
+      for (int i = 0; i < N_SERVICES; i++)
+        {
+          verdict_t verdict = judge (fleet, i);
+          n_repeats += (int)fleet->repeats[i]->len;
+          fullest = MAX (fullest, verdict.most / verdict.allowed);
+          if (!verdict.n_excessive)
+            continue;
+          n_failures++;
+          print_message ("seed %d, %s: %d windows in excess, most %d of %.0f "
+                         "allowed at %.3f s\n",
+                         (int)seed, service_names[i], verdict.n_excessive,
+                         verdict.most, verdict.allowed,
+                         (double)verdict.end_ns / 1e9);
+        }
+      core_fleet_free (fleet);
+    }
+  print_message ("%d repeats in all, at most %.2f of what is allowed in a "
+                 "window\n",
+                 n_repeats, fullest);
+  assert_int_equal (n_failures, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (busy_service_pays_for_a_quiet_one),
+    cmocka_unit_test (parts_add_up_with_the_instances),
+    cmocka_unit_test (budget_is_broken_by_a_fault),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/test/test_server_limit.c
+++ b/test/test_server_limit.c
@@ -64,25 +64,6 @@
     }
 }
 
-/* A fault of INSTANCE begins or ends.  */
-static void
-change_fault (core_fleet_t *fleet, int index)
-{
-  core_fleet_instance_t *instance = &fleet->instances[index];
-  if (!instance->alive)
-    core_fleet_start (fleet, index);
-  else if (instance->frozen)
-    core_fleet_thaw (fleet, index);
-  else if (instance->cut)
-    core_fleet_set_cut (fleet, index, false);
-  else if (core_fleet_random (fleet, 3) == 0)
-    core_fleet_kill (fleet, index);
-  else if (core_fleet_random (fleet, 2) == 0)
-    core_fleet_freeze (fleet, index);
-  else
-    core_fleet_set_cut (fleet, index, true);
-}
-
 static void
 change_server (core_fleet_t *fleet)
 {
@@ -121,7 +102,7 @@
         fleet->store_down = !fleet->store_down;
       else if (*index >= 0)
         {
-          change_fault (fleet, *index);
+          core_fleet_change_fault (fleet, *index);
           *index = -1;
         }
       else
@@ -131,12 +112,12 @@
           if (next == faulty[0] || next == faulty[1])
             continue;
           *index = next;
-          change_fault (fleet, next);
+          core_fleet_change_fault (fleet, next);
         }
     }
   for (int i = 0; i < 2; i++)
     if (faulty[i] >= 0)
-      change_fault (fleet, faulty[i]);
+      core_fleet_change_fault (fleet, faulty[i]);
   fleet->store_down = false;
   core_fleet_run (fleet, fleet->now_ns + 20 * KWF_NS_PER_S);
 }
