Count requests, repeats and refusals of each service

The metrics had one sum for all services, so a running fleet could not tell which service's repeats another one had paid for, nor repeats that nobody paid for. kwf_service_requests_total, kwf_service_repeats_total{kind} and kwf_retry_budget_denied_total have a label "service" now.

--- a/lib/admit.c
+++ b/lib/admit.c
@@ -182,7 +182,7 @@
                        request->charged
                            * series_demand_weight (request->series));
   int64_t now_ns = kwf_now_ns (core->options.clock);
-  budget_count_request (&core->budget, now_ns);
+  retry_budget_count_request (core->retries, request->service);
   budget_count_request (&core->waits.preempts, now_ns);
   if (!request->at_most_once)
     {
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -230,7 +230,7 @@
 may_retry_failure (const kwf_core_t *core, const request_t *request)
 {
   return request->idempotent && request->n_attempts < request->max_attempts
-         && budget_left (&core->budget);
+         && retry_budget_left (core->retries, request->service);
 }
 
 /* What an answer with STATUS says about the server: 503 from a server that
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -85,7 +85,10 @@
 spend_retry_budget (kwf_core_t *core, request_t *request,
                     kwf_effects_t *effects)
 {
-  if (budget_take (&core->budget))
+  repeat_kind_t kind = request->trial       ? REPEAT_TRIAL
+                       : request->forwarded ? REPEAT_RESUME
+                                            : REPEAT_RETRY;
+  if (retry_budget_take (core->retries, request->service, kind))
     return true;
   if (request->forwarded)
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
@@ -451,7 +454,8 @@
      candidates.  */
   route_result_t route = choose_server (core, request, true, false, now_ns);
   request->n_tried--;
-  if (route.verdict != ROUTE_FOUND || !budget_take (&core->budget))
+  if (route.verdict != ROUTE_FOUND
+      || !retry_budget_take (core->retries, request->service, REPEAT_HEDGE))
     return;
   core->n_hedges++;
   start_attempt (core, request, route.server, true, effects);
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -20,6 +20,7 @@
 #include "placement.h"
 #include "policy.h"
 #include "queue.h"
+#include "retry-budget.h"
 #include "session.h"
 #include "share.h"
 
@@ -103,7 +104,7 @@
   demand_t *demand;
   placement_t *placement;
   metrics_t *metrics;
-  budget_t budget;
+  retry_budget_t *retries;
   policy_t *policy;
   permits_t *permits;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
--- a/lib/core.c
+++ b/lib/core.c
@@ -35,7 +35,7 @@
   core->policy = policy_default ();
   core->permits = permits_new (own);
   core->loads = own->push_updates ? fleet_load_new (own->clock) : NULL;
-  budget_init (&core->budget, own->retry_share, now_ns);
+  core->retries = retry_budget_new (own);
   hedge_delays_init (core->hedge_delays, now_ns);
   waits_init (core, now_ns);
   core->requests
@@ -58,6 +58,7 @@
   metrics_free (core->metrics);
   fleet_load_free (core->loads);
   permits_free (core->permits);
+  retry_budget_free (core->retries);
   placement_free (core->placement);
   demand_free (core->demand);
   crash_free (core->crash);
--- a/lib/metric.c
+++ b/lib/metric.c
@@ -173,11 +173,11 @@
   return 1 + 4 * series->shortfall;
 }
 
-static void
-write_labels (GString *out, const series_t *series)
+void
+metric_write_label (GString *out, const char *name, const char *value)
 {
-  g_string_append (out, "organisation=\"");
-  for (const char *c = series->organisation; *c; c++)
+  g_string_append_printf (out, "%s=\"", name);
+  for (const char *c = value; *c; c++)
     {
       if (*c == '\n')
         {
@@ -188,7 +188,14 @@
         g_string_append_c (out, '\\');
       g_string_append_c (out, *c);
     }
-  g_string_append_printf (out, "\",class=\"%s\"",
+  g_string_append_c (out, '"');
+}
+
+static void
+write_labels (GString *out, const series_t *series)
+{
+  metric_write_label (out, "organisation", series->organisation);
+  g_string_append_printf (out, ",class=\"%s\"",
                           class_names[CLAMP (series->priority, 0, 2)]);
 }
 
--- a/lib/metric.h
+++ b/lib/metric.h
@@ -77,6 +77,9 @@
 /* Append all series in the Prometheus text format.  */
 void metrics_write (const metrics_t *metrics, GString *out);
 
+/* Append NAME="VALUE", with VALUE escaped.  */
+void metric_write_label (GString *out, const char *name, const char *value);
+
 /* Append one metric without labels, with its TYPE line.  */
 void metric_write_value (GString *out, const char *name, const char *type,
                          double value);
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -216,8 +216,9 @@
           (json_int_t)core->n_attempts, "retries", (json_int_t)core->n_retries,
           "hedges", (json_int_t)core->n_hedges, "resumes",
           (json_int_t)core->n_resumes, "trials", (json_int_t)core->n_trials,
-          "retry_budget", core->budget.tokens, "crash", "suspects",
-          (json_int_t)suspects, "quarantined", (json_int_t)quarantined));
+          "retry_budget", retry_budget_least (core->retries), "crash",
+          "suspects", (json_int_t)suspects, "quarantined",
+          (json_int_t)quarantined));
   json_object_set_new (object, "queue", queue_json (core));
   json_object_set_new (object, "members", members_json (core));
   json_object_set_new (object, "servers", servers_json (core, now_ns));
@@ -253,8 +254,7 @@
                       (double)core->n_resumes);
   metric_write_value (out, "kwf_trials_total", "counter",
                       (double)core->n_trials);
-  metric_write_value (out, "kwf_retry_budget_denied_total", "counter",
-                      (double)core->budget.denied);
+  retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
   placement_write_metrics (core->placement, out);
