Keep the retry budget of each service for the whole fleet

Cause: each instance had one bucket for all services, filled by all of them. The retries of a quiet service were paid by the requests for a busy one; what was saved over half a minute and 2 tokens at each start came on top, so that 91 instances broke the rule with one service alone. Resumes of preempted streams were charged to nothing.

A send that fails before its first byte is given back, the resume of a preempted stream is charged. Without a window (the product's own mode) the bucket is as before.

retry_share may be above 0.2 where there is a window, since other platforms may allow more; without one 0.21 is refused as before (test_settings).

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -68,9 +68,15 @@
                                   cut; 0: no limit */
   double retry_share;          /* limit on retries and hedges, as a share of
                                   requests */
-  int64_t first_token_ns[3];   /* target for the first token, for each priority
-                                  class; 0: 1.3 s */
-  int64_t queue_length;        /* limit on waiting requests; 0: 1024 */
+  /* Where set, retry_share and retry_slack bound the repeats of each service's
+     requests that reach its servers in any time of this length, from all
+     instances together; 0: each instance keeps to retry_share over all
+     services.  */
+  int64_t retry_window_ns;
+  double retry_slack;        /* repeats in a window beyond the share */
+  int64_t first_token_ns[3]; /* target for the first token, for each priority
+                                class; 0: 1.3 s */
+  int64_t queue_length;      /* limit on waiting requests; 0: 1024 */
   int64_t queue_organisation_length; /* limit for each organisation; 0: 256 */
   double preempt_share;              /* limit on preemptions, as a share of
                                         requests */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -344,6 +344,9 @@
                kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
+  request->n_arrived--;
+  if (attempt->taken_ns)
+    retry_budget_return (core->retries, request->service, attempt->taken_ns);
   request->n_ran--;
   request->retry_same_server = false;
   if (request->trial)
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -31,9 +31,10 @@
   return request->n_attempts > 1 ? "retry" : "first";
 }
 
+/* EXTRA: the retry budget was charged for it.  */
 static void
 start_attempt (kwf_core_t *core, request_t *request, server_t *server,
-               bool hedge, kwf_effects_t *effects)
+               bool hedge, bool extra, kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
   kwf_handle_t handle;
@@ -43,6 +44,7 @@
                           .server = server,
                           .incarnation = server->incarnation,
                           .sent_ns = now_ns,
+                          .taken_ns = extra ? now_ns : 0,
                           .resume_from = request->delivered };
   if (hedge)
     request->hedge = attempt;
@@ -53,6 +55,7 @@
                    now_ns - request->arrived_ns, 1);
   wait_remove_request (core, request, true);
   request->n_attempts++;
+  request->n_arrived++;
   request->n_ran++;
   core->n_attempts++;
   kwf_effects_log (
@@ -79,12 +82,28 @@
                                .organisation = request->organisation };
 }
 
+/* Whether the next attempt of REQUEST is charged to the retry budget.  */
+static bool
+is_extra (const kwf_core_t *core, const request_t *request)
+{
+  return retry_budget_by_service (core->retries)
+             ? request->n_arrived > 0
+             : request->n_attempts > 0 || request->trial;
+}
+
 /* Spend one extra attempt of the retry budget, or refuse REQUEST and return
    false.  */
 static bool
 spend_retry_budget (kwf_core_t *core, request_t *request,
                     kwf_effects_t *effects)
 {
+  if (request->resume_taken_ns)
+    {
+      retry_budget_move (core->retries, request->service,
+                         request->resume_taken_ns);
+      request->resume_taken_ns = 0;
+      return true;
+    }
   repeat_kind_t kind = request->trial       ? REPEAT_TRIAL
                        : request->forwarded ? REPEAT_RESUME
                                             : REPEAT_RETRY;
@@ -104,7 +123,7 @@
 send_to_server (kwf_core_t *core, request_t *request, server_t *server,
                 kwf_effects_t *effects)
 {
-  bool extra = request->n_attempts > 0 || request->trial;
+  bool extra = is_extra (core, request);
   if (extra && !spend_retry_budget (core, request, effects))
     return;
   if (request->at_most_once
@@ -125,7 +144,7 @@
   request->state = REQUEST_SENT;
   request->queued_since_ns = 0;
   request->last_code = CODE_OK;
-  start_attempt (core, request, server, false, effects);
+  start_attempt (core, request, server, false, extra, effects);
   int64_t hedge_ns
       = hedge_delay_ns (&core->hedge_delays[hedge_delay_kind (request)]);
   bool may_hedge = hedge_ns && request->idempotent && !request->trial
@@ -458,7 +477,7 @@
       || !retry_budget_take (core->retries, request->service, REPEAT_HEDGE))
     return;
   core->n_hedges++;
-  start_attempt (core, request, route.server, true, effects);
+  start_attempt (core, request, route.server, true, true, effects);
 }
 
 void
--- a/lib/core.c
+++ b/lib/core.c
@@ -35,7 +35,7 @@
   core->policy = policy_default ();
   core->permits = permits_new (own);
   core->loads = own->push_updates ? fleet_load_new (own->clock) : NULL;
-  core->retries = retry_budget_new (own);
+  core->retries = retry_budget_new (own, core->session);
   hedge_delays_init (core->hedge_delays, now_ns);
   waits_init (core, now_ns);
   core->requests
--- a/lib/preempt.c
+++ b/lib/preempt.c
@@ -55,11 +55,17 @@
   if (now_ns < waits->preempt_ns || waits->preempts.tokens < 1)
     return false;
   request_t *stream = find_stream (core, request, now_ns);
-  if (!stream || !budget_take (&waits->preempts))
+  bool charged = retry_budget_by_service (core->retries);
+  if (!stream
+      || (charged && !retry_budget_left (core->retries, stream->service))
+      || !budget_take (&waits->preempts))
     {
       waits->preempt_ns = now_ns + SEARCH_DELAY_NS;
       return false;
     }
+  if (charged
+      && retry_budget_take (core->retries, stream->service, REPEAT_RESUME))
+    stream->resume_taken_ns = now_ns;
   waits->n_preempted++;
   const server_t *server = stream->attempt->server;
   kwf_effects_log (effects, 231, KWF_LOG_INFO, stream->id,
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -14,8 +14,7 @@
     = { "debug", "info", "warning", "error", NULL };
 
 /* A backend server that leaves must be noticed within 3 s, so probes are at
-   most 1 s apart.  All attempts together must stay below 1.2 times the
-   requests, so retry_share is at most 0.2.  */
+   most 1 s apart.  */
 const setting_t settings_table[] = {
   { "instance", "id", SETTING_NAME, FIELD (instance), .always_required = true,
     .unit = "" },
@@ -93,7 +92,11 @@
   { "backend", "max_answer_bytes", SETTING_INTEGER, FIELD (max_answer_bytes),
     .unit = "bytes", .default_number = 8388608, .min = 1024, .max = 67108864 },
   { "backend", "retry_share", SETTING_REAL, FIELD (retry_share), .unit = "",
-    .default_number = 0.1, .min = 0, .max = 0.2 },
+    .default_number = 0.1, .min = 0, .max = 1 },
+  { "backend", "retry_window_s", SETTING_REAL, FIELD (retry_window_s),
+    .unit = "s", .default_number = 0, .min = 0, .max = 3600 },
+  { "backend", "retry_slack", SETTING_REAL, FIELD (retry_slack),
+    .unit = "requests", .default_number = 0, .min = 0, .max = 1e6 },
   { "queue", "length", SETTING_INTEGER, FIELD (queue_length), .unit = "",
     .default_number = 1024, .min = 1, .max = 65536 },
   { "queue", "organisation_length", SETTING_INTEGER,
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -15,6 +15,7 @@
    tokens.  The leader proves its right three times in half of the lease; each
    proof needs 100 ms.  */
 #define MIN_UNCHECKED_LEASE_MS 600
+#define MAX_SHARE_WITHOUT_WINDOW 0.2
 
 /* Longest session lease with protocol "table".  */
 #define MAX_TABLE_LEASE_MS 2400
@@ -355,6 +356,19 @@
         "%d to 600000 ms with tokens = \"unchecked\"", MIN_UNCHECKED_LEASE_MS);
 }
 
+/* Without a window, all attempts together must stay below 1.2 times the
+   requests.  */
+static void
+check_retry_share (const settings_reader_t *reader)
+{
+  const kwf_settings_t *s = reader->settings;
+  finding_location_t backend = location_of (reader, "backend");
+  if (s->retry_share > MAX_SHARE_WITHOUT_WINDOW && !(s->retry_window_s > 0))
+    finding_report (
+        &backend, "retry_share", NULL, finding_value (&backend, "retry_share"),
+        "0 to %g without retry_window_s", MAX_SHARE_WITHOUT_WINDOW);
+}
+
 /* Rules that involve several settings.  */
 static void
 check_combinations (const settings_reader_t *reader)
@@ -370,6 +384,7 @@
                     "at most half of lease_ms, %lld",
                     (long long)(s->lease_ms / 2));
   check_placement_lease (reader);
+  check_retry_share (reader);
 }
 
 /* Parse and check TEXT, the contents of the settings file PATH.  NULL if there
--- a/net/instance.c
+++ b/net/instance.c
@@ -339,6 +339,9 @@
       .finish_withdrawn = strcmp (settings->withdrawn, "finish") == 0,
       .overdraft = settings->overdraft,
       .retry_share = settings->retry_share,
+      .retry_window_ns
+      = (int64_t)(settings->retry_window_s * (double)KWF_NS_PER_S),
+      .retry_slack = settings->retry_slack,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
                           settings->first_token_ms[1] * KWF_NS_PER_MS,
                           settings->first_token_ms[2] * KWF_NS_PER_MS },
