Let the shares of instances add up to the fleet's share

The budget of allowed each instance a share of the larger of its last two windows. Callers that move then earn at both instances, so the sum could break the rule; a reserve of a fifth hid that. An instance now spends a share of a weighted mean of the two windows (three quarters for the earlier one), of which sums keep the rule whatever the traffic does; the reserve falls to a tenth. Slots before the start of the clock no longer give a negative index.

--- a/lib/repeat-window.c
+++ b/lib/repeat-window.c
@@ -12,10 +12,11 @@
   window->newest = now_ns / window->slot_ns;
 }
 
+/* SLOT may be up to REPEAT_HISTORY before the start of the clock.  */
 static int
 place_of (int64_t slot)
 {
-  return (int)(slot % REPEAT_HISTORY);
+  return (int)((slot + REPEAT_HISTORY) % REPEAT_HISTORY);
 }
 
 /* Makes the slot of NOW_NS the newest one.  */
@@ -75,7 +76,9 @@
     {
       int64_t start = newest - age;
       repeats += window->repeats[place_of (start)];
-      left = fmin (left, share * MAX (before, since) - repeats);
+      double mean
+          = REPEAT_BEFORE_PART * before + (1 - REPEAT_BEFORE_PART) * since;
+      left = fmin (left, share * mean - repeats);
       since += window->requests[place_of (start)];
       before += window->requests[place_of (start - REPEAT_SLOTS)]
                 - window->requests[place_of (start - 1)];
--- a/lib/repeat-window.h
+++ b/lib/repeat-window.h
@@ -1,11 +1,15 @@
 /* repeat-window.h - requests and repeats of one service in the last two
    windows, and the repeats that a share of the requests still allows.
 
-   The rule: in no window of this length are there more repeats than SHARE
-   times the requests of that window or of the one before it, whichever has
-   more.  Times are counted in slots; partly covered slots count for the
-   repeats and not for the requests, so that the rule holds for windows with
-   any start.
+   In no window of this length are there more repeats than SHARE times a mean
+   of the requests of the window before it and of the window itself, weighted
+   by REPEAT_BEFORE_PART.  A weighted mean may be added up over instances: the
+   sum is at most SHARE times the requests of all of them in one of the two
+   windows, wherever the callers move.  The larger of the two may not: a caller
+   who moves would count at both instances.
+
+   Times are counted in slots; partly covered slots count for the repeats and
+   not for the requests, so that the rule holds for windows with any start.
 
    The functions read no clock.  Times are in nanoseconds.  */
 
@@ -19,6 +23,11 @@
 #define REPEAT_SLOTS 20
 #define REPEAT_HISTORY (2 * REPEAT_SLOTS + 1)
 
+/* Weight of the window before.  The more it has, the more repeats may be made
+   at once after quiet; the rest lets a new process begin within its first
+   window.  */
+#define REPEAT_BEFORE_PART 0.75
+
 typedef struct
 {
   int64_t slot_ns; /* length of a slot */
--- a/lib/retry-budget.c
+++ b/lib/retry-budget.c
@@ -10,10 +10,9 @@
 #include "metric.h"
 #include "repeat-window.h"
 
-/* Part of the fleet's budget that is spent.  The rest is for callers that move
-   between instances, which earn in both places, for unequal traffic at the
-   rounding, and for what a link delays.  */
-#define SPENT_PART 0.8
+/* Part of the fleet's budget that is spent.  The rest is for unequal traffic
+   at the rounding and for what a link delays.  */
+#define SPENT_PART 0.9
 /* The view of the members is taken again after this time.  */
 #define VIEW_NS (1 * KWF_NS_PER_S)
 
@@ -41,8 +40,7 @@
   int64_t window_ns; /* 0: none */
   const session_t *session;
   int64_t started_ns;
-  int n_members;    /* most members within the last window */
-  int64_t fewer_ns; /* since when there are fewer; 0: there are not */
+  int n_members;
 };
 
 static void
@@ -103,21 +101,6 @@
 
 /* This instance's part of the slack.  */
 
-/* The slack of a member that left was spent until then, so a part grows after
-   a window only.  */
-static void
-set_n_members (retry_budget_t *budget, int n, int64_t now_ns)
-{
-  if (n >= budget->n_members)
-    budget->fewer_ns = 0;
-  else if (!budget->fewer_ns)
-    budget->fewer_ns = now_ns;
-  if (n < budget->n_members && now_ns - budget->fewer_ns < budget->window_ns)
-    return;
-  budget->n_members = n;
-  budget->fewer_ns = 0;
-}
-
 /* Parts are seldom whole numbers.  Each member rounds by its rank in an order
    of all members that is another one for each service: of N members with a
    part of 0.2 repeats, N / 5 may make one.  */
@@ -142,7 +125,7 @@
     }
   account->rounding = (rank + 0.5) / n;
   account->view_ns = now_ns;
-  set_n_members (budget, n, now_ns);
+  budget->n_members = n;
 }
 
 /* A process before this one may have spent its part until now, so that a new
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -464,6 +464,9 @@
 run_request_at (core_fleet_t *fleet, const core_fleet_server_t *server,
                 kwf_handle_t handle)
 {
+  if (server->unreached > 0
+      && core_fleet_random_unit (fleet) < server->unreached)
+    return 0;
   count_arrival (fleet, server, handle);
   if (!has_what_it_needs (fleet, server, handle))
     return 421;
@@ -535,13 +538,16 @@
   if (server->incarnation != task->server_incarnation
       && task->kind != KWF_ANSWER_REQUEST)
     return;
-  if (server->incarnation != task->server_incarnation)
+  if (server->incarnation != task->server_incarnation
+      || (task->kind == KWF_ANSWER_REQUEST && !task->status))
     {
       step (instance,
-            &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
-                            .attempt = { .attempt = task->attempt,
-                                         .request = task->request,
-                                         .failure = KWF_FAIL_BROKEN } });
+            &(kwf_event_t){
+                .type = KWF_EV_ATTEMPT_FAILED,
+                .attempt = { .attempt = task->attempt,
+                             .request = task->request,
+                             .failure = task->status ? KWF_FAIL_BROKEN
+                                                     : KWF_FAIL_CONNECT } });
       return;
     }
   kwf_event_t notice = {
@@ -620,6 +626,7 @@
   core_fleet_request_t *request = request_of (fleet, reply->request);
   if (request->handle != reply->request)
     return;
+  fleet->n_exhausted += g_strcmp0 (reply->code, "retry_budget_exhausted") == 0;
   if (reply->status == 200)
     end_request (fleet, request, 200);
   else
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -71,6 +71,7 @@
   core_fleet_engine_t *engine; /* NULL: a copy of a service */
   bool quiet;                  /* of the service "quiet", not "desk" */
   double rejects;              /* part of the requests that it does not run */
+  double unreached;            /* part of the connections to it that fail */
   double fails; /* part of the requests that it answers with a failure */
   uint64_t incarnation;
   int64_t revision;
@@ -121,6 +122,7 @@
   GArray *sent[2];
   GArray *repeats[2];
   GArray *arrived;     /* of guint: arrivals of each handle */
+  int n_exhausted;     /* answers "retry_budget_exhausted" */
   double quiet_part;   /* part of the requests that are for "quiet" */
   int64_t service_ns;  /* time that a server takes for a request */
   int64_t deadline_ns; /* time that a caller waits in all */
