--- a/test/scenario-verbs.c
+++ b/test/scenario-verbs.c
@@ -235,11 +235,13 @@
     world_node_start (scenario->world, i);
 }
 
-/* queue length=N organisation_length=N placement=yes order=arrival: set
+/* queue length=N organisation_length=N placement=yes order=arrival
+   retry_window_ms=N retry_slack=N: set
    options of the instances that are started from now on: limits of the queue;
    placement=yes lets them load and unload models; the order of the queue is
-   that of arrival, or fair between organisations by default.  Options that are
-   not named get their defaults.  */
+   that of arrival, or fair between organisations by default; the window and
+   the slack of the retry budget of each service.  Options that are not named
+   get their defaults.  */
 void
 verb_queue (scenario_t *scenario)
 {
@@ -247,6 +249,8 @@
   options->queue_length = number (scenario, "length", 0);
   options->queue_organisation_length
       = number (scenario, "organisation_length", 0);
+  options->retry_window_ns = number (scenario, "retry_window_ms", 0) * MS;
+  options->retry_slack = (double)number (scenario, "retry_slack", 0);
   scenario->world->placement.dynamic
       = line_flag (scenario, "placement", false);
   options->queue_order
