Test the retry budget of a service on three processes

Real daemons, two services, the servers of one answer that they did not run what they got. The rule moves to common-repeats, used by both tests.

--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -15,9 +15,12 @@
 #include "common-listener.h"
 #include "common-process.h"
 #include "common-fake-store.h"
+#include "common-repeats.h"
 #include "net/client.h"
 
 #define N_SERVERS 2
+/* Servers of a second service.  */
+#define N_QUIET 2
 /* Daemons that a test may start beside the first one.  */
 #define N_OTHERS 2
 /* A change of the tables must be in force after this time.  */
@@ -33,6 +36,7 @@
 {
   fixture_t *fixture;
   listener_t *listener;
+  bool rejects;      /* it does not run what it gets */
   bool is_leaving;   /* its answers say that it is leaving */
   const char *pause; /* Retry-After of the next answer, a 503; NULL: 200 */
   const char *limit; /* Server-Limit of its answers; NULL: none */
@@ -50,7 +54,11 @@
   process_t others[N_OTHERS];
   char *directory;
   char *settings;
-  backend_t backends[N_SERVERS];
+  backend_t backends[N_SERVERS + N_QUIET];
+  const char *retries; /* settings of the daemons */
+  GArray *quiet_sent;  /* times of int64_t of requests for "quiet" */
+  GHashTable *arrived; /* ids of those that reached a server */
+  GArray *repeats;     /* times of int64_t at which one did so again */
   int n_sent;
   int n_ended;
   int status; /* of the last answer; 0: none */
@@ -66,14 +74,19 @@
   backend->n_requests++;
   int64_t now_ns = kwf_now_ns (kwf_clock_system ());
   g_array_append_val (backend->arrivals, now_ns);
+  fixture_t *fixture = backend->fixture;
+  if (backend >= &fixture->backends[N_SERVERS]
+      && !g_hash_table_add (fixture->arrived, g_strdup (backend->last_id)))
+    g_array_append_val (fixture->repeats, now_ns);
   const char *pause = backend->pause;
   backend->pause = NULL;
   connection_print (
       connection,
       "HTTP/1.1 %s\r\nContent-Length: 2\r\n"
-      "X-Request-Id: %s\r\nX-Server-Stamp: s\r\n%s%s%s%s%s%s%s"
+      "X-Request-Id: %s\r\nX-Server-Stamp: s\r\n%s%s%s%s%s%s%s%s"
       "\r\nok",
-      pause ? "503 Service Unavailable" : "200 OK", backend->last_id,
+      pause || backend->rejects ? "503 Service Unavailable" : "200 OK",
+      backend->last_id, backend->rejects ? "X-Not-Run: 1\r\n" : "",
       backend->is_leaving ? "Server-Leaving: 1\r\n" : "",
       pause ? "X-Not-Run: 1\r\nRetry-After: " : "", pause ? pause : "",
       pause ? "\r\n" : "", backend->limit ? "Server-Limit: " : "",
@@ -137,15 +150,18 @@
 {
   static const char *const route
       = "{\"name\":\"%s\",\"hostname\":\"h.example\",\"path_prefix\":\"/%s/\","
-        "\"backend\":\"desk\",\"kind\":\"idempotent\",\"max_attempts\":2,"
+        "\"backend\":\"%s\",\"kind\":\"idempotent\",\"max_attempts\":2,"
         "\"timeout_ms\":3000}";
   GString *text = g_string_new ("{\"version\":1,\"services\":[{\"name\":"
-                                "\"desk\"}],\"routes\":[");
-  g_string_append_printf (text, route, "r", "r");
+                                "\"desk\"},{\"name\":\"quiet\"}],"
+                                "\"routes\":[");
+  g_string_append_printf (text, route, "r", "r", "desk");
+  g_string_append_c (text, ',');
+  g_string_append_printf (text, route, "q", "q", "quiet");
   if (second)
     {
       g_string_append_c (text, ',');
-      g_string_append_printf (text, route, "s", "s");
+      g_string_append_printf (text, route, "s", "s", "desk");
     }
   g_string_append (text, "],\"tenants\":[]}");
   rows_put (fixture->store, "op", "config", text->str);
@@ -159,9 +175,10 @@
   char key[8];
   g_snprintf (key, sizeof key, "d%d", i);
   char *text = g_strdup_printf (
-      "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
+      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
       "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":%d}",
-      fixture->backends[i].listener->address, (int)born);
+      i < N_SERVERS ? "desk" : "quiet", fixture->backends[i].listener->address,
+      (int)born);
   rows_put (fixture->store, "servers", key, text);
   g_free (text);
 }
@@ -176,9 +193,10 @@
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
       "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = %d\n"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = 0.1\n"
+      "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
-      id, fake_store_address (fixture->store), (int)(FRESH_S * 1000));
+      id, fake_store_address (fixture->store), (int)(FRESH_S * 1000),
+      fixture->retries);
   assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", fixture->settings, NULL };
@@ -196,16 +214,21 @@
 }
 
 static int
-set_up (void **state)
+set_up_retries (void **state, const char *retries)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
+  fixture->retries = retries;
+  fixture->quiet_sent = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  fixture->arrived
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  fixture->repeats = g_array_new (FALSE, FALSE, sizeof (int64_t));
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->client = client_new (fixture->loop, NULL);
   fixture->store = fake_store_start (fixture->loop);
   fixture->directory = g_dir_make_tmp ("kwf-daemon-XXXXXX", NULL);
   fixture->settings = g_build_filename (fixture->directory, "s.toml", NULL);
   put_config (fixture, false);
-  for (int i = 0; i < N_SERVERS; i++)
+  for (int i = 0; i < N_SERVERS + N_QUIET; i++)
     {
       fixture->backends[i].fixture = fixture;
       fixture->backends[i].listener
@@ -220,6 +243,23 @@
   return 0;
 }
 
+static int
+set_up (void **state)
+{
+  return set_up_retries (state, "retry_share = 0.1\n");
+}
+
+/* The rule of the daemons that set_up_window starts.  */
+static const repeats_rule_t rule
+    = { .window_ns = 2 * KWF_NS_PER_S, .ratio = 0.2, .slack = 9 };
+
+static int
+set_up_window (void **state)
+{
+  return set_up_retries (
+      state, "retry_share = 0.2\nretry_window_s = 2\nretry_slack = 9\n");
+}
+
 static int
 tear_down (void **state)
 {
@@ -228,7 +268,10 @@
   for (int i = 0; i < N_OTHERS; i++)
     process_kill (&fixture->others[i]);
   client_free (fixture->client);
-  for (int i = 0; i < N_SERVERS; i++)
+  g_array_free (fixture->quiet_sent, TRUE);
+  g_hash_table_unref (fixture->arrived);
+  g_array_free (fixture->repeats, TRUE);
+  for (int i = 0; i < N_SERVERS + N_QUIET; i++)
     {
       listener_stop (fixture->backends[i].listener);
       g_array_free (fixture->backends[i].arrivals, TRUE);
@@ -397,20 +440,26 @@
     }
 }
 
-/* Guards against a backend server that gets more requests from several
-   processes together than the limit that it names, also after the end of one
-   of them, and against a limit that outlasts its end.  */
 static void
-server_gets_more_than_its_limit_from_all_processes (void **state)
+start_others (fixture_t *fixture)
 {
-  fixture_t *fixture = *state;
-  backend_t *backend = &fixture->backends[0];
   static const char *const ids[N_OTHERS] = { "i2", "i3" };
   for (int i = 0; i < N_OTHERS; i++)
     {
       start_daemon (fixture, &fixture->others[i], ids[i]);
       wait_for_daemon (fixture, &fixture->others[i]);
     }
+}
+
+/* Guards against a backend server that gets more requests from several
+   processes together than the limit that it names, also after the end of one
+   of them, and against a limit that outlasts its end.  */
+static void
+server_gets_more_than_its_limit_from_all_processes (void **state)
+{
+  fixture_t *fixture = *state;
+  backend_t *backend = &fixture->backends[0];
+  start_others (fixture);
   call_in_turn (fixture, START_S);
   int before = backend->n_requests;
   call_in_turn (fixture, 1);
@@ -430,6 +479,46 @@
   assert_true (backend->n_requests > before + 6);
 }
 
+/* Calls all daemons in turn for SECONDS: every fourth call is for "quiet". */
+static void
+call_both_services (fixture_t *fixture, double seconds)
+{
+  const process_t *daemons[]
+      = { &fixture->daemon, &fixture->others[0], &fixture->others[1] };
+  int64_t end_ns = kwf_now_ns (kwf_clock_system ())
+                   + (int64_t)(seconds * (double)KWF_NS_PER_S);
+  for (int i = 0; kwf_now_ns (kwf_clock_system ()) < end_ns; i++)
+    {
+      bool quiet = i % 4 == 0;
+      int64_t now_ns = kwf_now_ns (kwf_clock_system ());
+      if (quiet)
+        g_array_append_val (fixture->quiet_sent, now_ns);
+      call_at (fixture, daemons[i % (1 + N_OTHERS)], quiet ? "/q/x" : "/r/x");
+      run_for (fixture->loop, 0.001);
+    }
+}
+
+/* Guards against repeats for a service, from several processes together, that
+   the requests for another service have paid for.  */
+static void
+service_gets_more_repeats_than_its_budget (void **state)
+{
+  fixture_t *fixture = *state;
+  start_others (fixture);
+  call_both_services (fixture, START_S);
+  assert_int_equal (fixture->repeats->len, 0);
+  for (int i = N_SERVERS; i < N_SERVERS + N_QUIET; i++)
+    fixture->backends[i].rejects = true;
+  call_both_services (fixture, 4);
+  repeats_verdict_t verdict
+      = repeats_judge (&rule, fixture->quiet_sent, fixture->repeats);
+  print_message ("%d repeats of %d requests, most %d in 2 s, %.0f allowed\n",
+                 (int)fixture->repeats->len, (int)fixture->quiet_sent->len,
+                 verdict.most, verdict.allowed);
+  assert_int_equal (verdict.n_excessive, 0);
+  assert_true (verdict.most > verdict.allowed / 4);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -441,6 +530,8 @@
     TEST (leaving_outlasts_the_store_and_signals),
     TEST (pause_goes_on_while_the_process_stands_still),
     TEST (server_gets_more_than_its_limit_from_all_processes),
+    cmocka_unit_test_setup_teardown (service_gets_more_repeats_than_its_budget,
+                                     set_up_window, tear_down),
     TEST (route_is_added_and_dropped_in_time),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_retry_budget.c
+++ b/test/test_retry_budget.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "common-core-fleet.h"
+#include "common-repeats.h"
 #include "lib/repeat-window.h"
 #include "lib/retry-budget.h"
 
@@ -18,6 +19,9 @@
 #define WINDOW_NS (10 * KWF_NS_PER_S)
 #define RATIO 0.2
 #define SLACK 56
+static const repeats_rule_t rule = { WINDOW_NS, RATIO, SLACK };
+/* For instances that have no slack.  */
+static const repeats_rule_t share_rule = { WINDOW_NS, RATIO, 0 };
 
 enum
 {
@@ -27,74 +31,10 @@
 };
 static const char *const service_names[] = { "desk", "quiet" };
 
-typedef struct
-{
-  int n_excessive; /* windows with more than is allowed */
-  int most;        /* repeats in the window that is nearest to the bound */
-  double allowed;  /* in that window */
-  int64_t end_ns;  /* of that window */
-} verdict_t;
-
-/* Entries of TIMES from FROM_NS on, before UNTIL_NS.  They are in order.  */
-static int
-count_between (const GArray *times, int64_t from_ns, int64_t until_ns)
-{
-  guint bounds[2];
-  const int64_t limits[] = { from_ns, until_ns };
-  for (int i = 0; i < 2; i++)
-    {
-      guint low = 0;
-      guint high = times->len;
-      while (low < high)
-        {
-          guint middle = (low + high) / 2;
-          if (g_array_index (times, int64_t, middle) < limits[i])
-            low = middle + 1;
-          else
-            high = middle;
-        }
-      bounds[i] = low;
-    }
-  return (int)(bounds[1] - bounds[0]);
-}
-
-/* What the rule allows in the window that ends at END_NS: a share of the
-   requests of that window, the one before it or the one half a window before
-   it, whichever has most.  */
-static double
-allowed_until (const GArray *sent, int64_t end_ns)
-{
-  int most = 0;
-  for (int i = 0; i < 3; i++)
-    {
-      int64_t until_ns = end_ns - i * WINDOW_NS / 2;
-      int n = count_between (sent, until_ns - WINDOW_NS, until_ns);
-      most = MAX (most, n);
-    }
-  return RATIO * most + SLACK;
-}
-
-/* Judges each window that ends with a repeat.  */
-static verdict_t
+static repeats_verdict_t
 judge (const core_fleet_t *fleet, int service)
 {
-  const GArray *repeats = fleet->repeats[service];
-  verdict_t verdict = { .allowed = SLACK };
-  double nearest = -1;
-  for (guint i = 0; i < repeats->len; i++)
-    {
-      int64_t end_ns = g_array_index (repeats, int64_t, i) + 1;
-      int n = count_between (repeats, end_ns - WINDOW_NS, end_ns);
-      double allowed = allowed_until (fleet->sent[service], end_ns);
-      verdict.n_excessive += n > allowed;
-      if (n / allowed <= nearest)
-        continue;
-      nearest = n / allowed;
-      verdict.most = n;
-      verdict.allowed = allowed;
-      verdict.end_ns = end_ns;
-    }
-  return verdict;
+  return repeats_judge (&rule, fleet->sent[service], fleet->repeats[service]);
 }
 
 /* Judges both services and returns the number of windows in excess.  */
@@ -104,7 +44,7 @@
   int n_excessive = 0;
   for (int i = 0; i < N_SERVICES; i++)
     {
-      verdict_t verdict = judge (fleet, i);
+      repeats_verdict_t verdict = judge (fleet, i);
       n_excessive += verdict.n_excessive;
       print_message ("%s, %d instances, %s: %d repeats of %d requests; most "
                      "%d in a window, %.0f allowed; %d windows in excess\n",
@@ -236,7 +176,7 @@
   core_fleet_run_callers (fleet, 200, fleet->now_ns + KWF_NS_PER_S);
   core_fleet_run (fleet, fleet->now_ns + KWF_NS_PER_S);
   int n = print_verdicts (fleet, "rounded");
-  verdict_t verdict = judge (fleet, QUIET);
+  repeats_verdict_t verdict = judge (fleet, QUIET);
   core_fleet_free (fleet);
   assert_int_equal (n, 0);
   /* Nor are they all rounded down.  */
@@ -324,12 +264,7 @@
       GArray *repeats = g_array_new (FALSE, FALSE, sizeof (int64_t));
       move_callers (seed, sent, repeats);
       n_repeats += (int)repeats->len;
-      for (guint i = 0; i < repeats->len; i++)
-        {
-          int64_t end_ns = g_array_index (repeats, int64_t, i) + 1;
-          n_excessive += count_between (repeats, end_ns - WINDOW_NS, end_ns)
-                         > allowed_until (sent, end_ns) - SLACK;
-        }
+      n_excessive += repeats_judge (&share_rule, sent, repeats).n_excessive;
       g_array_free (sent, TRUE);
       g_array_free (repeats, TRUE);
     }
@@ -485,7 +420,7 @@
       run_schedule (fleet);
       for (int i = 0; i < N_SERVICES; i++)
         {
-          verdict_t verdict = judge (fleet, i);
+          repeats_verdict_t verdict = judge (fleet, i);
           n_repeats += (int)fleet->repeats[i]->len;
           fullest = MAX (fullest, verdict.most / verdict.allowed);
           if (!verdict.n_excessive)
