--- a/lib/answer.c
+++ b/lib/answer.c
@@ -260,7 +260,7 @@
 may_retry_failure (const kwf_core_t *core, const request_t *request)
 {
   return request->idempotent && request->n_attempts < request->max_attempts
-         && budget_left (&core->budget);
+         && retry_budget_left (core->retries, request->service);
 }
 
 /* What an answer with STATUS says about the server: 503 from a server that
@@ -426,6 +426,9 @@
                kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
+  request->n_arrived--;
+  if (attempt->taken_ns)
+    retry_budget_return (core->retries, request->service, attempt->taken_ns);
   request->n_ran--;
   request->retry_same_server = false;
   if (request->trial)
