Add a failing case: a success that ends with its connection, empty

A server that is killed after the head of a stream without a length, before its first event, ends its connection with FIN. Both tests took that for a whole answer, because its end alone cannot be told from one; without a byte it can:

This makes the two tests stricter.

--- a/test/answer_bytes-every.c
+++ b/test/answer_bytes-every.c
@@ -93,8 +93,10 @@
   bool may_be_whole = variant->at >= size - answer->spare;
   if (answer->open)
     {
-      /* Its end is that of its connection, and what follows is part of it.  */
-      whole = variant->at >= head && exchange->ending == ENDING_CLOSE
+      /* Its end is that of its connection, and what follows is part of it.  No
+         byte at all is no success.  */
+      whole = exchange->size > head && exchange->ending == ENDING_CLOSE
+              && variant->at >= head
               && (!exchange->streamed || ends_event (exchange->body));
       may_be_whole = whole;
       body = "";
--- a/test/answer_relay-check.c
+++ b/test/answer_relay-check.c
@@ -92,14 +92,14 @@
 }
 
 /* A stream or an open body whose server ended its connection there: nobody can
-   tell that from its end.  */
+   tell that from its end, once there is any byte.  */
 static bool
 may_be_short (const relay_case_t *relay_case, const GString *seen)
 {
   if (!is_open (relay_case->kind) || relay_case->spoil != SPOIL_CUT
-      || relay_case->ending != ENDING_CLOSE)
+      || relay_case->ending != ENDING_CLOSE || !seen->len)
     return false;
-  return relay_case->kind == ANSWER_OPEN || !seen->len
+  return relay_case->kind == ANSWER_OPEN
          || g_str_has_suffix (seen->str, "\n\n");
 }
 
