Fail a success that ends with its connection before its first byte

An empty success says so with a length, or 204; without one it is far more often a cut answer, and a visible failure breaks no rule. Refusals and failures may still be empty: their meaning is in the head.

--- a/net/client-head.c
+++ b/net/client-head.c
@@ -154,6 +154,7 @@
   const client_handler_t *handler = transfer->handler;
   whole_facts_t facts = answer_facts (transfer);
   facts.complete = transfer->code == CURLE_OK;
+  facts.empty = !transfer->body_bytes;
   facts.may_end = !handler->may_end
                   || handler->may_end (transfer->data, facts.delimited);
   whole_t whole = whole_check (&facts);
--- a/net/whole.c
+++ b/net/whole.c
@@ -1,15 +1,29 @@
 #include "whole.h"
 
+static bool
+is_success (const whole_facts_t *facts)
+{
+  return facts->status >= 200 && facts->status < 300;
+}
+
+/* A success without any mark of its end and without a byte is one that was cut
+   after its head.  */
+static bool
+has_end (const whole_facts_t *facts)
+{
+  return facts->delimited
+         || (facts->may_end_close && !(is_success (facts) && facts->empty));
+}
+
 whole_t
 whole_check_head (const whole_facts_t *facts)
 {
-  bool success = facts->status >= 200 && facts->status < 300;
   /* A status below 200 is final only if it changes the protocol.  */
   if (!facts->head_valid || facts->status < 200)
     return WHOLE_BAD_HEAD;
   if (!facts->has_id)
     return WHOLE_FOREIGN;
-  if (success && !facts->has_stamp)
+  if (is_success (facts) && !facts->has_stamp)
     return WHOLE_NO_STAMP;
   return WHOLE_YES;
 }
@@ -24,7 +38,7 @@
     return head;
   if (!facts->complete)
     return WHOLE_BROKEN;
-  if (!facts->delimited && !facts->may_end_close)
+  if (!has_end (facts))
     return WHOLE_NO_END;
   return facts->may_end ? WHOLE_YES : WHOLE_PART_CUT;
 }
@@ -50,7 +64,7 @@
     [WHOLE_BAD_HEAD] = "the headers are invalid or contradict each other",
     [WHOLE_FOREIGN] = "the answer belongs to another request",
     [WHOLE_NO_STAMP] = "the answer lacks the stamp of a server's success",
-    [WHOLE_NO_END] = "the answer ended with its connection and has no length",
+    [WHOLE_NO_END] = "the end of the answer is marked by its connection only",
     [WHOLE_PART_CUT] = "the answer ended inside an event",
     [WHOLE_BROKEN] = "the transfer of the answer failed",
   };
--- a/net/whole.h
+++ b/net/whole.h
@@ -22,6 +22,7 @@
   bool delimited;     /* a length, chunks or the status mark the end of the
                          body */
   bool may_end_close; /* the end of the connection may mark it, too */
+  bool empty;         /* no byte of the body came */
   bool may_end;       /* the body may end where it does */
 } whole_facts_t;
 
