Let a stream of which only a comment was passed on begin anew

A stream that broke off after a comment (a heartbeat) and before its first event was broken off for the caller, as no id is known; before the position was looked at, it began anew at the next server. Nothing of the stream has been passed on then, so it may.

test_begun_answer "begins after a comment" and a case of test_platform_decode failed before: "broken off, body : x".

--- a/net/relay.c
+++ b/net/relay.c
@@ -153,6 +153,7 @@
                          KWF_NS_PER_MS);
   char last_event[24];
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
+  bool resumes = start->resumes && caller_request->position.last_id >= 0;
   GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
   g_array_append_vals (headers, caller_request->headers->data,
                        caller_request->headers->len);
@@ -160,7 +161,7 @@
               caller_request->position.last_id);
   instance->protocol->add_headers (
       headers, texts, start, left_ns / KWF_NS_PER_MS,
-      start->resumes ? last_event : caller_request->resume_event_id);
+      resumes ? last_event : caller_request->resume_event_id);
   routed_stream_init (&transfer->routed_stream, &caller_request->position,
                       start->resumes);
   header_t expected_header
--- a/net/routed-stream.c
+++ b/net/routed-stream.c
@@ -15,7 +15,7 @@
 bool
 stream_position_is_known (const stream_position_t *position)
 {
-  return position->last_id >= 0 && !position->no_id;
+  return !position->no_id;
 }
 
 void
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -547,6 +547,8 @@
     { "id: 1\ndata\n\n", "id: 3\ndata\n\n", true, false },
     { "id: 1\ndata\n\ndata: x\n\n", "id: 2\ndata\n\n", false, false },
     { "data: x\n\n", "data: x\n\n", false, false },
+    /* A comment is no part of the stream, which can begin anew.  */
+    { ": x\n\n", "id: 1\ndata\n\n", true, false },
     { "id: 9223372036854775806\n\nid: 9223372036854775807\n\n",
       "id: 9\n\nid: 9223372036854775808\n\ndata\n\n", true, true },
   };
