--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -6,7 +6,10 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <fcntl.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include <glib/gstdio.h>
@@ -164,7 +167,7 @@
       g_string_append_printf (text, route, "s", "s", "desk");
     }
   g_string_append (text, "],\"tenants\":[]}");
-  rows_put (fixture->store, "op", "config", text->str);
+  fake_store_put (fixture->store, "op", "config", text->str);
   g_string_free (text, TRUE);
 }
 
@@ -179,14 +182,15 @@
       "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":%d}",
       i < N_SERVERS ? "desk" : "quiet", fixture->backends[i].listener->address,
       (int)born);
-  rows_put (fixture->store, "servers", key, text);
+  fake_store_put (fixture->store, "servers", key, text);
   g_free (text);
 }
 
-static void
-start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
+/* Text of the settings of instance ID; release with g_free.  */
+static char *
+settings_text (const fixture_t *fixture, const char *id)
 {
-  char *text = g_strdup_printf (
+  return g_strdup_printf (
       "[instance]\nid = \"%s\"\ndata_centre = \"c\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
@@ -197,6 +201,12 @@
       "[placement]\nmode = \"dynamic\"\n",
       id, fake_store_address (fixture->store), (int)(FRESH_S * 1000),
       fixture->retries);
+}
+
+static void
+start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
+{
+  char *text = settings_text (fixture, id);
   assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", fixture->settings, NULL };
@@ -519,6 +529,34 @@
   assert_true (verdict.most > verdict.allowed / 4);
 }
 
+/* Guards against SIGHUP that ends a process which reads its settings.  The
+   settings are a FIFO until the signal was sent, then a file.  */
+static void
+hangup_during_the_start_is_harmless (void **state)
+{
+  fixture_t *fixture = *state;
+  process_t *daemon = &fixture->others[0];
+  char *text = settings_text (fixture, "i2");
+  char *fifo = g_build_filename (fixture->directory, "fifo", NULL);
+  assert_int_equal (mkfifo (fifo, 0600), 0);
+  const char *args[] = { "--config", fifo, NULL };
+  assert_true (process_spawn (daemon, "knapweedforkd", args));
+  int out = open (fifo, O_WRONLY | O_CLOEXEC);
+  assert_true (out >= 0);
+  process_signal (daemon, SIGHUP);
+  assert_int_equal (g_unlink (fifo), 0);
+  assert_true (g_file_set_contents (fifo, text, -1, NULL));
+  assert_int_equal (write (out, text, strlen (text)), strlen (text));
+  close (out);
+  assert_true (process_expect (daemon, "listening on ", daemon->address,
+                               sizeof daemon->address));
+  daemon->address[strcspn (daemon->address, ",")] = '\0';
+  wait_for_daemon (fixture, daemon);
+  g_unlink (fifo);
+  g_free (fifo);
+  g_free (text);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -533,6 +571,7 @@
     cmocka_unit_test_setup_teardown (service_gets_more_repeats_than_its_budget,
                                      set_up_window, tear_down),
     TEST (route_is_added_and_dropped_in_time),
+    TEST (hangup_during_the_start_is_harmless),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
