--- a/net/answer.h
+++ b/net/answer.h
@@ -8,7 +8,8 @@
 #include "client.h"
 
 /* Parses the body of ANSWER.  Returns NULL when there is no body or it is not
-   JSON; release the result with json_decref.  */
+   JSON or has an object with one name twice; release the result with
+   json_decref.  */
 json_t *answer_json (const client_answer_t *answer);
 
 #endif
