Ask for the report of an engine under its whole id

What was seen: an engine whose id has more than 63 bytes got requests for its report under the first 63 (it refuses them), and a report that it gave counted for no engine.

--- a/net/probe.c
+++ b/net/probe.c
@@ -2,6 +2,8 @@
 
 #include "instance-internal.h"
 
+#include <string.h>
+
 /* A report that takes longer says nothing about the present load.  */
 #define PROBE_TIMEOUT_NS (1 * KWF_NS_PER_S)
 
@@ -12,7 +14,7 @@
 {
   instance_t *instance;
   int64_t asked_ns;
-  char server[64];
+  char server[];
 } probe_t;
 
 static void
@@ -55,11 +57,12 @@
   static const client_handler_t handler
       = { .done = on_done, .failed = on_failed };
   const protocol_t *protocol = instance->protocol;
-  probe_t *probe = g_new0 (probe_t, 1);
+  size_t size = strlen (server) + 1;
+  probe_t *probe = g_malloc (sizeof *probe + size);
   probe->instance = instance;
   probe->asked_ns = kwf_now_ns (kwf_clock_system ());
   g_hash_table_add (instance->control_calls, probe);
-  g_strlcpy (probe->server, server, sizeof probe->server);
+  memcpy (probe->server, server, size);
   header_t expect = { protocol->expect_server_header, probe->server };
   client_start (
       instance->control,
