Add failing tests: mutated input of all readers, kept answers not whole

A row that is read can be passed on over a link; a row that is JSON leaves the rows beside it alone.

--- a/test/test_readers.c
+++ b/test/test_readers.c
@@ -4,15 +4,20 @@
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include <knapweedfork/clock.h>
 
+#include "lib/claim-row.h"
 #include "platform/platform-internal.h"
 #include "platform/platform.h"
+#include "readers-fuzz.h"
+#include "readers-mutate.h"
 
 /* A value in the store has at most so many bytes.  */
 #define ROW_BYTES 65536
@@ -167,6 +172,33 @@
     }
 }
 
+/* Guards against a kept answer that is given to a caller although it is not
+   whole: without a status or type, or with a body cut inside its base64.  */
+static void
+odd_kept_answers_are_none (void **state)
+{
+  (void)state;
+  static const char *const bad[]
+      = { "\"status\":0,\"content_type\":\"t\",\"body\":\"dg==\"",
+          "\"content_type\":\"t\",\"body\":\"dg==\"",
+          "\"status\":4294967496,\"content_type\":\"t\",\"body\":\"dg==\"",
+          "\"status\":200,\"body\":\"dg==\"",
+          "\"status\":200,\"content_type\":\"t\"",
+          "\"status\":200,\"content_type\":\"t\",\"body\":\"dg\"",
+          "\"status\":200,\"content_type\":\"t\",\"body\":\"d%g==\"" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      char *text = g_strdup_printf ("{\"claim\":\"0a\",\"instance\":\"i1\","
+                                    "\"incarnation\":3,\"state\":\"done\","
+                                    "\"at_ms\":5,%s}",
+                                    bad[i]);
+      claim_row_t row;
+      if (claim_row_read (text, &row))
+        fail_msg ("%s is read", bad[i]);
+      g_free (text);
+    }
+}
+
 /* Guards against a load that is no number of requests: one that does not fit
    an int became any other number.  */
 static void
@@ -216,15 +248,160 @@
   assert_int_equal (notice.limit, KWF_LIMIT_UNREADABLE);
 }
 
+/* Mutations of each reader's input: KWF_FUZZ_CASES, else this number.  */
+#define CASES 4000
+/* KWF_SEED, else this number.  */
+#define SEED 30
+
+static struct
+{
+  char text[120]; /* a line that names it, for the signal handler */
+  uint64_t seed;
+  bool is_open; /* it has not been read to its end */
+} current;      /* the mutation that is read */
+
+static uint64_t
+number_of (const char *name, uint64_t fallback)
+{
+  const char *text = g_getenv (name);
+  return text ? g_ascii_strtoull (text, NULL, 10) : fallback;
+}
+
+static void
+print_current (void)
+{
+  ssize_t done = write (STDERR_FILENO, current.text, sizeof current.text);
+  (void)done;
+}
+
+static void
+on_fatal_signal (int number)
+{
+  print_current ();
+  signal (number, SIG_DFL);
+  raise (number);
+}
+
+static int
+begin_mutations (void **state)
+{
+  (void)state;
+  static const int fatal[] = { SIGSEGV, SIGABRT, SIGBUS, SIGFPE, SIGTRAP };
+  for (size_t i = 0; i < G_N_ELEMENTS (fatal); i++)
+    signal (fatal[i], on_fatal_signal);
+  current.seed = number_of ("KWF_SEED", SEED);
+  return 0;
+}
+
+static int
+end_mutations (void **state)
+{
+  (void)state;
+  if (current.is_open)
+    print_current ();
+  current.is_open = false;
+  return 0;
+}
+
+/* A generator of its own for each case, so that its mutation does not depend
+   on the number of cases before it.  */
+static GRand *
+begin_case (const char *reader, uint64_t number)
+{
+  memset (current.text, ' ', sizeof current.text);
+  int size = g_snprintf (
+      current.text, sizeof current.text, "%s: KWF_SEED=%llu, case %llu",
+      reader, (unsigned long long)current.seed, (unsigned long long)number);
+  current.text[size] = ' ';
+  current.text[sizeof current.text - 1] = '\n';
+  current.is_open = true;
+  guint32 seeds[] = { (guint32)current.seed, (guint32)number };
+  return g_rand_new_with_seed_array (seeds, G_N_ELEMENTS (seeds));
+}
+
+static void
+read_in_time (void (*read) (const GString *text), const GString *text)
+{
+  int64_t began_ns = kwf_now_ns (kwf_clock_system ());
+  read (text);
+  int64_t took_ns = kwf_now_ns (kwf_clock_system ()) - began_ns;
+  if (took_ns > MAX_READ_NS)
+    fail_msg ("it took %d ms", (int)(took_ns / KWF_NS_PER_MS));
+  current.is_open = false;
+}
+
+static void
+read_json_cases (const reader_t *reader, uint64_t cases)
+{
+  size_t n = g_strv_length ((char **)reader->samples);
+  for (uint64_t i = 0; i < cases; i++)
+    {
+      GRand *random = begin_case (reader->name, i);
+      GString *text = g_string_new (reader->samples[i % n]);
+      GString *other = g_string_new (
+          reader->samples[g_rand_int_range (random, 0, (gint32)n)]);
+      if (g_rand_boolean (random))
+        mutate (random, text, other);
+      else
+        mutate_json (random, text);
+      read_in_time (reader->read, text);
+      g_string_free (other, TRUE);
+      g_string_free (text, TRUE);
+      g_rand_free (random);
+    }
+}
+
+/* Guards against input that ends the process, takes long, or hides the rows
+   beside it.  */
+static void
+mutated_texts_are_survived (void **state)
+{
+  (void)state;
+  uint64_t cases = number_of ("KWF_FUZZ_CASES", CASES);
+  for (size_t i = 0; i < n_json_readers; i++)
+    {
+      read_json_cases (&json_readers[i], cases);
+      print_message ("%s: %llu mutations\n", json_readers[i].name,
+                     (unsigned long long)cases);
+    }
+}
+
+static void
+mutated_frames_are_survived (void **state)
+{
+  (void)state;
+  uint64_t cases = number_of ("KWF_FUZZ_CASES", CASES);
+  GPtrArray *frames = frame_samples ();
+  for (uint64_t i = 0; i < cases; i++)
+    {
+      GRand *random = begin_case ("frames", i);
+      const GString *sample = frames->pdata[i % frames->len];
+      const GString *other
+          = frames->pdata[g_rand_int_range (random, 0, (gint32)frames->len)];
+      GString *text = g_string_new_len (sample->str, (gssize)sample->len);
+      mutate (random, text, other);
+      read_in_time (frame_read, text);
+      g_string_free (text, TRUE);
+      g_rand_free (random);
+    }
+  g_ptr_array_unref (frames);
+  print_message ("frames: %llu mutations\n", (unsigned long long)cases);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (many_coming_adapters_are_read_in_time),
     cmocka_unit_test (odd_reports_are_none),
+    cmocka_unit_test (odd_kept_answers_are_none),
     cmocka_unit_test (odd_loads_are_none),
     cmocka_unit_test (infinite_limit_is_unreadable),
     cmocka_unit_test (extreme_numbers_of_a_configuration_are_bounded),
+    cmocka_unit_test_setup_teardown (mutated_texts_are_survived,
+                                     begin_mutations, end_mutations),
+    cmocka_unit_test_setup_teardown (mutated_frames_are_survived,
+                                     begin_mutations, end_mutations),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
