Give a kept answer to a caller only if it is whole

What was seen: the row of a claim that ended was read with any status (0; one that does not fit an int), without a type or body, or with a body cut inside its base64, of which g_base64_decode returns the rest. The caller of the same request then got an answer that is not the one that was given first.

test_readers, odd_kept_answers_are_none: before "status":0,... is read; after OK.

--- a/lib/claim-row.c
+++ b/lib/claim-row.c
@@ -4,6 +4,12 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "base64.h"
+
+/* Statuses of HTTP.  */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 static const char too_large[]
     = "{\"error\":{\"code\":\"answer_not_kept\",\"message\":\"the call ran "
       "earlier; its answer was larger than 65536 bytes and was not kept\","
@@ -43,28 +49,34 @@
   return copy;
 }
 
-static void
+/* Whether the answer is whole: with a status, a type, and a body that is
+   base64.  */
+static bool
 read_answer (json_t *object, claim_row_t *row)
 {
-  row->status = (int)json_integer_value (json_object_get (object, "status"));
+  json_int_t status = json_integer_value (json_object_get (object, "status"));
+  if (status < STATUS_MIN || status > STATUS_MAX)
+    return false;
+  row->status = (int)status;
   if (json_is_true (json_object_get (object, "too_large")))
     {
       row->content_type = "application/json";
       row->body = g_strdup (too_large);
       row->body_size = strlen (too_large);
-      return;
+      return true;
     }
   row->content_type
       = json_string_value (json_object_get (object, "content_type"));
   const char *body = json_string_value (json_object_get (object, "body"));
-  row->body = (char *)g_base64_decode (body ? body : "", &row->body_size);
+  row->body = body ? base64_decode (body, &row->body_size) : NULL;
+  return row->content_type && row->body && row->body_size <= CLAIM_BODY_MAX;
 }
 
 bool
 claim_row_read (const char *text, claim_row_t *row)
 {
   *row = (claim_row_t){ 0 };
-  json_t *object = json_loads (text, 0, NULL);
+  json_t *object = json_loads (text, JSON_REJECT_DUPLICATES, NULL);
   row->json = object;
   row->id = json_string_value (json_object_get (object, "claim"));
   row->instance = json_string_value (json_object_get (object, "instance"));
@@ -72,14 +84,11 @@
   row->incarnation
       = (uint64_t)json_integer_value (json_object_get (object, "incarnation"));
   row->at_ms = json_integer_value (json_object_get (object, "at_ms"));
-  if (!row->id || !row->instance || !row->state)
-    {
-      claim_row_clear (row);
-      return false;
-    }
-  if (strcmp (row->state, "done") == 0)
-    read_answer (object, row);
-  return true;
+  if (row->id && row->instance && row->state && row->at_ms >= 0
+      && (strcmp (row->state, "done") != 0 || read_answer (object, row)))
+    return true;
+  claim_row_clear (row);
+  return false;
 }
 
 void
