Read no report of the table protocol with numbers out of range

What was seen: negative numbers, and those that do not fit an int, of running and waiting requests were taken over; memory sizes near 2^63 went into sums.

--- a/net/table-protocol.c
+++ b/net/table-protocol.c
@@ -49,13 +49,38 @@
                                 .n_adapters = count };
 }
 
+/* Requests that one engine may have, and the memory that it may have: greater
+   numbers are none of an engine.  */
+#define REQUESTS_MAX 1000000
+#define MEMORY_MAX_MB INT64_C (1000000000000)
+
+/* Whether NAME is absent in OBJECT or an integer from 0 to MOST.  */
+static bool
+is_absent_or_count (const json_t *object, const char *name, int64_t most)
+{
+  const json_t *value = json_object_get (object, name);
+  return !value
+         || (json_is_integer (value) && json_integer_value (value) >= 0
+             && json_integer_value (value) <= most);
+}
+
+static bool
+is_report (const json_t *root)
+{
+  return json_is_integer (json_object_get (root, "incarnation"))
+         && is_absent_or_count (root, "memory_total_mb", MEMORY_MAX_MB)
+         && is_absent_or_count (root, "memory_used_mb", MEMORY_MAX_MB)
+         && is_absent_or_count (root, "running", REQUESTS_MAX)
+         && is_absent_or_count (root, "waiting", REQUESTS_MAX)
+         && is_absent_or_count (root, "batch", REQUESTS_MAX);
+}
+
 static bool
 read_report (kwf_report_event_t *report, GPtrArray *texts,
              const client_answer_t *answer)
 {
   json_t *root = answer->status == 200 ? answer_json (answer) : NULL;
-  bool good = json_is_object (root)
-              && json_is_integer (json_object_get (root, "incarnation"));
+  bool good = is_report (root);
   if (good)
     {
       const json_t *models = json_object_get (root, "models");
