Add a failing test: sizes in the ledger whose sum overflows

The sample of a ledger row was none that is read; it is now, its sizes are added up, and rows of the table of the fleet go through a core, too.

Red: row of a ledger: KWF_SEED=30, case 261: ledger_row_reserved_mb (row) >= 0

--- a/test/readers-fuzz.c
+++ b/test/readers-fuzz.c
@@ -11,6 +11,7 @@
 
 #include <knapweedfork/clock.h>
 
+#include "common-core.h"
 #include "lib/claim-row.h"
 #include "lib/completion.h"
 #include "lib/crashrow.h"
@@ -32,6 +33,10 @@
   "\"coming\":[\"m/a3@1\"],\"at_hand\":{\"in_memory\":[\"m\"],\"on_disk\":"   \
   "[\"n\"]}}"
 
+/* How long a core works on after a row.  */
+#define CORE_STEPS 5
+#define CORE_STEP_MS 300
+
 static client_answer_t
 answer_of (const char *body, size_t size)
 {
@@ -239,6 +244,8 @@
   char *again = ledger_row_to_json (row);
   assert_non_null (again);
   free (again);
+  assert_true (ledger_row_reserved_mb (row) >= 0);
+  assert_true (row->fence + 1 > row->fence);
   ledger_row_free (row);
 }
 
@@ -267,6 +274,49 @@
     kwf_lists_free (lists);
 }
 
+/* TEXT is the key of a row of the fleet's table, a line end, and its value.
+   The core gets it, and works on for a while.  */
+static void
+read_core_row (const GString *text)
+{
+  char **parts = g_strsplit (text->str, "\n", 2);
+  if (parts[0] && parts[1])
+    {
+      core_world_t world;
+      core_world_start (&world);
+      core_world_row (&world, parts[0], parts[1]);
+      core_world_servers (&world);
+      for (int i = 0; i < CORE_STEPS; i++)
+        core_world_advance (&world, CORE_STEP_MS);
+      core_world_stop (&world);
+    }
+  g_strfreev (parts);
+}
+
+static const char *const core_samples[] = {
+  "session/b\n{\"incarnation\":2,\"counter\":7,\"epoch_left\":0,"
+  "\"leaving\":false,\"caller_address\":\"127.0.0.1:80\","
+  "\"peer_address\":\"127.0.0.1:81\",\"data_centre\":\"c\",\"load\":3,"
+  "\"cores\":0.5,\"demand\":{\"m\":0.5},\"wanted\":{\"m\":[1,2.5,900]}}",
+  "shares\n{\"epoch\":2,\"members\":[{\"instance\":\"a\","
+  "\"incarnation\":1},{\"instance\":\"b\",\"incarnation\":2}],"
+  "\"previous\":[{\"instance\":\"a\",\"incarnation\":1}],\"before\":1,"
+  "\"former\":[\"c\"]}",
+  "leader/placement\n{\"instance\":\"b\",\"incarnation\":2}",
+  "placement\n{\"instance\":\"b\",\"incarnation\":2}",
+  "crash/00000000000000ff\n{\"state\":\"suspect\",\"lost\":[{"
+  "\"server\":\"e1\",\"incarnation\":3}],\"holder\":\"b\",\"server\":"
+  "\"e1\",\"incarnation\":0,\"for_ms\":900}",
+  "trial/e1\n{\"fingerprint\":\"00000000000000ff\",\"holder\":\"b\","
+  "\"for_ms\":900}",
+  "ledger/e1\n{\"total_mb\":100,\"incarnation\":3,\"fence\":7,"
+  "\"entries\":[{\"model\":\"m\",\"version\":\"1\",\"adapter\":\"\","
+  "\"mb\":10,\"fence\":6,\"state\":\"resident\"}],\"orders\":[]}",
+  "key/00ff\n{\"organisation\":\"o\",\"withdrawn\":false,\"added_ms\":5}",
+  "list/plans\n{\"text\":\"\",\"apply_id\":\"x\",\"earlier\":[\"y\"]}",
+  NULL
+};
+
 static const char *const row_samples[]
     = { "{\"table\":\"t\",\"part\":\"\",\"key\":\"k\",\"value\":\"bm9kZS0x\","
         "\"ver\":4}",
@@ -329,7 +379,7 @@
 static const char *const ledger_samples[]
     = { "{\"total_mb\":100,\"incarnation\":3,\"fence\":7,\"entries\":[{"
         "\"model\":\"m\",\"version\":\"1\",\"adapter\":\"\",\"mb\":10,"
-        "\"incarnation\":3,\"state\":\"resident\"}],\"orders\":[{\"id\":\"x\","
+        "\"fence\":6,\"state\":\"resident\"}],\"orders\":[{\"id\":\"x\","
         "\"order\":\"load\",\"model\":\"n\",\"version\":\"1\",\"adapter\":"
         "\"\",\"mb\":5,\"fence\":7,\"holder\":\"i1\",\"holder_incarnation\":2,"
         "\"state\":\"sent\",\"again\":false}]}",
@@ -361,6 +411,7 @@
   { "row of a ledger", ledger_samples, read_ledger },
   { "completion", completion_samples, read_completion },
   { "lists", lists_samples, read_lists },
+  { "row in a core", core_samples, read_core_row },
 };
 const size_t n_json_readers = G_N_ELEMENTS (json_readers);
 
