Read no ledger row with sizes or tokens out of range

What was seen: with a size near 2^63 in the row of an engine the sum of what is reserved was negative, so that anything fitted; a fencing token of 2^63 - 1 has no next one. Such a row counts as malformed.

--- a/lib/ledger-row.c
+++ b/lib/ledger-row.c
@@ -4,6 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Memory of an engine at most, and fencing tokens, which are counted up.  */
+#define MEMORY_MAX_MB INT64_C (1000000000000)
+#define FENCE_MAX (INT64_MAX / 2)
+
 static const char *const states[] = { "loading", "resident", "unloading" };
 static const char *const kinds[] = { "load", "unload" };
 
@@ -115,6 +119,14 @@
   return -1;
 }
 
+/* Whether a size and a fencing token are in range.  Sizes are added up, and
+   the next order gets the next token.  */
+static bool
+are_in_range (json_int_t mb, json_int_t fence)
+{
+  return mb >= 0 && mb <= MEMORY_MAX_MB && fence >= 0 && fence <= FENCE_MAX;
+}
+
 static bool
 read_entry (ledger_row_t *row, json_t *element)
 {
@@ -129,7 +141,7 @@
       != 0)
     return false;
   int at = index_of (states, G_N_ELEMENTS (states), state);
-  if (at < 0)
+  if (at < 0 || !are_in_range (mb, fence))
     return false;
   entry.mb = mb;
   entry.fence = fence;
@@ -157,7 +169,7 @@
       != 0)
     return false;
   int at = index_of (kinds, G_N_ELEMENTS (kinds), kind);
-  if (at < 0)
+  if (at < 0 || !are_in_range (mb, fence))
     return false;
   order.kind = (order_kind_t)at;
   order.mb = mb;
@@ -182,7 +194,8 @@
                && json_unpack (object, "{s:I,s:I,s:I,s:o,s:o}", "total_mb",
                                &total, "incarnation", &incarnation, "fence",
                                &fence, "entries", &entries, "orders", &orders)
-                      == 0;
+                      == 0
+               && are_in_range (total, fence);
   ledger_row_t *row = ledger_row_new ();
   if (valid)
     {
