--- a/lib/crashrow.c
+++ b/lib/crashrow.c
@@ -53,7 +53,8 @@
               && json_unpack (object, "{s:s,s:o,s:I,s:I}", "state", &row.state,
                               "lost", &lost, "incarnation", &incarnation,
                               "for_ms", &duration)
-                     == 0;
+                     == 0
+              && duration >= 0;
   if (good)
     {
       row.for_ms = duration;
