--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -17,6 +17,8 @@
 #include "share-state.h"
 
 #define ROW_KEY "shares"
+/* Epochs are counted up; a greater one was not written by an instance.  */
+#define EPOCH_MAX (INT64_MAX / 2)
 
 /* Maximum number of members that one epoch removes; a transaction may have 100
    entries.  The next epoch removes the others.  */
@@ -219,7 +221,7 @@
   json_t *object = row->value ? json_loads (row->value, 0, NULL) : NULL;
   json_t *members = json_object_get (object, "members");
   int64_t epoch = json_integer_value (json_object_get (object, "epoch"));
-  if (!json_is_array (members) || epoch <= 0)
+  if (!json_is_array (members) || epoch <= 0 || epoch > EPOCH_MAX)
     kwf_effects_log (effects, 154, KWF_LOG_ERROR, NULL,
                      "row shares has no epoch or members; ignored");
   else if (epoch > shares->epoch)
