Add failing tests: a row that is no JSON hides the others

Red: test_platform_decode, odd_rows_cost_themselves_only (a row with "ver":1e400) and cut_answers_are_none (a row of 1,000,000 levels), both "rows_json_decode (&rows, &answer) && rows.is_list".

--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -238,6 +238,15 @@
   } cases[] = {
     { "7", NULL },
     { "{}", NULL },
+    /* No JSON as they stand, for the parser that is used.  */
+    { "{\"key\":\"x\",\"value\":\"dg==\",\"ver\":1e400}", NULL },
+    { "{\"key\":\"x\",\"value\":\"dg==\",\"ver\":99999999999999999999}",
+      NULL },
+    { "{\"key\":\"x\\u0000\",\"value\":\"dg==\",\"ver\":3}", NULL },
+    { "{\"key\":\"\\ud800\",\"value\":\"dg==\",\"ver\":3}", NULL },
+    { "{\"key\":\"\xff]\\\"[\",\"value\":\"dg==\",\"ver\":3}", NULL },
+    { "{\"key\":\"x\",\"value\":\"dg==\",\"ver\":3,}", NULL },
+    { "{\"key\":x}", NULL },
     { "{\"key\":7,\"value\":\"dg==\",\"ver\":3}", NULL },
     { "{\"key\":\"\",\"value\":\"dg==\",\"ver\":3}", NULL },
     { "{\"key\":\"x\",\"value\":\"dg==\"}", NULL },
@@ -277,6 +286,43 @@
     }
 }
 
+/* Guards against an answer that is cut off, or nested too deeply, and counts
+   as a shorter list.  */
+static void
+cut_answers_are_none (void **state)
+{
+  (void)state;
+  static const char good[]
+      = "{\"ver\":9,\"now_ms\":1,\"rows\":[{\"key\":\"a\",\"value\":"
+        "\"dg==\",\"ver\":2},{\"key\":\"z\",\"value\":\"dg==\",\"ver\":4}]}";
+  rows_json_t rows;
+  for (size_t size = 0; size < strlen (good); size++)
+    {
+      client_answer_t answer = { .body = good, .body_size = size };
+      assert_false (rows_json_decode (&rows, &answer) && rows.is_list);
+      rows_json_clear (&rows);
+    }
+  char *deep = g_strnfill (1000000, '[');
+  char *body = g_strconcat (good, deep, NULL);
+  memcpy (body + strlen (good) - 1, ",", 1);
+  client_answer_t answer = { .body = body, .body_size = strlen (body) };
+  assert_false (rows_json_decode (&rows, &answer) && rows.is_list);
+  rows_json_clear (&rows);
+  g_free (body);
+  /* One row that is nested too deeply hides none.  */
+  char *close = g_strnfill (1000000, ']');
+  body = g_strdup_printf ("{\"ver\":9,\"now_ms\":1,\"rows\":[%s%s,{\"key\":"
+                          "\"z\",\"value\":\"dg==\",\"ver\":4}]}",
+                          deep, close);
+  answer = (client_answer_t){ .body = body, .body_size = strlen (body) };
+  assert_true (rows_json_decode (&rows, &answer) && rows.is_list);
+  assert_int_equal (rows.rows->len, 1);
+  rows_json_clear (&rows);
+  g_free (body);
+  g_free (close);
+  g_free (deep);
+}
+
 /* Guards against an answer without a list that counts as an empty list: all
    servers would be dropped.  */
 static void
@@ -532,6 +578,7 @@
     cmocka_unit_test (odd_entries_name_no_server),
     cmocka_unit_test (rows_are_read),
     cmocka_unit_test (odd_rows_cost_themselves_only),
+    cmocka_unit_test (cut_answers_are_none),
     cmocka_unit_test (answer_without_a_list_is_none),
     cmocka_unit_test (answers_tell_whether_the_request_ran),
     cmocka_unit_test (answers_tell_of_leaving_and_pauses),
