--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
@@ -20,6 +21,11 @@
 #include "net/client.h"
 
 #define N_DAEMONS 2
+/* Large entries, of this size, and the memory that a daemon may take with
+   them.  */
+#define N_LARGE 8
+#define ROW_BYTES 65536
+#define MAX_MEMORY_KB 200000
 /* A change of the tables must be in force after this time.  */
 #define FRESH_S 2.0
 /* A process that has just started waits for another instance to poll for
@@ -341,6 +347,56 @@
   assert_int_equal (fixture->wrong->accepted, 0);
 }
 
+/* Peak of the resident memory of PROCESS in KB.  */
+static long
+peak_memory_kb (const process_t *process)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int)process->pid);
+  char *text = NULL;
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  const char *line = strstr (text, "VmHWM:");
+  long kb = line ? strtol (line + strlen ("VmHWM:"), NULL, 10) : -1;
+  g_free (text);
+  g_free (path);
+  return kb;
+}
+
+/* Guards against entries, as large as the store keeps, that cost a daemon its
+   memory or its time.  */
+static void
+large_entries_are_borne (void **state)
+{
+  fixture_t *fixture = *state;
+  static const char *const items[] = { "\"m/a\",", "{\"name\":\"m\"}," };
+  start_daemons (fixture);
+  for (int i = 0; i < N_LARGE; i++)
+    {
+      GString *text = g_string_new (NULL);
+      g_string_printf (text,
+                       "{\"backend\":\"brain\",\"address\":\"%s\",\"zone\":"
+                       "\"c\",\"slots\":6,\"state\":\"ready\",\"born\":1,%s",
+                       unused_address (),
+                       i % 2 ? "\"coming\":[\"m/a\"],\"models\":["
+                             : "\"models\":[{\"name\":\"m\"}],\"coming\":[");
+      while (text->len < ROW_BYTES - 32)
+        g_string_append (text, items[i % 2]);
+      g_string_truncate (text, text->len - 1);
+      g_string_append (text, "]}");
+      char *key = g_strdup_printf ("large-%d", i);
+      rows_put (fixture->store, "servers", key, text->str);
+      g_free (key);
+      g_string_free (text, TRUE);
+    }
+  run_for (fixture->loop, FRESH_S);
+  check_follows (fixture, "r", "s");
+  for (int i = 0; i < N_DAEMONS; i++)
+    {
+      long kb = peak_memory_kb (&fixture->daemons[i]);
+      print_message ("daemon %d: at most %ld KB\n", i, kb);
+      assert_in_range (kb, 1, MAX_MEMORY_KB);
+    }
+}
+
 /* Guards against a row without a value or key that can be read, and that hides
    all rows of the answer.  */
 static void
@@ -416,6 +472,7 @@
   const struct CMUnitTest tests[] = {
     TEST (odd_entries_that_are_there_hide_no_server),
     TEST (odd_entries_that_come_hide_no_server),
+    TEST (large_entries_are_borne),
     TEST (odd_rows_that_are_there_hide_no_server),
     TEST (odd_rows_that_come_hide_no_server),
     TEST (odd_configurations_change_nothing),
