--- a/test/readers-fuzz.c
+++ b/test/readers-fuzz.c
@@ -68,14 +68,14 @@
   rows_json_clear (&rows);
 }
 
-/* TEXT is one row of three: the others hold, whatever it is, if its brackets
-   and quotes are paired.  */
+/* TEXT is one row of three.  The others hold if it is JSON.  If it is none,
+   its quotes and brackets may take the one after it along, but not the one
+   before it.  */
 static void
 read_middle_row (const GString *text)
 {
   json_t *row = json_loadb (text->str, text->len, JSON_DECODE_ANY, NULL);
-  if (!row)
-    return;
+  bool is_json = row != NULL;
   json_decref (row);
   GString *body = g_string_new (
       "{\"rows\":[{\"key\":\"a\",\"value\":\"dg==\",\"ver\":2},");
@@ -84,11 +84,20 @@
                          "\"ver\":9,\"now_ms\":1}");
   client_answer_t answer = answer_of (body->str, body->len);
   rows_json_t rows;
-  assert_true (rows_json_decode (&rows, &answer) && rows.is_list);
-  assert_in_range (rows.rows->len, 2, 3);
+  bool is_list = rows_json_decode (&rows, &answer) && rows.is_list;
   const kwf_row_t *list = (const kwf_row_t *)(void *)rows.rows->data;
-  assert_string_equal (list[0].value, "v");
-  assert_string_equal (list[rows.rows->len - 1].value, "v");
+  if (is_json)
+    {
+      assert_true (is_list);
+      assert_in_range (rows.rows->len, 2, 3);
+      assert_string_equal (list[rows.rows->len - 1].key, "z");
+      assert_string_equal (list[rows.rows->len - 1].value, "v");
+    }
+  if (is_list)
+    {
+      assert_true (rows.rows->len > 0);
+      assert_string_equal (list[0].value, "v");
+    }
   check_is_passed_on (&rows);
   rows_json_clear (&rows);
   g_string_free (body, TRUE);
