--- /dev/null
+++ b/test/soak-instance.c
@@ -0,0 +1,217 @@
+/* Processes of instances: started, signalled and waited for by their pids.  */
+
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include <knapweedfork/clock.h>
+
+#include "soak.h"
+
+#define N_DATA_CENTRES 2
+/* From the first answer to SIGTERM until the end, beyond GRACE_S.  */
+#define STOP_SPARE_MS 2000
+
+static void
+write_settings (const soak_t *soak, const instance_t *instance,
+                const char *path)
+{
+  char *text = g_strdup_printf (
+      "[instance]\nid = \"%s\"\ndata_centre = \"%s\"\n"
+      "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
+      "grace_s = %d\n"
+      "[operator]\nlisten = \"127.0.0.1:0\"\n"
+      "[peers]\nlisten = \"127.0.0.1:0\"\n"
+      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
+      "lists_ms = %d\n"
+      "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
+      "[backend]\nretry_share = 0.1\n"
+      "[placement]\nmode = \"static\"\n"
+      "[log]\nformat = \"json\"\nlevel = \"info\"\n",
+      instance->id, instance->data_centre, GRACE_S,
+      fake_store_address (soak->store), CONFIG_APPLY_MS);
+  g_file_set_contents (path, text, -1, NULL);
+  g_free (text);
+}
+
+static void
+start (const soak_t *soak, instance_t *instance)
+{
+  instance->incarnation++;
+  char *settings
+      = g_strdup_printf ("%s/%s.toml", soak->directory, instance->id);
+  g_free (instance->log);
+  instance->log = g_strdup_printf ("%s/%s.%d.log", soak->directory,
+                                   instance->id, instance->incarnation);
+  write_settings (soak, instance, settings);
+  const char *args[] = { "--config", settings, NULL };
+  if (!process_spawn_logged (&instance->process, "knapweedforkd", args,
+                             instance->log))
+    g_error ("cannot start an instance");
+  instance->is_up = false;
+  instance->is_frozen = false;
+  instance->end_expected = false;
+  instance->start_ns = 0;
+  instance->kill_ns = 0;
+  instance->continue_ns = 0;
+  g_free (settings);
+}
+
+void
+instances_start (soak_t *soak)
+{
+  soak->instances = g_new0 (instance_t, soak->n_instances);
+  for (int i = 0; i < soak->n_instances; i++)
+    {
+      instance_t *instance = &soak->instances[i];
+      g_snprintf (instance->id, sizeof instance->id, "i%d", i);
+      instance->data_centre = i % N_DATA_CENTRES ? "c2" : "c1";
+      start (soak, instance);
+    }
+}
+
+bool
+is_in_touch (const soak_t *soak, int i, int64_t now_ns)
+{
+  const instance_t *instance = &soak->instances[i];
+  int64_t since_ns = now_ns - CONTACT_MS * KWF_NS_PER_MS;
+  return instance->is_up && !instance->is_frozen && !instance->end_expected
+         && instance->calm_ns <= since_ns && !soak->store_back_ns
+         && soak->store_calm_ns <= since_ns;
+}
+
+/* Looks for the line that tells the address.  */
+static void
+look_for_address (instance_t *instance)
+{
+  static const char start_of_line[] = "listening on ";
+  char *text = NULL;
+  if (!g_file_get_contents (instance->log, &text, NULL, NULL))
+    return;
+  const char *at = strstr (text, start_of_line);
+  if (at && strchr (at, '\n'))
+    {
+      at += strlen (start_of_line);
+      g_strlcpy (
+          instance->process.address, at,
+          MIN (sizeof instance->process.address, strcspn (at, ",\n") + 1));
+      instance->is_up = true;
+      instance->calm_ns = soak_now_ns ();
+    }
+  g_free (text);
+}
+
+static bool
+is_good_end (const instance_t *instance, int status)
+{
+  if (WIFSIGNALED (status))
+    return instance->end_expected
+           && (WTERMSIG (status) == SIGKILL
+               || (WTERMSIG (status) == SIGTERM && !instance->is_up));
+  return instance->end_expected && WEXITSTATUS (status) == 0;
+}
+
+static void
+wait_for_end (soak_t *soak, instance_t *instance, int64_t now_ns)
+{
+  int status = process_wait (&instance->process, 0);
+  if (status == -1)
+    return;
+  if (!is_good_end (instance, status))
+    soak_break (
+        soak, RULE_LOST, NULL, NULL,
+        "process of %s.%d ended by itself, %s %d; log %s", instance->id,
+        instance->incarnation, WIFSIGNALED (status) ? "signal" : "status",
+        WIFSIGNALED (status) ? WTERMSIG (status) : WEXITSTATUS (status),
+        instance->log);
+  instance->is_up = false;
+  instance->is_frozen = false;
+  if (!soak->closing)
+    instance->start_ns
+        = now_ns
+          + (int64_t)(100
+                      + soak_hash (soak, instance->id, instance->incarnation)
+                            % 900)
+                * KWF_NS_PER_MS;
+}
+
+static void
+tick (soak_t *soak, instance_t *instance, int64_t now_ns)
+{
+  process_t *process = &instance->process;
+  if (!process->pid)
+    {
+      if (instance->start_ns && now_ns >= instance->start_ns)
+        start (soak, instance);
+      return;
+    }
+  if (instance->continue_ns && now_ns >= instance->continue_ns)
+    {
+      process_signal (process, SIGCONT);
+      instance->continue_ns = 0;
+      instance->is_frozen = false;
+      instance->calm_ns = now_ns;
+    }
+  if (instance->kill_ns && now_ns >= instance->kill_ns)
+    {
+      process_signal (process, SIGKILL);
+      instance->kill_ns = 0;
+    }
+  if (!instance->is_up && !instance->end_expected)
+    look_for_address (instance);
+  wait_for_end (soak, instance, now_ns);
+}
+
+void
+instances_tick (soak_t *soak, int64_t now_ns)
+{
+  for (int i = 0; i < soak->n_instances; i++)
+    tick (soak, &soak->instances[i], now_ns);
+}
+
+void
+instance_signal (soak_t *soak, int i, int signal, unsigned value)
+{
+  instance_t *instance = &soak->instances[i];
+  int64_t now_ns = soak_now_ns ();
+  /* Before a process listens, SIGHUP ends it.  A start is a disruption by the
+     rules, so this breaks none.  */
+  if (!instance->process.pid || (signal == SIGHUP && !instance->is_up))
+    return;
+  process_signal (&instance->process, signal);
+  instance->calm_ns = now_ns;
+  if (signal == SIGTERM || signal == SIGKILL)
+    instance->end_expected = true;
+  if (signal == SIGTERM && !instance->kill_ns)
+    instance->kill_ns = now_ns + GRACE_S * KWF_NS_PER_S;
+  if (signal == SIGSTOP)
+    {
+      instance->is_frozen = true;
+      instance->continue_ns
+          = now_ns + (int64_t)(50 + value % 2500) * KWF_NS_PER_MS;
+    }
+}
+
+void
+instances_stop (soak_t *soak)
+{
+  soak->closing = true;
+  for (int i = 0; i < soak->n_instances; i++)
+    instance_signal (soak, i, SIGTERM, 0);
+  int n_left = 1;
+  int64_t end_ns = soak_now_ns () + GRACE_S * KWF_NS_PER_S
+                   + STOP_SPARE_MS * KWF_NS_PER_MS;
+  while (n_left && soak_now_ns () < end_ns)
+    {
+      run_for (soak->loop, TICK_S);
+      n_left = 0;
+      for (int i = 0; i < soak->n_instances; i++)
+        n_left += soak->instances[i].process.pid != 0;
+    }
+  for (int i = 0; i < soak->n_instances; i++)
+    {
+      process_kill (&soak->instances[i].process);
+      g_free (soak->instances[i].log);
+    }
+  g_free (soak->instances);
+}
--- /dev/null
+++ b/test/soak-plan.c
@@ -0,0 +1,241 @@
+/* The schedule of disruptions, drawn from the seed alone, and the operator's
+   configuration.  */
+
+#include <signal.h>
+#include <string.h>
+
+#include <knapweedfork/clock.h>
+
+#include "soak.h"
+
+/* Mean time between the starts of two series, and within a series.  */
+#define SERIES_S 0.9
+#define WITHIN_S 0.15
+#define SERIES_MOST 6
+#define SILENT_MS 1500
+#define NESTED 20000
+
+const soak_route_t soak_routes[] = {
+  { "/a/", SOAK_IDEMPOTENT, 3, false },
+  { "/b/", SOAK_IDEMPOTENT, 2, false },
+  { "/c/", SOAK_IDEMPOTENT, 1, false },
+  { "/n/", SOAK_ONCE, 2, false },
+  { "/m/", SOAK_ONCE, 3, false },
+  { "/s/", SOAK_STREAM, 2, false },
+  { "/t/", SOAK_RESUMABLE, 3, false },
+  { "/e/", SOAK_STREAM, 2, true },
+  { "/f/", SOAK_RESUMABLE, 3, true },
+  /* Added in the last part.  */
+  { "/y/", SOAK_IDEMPOTENT, 2, false },
+};
+const size_t n_soak_routes = G_N_ELEMENTS (soak_routes);
+const size_t n_first_routes = G_N_ELEMENTS (soak_routes) - 1;
+
+static const char *const act_names[N_ACTS]
+    = { "term",         "kill",        "stop",        "hup",
+        "config",       "odd-entry",   "server-kill", "server-freeze",
+        "server-leave", "store-silent" };
+
+const char *
+act_name (act_t act)
+{
+  return act_names[act];
+}
+
+static act_t
+draw_act (GRand *rand)
+{
+  /* Each name once for a share of one tenth or more.  */
+  static const act_t acts[]
+      = { ACT_TERM,          ACT_TERM,         ACT_KILL,
+          ACT_STOP,          ACT_STOP,         ACT_HUP,
+          ACT_CONFIG,        ACT_CONFIG,       ACT_ODD_ENTRY,
+          ACT_SERVER_KILL,   ACT_SERVER_KILL,  ACT_SERVER_KILL,
+          ACT_SERVER_FREEZE, ACT_SERVER_LEAVE, ACT_STORE_SILENT };
+  return acts[g_rand_int_range (rand, 0, G_N_ELEMENTS (acts))];
+}
+
+void
+plan_make (soak_t *soak)
+{
+  GRand *rand = g_rand_new_with_seed (soak->seed);
+  soak->plan = g_array_new (FALSE, FALSE, sizeof (action_t));
+  double end_s = soak->seconds - CALM_S;
+  double at_s = WARM_UP_S;
+  while ((at_s += g_rand_double_range (rand, 0, 2 * SERIES_S)) < end_s)
+    {
+      int n = g_rand_int_range (rand, 0, 3)
+                  ? 1
+                  : g_rand_int_range (rand, 2, SERIES_MOST);
+      act_t same = draw_act (rand);
+      bool mixed = g_rand_boolean (rand);
+      double when_s = at_s;
+      for (int i = 0; i < n && when_s < end_s; i++)
+        {
+          action_t action = { .at_s = when_s,
+                              .act = mixed ? draw_act (rand) : same,
+                              .target = g_rand_int (rand),
+                              .value = g_rand_int (rand) };
+          g_array_append_val (soak->plan, action);
+          when_s += g_rand_double_range (rand, 0, 2 * WITHIN_S);
+        }
+      at_s = when_s;
+    }
+  g_rand_free (rand);
+}
+
+static void
+append_route (GString *text, const char *prefix, const soak_route_t *route,
+              const char *service)
+{
+  static const char *const kinds[]
+      = { "idempotent", "non_idempotent", "stream", "stream" };
+  g_string_append_printf (
+      text,
+      "%s{\"name\":\"r%c\",\"hostname\":\"h.example\",\"path_prefix\":\"%s\","
+      "\"backend\":\"%s\",\"kind\":\"%s\",\"resumable\":%s,"
+      "\"max_attempts\":%d,\"timeout_ms\":4000,\"target_latency_ms\":500%s}",
+      text->str[text->len - 1] == '[' ? "" : ",", prefix[1], prefix, service,
+      kinds[route->kind], route->kind == SOAK_RESUMABLE ? "true" : "false",
+      route->attempts, route->engine ? ",\"sticky\":true" : "");
+}
+
+/* Routes with an odd index are "tally"'s, or "desk"'s after they were
+   moved.  */
+void
+config_put (soak_t *soak)
+{
+  static const soak_route_t extra = { "/x/", SOAK_IDEMPOTENT, 2, false };
+  soak->version += 3;
+  GString *text = g_string_new (NULL);
+  g_string_append_printf (
+      text,
+      "{\"version\":%d,\"services\":[{\"name\":\"desk\"},{\"name\":\"tally\"},"
+      "{\"name\":\"engine\",\"engine\":{\"weights_mb\":1000,"
+      "\"adapter_slots\":2,\"loads_per_s\":1,\"models\":[{\"name\":\"m\","
+      "\"weights_mb\":100,\"load_s\":1,\"adapters\":0,\"adapter_mb\":1}]}}],"
+      "\"tenants\":[],\"routes\":[",
+      soak->version);
+  size_t n = soak->is_calm ? n_soak_routes : n_first_routes;
+  for (size_t i = 0; i < n; i++)
+    append_route (text, soak_routes[i].prefix, &soak_routes[i],
+                  soak_routes[i].engine         ? "engine"
+                  : (i % 2 == 0) == soak->moved ? "desk"
+                                                : "tally");
+  if (soak->has_extra_route)
+    append_route (text, extra.prefix, &extra, "desk");
+  g_string_append (text, "]}");
+  rows_put (soak->store, "op", "config", text->str);
+  g_string_free (text, TRUE);
+}
+
+/* An entry of another writer among those of the servers.  */
+static void
+put_odd_entry (soak_t *soak, unsigned value)
+{
+  static const char *const entries[] = {
+    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:99999\",\"state\":\"ready\""
+    ",\"slots\":6,\"seq\":1,\"born\":1}",
+    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:0\",\"state\":\"ready\","
+    "\"slots\":6,\"seq\":1,\"born\":1}",
+    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
+    "\"slots\":1e400,\"seq\":1,\"born\":1}",
+    "{\"backend\":\"tally\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
+    "\"slots\":6,\"seq\":99999999999999999999999,\"born\":1}",
+    "{\"backend\":\"tally\",\"address\":\"127.0.0.1:-1\",\"state\":\"odd\"}",
+    "{\"backend\":7,\"address\":[],\"state\":{}}",
+    "\"\xff\xfe",
+    "",
+    "null",
+  };
+  char key[16];
+  g_snprintf (key, sizeof key, "odd%u", value % 4);
+  unsigned kind = (value / 4) % (G_N_ELEMENTS (entries) + 1);
+  if (kind < G_N_ELEMENTS (entries))
+    {
+      rows_put (soak->store, "servers", key, entries[kind]);
+      return;
+    }
+  char *nested = g_strnfill (NESTED, value & 64 ? '[' : '{');
+  rows_put (soak->store, "servers", key, nested);
+  g_free (nested);
+}
+
+static void
+disturb_store (soak_t *soak, unsigned value)
+{
+  fake_store_set_silent (soak->store, true);
+  soak->store_back_ns
+      = soak_now_ns () + (int64_t)(100 + value % SILENT_MS) * KWF_NS_PER_MS;
+}
+
+static void
+carry_out (soak_t *soak, const action_t *action)
+{
+  int i = (int)(action->target % (unsigned)soak->n_instances);
+  backend_t *backend
+      = &soak->backends[action->target % (unsigned)soak->n_backends];
+  soak->acts[action->act]++;
+  switch (action->act)
+    {
+    case ACT_TERM:
+      instance_signal (soak, i, SIGTERM, 0);
+      break;
+    case ACT_KILL:
+      instance_signal (soak, i, SIGKILL, 0);
+      break;
+    case ACT_STOP:
+      instance_signal (soak, i, SIGSTOP, action->value);
+      break;
+    case ACT_HUP:
+      instance_signal (soak, i, SIGHUP, 0);
+      break;
+    case ACT_CONFIG:
+      soak->has_extra_route ^= action->value & 1;
+      soak->moved ^= action->value >> 1 & 1;
+      config_put (soak);
+      break;
+    case ACT_ODD_ENTRY:
+      put_odd_entry (soak, action->value);
+      break;
+    case ACT_SERVER_KILL:
+      backend_kill (backend, action->value);
+      break;
+    case ACT_SERVER_FREEZE:
+      backend_freeze (backend, action->value);
+      break;
+    case ACT_SERVER_LEAVE:
+      backend_leave (backend, action->value);
+      break;
+    default:
+      disturb_store (soak, action->value);
+      break;
+    }
+}
+
+void
+plan_run (soak_t *soak)
+{
+  int64_t now_ns = soak_now_ns ();
+  double at_s = (double)(now_ns - soak->start_ns) / (double)KWF_NS_PER_S;
+  if (soak->store_back_ns && now_ns >= soak->store_back_ns)
+    {
+      fake_store_set_silent (soak->store, false);
+      soak->store_back_ns = 0;
+      soak->store_calm_ns = now_ns;
+    }
+  if (!soak->is_calm && at_s >= soak->seconds - CALM_S)
+    {
+      soak->is_calm = true;
+      config_put (soak);
+    }
+  while (soak->next_action < soak->plan->len)
+    {
+      const action_t *action
+          = &g_array_index (soak->plan, action_t, soak->next_action);
+      if (action->at_s > at_s)
+        return;
+      soak->next_action++;
+      carry_out (soak, action);
+    }
+}
--- /dev/null
+++ b/test/soak-rules.c
@@ -0,0 +1,181 @@
+/* Judges the rules that count over many requests.  */
+
+#include <string.h>
+
+#include <knapweedfork/clock.h>
+
+#include "soak.h"
+
+/* "More than a few" and "more than three" of the rules.  */
+#define FEW 3
+/* Fewer runs than this make no share.  */
+#define FEWEST_LEFT 8
+
+static bool
+is_excused (const run_t *run)
+{
+  return run->disturbed || run->script >= SCRIPT_CUT;
+}
+
+/* Most requests for a service in a window that ends at END_NS, the one before
+   it, or half a window before it.  */
+static int
+count_firsts (const GArray *arrivals, const char *service, int64_t end_ns)
+{
+  int64_t window_ns = BUDGET_WINDOW_MS * KWF_NS_PER_MS;
+  int n[3] = { 0 };
+  for (guint i = 0; i < arrivals->len; i++)
+    {
+      const arrival_t *arrival = &g_array_index (arrivals, arrival_t, i);
+      if (arrival->again || strcmp (arrival->service, service) != 0)
+        continue;
+      for (int k = 0; k < 3; k++)
+        {
+          int64_t to_ns = end_ns - k * window_ns / 2;
+          n[k]
+              += arrival->at_ns <= to_ns && arrival->at_ns > to_ns - window_ns;
+        }
+    }
+  return MAX (n[0], MAX (n[1], n[2]));
+}
+
+static void
+judge_budget (soak_t *soak, const char *service)
+{
+  int64_t window_ns = BUDGET_WINDOW_MS * KWF_NS_PER_MS;
+  GArray *again = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  for (guint i = 0; i < soak->arrivals->len; i++)
+    {
+      const arrival_t *arrival = &g_array_index (soak->arrivals, arrival_t, i);
+      if (arrival->again && strcmp (arrival->service, service) == 0)
+        g_array_append_val (again, arrival->at_ns);
+    }
+  guint first = 0;
+  for (guint i = 0; i < again->len; i++)
+    {
+      int64_t end_ns = g_array_index (again, int64_t, i);
+      while (g_array_index (again, int64_t, first) <= end_ns - window_ns)
+        first++;
+      int n = (int)(i - first + 1);
+      if (n <= BUDGET_SLACK)
+        continue;
+      int requests = count_firsts (soak->arrivals, service, end_ns);
+      if (n > BUDGET_RATIO * requests + BUDGET_SLACK)
+        {
+          soak_break (soak, RULE_BUDGET, NULL, NULL,
+                      "%s got %d arrivals beyond the first in 10 s to %.3f s "
+                      "with %d requests",
+                      service, n,
+                      (double)(end_ns - soak->start_ns) / (double)KWF_NS_PER_S,
+                      requests);
+          break;
+        }
+    }
+  g_array_free (again, TRUE);
+}
+
+/* Servers that ran a request and did not end meanwhile.  */
+static int
+count_servers (const request_t *request)
+{
+  guint64 servers = 0;
+  int n = 0;
+  for (guint i = 0; i < request->runs->len; i++)
+    {
+      const run_t *run = request->runs->pdata[i];
+      guint64 bit = G_GUINT64_CONSTANT (1) << run->server;
+      if (!run->refused && !run->disturbed && !(servers & bit))
+        n++;
+      servers |= run->refused || run->disturbed ? 0 : bit;
+    }
+  return n;
+}
+
+static void
+judge_attempts (soak_t *soak, const GList *requests)
+{
+  int n = 0;
+  for (; requests; requests = requests->next)
+    {
+      const request_t *request = requests->data;
+      if (count_servers (request) > request->route->attempts && ++n > FEW)
+        soak_break (soak, RULE_BUDGET, request, NULL,
+                    "ran on more servers than its route allows, number %d", n);
+    }
+}
+
+static bool
+is_lost (const request_t *request)
+{
+  if (request->end != END_BROKEN || !request->calm || !request->kept
+      || request->status || !request->runs->len)
+    return false;
+  const run_t *run = request->runs->pdata[request->runs->len - 1];
+  int64_t deadline_ns
+      = request->sent_ns + request->deadline_ms * KWF_NS_PER_MS;
+  return !is_excused (run) && request->ended_ns < deadline_ns;
+}
+
+static void
+judge_lost (soak_t *soak, const GList *requests)
+{
+  int n = 0;
+  for (; requests; requests = requests->next)
+    {
+      const request_t *request = requests->data;
+      if (request->ended_calm && is_lost (request) && ++n > FEW)
+        soak_break (soak, RULE_LOST, request, NULL,
+                    "no answer on a kept connection, number %d", n);
+    }
+}
+
+/* Servers that work on for a caller that has left.  */
+static void
+judge_gone (soak_t *soak, const GList *requests)
+{
+  int n_late = 0;
+  int n_owed = 0;
+  int n_arrived = 0;
+  const request_t *example = NULL;
+  for (; requests; requests = requests->next)
+    {
+      const request_t *request = requests->data;
+      if (request->end != END_LEFT || !request->calm || !request->ended_calm)
+        continue;
+      int64_t late_ns = request->ended_ns + GONE_MS * KWF_NS_PER_MS;
+      for (guint i = 0; i < request->runs->len; i++)
+        {
+          const run_t *run = request->runs->pdata[i];
+          n_arrived += run->began_ns > late_ns;
+          if (!may_repeat (request) || run->disturbed || run->refused
+              || run->due_ns <= late_ns)
+            continue;
+          n_owed++;
+          if (run->ended_ns && run->ended_ns <= late_ns)
+            continue;
+          n_late++;
+          example = request;
+        }
+    }
+  if (n_arrived > FEW)
+    soak_break (soak, RULE_GONE, NULL, NULL,
+                "%d requests reached a server after their callers had left",
+                n_arrived);
+  if (n_owed >= FEWEST_LEFT && 4 * n_late > n_owed)
+    soak_break (soak, RULE_GONE, example, NULL,
+                "servers work on %d of %d requests whose callers had left",
+                n_late, n_owed);
+}
+
+void
+judge_end (soak_t *soak)
+{
+  GList *requests = g_hash_table_get_values (soak->requests);
+  judge_budget (soak, "desk");
+  judge_budget (soak, "tally");
+  judge_budget (soak, "engine");
+  judge_attempts (soak, requests);
+  judge_lost (soak, requests);
+  judge_gone (soak, requests);
+  g_list_free (requests);
+}
--- /dev/null
+++ b/test/soak-server.c
@@ -0,0 +1,217 @@
+/* Scripted backend servers: their processes, entries and reports.  */
+
+#include <string.h>
+
+#include <knapweedfork/clock.h>
+
+#include "soak.h"
+
+#define PLAIN_SERVERS 4
+#define ENGINES 3
+#define SLOTS 32
+
+/* A request that came while its server was frozen.  */
+typedef struct
+{
+  connection_t *connection;
+  int number;
+  char *text;
+} held_t;
+
+static void
+held_free (void *data)
+{
+  held_t *held = data;
+  g_free (held->text);
+  g_free (held);
+}
+
+static bool
+is_engine (const backend_t *backend)
+{
+  return strcmp (backend->service, "engine") == 0;
+}
+
+/* A restart clears the number of the orders.  */
+static void
+put_entry (const backend_t *backend)
+{
+  char *text = g_strdup_printf (
+      "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"c%d\",\"version\":"
+      "\"1\",\"slots\":%d,\"state\":\"%s\",\"seq\":1,\"born\":"
+      "%" G_GINT64_FORMAT "%s}",
+      backend->service, backend->listener->address, backend->index % 2 + 1,
+      SLOTS, backend->leaving ? "draining" : "ready", backend->born_ms,
+      is_engine (backend) ? ",\"stage\":\"colocated\",\"models\":[{\"name\":"
+                            "\"m\",\"version\":1,\"adapters\":[]}]"
+                          : "");
+  rows_put (backend->soak->store, "servers", backend->key, text);
+  g_free (text);
+}
+
+static void
+reply_report (const backend_t *backend, connection_t *connection)
+{
+  char *text = g_strdup_printf (
+      "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m\",\"version\":1,"
+      "\"adapters\":[]}],\"busy\":false,\"seq\":0,\"queued\":0,\"running\":%u,"
+      "\"kv_used\":0,\"kv_total\":90000,\"handles\":0,\"born\":"
+      "%" G_GINT64_FORMAT "}",
+      backend->jobs->len, backend->born_ms);
+  connection_reply (connection, 200, text);
+  g_free (text);
+}
+
+static void
+serve (connection_t *connection, const char *text, void *data)
+{
+  backend_t *backend = data;
+  if (backend->thaw_ns)
+    {
+      held_t *held = g_new0 (held_t, 1);
+      *held = (held_t){ connection, connection->number, g_strdup (text) };
+      g_ptr_array_add (backend->held, held);
+    }
+  else if (g_str_has_prefix (text, "GET /-/report"))
+    reply_report (backend, connection);
+  else if (strstr (text, " /-/"))
+    connection_reply (connection, 409, "{}");
+  else
+    job_start (backend, connection, text);
+}
+
+static void
+start (backend_t *backend)
+{
+  backend->incarnation++;
+  backend->born_ms = soak_now_ns () / KWF_NS_PER_MS;
+  backend->calm_ns = soak_now_ns ();
+  backend->leaving = false;
+  backend->start_ns = 0;
+  g_hash_table_remove_all (backend->last_ids);
+  backend->listener = listener_start (backend->soak->loop, serve, backend);
+  put_entry (backend);
+}
+
+void
+backends_start (soak_t *soak)
+{
+  static const char *const services[] = { "desk", "tally", "engine" };
+  soak->n_backends = 2 * PLAIN_SERVERS + ENGINES;
+  soak->backends = g_new0 (backend_t, soak->n_backends);
+  for (int i = 0; i < soak->n_backends; i++)
+    {
+      backend_t *backend = &soak->backends[i];
+      backend->soak = soak;
+      backend->index = i;
+      backend->service = services[MIN (i / PLAIN_SERVERS, 2)];
+      backend->jobs = g_ptr_array_new_with_free_func (job_free);
+      backend->held = g_ptr_array_new_with_free_func (held_free);
+      backend->last_ids = g_hash_table_new (NULL, NULL);
+      g_snprintf (backend->key, sizeof backend->key, "d%d", i);
+      start (backend);
+    }
+}
+
+/* Ends the process: its connections end with FIN.  */
+static void
+end_process (backend_t *backend)
+{
+  for (guint i = 0; i < backend->jobs->len; i++)
+    job_disturb (backend->jobs->pdata[i]);
+  g_ptr_array_set_size (backend->held, 0);
+  g_ptr_array_set_size (backend->jobs, 0);
+  listener_stop (backend->listener);
+  backend->listener = NULL;
+  backend->thaw_ns = 0;
+  backend->calm_ns = soak_now_ns ();
+}
+
+void
+backend_kill (backend_t *backend, unsigned value)
+{
+  if (!backend->listener)
+    return;
+  end_process (backend);
+  backend->start_ns
+      = soak_now_ns () + (int64_t)(100 + value % 1400) * KWF_NS_PER_MS;
+}
+
+void
+backend_freeze (backend_t *backend, unsigned value)
+{
+  if (!backend->listener || backend->thaw_ns)
+    return;
+  for (guint i = 0; i < backend->jobs->len; i++)
+    job_disturb (backend->jobs->pdata[i]);
+  backend->thaw_ns
+      = soak_now_ns () + (int64_t)(100 + value % 2000) * KWF_NS_PER_MS;
+}
+
+/* Says "draining", serves on for a while and ends.  */
+void
+backend_leave (backend_t *backend, unsigned value)
+{
+  if (!backend->listener || backend->leaving)
+    return;
+  backend->leaving = true;
+  put_entry (backend);
+  backend->start_ns
+      = soak_now_ns () + (int64_t)(2000 + value % 1500) * KWF_NS_PER_MS;
+}
+
+static void
+thaw (backend_t *backend)
+{
+  backend->thaw_ns = 0;
+  backend->calm_ns = soak_now_ns ();
+  GPtrArray *held = backend->held;
+  backend->held = g_ptr_array_new_with_free_func (held_free);
+  for (guint i = 0; i < held->len; i++)
+    {
+      const held_t *one = held->pdata[i];
+      if (is_connection_open (backend->listener, one->connection, one->number))
+        serve (one->connection, one->text, backend);
+    }
+  g_ptr_array_free (held, TRUE);
+}
+
+static void
+tick (backend_t *backend, int64_t now_ns)
+{
+  if (backend->start_ns && now_ns >= backend->start_ns)
+    {
+      if (backend->listener)
+        end_process (backend);
+      start (backend);
+    }
+  if (backend->thaw_ns && now_ns >= backend->thaw_ns)
+    thaw (backend);
+  if (backend->thaw_ns)
+    return;
+  for (guint i = backend->jobs->len; i-- > 0;)
+    if (job_tick (backend->jobs->pdata[i], now_ns))
+      g_ptr_array_remove_index (backend->jobs, i);
+}
+
+void
+backends_tick (soak_t *soak, int64_t now_ns)
+{
+  for (int i = 0; i < soak->n_backends; i++)
+    tick (&soak->backends[i], now_ns);
+}
+
+void
+backends_stop (soak_t *soak)
+{
+  for (int i = 0; i < soak->n_backends; i++)
+    {
+      backend_t *backend = &soak->backends[i];
+      if (backend->listener)
+        end_process (backend);
+      g_ptr_array_free (backend->jobs, TRUE);
+      g_ptr_array_free (backend->held, TRUE);
+      g_hash_table_destroy (backend->last_ids);
+    }
+  g_free (soak->backends);
+}
--- /dev/null
+++ b/test/soak.h
@@ -0,0 +1,335 @@
+/* soak.h - a soak of real instances: a fake store, scripted backend servers
+   and callers on one loop, a schedule of disruptions drawn from a seed, and
+   the rules judged by what callers and servers saw on their sockets.  Times
+   are of the system clock, in ns.  */
+
+#ifndef KNAPWEEDFORK_TEST_SOAK_H
+#define KNAPWEEDFORK_TEST_SOAK_H
+
+#include <ev.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common-fake-store.h"
+#include "common-listener.h"
+#include "common-process.h"
+
+/* Limits of the platform's sheet.  */
+#define CONTACT_MS 3000
+#define BUDGET_WINDOW_MS 10000
+#define BUDGET_RATIO 0.2
+#define BUDGET_SLACK 52
+#define GONE_MS 500
+#define GRACE_S 8
+#define CONFIG_APPLY_MS 2000
+
+/* Traffic starts after this time, and no disruption follows in the last part,
+   in which all must be served again.  */
+#define WARM_UP_S 4.0
+#define CALM_S 7.0
+
+/* A process that was stopped at the end of the disruptions is back, and knows
+   the last configuration, for the last part of this length.  */
+#define LAST_S 2.0
+
+#define TICK_S 0.01
+
+typedef enum
+{
+  SOAK_IDEMPOTENT,
+  SOAK_ONCE,
+  SOAK_STREAM, /* runs once */
+  SOAK_RESUMABLE
+} soak_kind_t;
+
+typedef struct
+{
+  const char *prefix;
+  soak_kind_t kind;
+  int attempts;
+  bool engine;
+} soak_route_t;
+
+/* One way of a backend server to treat a request.  */
+typedef enum
+{
+  SCRIPT_PLAIN,
+  SCRIPT_SLOW,
+  SCRIPT_REFUSE,      /* status 503 with X-Not-Run */
+  SCRIPT_FAIL,        /* status 500 */
+  SCRIPT_CUT,         /* ends with FIN at some byte */
+  SCRIPT_RESET,       /* ends with RST at some byte */
+  SCRIPT_STALL,       /* stops at some byte, the connection stays open */
+  SCRIPT_TWICE,       /* the answer once more, later */
+  SCRIPT_RUBBISH,     /* bytes after the answer */
+  SCRIPT_OLD_REFUSAL, /* first a refusal of the request before it */
+  SCRIPT_MISPLACED,   /* status 421: another server is expected */
+  N_SCRIPTS
+} script_t;
+
+typedef struct soak soak_t;
+typedef struct request request_t;
+
+/* A request at a server.  */
+typedef struct
+{
+  request_t *request;
+  int server;
+  int incarnation;
+  int number; /* among the runs of the request, from 1 */
+  script_t script;
+  int status;
+  bool refused;     /* the server did not run it and said so */
+  bool has_end;     /* the answer's framing marks its end */
+  bool disturbed;   /* the server was killed or frozen meanwhile */
+  int64_t began_ns; /* when the request was read */
+  int64_t due_ns;   /* when the script ends if nothing interferes */
+  int64_t ended_ns; /* 0: at work */
+  size_t sent;      /* bytes of the answer that were written */
+  size_t size;      /* of the answer, with its head */
+  char stamp[48];
+  GString *body; /* whole, without its transfer coding */
+  int first;     /* of its events */
+  int last;
+} run_t;
+
+/* How an answer ended, as the caller saw it.  */
+typedef enum
+{
+  END_NONE, /* under way */
+  END_WHOLE,
+  END_BROKEN,    /* the connection ended first */
+  END_LEFT,      /* the caller closed its connection first */
+  END_UNREADABLE /* bytes that are no answer */
+} end_t;
+
+/* An answer as read so far.  */
+typedef struct
+{
+  int status; /* 0: its head is not there yet */
+  bool by_length;
+  bool by_chunks;
+  bool closes; /* "Connection: close" */
+  char id[40];
+  char stamp[48];
+  GString *body;
+  size_t size; /* bytes of a whole answer */
+  end_t end;
+} answer_read_t;
+
+/* One attempt of a caller.  */
+struct request
+{
+  char id[24];
+  const soak_route_t *route;
+  char *path;
+  char *body;
+  int after; /* Last-Event-Id; 0: none */
+  int n_events;
+  int deadline_ms;
+  int instance;
+  int incarnation;
+  bool kept;       /* on a connection that was used before */
+  bool calm;       /* the instance was in touch when it was sent */
+  bool ended_calm; /* and when it ended */
+  int64_t sent_ns;
+  int64_t ended_ns;
+  end_t end;
+  int status;
+  GPtrArray *runs; /* of run_t */
+};
+
+typedef struct
+{
+  char id[16];
+  const char *data_centre;
+  process_t process;
+  int incarnation;
+  bool is_up;          /* it listens */
+  bool is_frozen;      /* SIGSTOP */
+  bool end_expected;   /* SIGTERM or SIGKILL was sent */
+  int64_t calm_ns;     /* end of its last disruption */
+  int64_t kill_ns;     /* when it is killed after SIGTERM; 0: never */
+  int64_t continue_ns; /* when SIGCONT is sent; 0: never */
+  int64_t start_ns;    /* when it is started again; 0: never */
+  char *log;
+} instance_t;
+
+typedef struct
+{
+  char key[16];
+  const char *service;
+  listener_t *listener; /* NULL: down */
+  int incarnation;
+  int64_t born_ms;
+  int64_t calm_ns;
+  int64_t start_ns; /* 0: never */
+  int64_t thaw_ns;  /* 0: not frozen */
+  bool leaving;
+  soak_t *soak;
+  int index;
+  GPtrArray *jobs;      /* of job_t */
+  GPtrArray *held;      /* of held_t: requests that came while frozen */
+  GHashTable *last_ids; /* connection's number -> id of its last request */
+} backend_t;
+
+typedef struct caller caller_t;
+
+/* Arrival of a request at a service.  */
+typedef struct
+{
+  int64_t at_ns;
+  const char *service;
+  bool again; /* not the first of its request */
+} arrival_t;
+
+typedef enum
+{
+  RULE_MIXED,
+  RULE_ORDER,
+  RULE_UNASKED,
+  RULE_TWICE,
+  RULE_REFUSED,
+  RULE_BUDGET,
+  RULE_LOST,
+  RULE_GONE,
+  RULE_CONFIG,
+  N_RULES
+} rule_t;
+
+/* A disruption of the schedule.  */
+typedef enum
+{
+  ACT_TERM,
+  ACT_KILL,
+  ACT_STOP,
+  ACT_HUP,
+  ACT_CONFIG,
+  ACT_ODD_ENTRY,
+  ACT_SERVER_KILL,
+  ACT_SERVER_FREEZE,
+  ACT_SERVER_LEAVE,
+  ACT_STORE_SILENT,
+  N_ACTS
+} act_t;
+
+typedef struct
+{
+  double at_s;
+  act_t act;
+  unsigned target;
+  unsigned value;
+} action_t;
+
+struct soak
+{
+  struct ev_loop *loop;
+  fake_store_t *store;
+  guint32 seed;
+  double seconds;
+  char *directory;
+  instance_t *instances;
+  int n_instances;
+  backend_t *backends;
+  int n_backends;
+  caller_t *callers;
+  int n_callers;
+  GHashTable *requests; /* id -> request_t */
+  GArray *arrivals;     /* of arrival_t */
+  GArray *plan;         /* of action_t */
+  guint next_action;
+  ev_timer tick;
+  int64_t start_ns;
+  int64_t tick_ns;       /* time of the last tick */
+  int64_t store_calm_ns; /* end of the last disruption of the store */
+  int64_t store_back_ns; /* when it answers again; 0: it does */
+  int64_t max_lag_ns;    /* longest time between two ticks */
+  int version;           /* of the configuration */
+  bool has_extra_route;
+  bool moved;
+  bool is_calm; /* the last part has begun */
+  bool closing; /* callers send nothing new */
+  int broken[N_RULES];
+  int acts[N_ACTS];
+  int outcomes[END_UNREADABLE + 1];
+  int statuses[600];
+  int successes;
+  int asked[16]; /* of each route */
+  int served[16];
+  int calm_requests; /* sent in the last part */
+  int calm_successes;
+};
+
+int64_t soak_now_ns (void);
+
+/* Number from 0 to 2^32 - 1 that depends on the seed, TEXT and SALT.  */
+guint32 soak_hash (const soak_t *soak, const char *text, int salt);
+
+/* soak-plan.c: the schedule.  */
+void plan_make (soak_t *soak);
+/* Carries out what is due.  */
+void plan_run (soak_t *soak);
+void config_put (soak_t *soak);
+extern const soak_route_t soak_routes[];
+extern const size_t n_soak_routes;
+/* Those from the start on.  */
+extern const size_t n_first_routes;
+const char *act_name (act_t act);
+
+/* soak-instance.c  */
+void instances_start (soak_t *soak);
+void instances_tick (soak_t *soak, int64_t now_ns);
+void instance_signal (soak_t *soak, int i, int signal, unsigned value);
+/* Ends all; each must end by itself after SIGTERM.  */
+void instances_stop (soak_t *soak);
+/* Whether nothing disturbed instance I for CONTACT_MS before NOW_NS.  */
+bool is_in_touch (const soak_t *soak, int i, int64_t now_ns);
+
+/* soak-server.c  */
+void backends_start (soak_t *soak);
+void backends_tick (soak_t *soak, int64_t now_ns);
+void backends_stop (soak_t *soak);
+void backend_kill (backend_t *backend, unsigned value);
+void backend_freeze (backend_t *backend, unsigned value);
+void backend_leave (backend_t *backend, unsigned value);
+
+/* soak-job.c: the work of a server on one request.  */
+typedef struct job job_t;
+void job_start (backend_t *backend, connection_t *connection,
+                const char *request);
+/* Returns whether the job has ended.  */
+bool job_tick (job_t *job, int64_t now_ns);
+/* The server was killed or frozen at work.  */
+void job_disturb (job_t *job);
+void job_free (void *job);
+/* Value of header NAME in TEXT, "" if it is missing.  */
+void header_copy (const char *text, const char *name, char *value,
+                  size_t size);
+const char *script_name (script_t script);
+bool is_connection_open (const listener_t *listener,
+                         const connection_t *connection, int number);
+
+/* soak-caller.c  */
+void callers_start (soak_t *soak);
+void callers_tick (soak_t *soak, int64_t now_ns);
+void callers_stop (soak_t *soak);
+
+/* soak-answer.c: reads the bytes of an answer.  AT_END: no more come.  */
+void answer_read (answer_read_t *answer, const GString *in, bool at_end);
+void answer_clear (answer_read_t *answer);
+
+/* soak-judge.c  */
+bool may_repeat (const request_t *request);
+void judge_run (soak_t *soak, run_t *run);
+void judge_answer (soak_t *soak, request_t *request,
+                   const answer_read_t *answer, const GString *bytes);
+/* Rules that need the whole soak.  */
+void judge_end (soak_t *soak);
+/* Reports a broken rule; REQUEST and SEEN may be NULL.  */
+void soak_break (soak_t *soak, rule_t rule, const request_t *request,
+                 const GString *seen, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+void soak_summary (const soak_t *soak);
+
+#endif
