--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -22,6 +22,7 @@
 /* A caller waits for this time beyond its deadline.  */
 #define SPARE_MS 500
 #define EVENTS 30
+#define LEAVE_ONE_IN 10
 #define BODY_BYTES 2000
 
 struct caller
@@ -244,7 +245,7 @@
   request->sent_ns = soak_now_ns ();
   request->calm = is_in_touch (soak, caller->instance, request->sent_ns);
   int wait_ms = request->deadline_ms + SPARE_MS;
-  if (!g_rand_int_range (caller->rand, 0, 25))
+  if (!g_rand_int_range (caller->rand, 0, LEAVE_ONE_IN))
     wait_ms = g_rand_int_range (caller->rand, 1, 600);
   caller->leave_ns = request->sent_ns + wait_ms * KWF_NS_PER_MS;
   caller->request = request;
--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -59,7 +59,7 @@
     script_t script;
     int share;
   } shares[] = {
-    { SCRIPT_SLOW, 60 },  { SCRIPT_REFUSE, 30 },  { SCRIPT_FAIL, 15 },
+    { SCRIPT_SLOW, 100 }, { SCRIPT_REFUSE, 30 },  { SCRIPT_FAIL, 15 },
     { SCRIPT_CUT, 25 },   { SCRIPT_RESET, 20 },   { SCRIPT_STALL, 10 },
     { SCRIPT_TWICE, 40 }, { SCRIPT_RUBBISH, 20 }, { SCRIPT_OLD_REFUSAL, 20 },
   };
@@ -283,7 +283,9 @@
   header_copy (text, "Last-Event-Id", value, sizeof value);
   run->first = (int)strtol (value, NULL, 10) + 1;
   header_copy (text, "X-Expect-Instance", value, sizeof value);
-  run->script = draw_script (job->rand);
+  run->script = run->began_ns < job->backend->refuse_ns
+                    ? SCRIPT_REFUSE
+                    : draw_script (job->rand);
   if (*value && strcmp (value, job->backend->key) != 0)
     run->script = SCRIPT_MISPLACED;
   run->refused
--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -32,9 +32,9 @@
 const size_t n_first_routes = G_N_ELEMENTS (soak_routes) - 1;
 
 static const char *const act_names[N_ACTS]
-    = { "term",         "kill",        "stop",        "hup",
-        "config",       "odd-entry",   "server-kill", "server-freeze",
-        "server-leave", "store-silent" };
+    = { "term",         "kill",           "stop",        "hup",
+        "config",       "odd-entry",      "server-kill", "server-freeze",
+        "server-leave", "service-refuse", "store-silent" };
 
 const char *
 act_name (act_t act)
@@ -45,13 +45,12 @@
 static act_t
 draw_act (GRand *rand)
 {
-  /* Each name once for a share of one tenth or more.  */
-  static const act_t acts[]
-      = { ACT_TERM,          ACT_TERM,         ACT_KILL,
-          ACT_STOP,          ACT_STOP,         ACT_HUP,
-          ACT_CONFIG,        ACT_CONFIG,       ACT_ODD_ENTRY,
-          ACT_SERVER_KILL,   ACT_SERVER_KILL,  ACT_SERVER_KILL,
-          ACT_SERVER_FREEZE, ACT_SERVER_LEAVE, ACT_STORE_SILENT };
+  static const act_t acts[] = {
+    ACT_TERM,          ACT_TERM,         ACT_KILL,           ACT_STOP,
+    ACT_STOP,          ACT_HUP,          ACT_CONFIG,         ACT_CONFIG,
+    ACT_ODD_ENTRY,     ACT_SERVER_KILL,  ACT_SERVER_KILL,    ACT_SERVER_KILL,
+    ACT_SERVER_FREEZE, ACT_SERVER_LEAVE, ACT_SERVICE_REFUSE, ACT_STORE_SILENT
+  };
   return acts[g_rand_int_range (rand, 0, G_N_ELEMENTS (acts))];
 }
 
@@ -207,6 +206,9 @@
     case ACT_SERVER_LEAVE:
       backend_leave (backend, action->value);
       break;
+    case ACT_SERVICE_REFUSE:
+      backend_refuse_service (backend, action->value);
+      break;
     default:
       disturb_store (soak, action->value);
       break;
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -8,8 +8,6 @@
 
 /* "More than a few" and "more than three" of the rules.  */
 #define FEW 3
-/* Fewer runs than this make no share.  */
-#define FEWEST_LEFT 8
 
 static bool
 is_excused (const run_t *run)
@@ -57,6 +55,7 @@
       while (g_array_index (again, int64_t, first) <= end_ns - window_ns)
         first++;
       int n = (int)(i - first + 1);
+      soak->n_repeats = MAX (soak->n_repeats, n);
       if (n <= BUDGET_SLACK)
         continue;
       int requests = count_firsts (soak->arrivals, service, end_ns);
@@ -133,8 +132,6 @@
 static void
 judge_gone (soak_t *soak, const GList *requests)
 {
-  int n_late = 0;
-  int n_owed = 0;
   int n_arrived = 0;
   const request_t *example = NULL;
   for (; requests; requests = requests->next)
@@ -150,10 +147,10 @@
           if (!may_repeat (request) || run->disturbed || run->refused
               || run->due_ns <= late_ns)
             continue;
-          n_owed++;
+          soak->n_left++;
           if (run->ended_ns && run->ended_ns <= late_ns)
             continue;
-          n_late++;
+          soak->n_late++;
           example = request;
         }
     }
@@ -161,10 +158,10 @@
     soak_break (soak, RULE_GONE, NULL, NULL,
                 "%d requests reached a server after their callers had left",
                 n_arrived);
-  if (n_owed >= FEWEST_LEFT && 4 * n_late > n_owed)
+  if (soak->n_late > FEW && 4 * soak->n_late > soak->n_left)
     soak_break (soak, RULE_GONE, example, NULL,
                 "servers work on %d of %d requests whose callers had left",
-                n_late, n_owed);
+                soak->n_late, soak->n_left);
 }
 
 void
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -160,6 +160,17 @@
       = soak_now_ns () + (int64_t)(2000 + value % 1500) * KWF_NS_PER_MS;
 }
 
+void
+backend_refuse_service (const backend_t *backend, unsigned value)
+{
+  soak_t *soak = backend->soak;
+  int64_t until_ns
+      = soak_now_ns () + (int64_t)(1000 + value % 5000) * KWF_NS_PER_MS;
+  for (int i = 0; i < soak->n_backends; i++)
+    if (strcmp (soak->backends[i].service, backend->service) == 0)
+      soak->backends[i].refuse_ns = until_ns;
+}
+
 static void
 thaw (backend_t *backend)
 {
--- a/test/soak.h
+++ b/test/soak.h
@@ -164,8 +164,9 @@
   int incarnation;
   int64_t born_ms;
   int64_t calm_ns;
-  int64_t start_ns; /* 0: never */
-  int64_t thaw_ns;  /* 0: not frozen */
+  int64_t start_ns;  /* 0: never */
+  int64_t thaw_ns;   /* 0: not frozen */
+  int64_t refuse_ns; /* until then it refuses all requests */
   bool leaving;
   soak_t *soak;
   int index;
@@ -210,6 +211,7 @@
   ACT_SERVER_KILL,
   ACT_SERVER_FREEZE,
   ACT_SERVER_LEAVE,
+  ACT_SERVICE_REFUSE,
   ACT_STORE_SILENT,
   N_ACTS
 } act_t;
@@ -257,6 +259,9 @@
   int successes;
   int asked[16]; /* of each route */
   int served[16];
+  int n_repeats;     /* most arrivals beyond the first in a window */
+  int n_left;        /* runs that must end when their caller leaves */
+  int n_late;        /* those that did not */
   int calm_requests; /* sent in the last part */
   int calm_successes;
 };
@@ -293,6 +298,8 @@
 void backend_kill (backend_t *backend, unsigned value);
 void backend_freeze (backend_t *backend, unsigned value);
 void backend_leave (backend_t *backend, unsigned value);
+/* All servers of the service of BACKEND refuse for a while.  */
+void backend_refuse_service (const backend_t *backend, unsigned value);
 
 /* soak-job.c: the work of a server on one request.  */
 typedef struct job job_t;
