Soak: extra answers on a connection's next request, cuts inside heads

A late second answer mostly met an idle connection. A third of them now waits for the next request on the connection. Ids of requests stand first or last in heads, and half of the cuts are inside the head.

--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -16,6 +16,8 @@
 #define BODY_BYTES 3000
 #define EVENT_BYTES 120
 #define LATE_MS 400
+/* About the size of a head.  */
+#define HEAD_BYTES 180
 
 struct job
 {
@@ -25,9 +27,11 @@
   run_t *run;
   GRand *rand;
   GString *out;
-  GString *extra; /* written after the answer; NULL: none */
-  size_t stop_at; /* OUT is cut here */
-  int pause_ms;   /* longest pause */
+  GString *extra;   /* written after the answer; NULL: none */
+  bool extra_waits; /* for the next request on the connection */
+  int n_requests;   /* of the connection with this one */
+  size_t stop_at;   /* OUT is cut here */
+  int pause_ms;     /* longest pause */
   int64_t next_ns;
   bool wrote; /* some byte of the answer */
 };
@@ -60,7 +64,7 @@
     int share;
   } shares[] = {
     { SCRIPT_SLOW, 100 }, { SCRIPT_REFUSE, 30 },  { SCRIPT_FAIL, 15 },
-    { SCRIPT_CUT, 25 },   { SCRIPT_RESET, 20 },   { SCRIPT_STALL, 10 },
+    { SCRIPT_CUT, 40 },   { SCRIPT_RESET, 20 },   { SCRIPT_STALL, 10 },
     { SCRIPT_TWICE, 40 }, { SCRIPT_RUBBISH, 20 }, { SCRIPT_OLD_REFUSAL, 20 },
   };
   int drawn = g_rand_int_range (rand, 0, 1000);
@@ -125,6 +129,12 @@
     g_string_append_len (out, body->str, (gssize)body->len);
 }
 
+static void
+append_id (GString *out, const char *id)
+{
+  g_string_append_printf (out, "X-Request-Id: %s\r\n", id);
+}
+
 /* Writes RUN's answer into OUT.  */
 static void
 make_answer (run_t *run, GString *out, GRand *rand)
@@ -135,8 +145,10 @@
   bool chunked = framing < 4;
   bool closes = framing == 9 && run->status == 200;
   make_body (run, rand);
-  g_string_append_printf (out, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n",
-                          run->status, run->request->id);
+  bool id_first = g_rand_boolean (rand);
+  g_string_append_printf (out, "HTTP/1.1 %d X\r\n", run->status);
+  if (id_first)
+    append_id (out, run->request->id);
   if (run->refused)
     g_string_append (out, "X-Not-Run: 1\r\n");
   else
@@ -150,6 +162,8 @@
     g_string_append_printf (out, "Content-Length: %zu\r\n", run->body->len);
   if (closes || g_rand_int_range (rand, 0, 20) == 0)
     g_string_append (out, "Connection: close\r\n");
+  if (!id_first)
+    append_id (out, run->request->id);
   g_string_append (out, "\r\n");
   append_body (out, run->body, rand, chunked);
   run->has_end = !closes;
@@ -179,6 +193,16 @@
   return last;
 }
 
+/* Where an answer breaks off: at any byte, often inside its head.  */
+static size_t
+draw_stop (const job_t *job)
+{
+  int size = (int)job->out->len;
+  if (g_rand_boolean (job->rand))
+    size = MIN (size, HEAD_BYTES);
+  return (size_t)g_rand_int_range (job->rand, 0, size);
+}
+
 static void
 arrange_script (job_t *job)
 {
@@ -191,7 +215,7 @@
     case SCRIPT_CUT:
     case SCRIPT_RESET:
     case SCRIPT_STALL:
-      job->stop_at = (size_t)g_rand_int_range (rand, 0, (int)job->out->len);
+      job->stop_at = draw_stop (job);
       /* Nothing tells a caller that such an answer was cut by FIN.  */
       if (!run->has_end && run->script == SCRIPT_CUT)
         run->script = SCRIPT_RESET;
@@ -209,8 +233,11 @@
       /* Where the connection's end is that of the body, they are its part.  */
       if (!run->has_end)
         break;
-      job->extra = g_string_new (NULL);
-      append_text (job->extra, rand, g_rand_int_range (rand, 1, 200));
+      job->extra = g_string_new_len (
+          job->out->str, g_rand_int_range (rand, 1, (int)job->out->len));
+      if (g_rand_boolean (rand))
+        g_string_truncate (job->extra, 0);
+      append_text (job->extra, rand, g_rand_int_range (rand, 0, 200));
       break;
     case SCRIPT_OLD_REFUSAL:
       if (last_id)
@@ -315,6 +342,7 @@
   *job = (job_t){ .backend = backend,
                   .connection = connection,
                   .number = connection->number,
+                  .n_requests = connection->requests,
                   .run = run_new (backend, request),
                   .out = g_string_new (NULL) };
   job->rand
@@ -398,9 +426,10 @@
     }
   if (job->extra)
     {
-      job->next_ns = g_rand_boolean (job->rand)
-                         ? 0
-                         : now_ns + draw_pause_ns (job, LATE_MS);
+      int when = g_rand_int_range (job->rand, 0, 3);
+      job->extra_waits = when == 0;
+      job->next_ns
+          = when == 1 ? now_ns : now_ns + draw_pause_ns (job, LATE_MS);
       return false;
     }
   bool reset = run->script == SCRIPT_RESET;
@@ -420,6 +449,8 @@
     {
       if (run->sent == job->stop_at && run->ended_ns && job->extra)
         {
+          if (job->extra_waits && job->connection->requests == job->n_requests)
+            return false;
           if (!is_connection_busy (job))
             connection_write (job->connection, job->extra->str,
                               job->extra->len);
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -80,6 +80,22 @@
     job_start (backend, connection, text);
 }
 
+/* Some processes have the id of the one before, the others a new one.  An
+   entry that names no address stands for one that was removed.  */
+static void
+name_process (backend_t *backend)
+{
+  if (*backend->key
+      && soak_hash (backend->soak, "name",
+                    backend->index + 100 * backend->incarnation)
+             % 2)
+    return;
+  if (*backend->key)
+    rows_put (backend->soak->store, "servers", backend->key, "{}");
+  g_snprintf (backend->key, sizeof backend->key, "d%d-%d", backend->index,
+              backend->incarnation);
+}
+
 static void
 start (backend_t *backend)
 {
@@ -89,6 +105,7 @@
   backend->leaving = false;
   backend->start_ns = 0;
   g_hash_table_remove_all (backend->last_ids);
+  name_process (backend);
   backend->listener = listener_start (backend->soak->loop, serve, backend);
   put_entry (backend);
 }
@@ -108,7 +125,6 @@
       backend->jobs = g_ptr_array_new_with_free_func (job_free);
       backend->held = g_ptr_array_new_with_free_func (held_free);
       backend->last_ids = g_hash_table_new (NULL, NULL);
-      g_snprintf (backend->key, sizeof backend->key, "d%d", i);
       start (backend);
     }
 }
