--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -6,6 +6,7 @@
 
 #include <knapweedfork/clock.h>
 
+#include "common-odd.h"
 #include "soak.h"
 
 /* Mean time between the starts of two series, and within a series.  */
@@ -13,7 +14,6 @@
 #define WITHIN_S 0.15
 #define SERIES_MOST 6
 #define SILENT_MS 1500
-#define NESTED 20000
 
 const soak_route_t soak_routes[] = {
   { "/a/", SOAK_IDEMPOTENT, 3, false },
@@ -124,40 +124,20 @@
   if (soak->has_extra_route)
     append_route (text, extra.prefix, &extra, "desk");
   g_string_append (text, "]}");
-  rows_put (soak->store, "op", "config", text->str);
+  fake_store_put (soak->store, "op", "config", text->str);
   g_string_free (text, TRUE);
 }
 
 /* An entry of another writer among those of the servers.  */
 static void
-put_odd_entry (soak_t *soak, unsigned value)
+put_odd_entry (const soak_t *soak, unsigned value)
 {
-  static const char *const entries[] = {
-    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:99999\",\"state\":\"ready\""
-    ",\"slots\":6,\"seq\":1,\"born\":1}",
-    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:0\",\"state\":\"ready\","
-    "\"slots\":6,\"seq\":1,\"born\":1}",
-    "{\"backend\":\"desk\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
-    "\"slots\":1e400,\"seq\":1,\"born\":1}",
-    "{\"backend\":\"tally\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
-    "\"slots\":6,\"seq\":99999999999999999999999,\"born\":1}",
-    "{\"backend\":\"tally\",\"address\":\"127.0.0.1:-1\",\"state\":\"odd\"}",
-    "{\"backend\":7,\"address\":[],\"state\":{}}",
-    "\"\xff\xfe",
-    "",
-    "null",
-  };
+  GArray *entries = odd_entries ("desk", unused_address ());
+  const odd_t *odd = &g_array_index (entries, odd_t, value % entries->len);
   char key[16];
-  g_snprintf (key, sizeof key, "odd%u", value % 4);
-  unsigned kind = (value / 4) % (G_N_ELEMENTS (entries) + 1);
-  if (kind < G_N_ELEMENTS (entries))
-    {
-      rows_put (soak->store, "servers", key, entries[kind]);
-      return;
-    }
-  char *nested = g_strnfill (NESTED, value & 64 ? '[' : '{');
-  rows_put (soak->store, "servers", key, nested);
-  g_free (nested);
+  g_snprintf (key, sizeof key, "odd%u", value / 64 % 4);
+  fake_store_put_bytes (soak->store, "servers", key, odd->bytes, odd->size);
+  g_array_unref (entries);
 }
 
 static void
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -45,7 +45,7 @@
       is_engine (backend) ? ",\"stage\":\"colocated\",\"models\":[{\"name\":"
                             "\"m\",\"version\":1,\"adapters\":[]}]"
                           : "");
-  rows_put (backend->soak->store, "servers", backend->key, text);
+  fake_store_put (backend->soak->store, "servers", backend->key, text);
   g_free (text);
 }
 
@@ -91,7 +91,7 @@
              % 2)
     return;
   if (*backend->key)
-    rows_put (backend->soak->store, "servers", backend->key, "{}");
+    fake_store_put (backend->soak->store, "servers", backend->key, "{}");
   g_snprintf (backend->key, sizeof backend->key, "d%d-%d", backend->index,
               backend->incarnation);
 }
