--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -293,6 +293,7 @@
                   .number = (int)request->runs->len + 1,
                   .status = 200,
                   .began_ns = soak_now_ns (),
+                  .disturbed = backend->calm_ns > request->sent_ns,
                   .body = g_string_new (NULL),
                   .first = request->after + 1,
                   .last = request->n_events };
