Soak: no bytes after the cut of an answer

The scripted server had written it itself: an extra answer that waited for the next request on the connection went out after that request's answer had been cut and before its reset. A chunk that holds other bytes cannot be told from the server's own.

--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -51,7 +51,7 @@
                     int number)
 {
   return listener && g_ptr_array_find (listener->open, connection, NULL)
-         && connection->number == number;
+         && connection->number == number && !connection->closing;
 }
 
 static script_t
@@ -394,6 +394,8 @@
                 &(struct linger){ .l_onoff = 1, .l_linger = 0 },
                 sizeof (struct linger));
   shutdown (fd, reset ? SHUT_RD : SHUT_RDWR);
+  /* No other job writes into the cut answer before the loop reads the end.  */
+  connection_close (job->connection);
 }
 
 /* Whether another answer has begun on the same connection, whose bytes would
