--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -174,8 +174,8 @@
 {
   instance_t *instance = &soak->instances[i];
   int64_t now_ns = soak_now_ns ();
-  /* Before a process listens, SIGHUP ends it.  A start is a disruption by the
-     rules, so this breaks none.  */
+  /* A process that does not listen yet may not have reached main, which
+     blocks SIGHUP.  */
   if (!instance->process.pid || (signal == SIGHUP && !instance->is_up))
     return;
   process_signal (&instance->process, signal);
