Soak: judge connections that end around a SIGTERM

The log shows a second SIGTERM, which is documented to stop the process at once, so that it counts as a disruption that was not planned.

--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -76,10 +76,14 @@
   request_t *request = caller->request;
   request->ended_ns = soak_now_ns ();
   request->end = answer->end;
+  bool same = request->incarnation
+              == caller->soak->instances[request->instance].incarnation;
   request->ended_calm
-      = request->incarnation
-            == caller->soak->instances[request->instance].incarnation
+      = same
         && is_in_touch (caller->soak, request->instance, request->ended_ns);
+  request->planned = same
+                     && is_ending_as_planned (caller->soak, request->instance,
+                                              request->sent_ns);
   request->status = answer->status;
   caller->request = NULL;
   caller->next_ns
--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -70,14 +70,30 @@
     }
 }
 
+static bool
+is_store_calm (const soak_t *soak, int64_t since_ns)
+{
+  return !soak->store_back_ns && soak->store_calm_ns <= since_ns;
+}
+
+bool
+is_ending_as_planned (const soak_t *soak, int i, int64_t sent_ns)
+{
+  const instance_t *instance = &soak->instances[i];
+  int64_t since_ns = sent_ns - CONTACT_MS * KWF_NS_PER_MS;
+  /* What a server still works on in the last sixth may be cut.  */
+  int64_t last_ns = instance->kill_ns - GRACE_S * KWF_NS_PER_S / 6;
+  return instance->kill_ns && !instance->is_frozen && soak_now_ns () < last_ns
+         && instance->calm_ns <= since_ns && is_store_calm (soak, since_ns);
+}
+
 bool
 is_in_touch (const soak_t *soak, int i, int64_t now_ns)
 {
   const instance_t *instance = &soak->instances[i];
   int64_t since_ns = now_ns - CONTACT_MS * KWF_NS_PER_MS;
   return instance->is_up && !instance->is_frozen && !instance->end_expected
-         && instance->calm_ns <= since_ns && !soak->store_back_ns
-         && soak->store_calm_ns <= since_ns;
+         && instance->calm_ns <= since_ns && is_store_calm (soak, since_ns);
 }
 
 /* Looks for the line that tells the address.  */
@@ -179,7 +195,10 @@
   if (!instance->process.pid || (signal == SIGHUP && !instance->is_up))
     return;
   process_signal (&instance->process, signal);
-  instance->calm_ns = now_ns;
+  /* A second SIGTERM ends the process at once.  */
+  if (signal == SIGKILL || signal == SIGSTOP
+      || (signal == SIGTERM && instance->end_expected))
+    instance->calm_ns = now_ns;
   if (signal == SIGTERM || signal == SIGKILL)
     instance->end_expected = true;
   if (signal == SIGTERM && !instance->kill_ns)
@@ -209,9 +228,13 @@
         n_left += soak->instances[i].process.pid != 0;
     }
   for (int i = 0; i < soak->n_instances; i++)
-    {
-      process_kill (&soak->instances[i].process);
-      g_free (soak->instances[i].log);
-    }
+    process_kill (&soak->instances[i].process);
+}
+
+void
+instances_free (soak_t *soak)
+{
+  for (int i = 0; i < soak->n_instances; i++)
+    g_free (soak->instances[i].log);
   g_free (soak->instances);
 }
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -103,16 +103,28 @@
     }
 }
 
+/* Whether the connection ended before a complete answer, early, and no server
+   is the reason.  */
 static bool
-is_lost (const request_t *request)
+is_cut (const request_t *request)
 {
-  if (request->end != END_BROKEN || !request->calm || !request->kept
-      || request->status || !request->runs->len)
-    return false;
-  const run_t *run = request->runs->pdata[request->runs->len - 1];
   int64_t deadline_ns
       = request->sent_ns + request->deadline_ms * KWF_NS_PER_MS;
-  return !is_excused (run) && request->ended_ns < deadline_ns;
+  if (request->end != END_BROKEN || request->ended_ns >= deadline_ns)
+    return false;
+  for (guint i = 0; i < request->runs->len; i++)
+    if (is_excused (request->runs->pdata[i]))
+      return false;
+  return true;
+}
+
+static bool
+is_lost_as_planned (const request_t *request)
+{
+  return request->planned
+         && (request->runs->len
+             || request->ended_ns - request->sent_ns
+                    > LOSS_SLACK_MS * KWF_NS_PER_MS);
 }
 
 static void
@@ -122,9 +134,15 @@
   for (; requests; requests = requests->next)
     {
       const request_t *request = requests->data;
-      if (request->ended_calm && is_lost (request) && ++n > FEW)
+      if (!is_cut (request))
+        continue;
+      if (request->calm && request->ended_calm && request->kept
+          && !request->status && request->runs->len && ++n > FEW)
         soak_break (soak, RULE_LOST, request, NULL,
                     "no answer on a kept connection, number %d", n);
+      if (is_lost_as_planned (request))
+        soak_break (soak, RULE_LOST, request, NULL,
+                    "no complete answer after SIGTERM");
     }
 }
 
--- a/test/soak.h
+++ b/test/soak.h
@@ -21,6 +21,7 @@
 #define BUDGET_RATIO 0.2
 #define BUDGET_SLACK 52
 #define GONE_MS 500
+#define LOSS_SLACK_MS 200
 #define GRACE_S 8
 #define CONFIG_APPLY_MS 2000
 
@@ -134,6 +135,7 @@
   bool kept;       /* on a connection that was used before */
   bool calm;       /* the instance was in touch when it was sent */
   bool ended_calm; /* and when it ended */
+  bool planned;    /* it ended after SIGTERM, with no other disruption */
   int64_t sent_ns;
   int64_t ended_ns;
   end_t end;
@@ -150,7 +152,7 @@
   bool is_up;          /* it listens */
   bool is_frozen;      /* SIGSTOP */
   bool end_expected;   /* SIGTERM or SIGKILL was sent */
-  int64_t calm_ns;     /* end of its last disruption */
+  int64_t calm_ns;     /* end of its last disruption other than SIGTERM */
   int64_t kill_ns;     /* when it is killed after SIGTERM; 0: never */
   int64_t continue_ns; /* when SIGCONT is sent; 0: never */
   int64_t start_ns;    /* when it is started again; 0: never */
@@ -286,8 +288,12 @@
 void instance_signal (soak_t *soak, int i, int signal, unsigned value);
 /* Ends all; each must end by itself after SIGTERM.  */
 void instances_stop (soak_t *soak);
+void instances_free (soak_t *soak);
 /* Whether nothing disturbed instance I for CONTACT_MS before NOW_NS.  */
 bool is_in_touch (const soak_t *soak, int i, int64_t now_ns);
+/* Whether SIGTERM is the only disruption since CONTACT_MS before SENT_NS, and
+   not long ago.  */
+bool is_ending_as_planned (const soak_t *soak, int i, int64_t sent_ns);
 
 /* soak-server.c  */
 void backends_start (soak_t *soak);
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -131,6 +131,7 @@
   int n = 0;
   ev_timer_stop (soak->loop, &soak->tick);
   callers_stop (soak);
+  instances_free (soak);
   backends_stop (soak);
   fake_store_stop (soak->store);
   for (int i = 0; i < N_RULES; i++)
