Compare open bodies and answer good calls in the judges of the answer tests

The judge of each_byte_is_whole_or_visibly_broken read no byte of a body that ends with its connection, and derived from the body that the client gave whether it may end there.

The judge of broken_answers_are_visible took a good call whose connection was closed without an answer for "visibly broken". A good call must now be answered.

--- a/test/answer_bytes-every.c
+++ b/test/answer_bytes-every.c
@@ -75,10 +75,13 @@
 
 static const char *const after[N_AFTER] = { "", RUBBISH, SECOND };
 
-static bool
-ends_event (const GString *body)
+/* What a body without a length has: all that follows its head.  Free with
+   g_free.  */
+static char *
+open_body (const variant_t *variant)
 {
-  return !body || !body->len || g_str_has_suffix (body->str, "\n\n");
+  size_t head = strlen (variant->answer->head);
+  return g_strdup (variant->at < head ? "" : variant->bytes + head);
 }
 
 /* What is wrong with EXCHANGE; NULL: nothing.  */
@@ -89,27 +92,30 @@
   size_t head = strlen (answer->head);
   size_t size = head + strlen (answer->rest);
   const char *body = exchange->body ? exchange->body->str : "";
+  char *sent = answer->open ? open_body (variant) : g_strdup (answer->body);
+  bool equal = strcmp (body, sent) == 0;
+  bool begins = g_str_has_prefix (sent, body);
+  bool sent_whole = g_str_has_suffix (sent, "\n\n") || !*sent;
+  g_free (sent);
   bool whole = variant->at >= size;
   bool may_be_whole = variant->at >= size - answer->spare;
   if (answer->open)
     {
       /* Its end is that of its connection, and what follows is part of it.  */
       whole = variant->at >= head && exchange->ending == ENDING_CLOSE
-              && (!exchange->streamed || ends_event (exchange->body));
+              && (!exchange->streamed || sent_whole);
       may_be_whole = whole;
-      body = "";
     }
   if (exchange->heads && variant->at < head)
     return "a head that was not read to its end";
   if (exchange->done && !may_be_whole)
     return "not whole, but done";
-  if (exchange->done && !answer->open && strcmp (body, answer->body) != 0)
+  if (exchange->done && !equal)
     return "another body";
   if (!exchange->done && whole && exchange->ending != ENDING_RESET
       && (!answer->open || variant->after == AFTER_NOTHING))
     return "whole, but failed";
-  if (!answer->open && variant->after == AFTER_NOTHING
-      && !g_str_has_prefix (answer->body, body))
+  if ((answer->open || variant->after == AFTER_NOTHING) && !begins)
     return "other bytes";
   return NULL;
 }
--- a/test/answer_relay-check.c
+++ b/test/answer_relay-check.c
@@ -181,8 +181,8 @@
   if (is_whole_success (relay_case)
       && (!view->complete || view->status != 200 || arrivals != 1))
     return "a whole answer that its caller did not get";
-  if (!view->answered)
-    return NULL; /* visibly broken */
+  if (!view->answered) /* visibly broken */
+    return relay_case->good ? "a good call without an answer" : NULL;
   char *stamp = relay_view_header (view, "X-Server-Stamp");
   char *seen_id = relay_view_header (view, "X-Request-Id");
   const char *fault = seen_id && strcmp (seen_id, id) != 0
