--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -384,7 +384,7 @@
       g_string_truncate (text, text->len - 1);
       g_string_append (text, "]}");
       char *key = g_strdup_printf ("large-%d", i);
-      rows_put (fixture->store, "servers", key, text->str);
+      fake_store_put (fixture->store, "servers", key, text->str);
       g_free (key);
       g_string_free (text, TRUE);
     }
