--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -9,19 +9,17 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include <glib/gstdio.h>
+#include <glib.h>
 #include <knapweedfork/clock.h>
 
+#include "common-daemon.h"
 #include "common-listener.h"
-#include "common-process.h"
-#include "common-fake-store.h"
 #include "net/client.h"
 
 #define N_SERVERS 2
+#define RETRY_SHARE 0.1
 /* Daemons that a test may start beside the first one.  */
 #define N_OTHERS 2
-/* A change of the tables must be in force after this time.  */
-#define FRESH_S 2.0
 /* A process that has just started waits for another instance to poll for
    it.  */
 #define START_S 3.2
@@ -46,10 +44,8 @@
   struct ev_loop *loop;
   client_t *client;
   fake_store_t *store;
-  process_t daemon;
-  process_t others[N_OTHERS];
-  char *directory;
-  char *settings;
+  test_daemon_t daemon;
+  test_daemon_t others[N_OTHERS];
   backend_t backends[N_SERVERS];
   int n_sent;
   int n_ended;
@@ -128,7 +124,7 @@
 static int
 call (fixture_t *fixture, const char *path)
 {
-  return call_at (fixture, &fixture->daemon, path);
+  return call_at (fixture, &fixture->daemon.process, path);
 }
 
 /* Writes the configuration, with or without a second route.  */
@@ -139,52 +135,25 @@
       = "{\"name\":\"%s\",\"hostname\":\"h.example\",\"path_prefix\":\"/%s/\","
         "\"backend\":\"desk\",\"kind\":\"idempotent\",\"max_attempts\":2,"
         "\"timeout_ms\":3000}";
-  GString *text = g_string_new ("{\"version\":1,\"services\":[{\"name\":"
-                                "\"desk\"}],\"routes\":[");
-  g_string_append_printf (text, route, "r", "r");
+  GString *routes = g_string_new (NULL);
+  g_string_append_printf (routes, route, "r", "r");
   if (second)
     {
-      g_string_append_c (text, ',');
-      g_string_append_printf (text, route, "s", "s");
+      g_string_append_c (routes, ',');
+      g_string_append_printf (routes, route, "s", "s");
     }
-  g_string_append (text, "],\"tenants\":[]}");
-  fake_store_put (fixture->store, "op", "config", text->str);
-  g_string_free (text, TRUE);
+  test_daemon_put_config (fixture->store, routes->str);
+  g_string_free (routes, TRUE);
 }
 
 /* Writes the entry of server I, whose process started at BORN.  */
 static void
 put_server (fixture_t *fixture, int i, int64_t born)
 {
-  char key[8];
-  g_snprintf (key, sizeof key, "d%d", i);
-  char *text = g_strdup_printf (
-      "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
-      "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":%d}",
-      fixture->backends[i].listener->address, (int)born);
-  fake_store_put (fixture->store, "servers", key, text);
-  g_free (text);
-}
-
-static void
-start_daemon (fixture_t *fixture, process_t *daemon, const char *id)
-{
-  char *text = g_strdup_printf (
-      "[instance]\nid = \"%s\"\ndata_centre = \"c\"\n"
-      "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
-      "[operator]\nlisten = \"127.0.0.1:0\"\n"
-      "[peers]\nlisten = \"127.0.0.1:0\"\n"
-      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = %d\n"
-      "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = 0.1\n"
-      "[placement]\nmode = \"dynamic\"\n",
-      id, fake_store_address (fixture->store), (int)(FRESH_S * 1000));
-  assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
-  g_free (text);
-  const char *args[] = { "--config", fixture->settings, NULL };
-  assert_true (process_start (daemon, "knapweedforkd", args));
-  /* Other addresses follow on the same line.  */
-  daemon->address[strcspn (daemon->address, ",")] = '\0';
+  char name[8];
+  g_snprintf (name, sizeof name, "d%d", i);
+  test_daemon_put_server (fixture->store, name,
+                          fixture->backends[i].listener->address, born);
 }
 
 static void
@@ -202,8 +171,6 @@
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->client = client_new (fixture->loop, NULL);
   fixture->store = fake_store_start (fixture->loop);
-  fixture->directory = g_dir_make_tmp ("kwf-daemon-XXXXXX", NULL);
-  fixture->settings = g_build_filename (fixture->directory, "s.toml", NULL);
   put_config (fixture, false);
   for (int i = 0; i < N_SERVERS; i++)
     {
@@ -214,8 +181,8 @@
           = g_array_new (FALSE, FALSE, sizeof (int64_t));
       put_server (fixture, i, 1);
     }
-  start_daemon (fixture, &fixture->daemon, "i1");
-  wait_for_daemon (fixture, &fixture->daemon);
+  test_daemon_start (&fixture->daemon, fixture->store, "i1", RETRY_SHARE);
+  wait_for_daemon (fixture, &fixture->daemon.process);
   *state = fixture;
   return 0;
 }
@@ -224,9 +191,9 @@
 tear_down (void **state)
 {
   fixture_t *fixture = *state;
-  process_kill (&fixture->daemon);
+  test_daemon_stop (&fixture->daemon);
   for (int i = 0; i < N_OTHERS; i++)
-    process_kill (&fixture->others[i]);
+    test_daemon_stop (&fixture->others[i]);
   client_free (fixture->client);
   for (int i = 0; i < N_SERVERS; i++)
     {
@@ -235,10 +202,6 @@
     }
   fake_store_stop (fixture->store);
   ev_loop_destroy (fixture->loop);
-  g_unlink (fixture->settings);
-  g_rmdir (fixture->directory);
-  g_free (fixture->settings);
-  g_free (fixture->directory);
   g_free (fixture);
   return 0;
 }
@@ -309,11 +272,11 @@
   fake_store_set_silent (fixture->store, true);
   for (int round = 0; round < 3; round++)
     {
-      process_signal (&fixture->daemon, SIGHUP);
+      process_signal (&fixture->daemon.process, SIGHUP);
       assert_int_equal (count (fixture, i, 10), 0);
-      process_signal (&fixture->daemon, SIGSTOP);
+      process_signal (&fixture->daemon.process, SIGSTOP);
       run_for (fixture->loop, 0.4);
-      process_signal (&fixture->daemon, SIGCONT);
+      process_signal (&fixture->daemon.process, SIGCONT);
       assert_int_equal (count (fixture, i, 10), 0);
     }
   fake_store_set_silent (fixture->store, false);
@@ -331,14 +294,14 @@
   int i = preferred_server (fixture);
   fixture->backends[i].pause = "2";
   assert_int_equal (count (fixture, i, 1), 1);
-  process_signal (&fixture->daemon, SIGHUP);
-  process_signal (&fixture->daemon, SIGSTOP);
+  process_signal (&fixture->daemon.process, SIGHUP);
+  process_signal (&fixture->daemon.process, SIGSTOP);
   run_for (fixture->loop, 1.0);
-  process_signal (&fixture->daemon, SIGCONT);
+  process_signal (&fixture->daemon.process, SIGCONT);
   assert_int_equal (count (fixture, i, 3), 0);
-  process_signal (&fixture->daemon, SIGSTOP);
+  process_signal (&fixture->daemon.process, SIGSTOP);
   run_for (fixture->loop, 1.2);
-  process_signal (&fixture->daemon, SIGCONT);
+  process_signal (&fixture->daemon.process, SIGCONT);
   /* At the end of the pause one request is sent, then more.  */
   assert_in_range (count (fixture, i, 5), 1, 5);
   run_for (fixture->loop, 1.1);
@@ -357,7 +320,7 @@
       bool added = i % 2 == 0;
       assert_int_equal (call (fixture, "/s/x"), added ? 404 : 200);
       put_config (fixture, added);
-      run_for (fixture->loop, FRESH_S);
+      run_for (fixture->loop, TEST_DAEMON_FRESH_MS / 1e3);
       assert_int_equal (call (fixture, "/s/x"), added ? 200 : 404);
     }
 }
@@ -384,7 +347,8 @@
 call_in_turn (fixture_t *fixture, double seconds)
 {
   const process_t *daemons[]
-      = { &fixture->daemon, &fixture->others[0], &fixture->others[1] };
+      = { &fixture->daemon.process, &fixture->others[0].process,
+          &fixture->others[1].process };
   int64_t end_ns = kwf_now_ns (kwf_clock_system ())
                    + (int64_t)(seconds * (double)KWF_NS_PER_S);
   for (int i = 0; kwf_now_ns (kwf_clock_system ()) < end_ns; i++)
@@ -408,8 +372,9 @@
   static const char *const ids[N_OTHERS] = { "i2", "i3" };
   for (int i = 0; i < N_OTHERS; i++)
     {
-      start_daemon (fixture, &fixture->others[i], ids[i]);
-      wait_for_daemon (fixture, &fixture->others[i]);
+      test_daemon_start (&fixture->others[i], fixture->store, ids[i],
+                         RETRY_SHARE);
+      wait_for_daemon (fixture, &fixture->others[i].process);
     }
   call_in_turn (fixture, START_S);
   int before = backend->n_requests;
@@ -418,7 +383,7 @@
   backend->limit = "2";
   int64_t named_ns = kwf_now_ns (kwf_clock_system ());
   call_in_turn (fixture, 6);
-  process_kill (&fixture->others[0]);
+  process_kill (&fixture->others[0].process);
   call_in_turn (fixture, 6);
   int most = most_in_4_s (backend, named_ns + 3 * KWF_NS_PER_S);
   print_message ("at most %d requests in 4 s, allowed 17\n", most);
