--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
@@ -20,11 +21,21 @@
 #include "net/client.h"
 
 #define N_DAEMONS 2
+/* Large entries, of this size, and the memory that a daemon may take with
+   them.  */
+#define N_LARGE 8
+#define ROW_BYTES 65536
+#define MAX_MEMORY_KB 200000
 /* A change of the tables must be in force after this time.  */
 #define FRESH_S 2.0
 /* A process that has just started waits for another instance to poll for
    it.  */
 #define START_S 3.2
+/* As long as the key of a row may be.  */
+#define ENGINE_ID                                                             \
+  "e-0123456789012345678901234567890123456789012345678901234567890123456789"  \
+  "0123456789012345678901234567890123456789012345678901234567890123456789012" \
+  "3456789012345678901234567890123456789012345678901234567"
 /* Reports of an engine are asked for at least this often.  */
 #define REPORT_S 3.0
 
@@ -39,6 +50,7 @@
   listener_t *spare;   /* its second server */
   listener_t *brain;   /* a model engine */
   listener_t *wrong;   /* named by odd entries only */
+  int n_wrong_ids;     /* requests at it that name another server */
   const odd_t *report; /* body of the engine's reports; NULL: a good one */
   int n_sent;
   int n_ended;
@@ -62,7 +74,9 @@
 static void
 serve_engine (connection_t *connection, const char *request, void *data)
 {
-  const fixture_t *fixture = data;
+  fixture_t *fixture = data;
+  fixture->n_wrong_ids
+      += !strstr (request, "X-Expect-Instance: " ENGINE_ID "\r\n");
   if (!g_str_has_prefix (request, "GET /-/report"))
     {
       connection_reply (connection, 202, "{}");
@@ -205,7 +219,7 @@
   fixture->brain = listener_start (fixture->loop, serve_engine, fixture);
   put_config (fixture, "r");
   put_server (fixture, "d1", "desk", fixture->desk, "ready");
-  put_server (fixture, "e1", "brain", fixture->brain, "ready");
+  put_server (fixture, ENGINE_ID, "brain", fixture->brain, "ready");
   *state = fixture;
   return 0;
 }
@@ -303,6 +317,7 @@
   int reports = fixture->brain->requests;
   run_for (fixture->loop, REPORT_S);
   assert_true (fixture->brain->requests > reports);
+  assert_int_equal (fixture->n_wrong_ids, 0);
   g_free (old_path);
   g_free (new_path);
 }
@@ -333,6 +348,56 @@
   assert_int_equal (fixture->wrong->accepted, 0);
 }
 
+/* Peak of the resident memory of PROCESS in KB.  */
+static long
+peak_memory_kb (const process_t *process)
+{
+  char *path = g_strdup_printf ("/proc/%d/status", (int)process->pid);
+  char *text = NULL;
+  assert_true (g_file_get_contents (path, &text, NULL, NULL));
+  const char *line = strstr (text, "VmHWM:");
+  long kb = line ? strtol (line + strlen ("VmHWM:"), NULL, 10) : -1;
+  g_free (text);
+  g_free (path);
+  return kb;
+}
+
+/* Guards against entries, as large as the store keeps, that cost a daemon its
+   memory or its time.  */
+static void
+large_entries_are_borne (void **state)
+{
+  fixture_t *fixture = *state;
+  static const char *const items[] = { "\"m/a\",", "{\"name\":\"m\"}," };
+  start_daemons (fixture);
+  for (int i = 0; i < N_LARGE; i++)
+    {
+      GString *text = g_string_new (NULL);
+      g_string_printf (text,
+                       "{\"backend\":\"brain\",\"address\":\"%s\",\"zone\":"
+                       "\"c\",\"slots\":6,\"state\":\"ready\",\"born\":1,%s",
+                       unused_address (),
+                       i % 2 ? "\"coming\":[\"m/a\"],\"models\":["
+                             : "\"models\":[{\"name\":\"m\"}],\"coming\":[");
+      while (text->len < ROW_BYTES - 32)
+        g_string_append (text, items[i % 2]);
+      g_string_truncate (text, text->len - 1);
+      g_string_append (text, "]}");
+      char *key = g_strdup_printf ("large-%d", i);
+      fake_store_put (fixture->store, "servers", key, text->str);
+      g_free (key);
+      g_string_free (text, TRUE);
+    }
+  run_for (fixture->loop, FRESH_S);
+  check_follows (fixture, "r", "s");
+  for (int i = 0; i < N_DAEMONS; i++)
+    {
+      long kb = peak_memory_kb (&fixture->daemons[i]);
+      print_message ("daemon %d: at most %ld KB\n", i, kb);
+      assert_in_range (kb, 1, MAX_MEMORY_KB);
+    }
+}
+
 /* Guards against a row without a value or key that can be read, and that hides
    all rows of the answer.  */
 static void
@@ -409,6 +474,7 @@
   const struct CMUnitTest tests[] = {
     TEST (odd_entries_that_are_there_hide_no_server),
     TEST (odd_entries_that_come_hide_no_server),
+    TEST (large_entries_are_borne),
     TEST (odd_rows_that_are_there_hide_no_server),
     TEST (odd_rows_that_come_hide_no_server),
     TEST (odd_configurations_change_nothing),
