--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -18,22 +18,29 @@
 #include "common-listener.h"
 
 void
-test_daemon_start (test_daemon_t *daemon, const fake_store_t *store,
-                   const char *id, double retry_share)
+test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
+                   const char *routes)
 {
-  *daemon = (test_daemon_t){ 0 };
+  *daemon = (test_daemon_t){ .loop = loop };
+  daemon->store = fake_store_start (loop);
   daemon->directory = g_dir_make_tmp ("kwf-daemon-XXXXXX", NULL);
   daemon->settings = g_build_filename (daemon->directory, "s.toml", NULL);
+  char *config = g_strdup_printf (
+      "{\"version\":1,\"services\":[{\"name\":\"desk\"}],\"routes\":[%s],"
+      "\"tenants\":[]}",
+      routes);
+  fake_store_put (daemon->store, "op", "config", config);
+  g_free (config);
   char *text = g_strdup_printf (
-      "[instance]\nid = \"%s\"\ndata_centre = \"c\"\n"
+      "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
-      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = %d\n"
+      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = %.1f\n"
+      "[backend]\nretry_share = 0.2\n"
       "[placement]\nmode = \"dynamic\"\n",
-      id, fake_store_address (store), TEST_DAEMON_FRESH_MS, retry_share);
+      fake_store_address (daemon->store));
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
@@ -45,36 +52,23 @@
 void
 test_daemon_stop (test_daemon_t *daemon)
 {
-  if (!daemon->settings)
-    return;
   process_kill (&daemon->process);
+  fake_store_stop (daemon->store);
   g_unlink (daemon->settings);
   g_rmdir (daemon->directory);
   g_free (daemon->settings);
   g_free (daemon->directory);
-  *daemon = (test_daemon_t){ 0 };
-}
-
-void
-test_daemon_put_config (fake_store_t *store, const char *routes)
-{
-  char *text = g_strdup_printf (
-      "{\"version\":1,\"services\":[{\"name\":\"desk\"}],\"routes\":[%s],"
-      "\"tenants\":[]}",
-      routes);
-  fake_store_put (store, "op", "config", text);
-  g_free (text);
 }
 
 void
-test_daemon_put_server (fake_store_t *store, const char *name,
-                        const char *address, int64_t born)
+test_daemon_add_server (const test_daemon_t *daemon, const char *name,
+                        const char *address)
 {
   char *text = g_strdup_printf (
       "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"c\",\"version\":"
-      "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":%d}",
-      address, (int)born);
-  fake_store_put (store, "servers", name, text);
+      "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":1,\"born\":1}",
+      address);
+  fake_store_put (daemon->store, "servers", name, text);
   g_free (text);
 }
 
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -11,30 +11,24 @@
 #include "common-fake-store.h"
 #include "common-process.h"
 
-/* The setting fresh_ms of the daemons: a change of the tables must be in force
-   after this time.  */
-#define TEST_DAEMON_FRESH_MS 2000
-
 typedef struct
 {
+  struct ev_loop *loop;
+  fake_store_t *store;
   process_t process;
   char *directory;
   char *settings;
 } test_daemon_t;
 
-/* Starts daemon ID beside STORE.  RETRY_SHARE is the setting of that name.  */
-void test_daemon_start (test_daemon_t *daemon, const fake_store_t *store,
-                        const char *id, double retry_share);
+/* Starts a daemon whose configuration has the service "desk" and ROUTES, JSON
+   objects separated by commas.  */
+void test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
+                        const char *routes);
 void test_daemon_stop (test_daemon_t *daemon);
 
-/* Writes a configuration with the service "desk" and ROUTES, JSON objects
-   separated by commas.  */
-void test_daemon_put_config (fake_store_t *store, const char *routes);
-
-/* Writes the entry of the server NAME of the service "desk" at ADDRESS, whose
-   process started at BORN.  */
-void test_daemon_put_server (fake_store_t *store, const char *name,
-                             const char *address, int64_t born);
+/* Lists the server NAME of the service "desk" at ADDRESS.  */
+void test_daemon_add_server (const test_daemon_t *daemon, const char *name,
+                             const char *address);
 
 /* What a caller saw on its connection.  */
 typedef struct
