--- a/net/transfer.c
+++ b/net/transfer.c
@@ -48,6 +48,23 @@
     transfer->content_type = g_strdup (content_type);
 }
 
+static void
+on_head (void *data, kwf_handle_t handle, const client_answer_t *answer)
+{
+  (void)handle;
+  keep_head (data, answer->status, answer->content_type);
+}
+
+/* An event stream without [DONE] was cut short, whatever marked its end.  */
+static bool
+may_end (void *data, bool delimited)
+{
+  (void)delimited;
+  const transfer_t *transfer = data;
+  return !is_event_stream (transfer->status, transfer->content_type)
+         || transfer->completion_stream.done;
+}
+
 static void
 on_data (void *data, kwf_handle_t handle, int status, const char *content_type,
          const char *bytes, size_t size)
@@ -92,8 +109,8 @@
   transfer_finish (transfer, type, event, report_event);
 }
 
-/* Completion tokens of a whole answer by its "usage".  Without that,
-   max_tokens counts, so that no answer is free of charge.  */
+/* Completion tokens of a whole answer by its "usage", at most max_tokens.
+   Without that, max_tokens counts, so that no answer is free of charge.  */
 static int64_t
 used_tokens (const transfer_t *transfer)
 {
@@ -106,11 +123,10 @@
       = json_loadb (transfer->body->str, transfer->body->len, 0, NULL);
   const json_t *used
       = json_object_get (json_object_get (root, "usage"), "completion_tokens");
-  int64_t tokens = json_is_integer (used)
-                       ? json_integer_value (used)
-                       : caller_request->completion.max_tokens;
+  int64_t most = caller_request->completion.max_tokens;
+  int64_t tokens = json_is_integer (used) ? json_integer_value (used) : most;
   json_decref (root);
-  return MAX (tokens, 0);
+  return CLAMP (tokens, 0, most);
 }
 
 /* The headers of an answer of a plain service are passed on; for a model
@@ -145,14 +161,6 @@
   keep_headers (transfer, answer);
   bool streamed = is_event_stream (transfer->status, transfer->content_type)
                   && transfer->completion_stream.bytes;
-  /* An event stream without [DONE] was cut short although its transfer is
-     complete.  */
-  if (streamed && !transfer->completion_stream.done)
-    {
-      finish (transfer, KWF_EV_ATTEMPT_FAILED,
-              (kwf_attempt_event_t){ .failure = KWF_FAIL_BROKEN });
-      return;
-    }
   kwf_attempt_event_t event
       = { .status = transfer->status, .content_type = transfer->content_type };
   if (!streamed)
@@ -181,8 +189,11 @@
 
 static const client_handler_t whole_handler
     = { .done = on_done, .failed = on_failed };
-static const client_handler_t stream_handler
-    = { .data = on_data, .done = on_done, .failed = on_failed };
+static const client_handler_t stream_handler = { .head = on_head,
+                                                 .data = on_data,
+                                                 .may_end = may_end,
+                                                 .done = on_done,
+                                                 .failed = on_failed };
 
 static transfer_t *
 new_transfer (instance_t *instance, const kwf_attempt_start_t *start)
@@ -195,6 +206,15 @@
   return transfer;
 }
 
+/* The id in an answer does not tell a late copy of the answer to an earlier
+   attempt from the answer to this one.  */
+bool
+transfer_needs_connection (const caller_request_t *caller_request,
+                           bool repeatable)
+{
+  return !repeatable || caller_request->attempts > 1;
+}
+
 /* Headers that every backend server gets.  */
 static void
 add_backend_headers (GArray *headers, const caller_request_t *caller_request,
@@ -230,7 +250,8 @@
     .body = request->body_size ? request->body : NULL,
     .body_size = request->body_size,
     .timeout_ns = MAX (left, KWF_NS_PER_MS),
-    .new_connection = !caller_request->idempotent,
+    .new_connection
+    = transfer_needs_connection (caller_request, caller_request->idempotent),
   };
   char *body = NULL;
   if (caller_request->kind == KWF_REQUEST_COMPLETION)
@@ -265,6 +286,7 @@
   if (!caller_request || !request)
     return;
   transfer_t *transfer = new_transfer (instance, start);
+  caller_request->attempts++;
   if (caller_request->kind == KWF_REQUEST_ROUTED)
     relay_start (instance, transfer, start, caller_request, request);
   else
@@ -293,45 +315,62 @@
   g_hash_table_remove (instance->attempts, &attempt);
 }
 
-static caller_request_t *
-begin_completion_stream (instance_t *instance, const transfer_t *transfer)
+static void
+begin_completion_stream (instance_t *instance,
+                         const caller_request_t *caller_request)
 {
-  caller_request_t *caller_request
-      = g_hash_table_lookup (instance->requests, &transfer->request);
-  if (!caller_request || caller_request->answer_begun)
-    return caller_request;
-  caller_request->answer_begun = true;
   header_t headers[] = { { "X-Request-Id", caller_request->id },
                          { "Cache-Control", "no-store" } };
   server_begin (instance->caller_server, caller_request->handle, 200,
                 "text/event-stream", headers, G_N_ELEMENTS (headers));
-  return caller_request;
 }
 
-void
-transfer_forward (instance_t *instance, kwf_handle_t attempt)
+static void
+forward_completion (instance_t *instance, transfer_t *transfer,
+                    caller_request_t *caller_request)
 {
-  transfer_t *transfer = g_hash_table_lookup (instance->attempts, &attempt);
-  if (transfer && transfer->routed_stream.bytes)
-    {
-      caller_request_t *routed
-          = g_hash_table_lookup (instance->requests, &transfer->request);
-      if (routed)
-        relay_forward (instance, transfer, routed);
-      return;
-    }
-  if (!transfer || !transfer->completion_stream.bytes)
-    return;
-  caller_request_t *caller_request
-      = begin_completion_stream (instance, transfer);
-  if (!caller_request)
+  delivery_action_t action
+      = caller_deliver (instance, caller_request, DELIVERY_EVENTS);
+  if (action == DELIVER_NOTHING)
     return;
+  if (action == DELIVER_BEGIN)
+    begin_completion_stream (instance, caller_request);
   completion_stream_t *stream = &transfer->completion_stream;
   server_write (instance->caller_server, caller_request->handle,
                 stream->bytes->str, stream->whole);
   completion_stream_take (stream, stream->whole);
 }
 
+/* The open request of REQUEST and the transfer of ATTEMPT; false: one of them
+   is missing, and the answer, which nobody else would end, is broken off.  */
+static bool
+find_answer (instance_t *instance, kwf_handle_t request, kwf_handle_t attempt,
+             caller_request_t **caller_request, transfer_t **transfer)
+{
+  *caller_request = g_hash_table_lookup (instance->requests, &request);
+  *transfer = g_hash_table_lookup (instance->attempts, &attempt);
+  if (*caller_request && *transfer)
+    return true;
+  logging_event (252, KWF_LOG_ERROR, "no %s for a part of an answer",
+                 *caller_request ? "transfer" : "request");
+  server_abort (instance->caller_server, request);
+  return false;
+}
+
+void
+transfer_forward (instance_t *instance, kwf_handle_t request,
+                  kwf_handle_t attempt)
+{
+  caller_request_t *caller_request;
+  transfer_t *transfer;
+  if (!find_answer (instance, request, attempt, &caller_request, &transfer))
+    return;
+  if (caller_request->kind == KWF_REQUEST_ROUTED)
+    relay_forward (instance, transfer, caller_request);
+  else
+    forward_completion (instance, transfer, caller_request);
+}
+
 GArray *
 transfer_headers (const transfer_t *transfer, const header_t *extra_header)
 {
@@ -349,9 +388,11 @@
 
 void
 transfer_reply (instance_t *instance, const transfer_t *transfer,
-                const caller_request_t *caller_request,
-                const header_t *extra_header)
+                caller_request_t *caller_request, const header_t *extra_header)
 {
+  if (caller_deliver (instance, caller_request, DELIVERY_ANSWER)
+      != DELIVER_WHOLE)
+    return;
   GArray *headers = transfer_headers (transfer, extra_header);
   const GString *body = transfer->body;
   server_reply (instance->caller_server, caller_request->handle,
@@ -362,15 +403,16 @@
 }
 
 void
-transfer_forward_end (instance_t *instance, kwf_handle_t attempt)
+transfer_forward_end (instance_t *instance, kwf_handle_t request,
+                      kwf_handle_t attempt)
 {
-  transfer_t *transfer = g_hash_table_lookup (instance->attempts, &attempt);
-  if (!transfer)
-    return;
-  caller_request_t *caller_request
-      = g_hash_table_lookup (instance->requests, &transfer->request);
-  if (!caller_request)
-    return;
+  caller_request_t *caller_request;
+  transfer_t *transfer;
+  if (!find_answer (instance, request, attempt, &caller_request, &transfer))
+    {
+      caller_request_release (instance, request);
+      return;
+    }
   if (caller_request->kind == KWF_REQUEST_ROUTED)
     relay_forward_end (instance, transfer, caller_request);
   else if (transfer->body)
@@ -378,8 +420,10 @@
                     &(header_t){ "X-Request-Id", caller_request->id });
   else
     {
-      transfer_forward (instance, attempt);
-      server_end (instance->caller_server, caller_request->handle);
+      forward_completion (instance, transfer, caller_request);
+      if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
+          == DELIVER_END)
+        server_end (instance->caller_server, caller_request->handle);
     }
   caller_request_release (instance, transfer->request);
 }
--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -283,8 +283,8 @@
 }
 
 void
-rows_put_bytes (fake_store_t *store, const char *table, const char *key,
-                const void *value, size_t size)
+fake_store_put_bytes (fake_store_t *store, const char *table, const char *key,
+                      const void *value, size_t size)
 {
   char *encoded = g_base64_encode (value, size);
   store->version++;
@@ -294,15 +294,15 @@
 }
 
 void
-rows_put (fake_store_t *store, const char *table, const char *key,
-          const char *value)
+fake_store_put (fake_store_t *store, const char *table, const char *key,
+                const char *value)
 {
-  rows_put_bytes (store, table, key, value, strlen (value));
+  fake_store_put_bytes (store, table, key, value, strlen (value));
 }
 
 void
-rows_put_odd (fake_store_t *store, const char *table, const char *key,
-              const char *fields)
+fake_store_put_odd (fake_store_t *store, const char *table, const char *key,
+                    const char *fields)
 {
   store->version++;
   set_row (store, table, key, "");
--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -19,16 +19,16 @@
 const char *fake_store_address (const fake_store_t *store);
 
 /* Writes VALUE, as the operator or a server does.  */
-void rows_put (fake_store_t *store, const char *table, const char *key,
-               const char *value);
+void fake_store_put (fake_store_t *store, const char *table, const char *key,
+                     const char *value);
 
 /* Writes the SIZE bytes of VALUE.  */
-void rows_put_bytes (fake_store_t *store, const char *table, const char *key,
-                     const void *value, size_t size);
+void fake_store_put_bytes (fake_store_t *store, const char *table,
+                           const char *key, const void *value, size_t size);
 
 /* Writes a row whose JSON has FIELDS, a JSON object, instead of its own.  */
-void rows_put_odd (fake_store_t *store, const char *table, const char *key,
-                   const char *fields);
+void fake_store_put_odd (fake_store_t *store, const char *table,
+                         const char *key, const char *fields);
 
 /* SILENT: no request is answered from now on.  False: requests are answered
    again.  */
--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -154,7 +154,7 @@
       "\"idempotent\",\"max_attempts\":2,\"timeout_ms\":3000}],"
       "\"tenants\":[]}",
       route);
-  rows_put (fixture->store, "op", "config", text);
+  fake_store_put (fixture->store, "op", "config", text);
   g_free (text);
 }
 
@@ -167,7 +167,7 @@
       "\"1\",\"slots\":6,\"state\":\"%s\",\"cold_left_ms\":0,\"seq\":1,"
       "\"born\":1783137771186,\"models\":[]}",
       service, listener->address, state);
-  rows_put (fixture->store, "servers", key, text);
+  fake_store_put (fixture->store, "servers", key, text);
   g_free (text);
 }
 
@@ -251,7 +251,8 @@
     {
       const odd_t *odd = &g_array_index (list, odd_t, i);
       char *key = g_strdup_printf ("%s-%s", service, odd->name);
-      rows_put_bytes (fixture->store, "servers", key, odd->bytes, odd->size);
+      fake_store_put_bytes (fixture->store, "servers", key, odd->bytes,
+                            odd->size);
       g_free (key);
     }
   g_array_unref (list);
@@ -264,7 +265,7 @@
   char *fields = g_strdup_printf (
       "{\"key\":\"%s\\r\\nX-A: b\",\"value\":\"%s\"}", service, value);
   char *key = g_strdup_printf ("%s-line-end", service);
-  rows_put_odd (fixture->store, "servers", key, fields);
+  fake_store_put_odd (fixture->store, "servers", key, fields);
   g_free (key);
   g_free (fields);
   g_free (value);
@@ -287,7 +288,7 @@
     { "table-number", "{\"table\":7,\"value\":{}}" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
-    rows_put_odd (fixture->store, table, rows[i][0], rows[i][1]);
+    fake_store_put_odd (fixture->store, table, rows[i][0], rows[i][1]);
 }
 
 /* Both daemons follow changes of the servers and of the configuration.  */
@@ -383,7 +384,7 @@
       g_string_truncate (text, text->len - 1);
       g_string_append (text, "]}");
       char *key = g_strdup_printf ("large-%d", i);
-      rows_put (fixture->store, "servers", key, text->str);
+      fake_store_put (fixture->store, "servers", key, text->str);
       g_free (key);
       g_string_free (text, TRUE);
     }
@@ -431,14 +432,15 @@
     {
       const odd_t *odd = &g_array_index (list, odd_t, i);
       print_message ("configuration: %s\n", odd->name);
-      rows_put_bytes (fixture->store, "op", "config", odd->bytes, odd->size);
+      fake_store_put_bytes (fixture->store, "op", "config", odd->bytes,
+                            odd->size);
       run_for (fixture->loop, 0.3);
       for (int k = 0; k < N_DAEMONS; k++)
         assert_int_equal (call (fixture, &fixture->daemons[k], "/r/x"), 200);
     }
   g_array_unref (list);
   put_odd_rows (fixture, "op");
-  rows_put_odd (fixture->store, "op", "config", "{\"value\":null}");
+  fake_store_put_odd (fixture->store, "op", "config", "{\"value\":null}");
   run_for (fixture->loop, FRESH_S);
   check_follows (fixture, "r", "s");
 }
