--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -301,8 +301,8 @@
 }
 
 void
-rows_put_odd (fake_store_t *store, const char *table, const char *key,
-              const char *fields)
+fake_store_put_odd (fake_store_t *store, const char *table, const char *key,
+                    const char *fields)
 {
   store->version++;
   set_row (store, table, key, "");
