Reset a stream with too many unread bytes without an end before

Callers of HTTP/1.0, whose answer ends with its connection, saw a stream with an event of 1.5 MB as complete after 0 bytes: status 200, then the regular end of the connection, although they read. On HTTP/1.1 the same event broke the stream.

Cause: beyond max_pending_bytes, server_reset_connection armed the reset of the close, but called shutdown first, and that sends a FIN. The kernel resets only at the later close. Also, the limit counted an event that nobody had had the chance to read yet.

The connection is now dissolved (connect to AF_UNSPEC), which sends a reset at once and no FIN, and wakes libmicrohttpd; where the kernel refuses that, the close resets. Unread bytes are bound by max_pending_bytes and the largest write of the stream, if that alone exceeds the limit: a caller who keeps up gets a large event, and the memory of a stream stays bounded, since an answer is at most 8 MiB. Events 254 and 255 log both cases.

--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -221,8 +221,16 @@
     return;
   pending_t *pending = &request->pending;
   size_t unread = pending->end - pending->start;
-  if (unread + size > server->options.max_pending_bytes)
+  size_t limit = server->options.max_pending_bytes;
+  if (size > limit)
+    pending->largest = MAX (pending->largest, size);
+  if (unread + size > limit + pending->largest)
     {
+      logging_event (254, KWF_LOG_WARNING,
+                     "request %" G_GUINT64_FORMAT
+                     ": its caller left %zu bytes unread, %zu more to send: "
+                     "reset",
+                     handle, unread, size);
       server_reset_connection (request);
       return;
     }
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -18,6 +18,7 @@
   size_t start;
   size_t end;
   size_t capacity;
+  size_t largest; /* write beyond max_pending_bytes; 0: none was */
 } pending_t;
 
 typedef struct
--- a/net/server.c
+++ b/net/server.c
@@ -14,6 +14,8 @@
 
 #include <knapweedfork/clock.h>
 
+#include "../lib/logging.h"
+
 /* Added to max_header_bytes for the status line and headers of an answer, in
    the memory that libmicrohttpd gives a connection.  */
 #define ANSWER_HEAD_BYTES 8192
@@ -64,12 +66,22 @@
 }
 
 /* Without the reset, a caller that does not read would keep the unsent bytes
-   in the kernel for minutes.  */
+   in the kernel for minutes.  A shutdown would send the end of the data before
+   the reset, which is that of a whole answer for a caller without chunks.
+   Where the kernel cannot dissolve a connection, its close, after 1 s without
+   progress at the latest, resets it.  */
 void
 server_reset_connection (server_request_state_t *request)
 {
-  server_set_reset (request->connection, true);
-  server_shutdown_connection (request->connection);
+  static const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  const server_connection_t *connection = request->connection;
+  server_set_reset (connection, true);
+  if (connect (connection->fd, &none, sizeof none) != 0)
+    logging_event (255, KWF_LOG_WARNING, "reset of a connection: %s",
+                   g_strerror (errno));
+  MHD_set_connection_option (connection->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
+                             1U);
+  server_schedule_run (connection->server);
   request->aborted = true;
   request->pending.start = request->pending.end = 0;
   server_resume (request);
--- a/net/server.h
+++ b/net/server.h
@@ -31,8 +31,9 @@
                                   twice that time */
   unsigned max_connections;    /* default 4096 */
   size_t max_pending_bytes;    /* limit of stream bytes that the caller has not
-                                  read; beyond it the connection is closed;
-                                  default 1 MiB */
+                                  read, beside the largest write of that stream
+                                  if it exceeds the limit; beyond them the
+                                  connection is reset; default 1 MiB */
   const char *tls_certificate; /* PEM text; NULL: no TLS */
   const char *tls_key;         /* PEM text */
 } server_options_t;
@@ -113,7 +114,8 @@
    CONTENT_TYPE NULL: none is sent.  Each does nothing when the caller closed,
    or, which is logged, when the request is answered, and server_write and
    server_end also before server_begin.  A write beyond max_pending_bytes
-   resets the connection. server_abort closes the connection without the
+   resets the connection, which no caller takes for the end of an answer.
+   server_abort closes the connection without the
    regular end of an answer, so that the caller sees that it is incomplete:
    without the last chunk or, for a caller of HTTP/1.0, who gets no chunks,
    with a reset.  */
--- a/test/common-server.c
+++ b/test/common-server.c
@@ -61,6 +61,24 @@
   g_strfreev (parts);
 }
 
+/* A stream of parts, all written at once; the query has their sizes.  */
+static void
+write_parts (server_t *server, const server_request_t *request)
+{
+  kwf_handle_t handle = request->handle;
+  char **sizes = g_strsplit (request->query, ",", -1);
+  server_begin (server, handle, 200, "text/plain", NULL, 0);
+  for (char **size = sizes; *size; size++)
+    {
+      gsize n = g_ascii_strtoull (*size, NULL, 10);
+      char *part = g_strnfill (n, 'x');
+      server_write (server, handle, part, n);
+      g_free (part);
+    }
+  server_end (server, handle);
+  g_strfreev (sizes);
+}
+
 static void
 on_request (server_t *server, const server_request_t *request, void *data)
 {
@@ -90,6 +108,8 @@
         server_write (server, handle, "x", 1);
       server_end (server, handle);
     }
+  else if (strcmp (request->path, "/parts") == 0)
+    write_parts (server, request);
   else if (strcmp (request->path, "/open") == 0)
     server_begin (server, handle, 200, "text/plain", NULL, 0);
   else if (strcmp (request->path, "/flood") == 0)
--- a/test/test_server_answers.c
+++ b/test/test_server_answers.c
@@ -77,6 +77,59 @@
   close (fd);
 }
 
+/* The bytes of the answer to GET /parts?SIZES by HTTP VERSION, with its head;
+   -1: it was not ended regularly.  */
+static ssize_t
+read_parts (const test_server_t *fixture, const char *sizes,
+            const char *version)
+{
+  char buffer[65536];
+  ssize_t n;
+  GString *all = g_string_new (NULL);
+  char *request = g_strdup_printf ("GET /parts?%s HTTP/%s\r\nHost: h\r\n"
+                                   "Connection: close\r\n\r\n",
+                                   sizes, version);
+  int fd = test_server_open (fixture, request);
+  while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    g_string_append_len (all, buffer, n);
+  if (n == 0 && strcmp (version, "1.1") == 0
+      && !g_str_has_suffix (all->str, "\r\n0\r\n\r\n"))
+    n = -1;
+  if (n == 0)
+    n = (ssize_t)all->len;
+  close (fd);
+  g_free (request);
+  g_string_free (all, TRUE);
+  return n;
+}
+
+/* Guards against a stream that looks complete to a caller who reads, when more
+   is written at once than may be unread.  */
+static void
+excess_bytes_are_no_regular_end (void **state)
+{
+  static const char *const sizes[] = {
+    "800000,800000",
+    "1,1500000,1500000",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      assert_int_equal (read_parts (*state, sizes[i], "1.0"), -1);
+      assert_int_equal (read_parts (*state, sizes[i], "1.1"), -1);
+    }
+}
+
+/* Guards against a stream that is broken off for a caller who reads, because
+   one part of it is larger than what may be unread.  */
+static void
+large_part_does_not_break_a_stream (void **state)
+{
+  assert_in_range (read_parts (*state, "1,1500000,1", "1.0"), 1500002,
+                   1501000);
+  assert_in_range (read_parts (*state, "1,1500000,1", "1.1"), 1500002,
+                   1510000);
+}
+
 /* Guards against a body that is read as a request, after a refusal that was
    sent before the body.  */
 static void
@@ -118,6 +171,8 @@
     TEST (second_answer_is_not_sent),
     TEST (whole_answer_after_a_begin_breaks_it_off),
     TEST (slow_reader_without_chunks_sees_the_cut),
+    TEST (excess_bytes_are_no_regular_end),
+    TEST (large_part_does_not_break_a_stream),
     TEST (body_after_a_refusal_is_no_request),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
