Check the unfinished event at the end of a run that goes on

Callers got an event twice, or a stream without its middle, both ended as complete: after events 1 and 2 and a broken connection, the next run's body ended with "id: 2" or "id: 9" and no blank line after it.

Cause: at the end of the body, relay_forward_end passed on what follows the last whole event without a look at its id; only whole events were checked.

A gap at the end goes to the same table as one before (DELIVERY_GAP): another run may go on, else the stream is broken off. The rest of a first run is the server's whole body and is passed on unchanged.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -355,13 +355,16 @@
       return;
     }
   attempt->stream = event->status == HTTP_OK && !event->body;
-  if (delivery_action (request->delivery,
-                       attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
-      == DELIVER_RETRY)
+  delivery_input_t input
+      = attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER;
+  if (event->gap)
+    input = DELIVERY_GAP;
+  if (delivery_action (request->delivery, input) == DELIVER_RETRY)
     {
-      reject_run (core, attempt,
-                  rejected_outcome (core, attempt, event->status),
-                  "its answer is no stream", effects);
+      reject_run (
+          core, attempt, rejected_outcome (core, attempt, event->status),
+          event->gap ? "it leaves out events" : "its answer is no stream",
+          effects);
       return;
     }
   int64_t now_ns = now_of (core);
--- a/net/relay.c
+++ b/net/relay.c
@@ -117,7 +117,9 @@
   bool stream = is_event_stream (transfer);
   if (!stream && !transfer->body)
     transfer->body = g_string_new (NULL);
+  bool gap = stream && !routed_stream_finish (&transfer->routed_stream);
   kwf_attempt_event_t event = { .status = transfer->status,
+                                .gap = gap,
                                 .body = stream ? NULL : transfer->body->str,
                                 .body_size = stream ? 0 : transfer->body->len,
                                 .not_run = transfer->facts.not_run,
@@ -216,10 +218,6 @@
 {
   if (is_event_stream (transfer))
     {
-      /* What is left after the last whole event belongs to the answer, too:
-         may_end lets no cut event come here.  */
-      routed_stream_t *routed_stream = &transfer->routed_stream;
-      routed_stream->whole = routed_stream->bytes->len;
       relay_forward (instance, transfer, caller_request);
       if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
           == DELIVER_END)
--- a/test/test_delivery.c
+++ b/test/test_delivery.c
@@ -172,6 +172,21 @@
   assert_broken_off (world);
 }
 
+/* Guards against a stream that ends as complete with a run whose last,
+   unfinished event does not go on with it.  */
+static void
+run_that_ends_after_a_gap_is_no_end (void **state)
+{
+  core_world_t *world = *state;
+  kwf_handle_t second = resume_stream (world, 2);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                          .attempt = { .attempt = second,
+                                                       .request = 1,
+                                                       .status = 200,
+                                                       .gap = true } });
+  assert_broken_off (world);
+}
+
 /* Guards against a second run of a stream whose place is not known.  */
 static void
 stream_without_ids_is_not_resumed (void **state)
@@ -394,6 +409,7 @@
     cmocka_unit_test (begun_stream_gets_no_other_answer),
     TEST (resumed_stream_may_end_without_events),
     TEST (run_with_a_gap_is_cancelled),
+    TEST (run_that_ends_after_a_gap_is_no_end),
     cmocka_unit_test (stream_has_one_begin_and_one_end),
     TEST (stream_without_ids_is_not_resumed),
     TEST (stream_of_another_route_is_not_resumed),
