--- a/test/test_hidden_cut.c
+++ b/test/test_hidden_cut.c
@@ -28,7 +28,6 @@
 typedef struct
 {
   struct ev_loop *loop;
-  fake_store_t *store;
   test_daemon_t daemon;
   listener_t *servers[N_SERVERS];
   const char *first;  /* answer of the first run */
@@ -81,17 +80,15 @@
         "\"resumable\":true,\"max_attempts\":2,\"timeout_ms\":5000}";
   fixture_t *fixture = g_new0 (fixture_t, 1);
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
-  fixture->store = fake_store_start (fixture->loop);
-  test_daemon_put_config (fixture->store, routes);
+  test_daemon_start (&fixture->daemon, fixture->loop, routes);
   for (int i = 0; i < N_SERVERS; i++)
     {
       char name[8];
       g_snprintf (name, sizeof name, "d%d", i);
       fixture->servers[i] = listener_start (fixture->loop, serve, fixture);
-      test_daemon_put_server (fixture->store, name,
-                              fixture->servers[i]->address, 1);
+      test_daemon_add_server (&fixture->daemon, name,
+                              fixture->servers[i]->address);
     }
-  test_daemon_start (&fixture->daemon, fixture->store, "i1", 0.2);
   int status = 0;
   for (int i = 0; i < 100 && status != 200; i++)
     {
@@ -111,7 +108,6 @@
 {
   fixture_t *fixture = *state;
   test_daemon_stop (&fixture->daemon);
-  fake_store_stop (fixture->store);
   for (int i = 0; i < N_SERVERS; i++)
     listener_stop (fixture->servers[i]);
   ev_loop_destroy (fixture->loop);
