Take a step after a single event for a gap when a stream goes on

A caller who had event 1 of a stream when its server died got 4 and 5 from the next run, and a regular end: 2 and 3 may be missing.

Cause: a gap was looked for only after two events, which were to show whether ids are consecutive; after a jump, data without an id was joined, too.

Evidence, on the code before (test_begun_answer, test_platform_decode): leaves out the second event (HTTP/1.1, keep-alive): status 200, whole after 0.0 s, body id: 1\ndata: a\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n ERROR: case 8: known 1, gap 0

Ids are now taken for consecutive until they are seen to jump, so that a larger step after a single event is a gap, and so is data without an id after one that has an id. A stream whose ids jump and that breaks after its first event is thus broken off where it could have gone on; that is seen by its caller, a missing piece is not.

Changed check: run_that_leaves_out_events_is_not_joined expected that 3 may follow 1, as a single id does not tell which one is next. It now expects a gap, which is stricter; 2 after 1 and 7 after 1 and 5 may follow as before.

--- a/net/routed-stream.c
+++ b/net/routed-stream.c
@@ -82,11 +82,13 @@
   return id - 1 == position->last_id;
 }
 
-/* Whether events are missing between POSITION and the event with ID.  */
+/* Whether events are missing, or may be, between POSITION and the event with
+   ID; -1: it has none.  */
 static bool
 leaves_out_events (const stream_position_t *position, int64_t id)
 {
-  return position->n_ids > 1 && !position->jumps && !is_next (position, id);
+  return position->last_id >= 0
+         && (id < 0 || (!position->jumps && !is_next (position, id)));
 }
 
 static void
@@ -95,8 +97,7 @@
   position->no_id = id < 0;
   if (id < 0)
     return;
-  position->jumps |= position->n_ids && !is_next (position, id);
-  position->n_ids++;
+  position->jumps |= position->last_id >= 0 && !is_next (position, id);
   position->last_id = id;
 }
 
--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -3,8 +3,8 @@
 
    When a stream is resumed at another server, events with ids up to the last
    one that the caller has are left out, so that none is repeated.  Ids need
-   not be consecutive; but where they have been so far, a run that begins later
-   than with the next one leaves out events.  */
+   not be consecutive; but unless they are seen to jump, a run that begins
+   later than with the next one leaves out events.  */
 
 #ifndef KNAPWEEDFORK_NET_ROUTED_STREAM_H
 #define KNAPWEEDFORK_NET_ROUTED_STREAM_H
@@ -19,7 +19,6 @@
 {
   int64_t last_id; /* of the last event with an id; -1: none */
   bool no_id;      /* data without an id followed that one */
-  int n_ids;       /* events of this stream with an id */
   bool jumps;      /* some id was not one more than the one before */
 } stream_position_t;
 
--- a/test/test_begun_answer.c
+++ b/test/test_begun_answer.c
@@ -78,6 +78,8 @@
   { "silent", BROKEN_OFF, "", SEEN_1_2, false },
   { "leaves out an event", BROKEN_OFF,
     STREAM EVENT ("4", "d") EVENT ("5", "e") LAST, SEEN_1_2, false },
+  { "leaves out the second event", STREAM EVENT ("1", "a"),
+    STREAM EVENT ("4", "d") EVENT ("5", "e") LAST, SEEN ("1", "a"), false },
   { "begins after a comment", STREAM "5\r\n: x\n\n\r\n",
     STREAM EVENT ("1", "a") LAST, ": x\n\n" SEEN ("1", "a"), true },
   { "no ids", STREAM BARE_EVENT ("a") BARE_EVENT ("b"),
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -588,9 +588,15 @@
     { "id: 1\ndata\n\nid: 2\ndata\n\n", "data: x\n\n", true, true },
     { "id: 1\ndata\n\nid: 2\ndata\n\n", ": x\n\nid: 4\n\n", true, true },
     { "id: 1\ndata\n\nid: 2\n\n: x\n\n", ": x\n\nid: 3\n\n", true, false },
-    /* Ids that jump, or a single one, do not tell which one is next.  */
+    /* Ids that jump do not tell which one is next.  */
     { "id: 1\ndata\n\nid: 5\ndata\n\n", "id: 7\ndata\n\n", true, false },
-    { "id: 1\ndata\n\n", "id: 3\ndata\n\n", true, false },
+    { "id: 1\ndata\n\nid: 5\ndata\n\n", "data: x\n\n", true, true },
+    /* A single id may be followed by the next one, or jump.  */
+    { "id: 1\ndata\n\n", "id: 2\ndata\n\n", true, false },
+    { "id: 1\ndata\n\n", "id: 3\ndata\n\n", true, true },
+    { "id: 1\ndata\n\n", "id: 4\n\nid: 5\ndata\n\n", true, true },
+    { "id: 1\ndata\n\n", "data: x\n\n", true, true },
+    { "id: 0\ndata\n\n", "id: 2\ndata\n\n", true, true },
     { "id: 1\ndata\n\ndata: x\n\n", "id: 2\ndata\n\n", false, false },
     { "data: x\n\n", "data: x\n\n", false, false },
     /* A comment is no part of the stream, which can begin anew.  */
@@ -644,8 +650,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       routed_stream_t stream;
-      routed_stream_init (
-          &stream, &(stream_position_t){ .last_id = 2, .n_ids = 2 }, true);
+      routed_stream_init (&stream, &(stream_position_t){ .last_id = 2 }, true);
       routed_stream_add (&stream, cases[i].second, strlen (cases[i].second));
       if (routed_stream_finish (&stream) != (cases[i].passed != NULL))
         fail_msg ("case %zu: gap %d", i, stream.gap);
