Answer 502 when an answer's head is too large for the caller's connection

Callers got a connection that closed without a byte, although their request had run, when the headers of the answer were larger than the memory of the caller's connection; and headers with a name that is not allowed vanished silently.

Cause: the client takes heads of up to 64 KiB, while libmicrohttpd writes a head into the connection's memory, max_header_bytes and 8 KiB, beside the request's own head, and closes the connection where it does not fit. The result of MHD_add_response_header was ignored.

server_head_fits estimates what the request's head takes of that memory; a head beyond the rest ends the attempt as too large before a byte of it is sent, so that the caller gets 502 with "run": "yes". Heads that fit are passed on as before. The test gives each of 2 methods, 3 counts of headers and 6 sizes of a request 82 sizes of an answer. Event 256 logs a header that is left out.

--- a/net/relay.c
+++ b/net/relay.c
@@ -48,6 +48,39 @@
   return kwf_core_may_send (transfer->instance->core, transfer->attempt);
 }
 
+static void
+on_failed (void *data, kwf_handle_t handle, kwf_failure_t failure,
+           const kwf_error_t *error)
+{
+  (void)handle;
+  transfer_t *transfer = data;
+  logging_event (250, KWF_LOG_INFO, "attempt on %s: %s: %s", error->peer,
+                 error->step, error->message);
+  transfer_finish (transfer, KWF_EV_ATTEMPT_FAILED,
+                   (kwf_attempt_event_t){ .failure = failure }, report_event);
+}
+
+/* A head that is larger than the caller's connection can take ends the
+   attempt, so that the caller gets an error and not a closed connection.  */
+static void
+check_head_size (transfer_t *transfer, size_t size)
+{
+  instance_t *instance = transfer->instance;
+  const caller_request_t *caller_request
+      = g_hash_table_lookup (instance->requests, &transfer->request);
+  if (!caller_request || caller_request->delivery != DELIVERY_NONE
+      || transfer->facts.not_run
+      || server_head_fits (instance->caller_server, caller_request->handle,
+                           size))
+    return;
+  kwf_error_t error;
+  kwf_fail (&error, KWF_LIMIT, "read the head", "the backend server",
+            "%zu bytes of headers are more than the caller's connection takes",
+            size);
+  client_cancel (instance->client, transfer->client_handle);
+  on_failed (transfer, transfer->client_handle, KWF_FAIL_OVERSIZED, &error);
+}
+
 static void
 on_head (void *data, kwf_handle_t handle, const client_answer_t *answer)
 {
@@ -57,18 +90,22 @@
   transfer->content_type = g_strdup (answer->content_type);
   transfer->instance->protocol->read_facts (&transfer->facts, answer);
   transfer->headers = g_ptr_array_new_with_free_func (g_free);
+  size_t size = 0;
   for (size_t i = 0; i < answer->n_headers; i++)
     if (!is_replaced_header (answer->headers[i].name))
       {
-        g_ptr_array_add (transfer->headers,
-                         g_strdup (answer->headers[i].name));
-        g_ptr_array_add (transfer->headers,
-                         g_strdup (answer->headers[i].value));
+        const header_t *header = &answer->headers[i];
+        g_ptr_array_add (transfer->headers, g_strdup (header->name));
+        g_ptr_array_add (transfer->headers, g_strdup (header->value));
+        size += strlen (header->name) + strlen (header->value)
+                + strlen (": \r\n");
       }
-  /* Last, because the core may end this transfer when it is given the
-     notice.  */
-  notice_read (transfer->instance, KWF_ANSWER_REQUEST, transfer->attempt, NULL,
-               0, answer);
+  instance_t *instance = transfer->instance;
+  kwf_handle_t attempt = transfer->attempt;
+  /* The core may end this transfer when it is given the notice.  */
+  notice_read (instance, KWF_ANSWER_REQUEST, attempt, NULL, 0, answer);
+  if (g_hash_table_lookup (instance->attempts, &attempt))
+    check_head_size (transfer, size);
 }
 
 static void
@@ -128,18 +165,6 @@
   transfer_finish (transfer, KWF_EV_ATTEMPT_END, event, report_event);
 }
 
-static void
-on_failed (void *data, kwf_handle_t handle, kwf_failure_t failure,
-           const kwf_error_t *error)
-{
-  (void)handle;
-  transfer_t *transfer = data;
-  logging_event (250, KWF_LOG_INFO, "attempt on %s: %s: %s", error->peer,
-                 error->step, error->message);
-  transfer_finish (transfer, KWF_EV_ATTEMPT_FAILED,
-                   (kwf_attempt_event_t){ .failure = failure }, report_event);
-}
-
 void
 relay_start (instance_t *instance, transfer_t *transfer,
              const kwf_attempt_start_t *start,
--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -11,6 +11,12 @@
    so that idle streams cost little memory.  */
 #define KEPT_PENDING_BYTES 4096
 
+/* What the status line and the headers of this instance need at most.  */
+#define OWN_HEAD_BYTES 1024
+
+/* What libmicrohttpd keeps of each header of a request, beside its text.  */
+#define REQUEST_HEADER_BYTES 96
+
 /* Size of the blocks in which libmicrohttpd reads a stream.  */
 #define BLOCK_SIZE 16384
 
@@ -62,18 +68,42 @@
   return request ? &request->public : NULL;
 }
 
+bool
+server_head_fits (const server_t *server, kwf_handle_t handle, size_t size)
+{
+  const server_request_state_t *request = find_open (server, handle);
+  if (!request)
+    return true;
+  const server_request_t *public = &request->public;
+  size_t used = strlen (public->method) + strlen (public->raw_path)
+                + strlen (public->query) + OWN_HEAD_BYTES;
+  for (size_t i = 0; i < public->n_headers; i++)
+    used += strlen (public->headers[i].name)
+            + strlen (public->headers[i].value) + REQUEST_HEADER_BYTES;
+  return used + size <= server->options.max_header_bytes + ANSWER_HEAD_BYTES;
+}
+
+static void
+add_header (struct MHD_Response *response, const char *name, const char *value)
+{
+  if (MHD_add_response_header (response, name, value) != MHD_YES)
+    logging_event (256, KWF_LOG_WARNING,
+                   "header \"%s\" of an answer is left out: its name or value "
+                   "is not allowed",
+                   name);
+}
+
 static void
 add_headers (const server_t *server, struct MHD_Response *response,
              const char *content_type, const header_t *headers,
              size_t n_headers)
 {
   if (content_type)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                             content_type);
+    add_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   for (size_t i = 0; i < n_headers; i++)
-    MHD_add_response_header (response, headers[i].name, headers[i].value);
+    add_header (response, headers[i].name, headers[i].value);
   if (server->quiesced)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+    add_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
 static void
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -9,6 +9,10 @@
 #include "server.h"
 #include "tls.h"
 
+/* Added to max_header_bytes for the status line and headers of an answer, in
+   the memory that libmicrohttpd gives a connection.  */
+#define ANSWER_HEAD_BYTES 8192
+
 typedef struct server_connection server_connection_t;
 
 /* Bytes of a streamed answer that libmicrohttpd has not taken yet.  */
--- a/net/server.c
+++ b/net/server.c
@@ -16,10 +16,6 @@
 
 #include "../lib/logging.h"
 
-/* Added to max_header_bytes for the status line and headers of an answer, in
-   the memory that libmicrohttpd gives a connection.  */
-#define ANSWER_HEAD_BYTES 8192
-
 static int64_t
 now_ns (void)
 {
--- a/net/server.h
+++ b/net/server.h
@@ -110,6 +110,12 @@
                    const char *content_type, const header_t *headers,
                    size_t n_headers, const void *body, size_t body_size);
 
+/* Whether an answer to REQUEST can have headers of SIZE bytes, each with ": "
+   and its line end, beside Content-Type and X-Request-Id.  Else the connection
+   would close without a byte of the answer.  */
+bool server_head_fits (const server_t *server, kwf_handle_t request,
+                       size_t size);
+
 /* Answers in parts: server_begin, any number of server_write, server_end.
    CONTENT_TYPE NULL: none is sent.  Each does nothing when the caller closed,
    or, which is logged, when the request is answered, and server_write and
--- a/test/common-server.c
+++ b/test/common-server.c
@@ -79,6 +79,20 @@
   g_strfreev (sizes);
 }
 
+/* An answer with a header of as many bytes as the query says, or 502.  */
+static void
+reply_with_head (server_t *server, const server_request_t *request)
+{
+  char *value = g_strnfill (g_ascii_strtoull (request->query, NULL, 10), 'x');
+  header_t header = { "X-Large", value };
+  bool fits = server_head_fits (server, request->handle,
+                                strlen (header.name) + strlen (value)
+                                    + strlen (": \r\n"));
+  server_reply (server, request->handle, fits ? 200 : 502, "text/plain",
+                &header, fits, "whole", 5);
+  g_free (value);
+}
+
 static void
 on_request (server_t *server, const server_request_t *request, void *data)
 {
@@ -110,6 +124,8 @@
     }
   else if (strcmp (request->path, "/parts") == 0)
     write_parts (server, request);
+  else if (strcmp (request->path, "/head") == 0)
+    reply_with_head (server, request);
   else if (strcmp (request->path, "/open") == 0)
     server_begin (server, handle, 200, "text/plain", NULL, 0);
   else if (strcmp (request->path, "/flood") == 0)
--- a/test/test_hidden_cut.c
+++ b/test/test_hidden_cut.c
@@ -16,6 +16,8 @@
 #define LIMIT_S 3.0
 /* Beyond the default of max_pending_bytes.  */
 #define LARGE_EVENT_BYTES 1500000
+/* Within the limit of an answer's head, beyond the memory of a connection.  */
+#define LARGE_HEADER_BYTES 40000
 
 #define OWN "X-Request-Id: c1\r\nX-Server-Stamp: s\r\n"
 #define OPEN OWN "Connection: close\r\n\r\n"
@@ -241,6 +243,35 @@
   assert_int_equal (n_runs, 1);
 }
 
+/* Guards against an answer whose head does not fit into the memory of the
+   caller's connection, which closes without a byte.  */
+static void
+large_head_closes_the_connection (void **state)
+{
+  raw_answer_t answer;
+  bool whole;
+  char *large = g_strnfill (LARGE_HEADER_BYTES, 'x');
+  char *first = g_strdup_printf ("HTTP/1.1 200 OK\r\n" OWN "X-Large: %s\r\n"
+                                 "Content-Length: 2\r\n\r\nok",
+                                 large);
+  set_up (state);
+  fixture_t *fixture = *state;
+  fixture->first = fixture->second = first;
+  call (fixture, "/book/x", "1.1", &answer);
+  int n_runs = fixture->n_runs;
+  int status = raw_answer_status (&answer);
+  char *body = raw_answer_body (&answer, &whole);
+  raw_answer_clear (&answer);
+  tear_down (state);
+  assert_int_equal (status, 502);
+  assert_true (whole);
+  assert_non_null (strstr (body, "\"run\":\"yes\""));
+  assert_int_equal (n_runs, 1);
+  g_free (body);
+  g_free (first);
+  g_free (large);
+}
+
 int
 main (void)
 {
@@ -248,6 +279,7 @@
     cmocka_unit_test (untyped_stream_is_complete_inside_an_event),
     cmocka_unit_test (unfinished_event_is_joined_unseen),
     cmocka_unit_test (large_event_ends_a_stream_as_complete),
+    cmocka_unit_test (large_head_closes_the_connection),
     cmocka_unit_test (cut_refusal_takes_the_id_of_the_next_answer),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_server_answers.c
+++ b/test/test_server_answers.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include <glib.h>
+#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -130,6 +131,65 @@
                    1510000);
 }
 
+/* Status of the answer to METHOD /head?SIZE with N_HEADERS headers that have
+   REQUEST_SIZE bytes together; 0: there is no whole answer.  431: the request
+   itself is too large.  */
+static int
+head_status (const test_server_t *fixture, const char *method, int size,
+             int request_size, int n_headers)
+{
+  GString *request = g_string_new (NULL);
+  char *value = g_strnfill ((gsize)(request_size / n_headers), 'y');
+  g_string_printf (request,
+                   "%s /head?%d HTTP/1.1\r\nHost: h\r\n"
+                   "Connection: close\r\nContent-Length: %d\r\n",
+                   method, size, strcmp (method, "POST") == 0 ? 4 : 0);
+  for (int i = 0; i < n_headers; i++)
+    g_string_append_printf (request, "X-%d: %s\r\n", i, value);
+  g_string_append (request, "\r\n");
+  if (strcmp (method, "POST") == 0)
+    g_string_append (request, "body");
+  int fd = test_server_open (fixture, request->str);
+  char *text = test_server_read (fd, NULL);
+  int status = 0;
+  if (g_str_has_suffix (text, "\r\n\r\nwhole")
+      || g_str_has_prefix (text, "HTTP/1.1 431 "))
+    status = atoi (text + strlen ("HTTP/1.1 "));
+  g_free (text);
+  g_free (value);
+  g_string_free (request, TRUE);
+  close (fd);
+  return status;
+}
+
+/* Guards against a connection that closes without a byte, since the headers of
+   the answer do not fit beside those of the request.  */
+static void
+large_head_is_answered (void **state)
+{
+  static const char *const methods[] = { "GET", "POST" };
+  static const int n_headers[] = { 1, 20, 60 };
+  int bad = 0;
+  for (size_t m = 0; m < G_N_ELEMENTS (methods); m++)
+    for (size_t n = 0; n < G_N_ELEMENTS (n_headers); n++)
+      for (int request = 100; request < 16000; request += 3000)
+        for (int size = 1000; size < 42000; size += 500)
+          {
+            int status = head_status (*state, methods[m], size, request,
+                                      n_headers[n]);
+            if (status != 200 && status != 502 && status != 431)
+              {
+                print_message ("%s, %d headers of %d bytes, answer %d: %d\n",
+                               methods[m], n_headers[n], request, size,
+                               status);
+                bad++;
+              }
+          }
+  assert_int_equal (bad, 0);
+  assert_int_equal (head_status (*state, "GET", 12000, 100, 1), 200);
+  assert_int_equal (head_status (*state, "GET", 40000, 100, 1), 502);
+}
+
 /* Guards against a body that is read as a request, after a refusal that was
    sent before the body.  */
 static void
@@ -173,6 +233,7 @@
     TEST (slow_reader_without_chunks_sees_the_cut),
     TEST (excess_bytes_are_no_regular_end),
     TEST (large_part_does_not_break_a_stream),
+    TEST (large_head_is_answered),
     TEST (body_after_a_refusal_is_no_request),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
