Test that a run that ends with its connection is no end of a stream

A run that goes on after a broken one and ends right after its head, without a length, is cut: the check at the end of an answer (no_end) covers it, and this case holds that.

--- a/test/test_begun_answer.c
+++ b/test/test_begun_answer.c
@@ -80,6 +80,10 @@
     STREAM EVENT ("4", "d") EVENT ("5", "e") LAST, SEEN_1_2, false },
   { "leaves out the second event", STREAM EVENT ("1", "a"),
     STREAM EVENT ("4", "d") EVENT ("5", "e") LAST, SEEN ("1", "a"), false },
+  { "ends with its connection, without an event", BROKEN_OFF,
+    "HTTP/1.1 200 OK\r\n" OWN "Content-Type: text/event-stream\r\n"
+    "Connection: close\r\n\r\n",
+    SEEN_1_2, false },
   { "begins after a comment", STREAM "5\r\n: x\n\n\r\n",
     STREAM EVENT ("1", "a") LAST, ": x\n\n" SEEN ("1", "a"), true },
   { "no ids", STREAM BARE_EVENT ("a") BARE_EVENT ("b"),
