Judge the end of streams by their route, not only by their type

Callers of a route of streams got an answer that ended as complete, by a length of ours, inside an event.

Cause: only status 200 with the exact prefix "text/event-stream" counted as a stream. Without a type, with a type in capitals or with status 206, the answer was kept to its end, the end of the connection counted as that of the answer, and it was sent with our own Content-Length.

The core now tells the relay that a route's answers are streams. There, each success with a body is passed on event by event and must end between events, unless it names its length, or is of another type and marks its end by chunks. Media types are compared without regard to case, parameters aside. Answers with a length stay as they are. The core counts successes of all statuses without a whole body as streams, as the relay does.

test_hidden_cut has three more cut heads and, new, what must still pass: a whole stream without a type, and answers that are no streams.

--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -61,6 +61,7 @@
   bool resumes;             /* earlier attempts delivered a part of the
                                answer */
   bool repeatable;          /* may be sent again when no answer arrives */
+  bool stream;              /* the answer is to be a stream of events */
   const char *organisation; /* "" on routes without a key */
 } kwf_attempt_start_t;
 
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -11,7 +11,6 @@
    whether its server crashed.  */
 #define CRASH_CHECK_NS (KWF_NS_PER_S / 2)
 
-#define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY_REQUESTS 429
@@ -354,7 +353,7 @@
       handle_engine_failure (core, attempt, event->status, effects);
       return;
     }
-  attempt->stream = event->status == HTTP_OK && !event->body;
+  attempt->stream = event->status / 100 == 2 && !event->body;
   if (delivery_action (request->delivery,
                        attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
       == DELIVER_RETRY)
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -79,6 +79,7 @@
                                .priority = request->priority,
                                .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
+                               .stream = request->stream,
                                .organisation = request->organisation };
 }
 
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -97,6 +97,8 @@
   GPtrArray *headers; /* names and values by turns; answers of plain services
                          and routed requests */
   /* ROUTED only.  */
+  bool wants_events; /* the route's answers are streams of events */
+  bool has_events;   /* this answer is one */
   routed_stream_t routed_stream;
   answer_facts_t facts;
 } transfer_t;
--- a/net/relay.c
+++ b/net/relay.c
@@ -1,6 +1,7 @@
 /* Attempts of routed requests: the request is sent to the backend server, and
    its answer is passed on unchanged.  */
 
+#include "answer.h"
 #include "instance-internal.h"
 
 #include <string.h>
@@ -23,11 +24,27 @@
                  &(kwf_event_t){ .type = type, .attempt = event });
 }
 
+enum
+{
+  HTTP_NO_CONTENT = 204,
+  HTTP_RESET_CONTENT = 205
+};
+
+/* Whether the body of ANSWER is a stream of events: by its type, or because
+   the route's answers are, unless ANSWER names its length or is of another
+   type whose end the server marks.  A success of any status can have one.  */
 static bool
-is_event_stream (const transfer_t *transfer)
+is_event_stream (const transfer_t *transfer, const client_answer_t *answer)
 {
-  return transfer->status == 200 && transfer->content_type
-         && g_str_has_prefix (transfer->content_type, "text/event-stream");
+  if (answer->status / 100 != 2 || answer->status == HTTP_NO_CONTENT
+      || answer->status == HTTP_RESET_CONTENT)
+    return false;
+  if (answer_type_is_events (answer->content_type))
+    return true;
+  return transfer->wants_events
+         && !answer_has_header (answer, "Content-Length")
+         && !(answer->content_type
+              && answer_has_header (answer, "Transfer-Encoding"));
 }
 
 /* Whether a header of the backend server's answer is not passed on, because
@@ -55,6 +72,7 @@
   transfer_t *transfer = data;
   transfer->status = answer->status;
   transfer->content_type = g_strdup (answer->content_type);
+  transfer->has_events = is_event_stream (transfer, answer);
   transfer->instance->protocol->read_facts (&transfer->facts, answer);
   transfer->headers = g_ptr_array_new_with_free_func (g_free);
   for (size_t i = 0; i < answer->n_headers; i++)
@@ -79,7 +97,7 @@
   (void)status;
   (void)content_type;
   transfer_t *transfer = data;
-  if (is_event_stream (transfer))
+  if (transfer->has_events)
     {
       routed_stream_t *stream = &transfer->routed_stream;
       if (routed_stream_add (stream, bytes, size))
@@ -97,12 +115,12 @@
 
 /* A body with a length or chunks ends where its server says, even inside an
    event, and is passed on as it is.  A stream that ends with its connection is
-   cut if that is inside an event.  */
+   cut if that is inside an event, whatever its type.  */
 static bool
 may_end (void *data, bool delimited)
 {
   const transfer_t *transfer = data;
-  return delimited || !is_event_stream (transfer)
+  return delimited || !transfer->has_events
          || routed_stream_between_events (&transfer->routed_stream);
 }
 
@@ -114,7 +132,7 @@
   if (answer->body_size)
     on_data (transfer, handle, answer->status, answer->content_type,
              answer->body, answer->body_size);
-  bool stream = is_event_stream (transfer);
+  bool stream = transfer->has_events;
   if (!stream && !transfer->body)
     transfer->body = g_string_new (NULL);
   kwf_attempt_event_t event = { .status = transfer->status,
@@ -164,6 +182,8 @@
       resumes ? last_event : caller_request->resume_event_id);
   routed_stream_init (&transfer->routed_stream, &caller_request->position,
                       start->resumes);
+  transfer->wants_events
+      = start->stream && strcmp (request->method, "HEAD") != 0;
   header_t expected_header
       = { instance->protocol->echo_name, caller_request->id };
   client_request_t out = {
@@ -214,7 +234,7 @@
 relay_forward_end (instance_t *instance, transfer_t *transfer,
                    caller_request_t *caller_request)
 {
-  if (is_event_stream (transfer))
+  if (transfer->has_events)
     {
       /* What is left after the last whole event belongs to the answer, too:
          may_end lets no cut event come here.  */
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -1,6 +1,7 @@
 /* Attempts on backend servers: sends the request of a completion or a plain
    service and passes the answer on.  For routed requests see relay.c.  */
 
+#include "answer.h"
 #include "instance-internal.h"
 
 #include <jansson.h>
@@ -36,8 +37,7 @@
 static bool
 is_event_stream (int status, const char *content_type)
 {
-  return status == 200 && content_type
-         && g_str_has_prefix (content_type, "text/event-stream");
+  return status == 200 && answer_type_is_events (content_type);
 }
 
 static void
--- a/test/test_hidden_cut.c
+++ b/test/test_hidden_cut.c
@@ -156,6 +156,10 @@
     { "capitals",
       "HTTP/1.1 200 OK\r\nContent-Type: Text/Event-Stream\r\n" OPEN },
     { "206", "HTTP/1.1 206 Part\r\nContent-Type: text/event-stream\r\n" OPEN },
+    { "206, no type", "HTTP/1.1 206 Part\r\n" OPEN },
+    { "parameter",
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream ;a=b\r\n" OPEN },
+    { "other type", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" OPEN },
   };
   int bad = 0;
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -168,6 +172,56 @@
   assert_int_equal (bad, 0);
 }
 
+/* Guards against an answer on a route of streams that is no stream and fails,
+   and against a stream that fails because its head does not name it one.  */
+static void
+answer_on_a_stream_route_is_passed_on (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *first;
+    const char *body;
+  } cases[] = {
+    { "no type, between events",
+      "HTTP/1.1 200 OK\r\n" OPEN "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n" },
+    { "no type, chunks",
+      "HTTP/1.1 200 OK\r\n" OWN
+      "Transfer-Encoding: chunked\r\n\r\n" EVENT ("1", "a") LAST,
+      "id: 1\ndata: a\n\n" },
+    { "no type, length",
+      "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 4\r\n\r\ndone", "done" },
+    { "other type, chunks",
+      "HTTP/1.1 200 OK\r\n" OWN "Content-Type: text/plain\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n" LAST,
+      "done" },
+    { "no content", "HTTP/1.1 204 None\r\n" OWN "\r\n", "" },
+  };
+  int bad = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      raw_answer_t answer;
+      bool whole;
+      set_up (state);
+      fixture_t *fixture = *state;
+      fixture->first = cases[i].first;
+      fixture->second = "";
+      call (fixture, "/draft/x", "1.1", &answer);
+      char *body = raw_answer_body (&answer, &whole);
+      if (!whole || raw_answer_status (&answer) / 100 != 2
+          || strcmp (body, cases[i].body) != 0)
+        {
+          print_message ("%s: whole=%d status=%d body=%s\n", cases[i].name,
+                         whole, raw_answer_status (&answer), body);
+          bad++;
+        }
+      g_free (body);
+      raw_answer_clear (&answer);
+      tear_down (state);
+    }
+  assert_int_equal (bad, 0);
+}
+
 /* Guards against a last event without its blank line that comes twice, or
    leaves out others, when a stream goes on at another server.  */
 static void
@@ -239,6 +293,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (untyped_stream_is_complete_inside_an_event),
+    cmocka_unit_test (answer_on_a_stream_route_is_passed_on),
     cmocka_unit_test (unfinished_event_is_joined_unseen),
     cmocka_unit_test (large_event_ends_a_stream_as_complete),
     cmocka_unit_test (cut_refusal_takes_the_id_of_the_next_answer),
