Refuse heads in which a second answer begins

A request that may run once ran twice: its server's refusal was cut inside a header, its answer followed on the same connection, and both were read as one head: status 503, "not run", and the request's own id.

Now the first line must be a status line, the name of each header a token (RFC 9110) right before its colon, and no line may have CR, LF, NUL or the begin of a status line, up to its status, inside. A whole answer has such a begin, wherever the one before it is cut, and a header that only names a version, such as Via, has none. An interim head must be valid, too, and no byte of a body is passed on before its head was found good.

--- a/net/client-head.c
+++ b/net/client-head.c
@@ -56,17 +56,66 @@
     head->invalid = true;
 }
 
+/* Whether the SIZE bytes of TEXT begin with a status line, up to its
+   status.  */
+static bool
+begins_status_line (const char *text, size_t size)
+{
+  static const char form[] = "HTTP/1.d ddd";
+  if (size < sizeof form - 1)
+    return false;
+  for (size_t i = 0; i < sizeof form - 1; i++)
+    if (form[i] == 'd' ? !g_ascii_isdigit (text[i]) : text[i] != form[i])
+      return false;
+  return true;
+}
+
+/* Whether an answer may begin inside LINE, because the one before it was cut
+   there.  Its headers would count as those of the answer that was cut.  */
+static bool
+has_status_line_inside (const char *line, size_t size)
+{
+  for (size_t i = 1; i < size; i++)
+    if (begins_status_line (line + i, size - i))
+      return true;
+  return false;
+}
+
+/* Size of the line without its end.  */
+static size_t
+text_size (const char *line, size_t size)
+{
+  if (size && line[size - 1] == '\n')
+    size--;
+  if (size && line[size - 1] == '\r')
+    size--;
+  return size;
+}
+
+static bool
+is_valid_line (const char *line, size_t size, bool first)
+{
+  if (memchr (line, '\r', size) || memchr (line, '\n', size)
+      || memchr (line, '\0', size) || has_status_line_inside (line, size))
+    return false;
+  if (first)
+    return begins_status_line (line, size);
+  /* This refuses a line that begins with a space, too: it continues the header
+     before it, whose value was read without it.  */
+  const char *colon = memchr (line, ':', size);
+  return colon && client_is_token (line, (size_t)(colon - line));
+}
+
 static void
 read_line (client_transfer_t *transfer, const char *bytes, size_t size)
 {
   client_head_t *head = &transfer->head;
   GString *value = transfer->client->value;
-  if (!head->lines++)
-    return;
-  /* A line that begins with a space continues the header before it, whose
-     value was read without it.  */
-  if (*bytes == ' ' || *bytes == '\t' || !memchr (bytes, ':', size))
+  bool first = !head->lines++;
+  if (!is_valid_line (bytes, text_size (bytes, size), first))
     head->invalid = true;
+  if (first)
+    return;
   read_framing (head, value, bytes, size);
   if (transfer->expected_name
       && read_value (value, bytes, size, transfer->expected_name))
@@ -123,12 +172,15 @@
   /* Lines after the head are trailers.  */
   if (head->ended)
     return true;
-  if (size > 2 || (*bytes != '\r' && *bytes != '\n'))
+  if (*bytes != '\r' && *bytes != '\n')
     {
       read_line (transfer, bytes, size);
       return true;
     }
-  if (is_interim (transfer_status (transfer)))
+  /* libcurl ends the head at any line that begins like a blank one.  */
+  if (text_size (bytes, size))
+    head->invalid = true;
+  if (!head->invalid && is_interim (transfer_status (transfer)))
     {
       *head = (client_head_t){ 0 };
       return true;
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -28,7 +28,8 @@
   bool has_id;       /* the expected header, with the right value */
   bool has_other_id; /* the same with another value */
   bool has_stamp;    /* the header of a success, not empty */
-  bool invalid;      /* a line is no header, or two contradict each other */
+  bool invalid;      /* a line is neither a status line nor a header, or two
+                        contradict each other */
   bool ended;        /* all headers of the final answer have arrived */
   bool good;         /* and the answer may be used so far (whole.h) */
 } client_head_t;
@@ -128,6 +129,10 @@
    them.  Run after each call to libcurl.  */
 void client_deliver (client_t *client);
 
+/* Whether the SIZE bytes of TEXT are a token, such as the name of a method or
+   of a header (RFC 9110).  */
+bool client_is_token (const char *text, size_t size);
+
 /* Whether REQUEST can be sent: its method and header names are tokens, its
    address is numeric, its target is a path, and no text has bytes that would
    end the request line or a header.  */
--- a/net/client-request.c
+++ b/net/client-request.c
@@ -21,13 +21,22 @@
   return false;
 }
 
-static bool
-is_token (const char *text)
+bool
+client_is_token (const char *text, size_t size)
 {
   static const char token[] = "!#$%&'*+-.^_`|~0123456789"
                               "abcdefghijklmnopqrstuvwxyz"
                               "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
-  return text && *text && !text[strspn (text, token)];
+  for (size_t i = 0; i < size; i++)
+    if (!memchr (token, text[i], sizeof token - 1))
+      return false;
+  return size > 0;
+}
+
+static bool
+is_token (const char *text)
+{
+  return text && client_is_token (text, strlen (text));
 }
 
 bool
--- a/net/client.c
+++ b/net/client.c
@@ -46,6 +46,8 @@
   client_easy_t *easy = data;
   client_transfer_t *transfer = easy->transfer;
   client_t *client = transfer->client;
+  if (!transfer->head.good)
+    return 0;
   transfer->body_bytes += size;
   client->total_bytes += size;
   if (transfer->body_bytes > transfer->max_answer_bytes
--- a/test/answer_bytes-heads.c
+++ b/test/answer_bytes-heads.c
@@ -52,6 +52,13 @@
     { "folded header", OK ID STAMP LENGTH "X-A: b\r\n c\r\n" END },
     { "cut head, then another answer",
       "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n" OK ID STAMP LENGTH END },
+    { "CR in a stamp", OK ID "X-Server-Stamp: a\rb\r\n" LENGTH END },
+    { "CR in the status line", "HTTP/1.1 200 O\rK\r\n" ID STAMP LENGTH END },
+    { "space before the colon", OK ID STAMP "X-A : b\r\n" LENGTH END },
+    { "name that is no token", OK ID STAMP "X A: b\r\n" LENGTH END },
+    { "interim answer with a line that is no header",
+      "HTTP/1.1 103 Early Hints\r\nrubbish\r\n\r\n" OK ID STAMP LENGTH END },
+    { "no name", OK ID STAMP ": b\r\n" LENGTH END },
     { "id in the interim answer only",
       "HTTP/1.1 103 Early Hints\r\n" ID STAMP "\r\n" OK LENGTH END },
     { "other protocol", "HTTP/1.1 101 Switching Protocols\r\n" ID STAMP END },
@@ -77,6 +84,40 @@
   assert_int_equal (taken, 0);
 }
 
+/* Guards against a head that is cut at any byte and believed with the id or
+   the stamp of the whole answer that follows it.  */
+void
+cut_head_takes_nothing_of_the_next_answer (void **state)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 12\r\n\r\n",
+    "HTTP/1.1 503 Busy\r\n" ID "X-Not-Run: 1\r\n" LENGTH "\r\n",
+    OK ID STAMP "X-Other: a b\r\n" LENGTH "\r\n",
+    OK ID STAMP "Transfer-Encoding: chunked\r\nX-Last: c\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "HTTP/1.1 200 \r\n" ID STAMP "\r\n",
+  };
+  static const char next[] = OK ID STAMP LENGTH END;
+  exchange_rig_t *rig = *state;
+  int taken = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+    for (size_t cut = 1; cut < strlen (heads[i]); cut++)
+      {
+        char *bytes = g_strdup_printf ("%.*s%s", (int)cut, heads[i], next);
+        exchange_t exchange = run_one (rig, bytes, cut % 2);
+        if (exchange.done || exchange.heads)
+          {
+            print_message ("head %zu cut after %zu bytes: status %d, %s\n", i,
+                           cut, exchange.status,
+                           exchange.body ? exchange.body->str : "no body");
+            taken++;
+          }
+        exchange_clear (&exchange);
+        g_free (bytes);
+      }
+  assert_int_equal (taken, 0);
+}
+
 /* Guards against trailers that pass for headers, and against trailers that
    spoil an answer whose head was good.  */
 void
@@ -117,6 +158,27 @@
   exchange_clear (&exchange);
 }
 
+/* Guards against a good answer that fails because a header names a version of
+   HTTP, or because its lines end without a carriage return.  */
+void
+unusual_head_is_taken (void **state)
+{
+  static const char *const answers[] = {
+    OK ID STAMP "Via: HTTP/1.1 proxy\r\nX-Empty:\r\n" LENGTH END,
+    "HTTP/1.1 200 \r\n" ID STAMP "!#$%&'*+-.^_`|~09: a:\tb\r\n" LENGTH END,
+    "HTTP/1.1 200 OK\nX-Request-Id: r1\nX-Server-Stamp: s\n"
+    "Content-Length: 2\n\nok",
+  };
+  exchange_rig_t *rig = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      exchange_t exchange = run_one (rig, answers[i], false);
+      assert_true (exchange.done);
+      assert_string_equal (exchange.body->str, "ok");
+      exchange_clear (&exchange);
+    }
+}
+
 /* Guards against a body that is decoded on its way, and against asking for an
    encoding.  */
 void
--- a/test/answer_bytes.h
+++ b/test/answer_bytes.h
@@ -46,8 +46,10 @@
 
 /* Tests, by file.  */
 void spoilt_head_is_no_answer (void **state);
+void cut_head_takes_nothing_of_the_next_answer (void **state);
 void trailers_are_not_headers (void **state);
 void interim_answers_are_passed_over (void **state);
+void unusual_head_is_taken (void **state);
 void nothing_is_decoded (void **state);
 void each_byte_is_whole_or_visibly_broken (void **state);
 
--- a/test/test_answer_bytes.c
+++ b/test/test_answer_bytes.c
@@ -73,8 +73,10 @@
   const struct CMUnitTest tests[] = {
     TEST (cut_answer_is_not_whole),
     TEST (spoilt_head_is_no_answer),
+    TEST (cut_head_takes_nothing_of_the_next_answer),
     TEST (trailers_are_not_headers),
     TEST (interim_answers_are_passed_over),
+    TEST (unusual_head_is_taken),
     TEST (nothing_is_decoded),
     TEST (each_byte_is_whole_or_visibly_broken),
   };
