--- a/lib/answer.c
+++ b/lib/answer.c
@@ -11,7 +11,8 @@
    whether its server crashed.  */
 #define CRASH_CHECK_NS (KWF_NS_PER_S / 2)
 
-#define HTTP_OK 200
+#define HTTP_NO_CONTENT 204
+#define HTTP_RESET_CONTENT 205
 #define HTTP_BAD_REQUEST 400
 #define HTTP_NOT_FOUND 404
 #define HTTP_TOO_MANY_REQUESTS 429
@@ -335,6 +336,15 @@
   return true;
 }
 
+/* Whether EVENT ends a stream of events, and not an answer whose body is
+   whole.  Answers with 204 and 205 have no body.  */
+static bool
+is_stream_end (const kwf_attempt_event_t *event)
+{
+  return event->status / 100 == 2 && event->status != HTTP_NO_CONTENT
+         && event->status != HTTP_RESET_CONTENT && !event->body;
+}
+
 void
 answer_end (kwf_core_t *core, const kwf_attempt_event_t *event,
             kwf_effects_t *effects)
@@ -354,7 +364,7 @@
       handle_engine_failure (core, attempt, event->status, effects);
       return;
     }
-  attempt->stream = event->status == HTTP_OK && !event->body;
+  attempt->stream = is_stream_end (event);
   delivery_input_t input
       = attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER;
   if (event->gap)
