--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -265,7 +265,7 @@
   char *fields = g_strdup_printf (
       "{\"key\":\"%s\\r\\nX-A: b\",\"value\":\"%s\"}", service, value);
   char *key = g_strdup_printf ("%s-line-end", service);
-  rows_put_odd (fixture->store, "servers", key, fields);
+  fake_store_put_odd (fixture->store, "servers", key, fields);
   g_free (key);
   g_free (fields);
   g_free (value);
@@ -288,7 +288,7 @@
     { "table-number", "{\"table\":7,\"value\":{}}" },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
-    rows_put_odd (fixture->store, table, rows[i][0], rows[i][1]);
+    fake_store_put_odd (fixture->store, table, rows[i][0], rows[i][1]);
 }
 
 /* Both daemons follow changes of the servers and of the configuration.  */
@@ -440,7 +440,7 @@
     }
   g_array_unref (list);
   put_odd_rows (fixture, "op");
-  rows_put_odd (fixture->store, "op", "config", "{\"value\":null}");
+  fake_store_put_odd (fixture->store, "op", "config", "{\"value\":null}");
   run_for (fixture->loop, FRESH_S);
   check_follows (fixture, "r", "s");
 }
