--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -188,11 +188,11 @@
   const char *args[] = { "--config", settings, NULL };
   process_t *daemon = &fixture->daemons[i];
   assert_true (process_start (daemon, "knapweedforkd", args));
+  g_unlink (settings);
   daemon->address[strcspn (daemon->address, ",")] = '\0';
   for (int k = 0; k < 100 && call (fixture, daemon, "/r/x") != 200; k++)
     run_for (fixture->loop, 0.1);
   assert_int_equal (fixture->status, 200);
-  g_unlink (settings);
   g_free (settings);
   g_free (text);
 }
