--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -489,34 +489,6 @@
   assert_true (backend->n_requests > before + 6);
 }
 
-/* Guards against SIGHUP that ends a process which reads its settings.  The
-   settings are a FIFO until the signal was sent, then a file.  */
-static void
-hangup_during_the_start_is_harmless (void **state)
-{
-  fixture_t *fixture = *state;
-  process_t *daemon = &fixture->others[0];
-  char *text = settings_text (fixture, "i2");
-  char *fifo = g_build_filename (fixture->directory, "fifo", NULL);
-  assert_int_equal (mkfifo (fifo, 0600), 0);
-  const char *args[] = { "--config", fifo, NULL };
-  assert_true (process_spawn (daemon, "knapweedforkd", args));
-  int out = open (fifo, O_WRONLY | O_CLOEXEC);
-  assert_true (out >= 0);
-  process_signal (daemon, SIGHUP);
-  assert_int_equal (g_unlink (fifo), 0);
-  assert_true (g_file_set_contents (fifo, text, -1, NULL));
-  assert_int_equal (write (out, text, strlen (text)), strlen (text));
-  close (out);
-  assert_true (process_expect (daemon, "listening on ", daemon->address,
-                               sizeof daemon->address));
-  daemon->address[strcspn (daemon->address, ",")] = '\0';
-  wait_for_daemon (fixture, daemon);
-  g_unlink (fifo);
-  g_free (fifo);
-  g_free (text);
-}
-
 /* Calls all daemons in turn for SECONDS: every fourth call is for "quiet". */
 static void
 call_both_services (fixture_t *fixture, double seconds)
@@ -557,6 +529,34 @@
   assert_true (verdict.most > verdict.allowed / 4);
 }
 
+/* Guards against SIGHUP that ends a process which reads its settings.  The
+   settings are a FIFO until the signal was sent, then a file.  */
+static void
+hangup_during_the_start_is_harmless (void **state)
+{
+  fixture_t *fixture = *state;
+  process_t *daemon = &fixture->others[0];
+  char *text = settings_text (fixture, "i2");
+  char *fifo = g_build_filename (fixture->directory, "fifo", NULL);
+  assert_int_equal (mkfifo (fifo, 0600), 0);
+  const char *args[] = { "--config", fifo, NULL };
+  assert_true (process_spawn (daemon, "knapweedforkd", args));
+  int out = open (fifo, O_WRONLY | O_CLOEXEC);
+  assert_true (out >= 0);
+  process_signal (daemon, SIGHUP);
+  assert_int_equal (g_unlink (fifo), 0);
+  assert_true (g_file_set_contents (fifo, text, -1, NULL));
+  assert_int_equal (write (out, text, strlen (text)), strlen (text));
+  close (out);
+  assert_true (process_expect (daemon, "listening on ", daemon->address,
+                               sizeof daemon->address));
+  daemon->address[strcspn (daemon->address, ",")] = '\0';
+  wait_for_daemon (fixture, daemon);
+  g_unlink (fifo);
+  g_free (fifo);
+  g_free (text);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
