--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -304,7 +304,7 @@
     }
   char *deep = g_strnfill (1000000, '[');
   char *body = g_strconcat (good, deep, NULL);
-  memcpy (body + strlen (good) - 1, ",", 1);
+  body[strlen (good) - 1] = ',';
   client_answer_t answer = { .body = body, .body_size = strlen (body) };
   assert_false (rows_json_decode (&rows, &answer) && rows.is_list);
   rows_json_clear (&rows);
