Give reports and orders a connection of their own

The answer to a load report or an order could be the late copy of an earlier call's answer: such an answer names no call, and a server may send an extra one where the next is expected.

Cause: these calls used kept connections.

Evidence: in test_odd_rows, which counts calls at its engine on a connection that had one before, odd_configurations_change_nothing failed (28 such calls, allowed 0).

With the new own_connection, a call is sent on a new connection, which is closed after the answer, so no other answer can be on it; test_client lets a server write its last answer again before the next one. Orders always have it; reports have it where servers repeat the ids of requests, so that one may be answered late. An id in these calls was ruled out: it is not said that answers to them repeat it, and an id that no caller sent must not be run.

Calls of the store keep their connections. After one that timed out, also by the limit of its first byte, the next uses another one; the second is tested now.

--- a/net/client-request.c
+++ b/net/client-request.c
@@ -160,8 +160,10 @@
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, MAX (ms, 0L));
   curl_easy_setopt (curl, CURLOPT_MAXFILESIZE_LARGE, largest);
   curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT,
-                    request->new_connection ? 1L : 0L);
-  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 0L);
+                    request->new_connection || request->own_connection ? 1L
+                                                                       : 0L);
+  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE,
+                    request->own_connection ? 1L : 0L);
 }
 
 void
--- a/net/client.h
+++ b/net/client.h
@@ -107,6 +107,9 @@
                       the end of its connection */
   bool new_connection; /* never send it on a kept connection, which the server
                  may be closing: for requests that must not be sent twice */
+  bool own_connection; /* send it on a new connection that is closed after the
+                 answer, so that no other answer can be taken for it: for
+                 requests whose answers do not say whose they are */
 } client_request_t;
 
 /* Starts one transfer of CLIENT; HANDLER must outlive it.  The request is sent
--- a/net/order.c
+++ b/net/order.c
@@ -94,10 +94,7 @@
                            .body_size = strlen (body),
                            .timeout_ns = timeout_ns (order),
                            .max_answer_bytes = MAX_ANSWER_BYTES,
-                           /* A model engine that counts its orders
-                              refuses the same order a second
-                              time.  */
-                           .new_connection = order->after < 0 },
+                           .own_connection = true },
       &handler, pending);
   free (body);
 }
--- a/net/probe.c
+++ b/net/probe.c
@@ -72,6 +72,9 @@
                            .headers = &expect,
                            .n_headers = protocol->expect_server_header != NULL,
                            .max_answer_bytes = MAX_REPORT_BYTES,
-                           .timeout_ns = PROBE_TIMEOUT_NS },
+                           .timeout_ns = PROBE_TIMEOUT_NS,
+                           /* Servers that repeat the ids of requests may
+                              answer one late; a report has no id.  */
+                           .own_connection = protocol->echo_name != NULL },
       &handler, probe);
 }
--- a/test/common-script.c
+++ b/test/common-script.c
@@ -70,6 +70,18 @@
       g_snprintf (text, sizeof text, "n%d", connection->listener->requests);
       connection_reply (connection, 200, text);
     }
+  else if (strcmp (script, "late-copy") == 0)
+    {
+      /* The last answer on this connection once more, then the new one.  */
+      char text[16];
+      int number = connection->listener->requests;
+      for (int i = connection->requests > 1 ? number - 1 : number; i <= number;
+           i++)
+        {
+          g_snprintf (text, sizeof text, "n%d", i);
+          connection_reply (connection, 200, text);
+        }
+    }
   else if (strcmp (script, "twice") == 0)
     {
       connection_reply (connection, 200, "one");
--- a/test/test_client.c
+++ b/test/test_client.c
@@ -635,6 +635,47 @@
   assert_int_equal (fixture->listener->accepted, 3);
 }
 
+/* Guards against the answer to an earlier request that is taken for that of a
+   later one, when neither says whose it is: a request with a connection of its
+   own follows, precedes and stands between others.  */
+static void
+late_copy_reaches_no_request_with_its_own_connection (void **state)
+{
+  fixture_t *fixture = *state;
+  client_request_t request = get_request (fixture);
+  get_one (fixture, "late-copy");
+  assert_string_equal (fixture->body->str, "n1");
+  request.own_connection = true;
+  for (int i = 2; i <= 4; i++)
+    {
+      char text[16];
+      g_snprintf (text, sizeof text, "n%d", i);
+      run (fixture, &request, &whole);
+      assert_string_equal (fixture->body->str, text);
+    }
+  assert_int_equal (fixture->listener->accepted, 4);
+  get_one (fixture, "late-copy");
+  /* This one uses the kept connection of the first.  */
+  assert_int_equal (fixture->listener->accepted, 4);
+}
+
+/* Guards against an answer that comes after the limit of its first byte, and
+   is taken for that of the next request, as to calls of the store.  */
+static void
+call_without_first_byte_leaves_no_connection (void **state)
+{
+  fixture_t *fixture = *state;
+  client_request_t request = get_request (fixture);
+  request.first_byte_ns = 50 * KWF_NS_PER_MS;
+  get_one (fixture, "ok");
+  fixture->script = "silent";
+  run (fixture, &request, &whole);
+  assert_int_equal (fixture->failure, KWF_FAIL_TIMEOUT);
+  assert_int_equal (fixture->listener->accepted, 1);
+  get_one (fixture, "ok");
+  assert_int_equal (fixture->listener->accepted, 2);
+}
+
 /* Guards against a failed request because its kept connection was closed while
    idle.  */
 static void
@@ -725,6 +766,8 @@
     TEST (no_request_moves_to_another_connection),
     TEST (crash_is_not_reported_as_refused),
     TEST (fresh_requests_use_new_connections),
+    TEST (call_without_first_byte_leaves_no_connection),
+    TEST (late_copy_reaches_no_request_with_its_own_connection),
     TEST (stray_answers_reach_nobody),
     TEST (closed_idle_connection_is_replaced),
     TEST (redirects_are_answers),
--- a/test/test_odd_rows.c
+++ b/test/test_odd_rows.c
@@ -51,6 +51,7 @@
   listener_t *brain;   /* a model engine */
   listener_t *wrong;   /* named by odd entries only */
   int n_wrong_ids;     /* requests at it that name another server */
+  int n_reused;        /* calls at the engine on a connection that had one */
   const odd_t *report; /* body of the engine's reports; NULL: a good one */
   int n_sent;
   int n_ended;
@@ -77,6 +78,7 @@
   fixture_t *fixture = data;
   fixture->n_wrong_ids
       += !strstr (request, "X-Expect-Instance: " ENGINE_ID "\r\n");
+  fixture->n_reused += connection->requests > 1;
   if (!g_str_has_prefix (request, "GET /-/report"))
     {
       connection_reply (connection, 202, "{}");
@@ -318,6 +320,8 @@
   run_for (fixture->loop, REPORT_S);
   assert_true (fixture->brain->requests > reports);
   assert_int_equal (fixture->n_wrong_ids, 0);
+  /* A late copy of a report or of the answer to an order names no call.  */
+  assert_int_equal (fixture->n_reused, 0);
   g_free (old_path);
   g_free (new_path);
 }
