--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -27,8 +27,8 @@
                            const char *key, const void *value, size_t size);
 
 /* Writes a row whose JSON has FIELDS, a JSON object, instead of its own.  */
-void rows_put_odd (fake_store_t *store, const char *table, const char *key,
-                   const char *fields);
+void fake_store_put_odd (fake_store_t *store, const char *table,
+                         const char *key, const char *fields);
 
 /* SILENT: no request is answered from now on.  False: requests are answered
    again.  */
