Let a second SIGTERM during the stop change nothing

Callers lost open requests at an instance that was told to stop more than once: service managers send SIGTERM in series, and the second one ended the graceful stop at once.

Cause: SIGTERM and SIGINT had the same handler, and a second call of instance_stop ends the open requests.

Only SIGINT ends the stop now; a further SIGTERM is logged (event 16).

Changed checks: cut_stream_looks_like_an_end ends what is open by SIGINT, with the same check; the soak forgives no answer that is cut after a second SIGTERM any more; test/fleet.sh ends its instances by SIGINT.

--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -77,12 +77,34 @@
   return KWF_LOG_INFO;
 }
 
+/* State of the signals that stop the daemon.  */
+typedef struct
+{
+  instance_t *instance;
+  bool stopping;
+} stopper_t;
+
 static void
-on_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+on_interrupt (struct ev_loop *loop, ev_signal *watcher, int events)
 {
   (void)loop;
   (void)events;
-  instance_stop (watcher->data);
+  stopper_t *stopper = watcher->data;
+  stopper->stopping = true;
+  instance_stop (stopper->instance);
+}
+
+/* Service managers may send SIGTERM again and again, and SIGKILL when their
+   patience ends, so that only SIGINT cuts a graceful stop short.  */
+static void
+on_terminate (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  const stopper_t *stopper = watcher->data;
+  if (stopper->stopping)
+    logging_event (16, KWF_LOG_INFO,
+                   "SIGTERM during the stop, which goes on; SIGINT ends it");
+  else
+    on_interrupt (loop, watcher, events);
 }
 
 /* Interval of checks for a changed settings file.  The file can change without
@@ -178,9 +200,10 @@
     }
   ev_signal term;
   ev_signal interrupt;
-  ev_signal_init (&term, on_signal, SIGTERM);
-  ev_signal_init (&interrupt, on_signal, SIGINT);
-  term.data = interrupt.data = instance;
+  stopper_t stopper = { .instance = instance };
+  ev_signal_init (&term, on_terminate, SIGTERM);
+  ev_signal_init (&interrupt, on_interrupt, SIGINT);
+  term.data = interrupt.data = &stopper;
   ev_signal_start (loop, &term);
   ev_signal_start (loop, &interrupt);
   reload_t reload = { .instance = instance, .config = config };
@@ -231,8 +254,9 @@
     = "Serve callers' requests as one entry instance.\v"
       "SIGTERM stops gracefully: the instance leaves the address list, "
       "serves until the address lists that it handed out have run out and "
-      "every request has ended, and exits with status 0.  A second SIGTERM "
-      "stops it at once and logs what was cut.  SIGHUP, or a change of FILE, "
+      "every request has ended, and exits with status 0.  SIGINT during "
+      "that stops it at once and logs what was cut; another SIGTERM changes "
+      "nothing.  SIGHUP, or a change of FILE, "
       "makes it read TLS files, operator tokens and fleet secrets "
       "again.\n\n"
       "Exit status: 0 stopped or settings valid, 1 failed to start, 2 "
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -7,10 +7,10 @@
 PIDS=
 
 stop_fleet () {
-  # The second signal ends an instance that would wait for its callers.
+  # SIGINT during its stop ends an instance that would wait for its callers.
   for pid in $PIDS; do kill "$pid" 2>/dev/null || true; done
   sleep 0.1
-  for pid in $PIDS; do kill "$pid" 2>/dev/null || true; done
+  for pid in $PIDS; do kill -INT "$pid" 2>/dev/null || true; done
   for pid in $PIDS; do
     for _ in $(seq 100); do
       kill -0 "$pid" 2>/dev/null || break
--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -195,9 +195,7 @@
   if (!instance->process.pid || (signal == SIGHUP && !instance->is_up))
     return;
   process_signal (&instance->process, signal);
-  /* A second SIGTERM ends the process at once.  */
-  if (signal == SIGKILL || signal == SIGSTOP
-      || (signal == SIGTERM && instance->end_expected))
+  if (signal == SIGKILL || signal == SIGSTOP)
     instance->calm_ns = now_ns;
   if (signal == SIGTERM || signal == SIGKILL)
     instance->end_expected = true;
--- a/test/test_begun_answer.c
+++ b/test/test_begun_answer.c
@@ -99,6 +99,7 @@
   listener_t *servers[N_SERVERS];
   const case_t *script;
   const char *deadline_ms;
+  ev_timer *end; /* NULL: none; its data becomes the connection of a run */
   int n_runs;
 } fixture_t;
 
@@ -119,6 +120,8 @@
   connection_print (connection, "%s",
                     fixture->n_runs++ ? fixture->script->second
                                       : fixture->script->first);
+  if (fixture->end)
+    fixture->end->data = connection;
   if (fixture->script->second)
     connection_close (connection);
 }
@@ -274,7 +277,7 @@
   process_kill (timer->data);
 }
 
-/* The second SIGTERM ends what is open.  */
+/* SIGINT during the stop ends what is open.  */
 static void
 stop_daemon (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -282,9 +285,25 @@
   (void)events;
   process_signal (timer->data, SIGTERM);
   pause_ms (50);
+  process_signal (timer->data, SIGINT);
+}
+
+static void
+terminate_daemon_again (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
   process_signal (timer->data, SIGTERM);
 }
 
+static void
+end_stream (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  connection_print (timer->data, "%s", EVENT ("3", "c") LAST);
+}
+
 static void
 do_nothing (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -332,6 +351,30 @@
   assert_int_equal (bad, 0);
 }
 
+/* Guards against a stream that is cut because SIGTERM comes more than once. */
+static void
+second_sigterm_cuts_a_stream (void **state)
+{
+  static const case_t script
+      = { "SIGTERM twice", BROKEN_OFF, NULL, SEEN_1_2 SEEN ("3", "c"), true };
+  ev_timer signals;
+  ev_timer end;
+  set_up (state);
+  fixture_t *fixture = *state;
+  wait_for_daemon (fixture);
+  fixture->end = &end;
+  ev_timer_init (&signals, terminate_daemon_again, 0.2, 0.1);
+  signals.data = &fixture->daemon.process;
+  ev_timer_init (&end, end_stream, 0.8, 0);
+  ev_timer_start (fixture->loop, &signals);
+  ev_timer_start (fixture->loop, &end);
+  bool good = holds (fixture, &script, "1.1", "close");
+  ev_timer_stop (fixture->loop, &signals);
+  ev_timer_stop (fixture->loop, &end);
+  tear_down (state);
+  assert_true (good);
+}
+
 int
 main (void)
 {
@@ -339,6 +382,7 @@
     cmocka_unit_test (begun_stream_is_mixed_with_the_next_answer),
     cmocka_unit_test (break_without_chunks_looks_like_an_end),
     cmocka_unit_test (cut_stream_looks_like_an_end),
+    cmocka_unit_test (second_sigterm_cuts_a_stream),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
