Deliver SIGHUP to the daemon again

A new secret, token or certificate had no effect after SIGHUP: since the signal is blocked from the start of main and was never unblocked. libev unblocks a signal only in loops with EVFLAG_NOSIGMASK (trial: a watcher in a loop with flags 0 does not get a signal that was blocked before).

The daemon unblocks it itself when the watcher runs; one that came before is then delivered.

--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -161,6 +161,17 @@
     reload_settings (timer->data);
 }
 
+/* HOW: SIG_BLOCK or SIG_UNBLOCK.  Until its handler is there, SIGHUP would end
+   the process.  */
+static void
+mask_hangup (int how)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (how, &set, NULL);
+}
+
 static int
 serve (const kwf_settings_t *settings, const char *config)
 {
@@ -188,6 +199,7 @@
   ev_signal_init (&hangup, on_hangup, SIGHUP);
   hangup.data = &reload;
   ev_signal_start (loop, &hangup);
+  mask_hangup (SIG_UNBLOCK);
   ev_timer check_timer;
   update_file_status (&reload);
   ev_timer_init (&check_timer, on_check_timer, CHECK_INTERVAL_S,
@@ -206,17 +218,6 @@
   return EXIT_OK;
 }
 
-/* Until its handler is there, SIGHUP would end the process.  libev unblocks it
-   when its watcher starts.  */
-static void
-block_hangup (void)
-{
-  sigset_t set;
-  sigemptyset (&set);
-  sigaddset (&set, SIGHUP);
-  sigprocmask (SIG_BLOCK, &set, NULL);
-}
-
 int
 main (int argc, char **argv)
 {
@@ -239,7 +240,7 @@
       "wrong usage or invalid settings.",
   };
   options_t options = { 0 };
-  block_hangup ();
+  mask_hangup (SIG_BLOCK);
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &options);
   signal (SIGPIPE, SIG_IGN);
