Reset the connection of a slow caller without a FIN before

A caller of HTTP/1.0 whose stream was cut off, because more was unread than max_pending_bytes, saw a complete answer: the shutdown sends FIN at once, the reset comes with the close.

The connection is disconnected now, which sends the reset and no FIN. What cannot be reset so is logged (254) and closed as before.

--- a/net/server.c
+++ b/net/server.c
@@ -14,6 +14,8 @@
 
 #include <knapweedfork/clock.h>
 
+#include "../lib/logging.h"
+
 /* Added to max_header_bytes for the status line and headers of an answer, in
    the memory that libmicrohttpd gives a connection.  */
 #define ANSWER_HEAD_BYTES 8192
@@ -69,6 +71,12 @@
 server_reset_connection (server_request_state_t *request)
 {
   server_set_reset (request->connection, true);
+  /* A shutdown sends FIN before the close resets the connection; this resets
+     it at once.  */
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  if (connect (request->connection->fd, &none, sizeof none) != 0)
+    logging_event (254, KWF_LOG_WARNING, "a connection was not reset: %s",
+                   g_strerror (errno));
   server_shutdown_connection (request->connection);
   request->aborted = true;
   request->pending.start = request->pending.end = 0;
