Join no unfinished event of a run that has not gone on yet

A stream that went on at another server could end as complete with an event that came twice, or with others left out: what follows the last whole event was passed on at the end without a look at its place.

A run that has to go on and brings only a part of an event has a gap now, which goes to the next server or breaks the stream off.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -92,11 +92,10 @@
   kwf_handle_t attempt;
   kwf_handle_t request;
   int64_t tokens; /* DATA, END: tokens generated so far by this attempt */
-  /* DATA only.  */
-  bool gap;       /* events are missing before these, which go on with a stream
-                     of an earlier attempt; none of them was kept */
-  bool no_resume; /* the last event has no id after which another attempt could
-                     go on */
+  bool gap;       /* DATA, END: events are missing before these, which go on
+                     with a stream of an earlier attempt; they were not kept */
+  bool no_resume; /* DATA only: the last event has no id after which another
+                     attempt could go on */
   /* END only.  */
   int status;       /* HTTP status */
   const char *body; /* whole body; NULL for a stream of events */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -141,6 +141,8 @@
   attempt_dispatch (core, request, effects);
 }
 
+static const char leaves_out_events[] = "it leaves out events";
+
 /* ATTEMPT answered with something that must not follow what the caller has
    got.  */
 static void
@@ -171,7 +173,7 @@
       crash_connection_ended (core->crash, request->fingerprint,
                               attempt->server->id, attempt->incarnation,
                               false);
-      reject_run (core, attempt, OUTCOME_BAD, "it leaves out events", effects);
+      reject_run (core, attempt, OUTCOME_BAD, leaves_out_events, effects);
       return;
     }
   if (request->state != REQUEST_STREAMING)
@@ -355,13 +357,15 @@
       return;
     }
   attempt->stream = event->status == HTTP_OK && !event->body;
-  if (delivery_action (request->delivery,
-                       attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
-      == DELIVER_RETRY)
+  delivery_input_t input
+      = attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER;
+  if (event->gap)
+    input = DELIVERY_GAP;
+  if (delivery_action (request->delivery, input) == DELIVER_RETRY)
     {
-      reject_run (core, attempt,
-                  rejected_outcome (core, attempt, event->status),
-                  "its answer is no stream", effects);
+      reject_run (
+          core, attempt, rejected_outcome (core, attempt, event->status),
+          event->gap ? leaves_out_events : "its answer is no stream", effects);
       return;
     }
   int64_t now_ns = now_of (core);
--- a/net/relay.c
+++ b/net/relay.c
@@ -115,9 +115,12 @@
     on_data (transfer, handle, answer->status, answer->content_type,
              answer->body, answer->body_size);
   bool stream = is_event_stream (transfer);
+  if (stream)
+    routed_stream_finish (&transfer->routed_stream);
   if (!stream && !transfer->body)
     transfer->body = g_string_new (NULL);
   kwf_attempt_event_t event = { .status = transfer->status,
+                                .gap = stream && transfer->routed_stream.gap,
                                 .body = stream ? NULL : transfer->body->str,
                                 .body_size = stream ? 0 : transfer->body->len,
                                 .not_run = transfer->facts.not_run,
--- a/net/routed-stream.c
+++ b/net/routed-stream.c
@@ -157,6 +157,12 @@
   return true;
 }
 
+void
+routed_stream_finish (routed_stream_t *stream)
+{
+  stream->gap |= stream->resumed && !routed_stream_between_events (stream);
+}
+
 void
 routed_stream_take (routed_stream_t *stream, size_t size)
 {
--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -53,6 +53,10 @@
 /* Whether nothing but line ends follows the last whole event.  */
 bool routed_stream_between_events (const routed_stream_t *stream);
 
+/* The stream has ended.  A run that has to go on after another one and brings
+   nothing but a part of an event has a gap: that part has no place.  */
+void routed_stream_finish (routed_stream_t *stream);
+
 /* Removes the first SIZE bytes, which were passed on.  */
 void routed_stream_take (routed_stream_t *stream, size_t size);
 
