--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -165,6 +165,17 @@
   return !same;
 }
 
+/* Until its handler is there, SIGHUP would end the process.  HOW: SIG_BLOCK or
+   SIG_UNBLOCK.  */
+static void
+mask_hangup (int how)
+{
+  sigset_t set;
+  sigemptyset (&set);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (how, &set, NULL);
+}
+
 static void
 on_hangup (struct ev_loop *loop, ev_signal *watcher, int events)
 {
