--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -194,17 +194,6 @@
     reload_settings (timer->data);
 }
 
-/* HOW: SIG_BLOCK or SIG_UNBLOCK.  Until its handler is there, SIGHUP would end
-   the process.  */
-static void
-mask_hangup (int how)
-{
-  sigset_t set;
-  sigemptyset (&set);
-  sigaddset (&set, SIGHUP);
-  sigprocmask (how, &set, NULL);
-}
-
 static int
 serve (const kwf_settings_t *settings, const char *config)
 {
