--- a/lib/core.c
+++ b/lib/core.c
@@ -167,7 +167,7 @@
   if (report.valid)
     waits_recheck_server (core, report.server);
   if (crashed || (report.valid && report.fresh))
-    answer_crash_checked (core, report.server, effects);
+    crash_check_reported (core, report.server, effects);
 }
 
 /* Update the weights of the demand: that of organisations with a lower
--- a/lib/request.c
+++ b/lib/request.c
@@ -281,7 +281,7 @@
       attempt_dispatch (core, request, effects);
       break;
     case REQUEST_CRASH_CHECK:
-      answer_crash_check_timeout (core, request, effects);
+      crash_check_timeout (core, request, effects);
       break;
     case REQUEST_SENT:
     case REQUEST_STREAMING:
--- a/lib/request.h
+++ b/lib/request.h
@@ -246,15 +246,17 @@
                     kwf_effects_t *effects);
 /* Forward the withheld data, now that this instance has a lease again.  */
 void answer_forward_withheld (kwf_core_t *core, kwf_effects_t *effects);
+void answer_caller_gone (kwf_core_t *core, kwf_handle_t handle,
+                         kwf_effects_t *effects);
+
+/* crash-check.c */
 /* A load report of SERVER shows whether it crashed: continue the requests
    whose connection to it broke.  */
-void answer_crash_checked (kwf_core_t *core, const server_t *server,
+void crash_check_reported (kwf_core_t *core, const server_t *server,
                            kwf_effects_t *effects);
 /* No load report arrived in time.  */
-void answer_crash_check_timeout (kwf_core_t *core, request_t *request,
-                                 kwf_effects_t *effects);
-void answer_caller_gone (kwf_core_t *core, kwf_handle_t handle,
-                         kwf_effects_t *effects);
+void crash_check_timeout (kwf_core_t *core, request_t *request,
+                          kwf_effects_t *effects);
 
 /* directory.c */
 void directory_models (kwf_core_t *core, const kwf_request_event_t *event,
--- a/net/client-head.c
+++ b/net/client-head.c
@@ -148,7 +148,7 @@
 }
 
 static whole_facts_t
-answer_facts (const client_transfer_t *transfer)
+collect_facts (const client_transfer_t *transfer)
 {
   const client_head_t *head = &transfer->head;
   int status = transfer_status (transfer);
@@ -186,7 +186,7 @@
       return true;
     }
   head->ended = true;
-  whole_facts_t facts = answer_facts (transfer);
+  whole_facts_t facts = collect_facts (transfer);
   head->good = whole_check_head (&facts) == WHOLE_YES;
   return head->good;
 }
@@ -204,7 +204,7 @@
 client_judge (client_transfer_t *transfer)
 {
   const client_handler_t *handler = transfer->handler;
-  whole_facts_t facts = answer_facts (transfer);
+  whole_facts_t facts = collect_facts (transfer);
   facts.complete = transfer->code == CURLE_OK;
   facts.empty = !transfer->body_bytes;
   facts.may_end = !handler->may_end
--- a/net/client.h
+++ b/net/client.h
@@ -60,8 +60,9 @@
      start or cancel transfers.  NULL: always true.  */
   bool (*may_send) (void *data);
   /* The status line and all headers of the answer arrived.  Called once, as
-     early as possible, before data() and done(), and before failed() if they
-     arrived.  ANSWER has no body.  May be NULL.  */
+     early as possible, before data() and done(), but not for a head of which
+     nothing may be used (whole.h); then failed() follows.  ANSWER has no body.
+     May be NULL.  */
   void (*head) (void *data, kwf_handle_t transfer,
                 const client_answer_t *answer);
   /* Body bytes arrived; STATUS is the HTTP status.  All bytes are passed
