Log and count answers that end with their connection, decide nothing by it

Event 251 has a line only for answers that are not whole, so the hypotheses of docs/incidents/2026-12-05-framed-as-complete.md cannot be told apart. Event 257 has one for each answer that counts as whole although only its connection marked the end, with what the connection's state says of a reset (hypothesis 3); event 258 says with which mark its end leaves to the caller (hypothesis 1). An answer that crashed and was framed (hypothesis 2) has neither line. kwf_answers_ended_by_close_total counts them.

--- a/net/client-head.c
+++ b/net/client-head.c
@@ -165,6 +165,13 @@
   };
 }
 
+bool
+client_ends_by_close (const client_transfer_t *transfer)
+{
+  whole_facts_t facts = collect_facts (transfer);
+  return !facts.delimited;
+}
+
 bool
 client_head_add (client_transfer_t *transfer, const char *bytes, size_t size)
 {
@@ -200,6 +207,21 @@
          && transfer->code != CURLE_OPERATION_TIMEDOUT;
 }
 
+static void
+count_end_by_close (client_transfer_t *transfer, int status)
+{
+  client_counts_t *counts = &transfer->client->counts;
+  counts->by_close++;
+  counts->by_reset += transfer->reset;
+  logging_event (257, KWF_LOG_INFO,
+                 "the answer of %s ended with its connection: request=%s "
+                 "status=%d head_bytes=%zu body_bytes=%zu reset=%d",
+                 transfer->address,
+                 transfer->expected_value ? transfer->expected_value : "-",
+                 status, transfer->header_bytes, transfer->body_bytes,
+                 transfer->reset);
+}
+
 whole_t
 client_judge (client_transfer_t *transfer)
 {
@@ -210,6 +232,8 @@
   facts.may_end = !handler->may_end
                   || handler->may_end (transfer->data, facts.delimited);
   whole_t whole = whole_check (&facts);
+  if (whole == WHOLE_YES && !facts.delimited)
+    count_end_by_close (transfer, facts.status);
   if (whole == WHOLE_YES || !is_fault_of_answer (transfer))
     return whole;
   transfer->client->counts.not_whole[whole]++;
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -70,6 +70,7 @@
   bool oversized;
   bool finished; /* the transfer has ended; code is valid */
   bool queued;   /* listed in client->handler_queue */
+  bool reset;    /* its connection was reset when it was closed */
   CURLcode code;
   size_t header_bytes;
   size_t body_bytes;
@@ -102,8 +103,12 @@
 bool client_head_add (client_transfer_t *transfer, const char *bytes,
                       size_t size);
 
+/* Whether only the end of the connection marks the end of TRANSFER's answer,
+   whose head has ended.  */
+bool client_ends_by_close (const client_transfer_t *transfer);
+
 /* Judges the answer of TRANSFER, which has ended; logs and counts what it
-   lacks.  */
+   lacks, and ends that only the connection marks.  */
 whole_t client_judge (client_transfer_t *transfer);
 
 /* Connects the multi handle of CLIENT to the event loop.  */
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -15,6 +15,9 @@
 /* Limit of the bytes in a row that bring no whole header line and no byte of a
    body, but parts of the chunked framing.  */
 #define MAX_IDLE_BYTES (UINT64_C (1) << 20)
+/* TCP_CLOSE of <netinet/tcp.h>, which cannot be included beside
+   <linux/tcp.h>.  */
+#define TCP_STATE_CLOSE 7
 /* Limit of reads that discard what a server sent on an idle connection.  */
 #define MAX_DISCARD_READS 64
 
@@ -239,13 +242,26 @@
   (void)setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
 }
 
+/* Whether the peer of FD has reset the connection, and not only ended its
+   data.  */
+static bool
+is_reset (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  (void)getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size);
+  return info.tcpi_state == TCP_STATE_CLOSE;
+}
+
 static int
 close_socket (void *data, curl_socket_t fd)
 {
   client_t *client = data;
   socket_t *socket = find_socket (client, fd);
-  const client_transfer_t *transfer
+  client_transfer_t *transfer
       = socket && socket->easy ? socket->easy->transfer : NULL;
+  if (transfer)
+    transfer->reset = is_reset (fd);
   /* libcurl gave the request up at its time limit.  */
   if (transfer && !transfer->header_bytes)
     client_reset_on_close (fd);
--- a/net/client.c
+++ b/net/client.c
@@ -453,6 +453,7 @@
     .n_headers = (*headers)->len,
     .status = (int)status,
     .content_type = type,
+    .by_close = client_ends_by_close (transfer),
   };
 }
 
--- a/net/client.h
+++ b/net/client.h
@@ -36,6 +36,9 @@
 {
   uint64_t oversized;          /* answers that exceeded a limit */
   uint64_t not_whole[N_WHOLE]; /* answers of each kind */
+  uint64_t by_close;           /* whole answers whose end only the end of the
+                                  connection marked */
+  uint64_t by_reset;           /* of these: the connection was reset, too */
 } client_counts_t;
 
 /* OPTIONS NULL: defaults.  Returns NULL when libcurl cannot be initialised. */
@@ -51,6 +54,9 @@
   size_t body_size;
   const header_t *headers; /* in the order received, without trailers */
   size_t n_headers;
+  bool by_close; /* neither a length, chunks nor the status mark the end of the
+                    body, so a server that ended looks like one that was
+                    done */
 } client_answer_t;
 
 typedef struct
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -93,6 +93,7 @@
   completion_stream_t completion_stream;
   GString *body; /* of an answer that is not an event stream */
   int status;
+  bool by_close; /* only the end of the connection marks the answer's end */
   char *content_type;
   GPtrArray *headers; /* names and values by turns; answers of plain services
                          and routed requests */
--- a/net/operator.c
+++ b/net/operator.c
@@ -205,6 +205,20 @@
                             to, whole_name ((whole_t)i), counts[i]);
 }
 
+/* Counts answers whose end only the end of their connection marked.  */
+static void
+write_by_close (GString *out, const char *to, const client_t *client)
+{
+  const client_counts_t *counts = client_counts (client);
+  g_string_append_printf (out,
+                          "kwf_answers_ended_by_close_total{to=\"%s\",reset="
+                          "\"no\"} %" G_GUINT64_FORMAT "\n"
+                          "kwf_answers_ended_by_close_total{to=\"%s\",reset="
+                          "\"yes\"} %" G_GUINT64_FORMAT "\n",
+                          to, counts->by_close - counts->by_reset, to,
+                          counts->by_reset);
+}
+
 static void
 reply_metrics (instance_t *instance, kwf_handle_t handle)
 {
@@ -222,6 +236,9 @@
   g_string_append (text, "# TYPE kwf_answers_not_whole_total counter\n");
   write_not_whole (text, "requests", instance->client);
   write_not_whole (text, "control", instance->control);
+  g_string_append (text, "# TYPE kwf_answers_ended_by_close_total counter\n");
+  write_by_close (text, "requests", instance->client);
+  write_by_close (text, "control", instance->control);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, handle, 200, "text/plain; version=0.0.4", text->str);
--- a/net/relay.c
+++ b/net/relay.c
@@ -104,6 +104,7 @@
   (void)handle;
   transfer_t *transfer = data;
   transfer->status = answer->status;
+  transfer->by_close = answer->by_close;
   transfer->content_type = g_strdup (answer->content_type);
   transfer->has_events = is_event_stream (transfer, answer);
   transfer->instance->protocol->read_facts (&transfer->facts, answer);
@@ -257,6 +258,19 @@
   routed_stream_take (routed_stream, routed_stream->whole);
 }
 
+/* How the end of an answer leaves whose own end only its connection
+   marked.  */
+static void
+log_end_by_close (const caller_request_t *caller_request,
+                  const transfer_t *transfer, const char *leaves_by)
+{
+  if (transfer->by_close)
+    logging_event (258, KWF_LOG_INFO,
+                   "request %s: an answer that ended with its connection "
+                   "leaves with an end by %s",
+                   caller_request->id, leaves_by);
+}
+
 void
 relay_forward_end (instance_t *instance, transfer_t *transfer,
                    caller_request_t *caller_request)
@@ -266,8 +280,12 @@
       relay_forward (instance, transfer, caller_request);
       if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
           == DELIVER_END)
-        server_end (instance->caller_server, caller_request->handle);
+        {
+          log_end_by_close (caller_request, transfer, "chunks");
+          server_end (instance->caller_server, caller_request->handle);
+        }
       return;
     }
+  log_end_by_close (caller_request, transfer, "length");
   transfer_reply (instance, transfer, caller_request, NULL);
 }
