Add a failing test: an answer that ended with its connection is framed as complete

The test runs the daemon beside servers that send two whole events, or three bytes, without a length and without chunks, and end their connection, as a server that crashes does:

The event of an attempt says now that only its connection marked the answer's end; nothing is decided by it yet.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -96,6 +96,9 @@
                      with a stream of an earlier attempt; they were not kept */
   bool no_resume; /* DATA only: the last event has no id after which another
                      attempt could go on */
+  bool by_close;  /* DATA, END: the server names no end of its answer other
+                     than that of its connection, which a server that crashes
+                     ends, too */
   /* END only.  */
   int status;       /* HTTP status */
   const char *body; /* whole body; NULL for a stream of events */
--- a/net/relay.c
+++ b/net/relay.c
@@ -15,6 +15,7 @@
   event.attempt = transfer->attempt;
   event.request = transfer->request;
   event.tokens = transfer->routed_stream.count;
+  event.by_close = transfer->by_close;
   event.has_load = facts->has_load;
   event.running = facts->running;
   event.waiting = facts->waiting;
--- /dev/null
+++ b/test/test_framed_ends.c
@@ -0,0 +1,260 @@
+/* The marks of an answer's end at the caller when the server's connection ends
+   first: the daemon as a process, servers that follow a script, a caller that
+   sees the bytes.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-daemon.h"
+#include "common-listener.h"
+
+#define N_SERVERS 2
+#define LIMIT_S 3.0
+#define MAX_READY_CALLS 200
+
+#define OWN "X-Request-Id: c1\r\nX-Server-Stamp: s\r\n"
+#define OK_HEAD "HTTP/1.1 200 OK\r\n"
+#define EVENTS "Content-Type: text/event-stream\r\n"
+#define TWO_EVENTS "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+typedef struct
+{
+  struct ev_loop *loop;
+  test_daemon_t daemon;
+  listener_t *servers[N_SERVERS];
+  const char *answer; /* bytes before the end of the connection */
+  size_t size;
+  int n_runs;
+} fixture_t;
+
+static void
+serve (connection_t *connection, const char *request, void *data)
+{
+  fixture_t *fixture = data;
+  if (strstr (request, " /ready/"))
+    {
+      connection_print (connection, OK_HEAD OWN "Content-Length: 0\r\n\r\n");
+      return;
+    }
+  /* A second run ends without a byte, so that nothing goes on.  */
+  if (!fixture->n_runs++)
+    connection_write (connection, fixture->answer, fixture->size);
+  connection_close (connection);
+}
+
+static void
+call (fixture_t *fixture, const char *method, const char *path,
+      raw_answer_t *answer)
+{
+  char *request
+      = g_strdup_printf ("%s %s HTTP/1.1\r\nHost: h.example\r\n"
+                         "X-Request-Id: c1\r\nX-Deadline-Ms: 2500\r\n"
+                         "Content-Length: 0\r\nConnection: close\r\n\r\n",
+                         method, path);
+  raw_call (fixture->loop, fixture->daemon.process.address, request, NULL,
+            LIMIT_S, answer);
+  g_free (request);
+}
+
+/* Waits until a server is used, after those that failed were left out.  */
+static void
+wait_ready (fixture_t *fixture)
+{
+  int status = 0;
+  for (int i = 0; i < MAX_READY_CALLS && status != 200; i++)
+    {
+      raw_answer_t answer;
+      call (fixture, "GET", "/ready/x", &answer);
+      status = raw_answer_status (&answer);
+      raw_answer_clear (&answer);
+      if (status != 200)
+        run_for (fixture->loop, 0.1);
+    }
+  assert_int_equal (status, 200);
+}
+
+static int
+set_up (void **state)
+{
+  static const char routes[]
+      = "{\"name\":\"w\",\"hostname\":\"h.example\",\"path_prefix\":"
+        "\"/ready/\",\"backend\":\"desk\",\"kind\":\"idempotent\","
+        "\"max_attempts\":2,\"timeout_ms\":5000},"
+        "{\"name\":\"r\",\"hostname\":\"h.example\",\"path_prefix\":"
+        "\"/read/\",\"backend\":\"desk\",\"kind\":\"idempotent\","
+        "\"max_attempts\":2,\"timeout_ms\":5000},"
+        "{\"name\":\"b\",\"hostname\":\"h.example\",\"path_prefix\":"
+        "\"/book/\",\"backend\":\"desk\",\"kind\":\"non_idempotent\","
+        "\"max_attempts\":2,\"timeout_ms\":5000},"
+        "{\"name\":\"s\",\"hostname\":\"h.example\",\"path_prefix\":"
+        "\"/stream/\",\"backend\":\"desk\",\"kind\":\"stream\","
+        "\"max_attempts\":2,\"timeout_ms\":5000},"
+        "{\"name\":\"d\",\"hostname\":\"h.example\",\"path_prefix\":"
+        "\"/draft/\",\"backend\":\"desk\",\"kind\":\"stream\","
+        "\"resumable\":true,\"max_attempts\":2,\"timeout_ms\":5000}";
+  fixture_t *fixture = g_new0 (fixture_t, 1);
+  fixture->loop = ev_loop_new (EVFLAG_AUTO);
+  test_daemon_start (&fixture->daemon, fixture->loop, routes);
+  for (int i = 0; i < N_SERVERS; i++)
+    {
+      char name[8];
+      g_snprintf (name, sizeof name, "d%d", i);
+      fixture->servers[i] = listener_start (fixture->loop, serve, fixture);
+      test_daemon_add_server (&fixture->daemon, name,
+                              fixture->servers[i]->address);
+    }
+  wait_ready (fixture);
+  *state = fixture;
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  fixture_t *fixture = *state;
+  test_daemon_stop (&fixture->daemon);
+  for (int i = 0; i < N_SERVERS; i++)
+    listener_stop (fixture->servers[i]);
+  ev_loop_destroy (fixture->loop);
+  g_free (fixture);
+  return 0;
+}
+
+/* What marks the end of ANSWER, which is a server's; NULL: it is this
+   system's own error, or its end is not there.  */
+static const char *
+end_mark (const raw_answer_t *answer)
+{
+  bool whole;
+  g_free (raw_answer_body (answer, &whole));
+  int status = raw_answer_status (answer);
+  if (!whole || !status || status == 502 || status == 503 || status == 504)
+    return NULL;
+  const char *end = strstr (answer->bytes->str, "\r\n\r\n");
+  char *head = g_ascii_strdown (answer->bytes->str, end - answer->bytes->str);
+  const char *mark = strstr (head, "transfer-encoding: chunked") ? "chunks"
+                     : strstr (head, "content-length:")          ? "length"
+                                                                 : "close";
+  g_free (head);
+  return mark;
+}
+
+/* The mark at the caller after the first SIZE bytes of TEXT and FIN.  */
+static const char *
+mark_after (fixture_t *fixture, const char *method, const char *path,
+            const char *text, size_t size, bool *has_stamp)
+{
+  raw_answer_t answer;
+  fixture->answer = text;
+  fixture->size = size;
+  wait_ready (fixture);
+  fixture->n_runs = 0;
+  call (fixture, method, path, &answer);
+  assert_true (fixture->n_runs > 0);
+  const char *mark = end_mark (&answer);
+  *has_stamp = strstr (answer.bytes->str, "X-Server-Stamp: s\r\n") != NULL;
+  raw_answer_clear (&answer);
+  return mark;
+}
+
+/* Cuts HEAD after each of its bytes; the number of answers that look
+   complete.  */
+static int
+cut_head (fixture_t *fixture, const char *name, const char *method,
+          const char *path, const char *head)
+{
+  int n_by_length = 0;
+  int n_by_chunks = 0;
+  int n_by_close = 0;
+  int n_unstamped = 0;
+  for (size_t size = 0; size < strlen (head); size++)
+    {
+      bool has_stamp;
+      const char *mark
+          = mark_after (fixture, method, path, head, size, &has_stamp);
+      n_by_length += g_strcmp0 (mark, "length") == 0;
+      n_by_chunks += g_strcmp0 (mark, "chunks") == 0;
+      n_by_close += g_strcmp0 (mark, "close") == 0;
+      n_unstamped += mark && !has_stamp;
+    }
+  print_message ("%s, %zu cuts in the head: %d complete by length, %d in "
+                 "chunks, %d by close; %d without a stamp\n",
+                 name, strlen (head), n_by_length, n_by_chunks, n_by_close,
+                 n_unstamped);
+  return n_by_length + n_by_chunks + n_by_close;
+}
+
+/* Guards against a stream that ends by a length of ours (case 1) or in chunks
+   (case 2), without the server's stamp, after a head that was cut.  */
+static void
+answer_cut_in_its_head_is_complete (void **state)
+{
+  fixture_t *fixture = *state;
+  int bad
+      = cut_head (fixture, "stream, type last", "POST", "/stream/x",
+                  OK_HEAD OWN "Transfer-Encoding: chunked\r\n" EVENTS "\r\n")
+        + cut_head (fixture, "stream, type first", "POST", "/stream/x",
+                    OK_HEAD EVENTS "Connection: close\r\n" OWN "\r\n")
+        + cut_head (fixture, "plain", "GET", "/read/x",
+                    OK_HEAD "Content-Type: text/plain\r\n" OWN
+                            "Content-Length: 2\r\n\r\n");
+  assert_int_equal (bad, 0);
+}
+
+/* Guards against an end with a mark, chunks or a length, that the server never
+   gave: its connection ended, as that of a server that crashed does.  */
+static void
+answer_that_ended_with_its_connection_is_framed_as_complete (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *method;
+    const char *path;
+    const char *answer;
+  } cases[] = {
+    { "stream that may go on", "POST", "/draft/x",
+      OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
+    { "stream that may not", "POST", "/stream/x",
+      OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
+    { "stream without a type", "POST", "/stream/x",
+      OK_HEAD OWN "\r\n" TWO_EVENTS },
+    { "body, once", "POST", "/book/x",
+      OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
+    { "body, repeatable", "GET", "/read/x",
+      OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
+    { "failure", "POST", "/book/x",
+      "HTTP/1.1 500 No\r\n" OWN "Content-Type: text/plain\r\n\r\nabc" },
+  };
+  fixture_t *fixture = *state;
+  int bad = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      bool has_stamp;
+      const char *mark
+          = mark_after (fixture, cases[i].method, cases[i].path,
+                        cases[i].answer, strlen (cases[i].answer), &has_stamp);
+      bool is_marked = mark && strcmp (mark, "close") != 0;
+      print_message ("%s: end by %s\n", cases[i].name,
+                     mark ? mark : "no regular end");
+      bad += is_marked;
+    }
+  assert_int_equal (bad, 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (answer_cut_in_its_head_is_complete,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        answer_that_ended_with_its_connection_is_framed_as_complete, set_up,
+        tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
