--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -205,6 +205,30 @@
   assert_int_equal (bad, 0);
 }
 
+/* Guards against a stream without a length that ends as complete inside an
+   event (case 2 with the stamp).  */
+static void
+stream_cut_inside_an_event_is_complete (void **state)
+{
+  static const char head[] = OK_HEAD OWN EVENTS "\r\n";
+  fixture_t *fixture = *state;
+  char *answer = g_strconcat (head, TWO_EVENTS, NULL);
+  const char *between = strstr (answer, "\n\n") + strlen ("\n\n");
+  int bad = 0;
+  for (size_t size = strlen (head) + 1; size < strlen (answer); size++)
+    {
+      bool has_stamp;
+      if (answer + size != between)
+        bad += mark_after (fixture, "POST", "/stream/x", answer, size,
+                           &has_stamp)
+               != NULL;
+    }
+  print_message ("%d of %zu cuts inside an event are complete\n", bad,
+                 strlen (TWO_EVENTS) - 2);
+  g_free (answer);
+  assert_int_equal (bad, 0);
+}
+
 /* Guards against an end with a mark, chunks or a length, that the server never
    gave: its connection ended, as that of a server that crashed does.  */
 static void
@@ -252,6 +276,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (answer_cut_in_its_head_is_complete,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (stream_cut_inside_an_event_is_complete,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         answer_that_ended_with_its_connection_is_framed_as_complete, set_up,
         tear_down),
