Let the end of an answer leave with no more certainty than it came with

Cause: a server may end an answer with its connection, and one that crashes does the same. Such an end passes net/whole.c, if it is between two events, and this instance added a mark that the server never gave: the last chunk, or a length that it counted itself. The answer left with more certainty than it came with.

The certainty is a value now: an attempt knows whether only its connection marks its end, and the table of lib/delivery, which the core and the network side ask, has inputs and a state for it. An open end leaves as the end of the caller's connection, and never as the end of a stream whose head announced chunks: there another run may go on, or the stream is broken off. While such an answer is under way, the close of its connection resets it, as for callers of HTTP/1.0, so an instance of ours that is killed does not look like the end either.

The kernel tells a caller of a server's crash no better than the server's connection told us: what is known of the server besides is another change.

--- a/bench/bench_server.c
+++ b/bench/bench_server.c
@@ -40,8 +40,8 @@
   bench_t *bench = data;
   if (strcmp (request->path, "/stream") == 0)
     {
-      server_begin (server, request->handle, 200, "text/event-stream", NULL,
-                    0);
+      server_begin (server, request->handle, 200, "text/event-stream", NULL, 0,
+                    SERVER_END_CHUNKS);
       bench->streams[bench->n_streams++] = request->handle;
     }
   else if (strcmp (request->path, "/later") == 0)
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -108,7 +108,8 @@
   request->last_data_ns = now_ns;
   request->delivered = delivered;
   request->no_resume = attempt->no_resume;
-  if (delivery_step (&request->delivery, DELIVERY_EVENTS) != DELIVER_NOTHING)
+  if (delivery_step (&request->delivery, delivery_events (attempt->by_close))
+      != DELIVER_NOTHING)
     add_attempt_effect (effects, KWF_FX_FORWARD, attempt);
 }
 
@@ -180,6 +181,7 @@
   if (request->state != REQUEST_STREAMING)
     handle_first_data (core, attempt, now_ns, effects);
   attempt->tokens = event->tokens;
+  attempt->by_close = event->by_close;
   attempt->no_resume = event->no_resume;
   if (session_may_act (core->session))
     forward_data (attempt, now_ns, effects);
@@ -187,14 +189,20 @@
     withhold (core, request, now_ns);
 }
 
+static delivery_input_t
+end_input (const attempt_t *attempt)
+{
+  return attempt->stream ? delivery_end (attempt->by_close)
+                         : delivery_answer (attempt->by_close);
+}
+
 /* The answer of ATTEMPT is complete and may be forwarded.  */
 static void
 finish_request (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
   request->delivered = attempt->resume_from + attempt->tokens;
-  if (delivery_step (&request->delivery,
-                     attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER)
+  if (delivery_step (&request->delivery, end_input (attempt))
       != DELIVER_NOTHING)
     add_attempt_effect (effects, KWF_FX_FORWARD_END, attempt);
   attempt_remove (core, attempt, attempt->failed ? OUTCOME_BAD : OUTCOME_GOOD,
@@ -367,15 +375,16 @@
       return;
     }
   attempt->stream = is_stream_end (event);
-  delivery_input_t input
-      = attempt->stream ? DELIVERY_STREAM_END : DELIVERY_ANSWER;
-  if (event->gap)
-    input = DELIVERY_GAP;
+  attempt->by_close = event->by_close;
+  delivery_input_t input = event->gap ? DELIVERY_GAP : end_input (attempt);
   if (delivery_action (request->delivery, input) == DELIVER_RETRY)
     {
-      reject_run (
-          core, attempt, rejected_outcome (core, attempt, event->status),
-          event->gap ? leaves_out_events : "its answer is no stream", effects);
+      reject_run (core, attempt,
+                  rejected_outcome (core, attempt, event->status),
+                  event->gap        ? leaves_out_events
+                  : attempt->stream ? "only its connection marks its end"
+                                    : "its answer is no stream",
+                  effects);
       return;
     }
   int64_t now_ns = now_of (core);
--- a/lib/request.c
+++ b/lib/request.c
@@ -17,7 +17,7 @@
 bool
 request_has_begun (const request_t *request)
 {
-  return request->delivery == DELIVERY_BEGUN;
+  return delivery_has_begun (request->delivery);
 }
 
 bool
--- a/lib/request.h
+++ b/lib/request.h
@@ -103,6 +103,7 @@
   bool ended;       /* the answer is complete; it may be withheld */
   bool failed;      /* the answer reports a failure of the server */
   bool stream;      /* the complete answer is a stream of events */
+  bool by_close;    /* only the end of its connection marks its answer's end */
   bool no_resume;   /* no other attempt can go on after its last event */
   bool late;        /* its first data came far later than that of other
                        servers */
--- a/net/relay.c
+++ b/net/relay.c
@@ -241,16 +241,18 @@
                caller_request_t *caller_request)
 {
   routed_stream_t *routed_stream = &transfer->routed_stream;
-  delivery_action_t action
-      = caller_deliver (instance, caller_request, DELIVERY_EVENTS);
+  delivery_action_t action = caller_deliver (
+      instance, caller_request, delivery_events (transfer->by_close));
   if (action == DELIVER_NOTHING)
     return;
-  if (action == DELIVER_BEGIN)
+  if (action == DELIVER_BEGIN || action == DELIVER_BEGIN_OPEN)
     {
       GArray *headers = transfer_headers (transfer, NULL);
       server_begin (instance->caller_server, caller_request->handle,
                     transfer->status, transfer->content_type,
-                    (const header_t *)(void *)headers->data, headers->len);
+                    (const header_t *)(void *)headers->data, headers->len,
+                    action == DELIVER_BEGIN ? SERVER_END_CHUNKS
+                                            : SERVER_END_CLOSE);
       g_array_free (headers, TRUE);
     }
   caller_request->position = routed_stream->position;
@@ -259,19 +261,6 @@
   routed_stream_take (routed_stream, routed_stream->whole);
 }
 
-/* How the end of an answer leaves whose own end only its connection
-   marked.  */
-static void
-log_end_by_close (const caller_request_t *caller_request,
-                  const transfer_t *transfer, const char *leaves_by)
-{
-  if (transfer->by_close)
-    logging_event (258, KWF_LOG_INFO,
-                   "request %s: an answer that ended with its connection "
-                   "leaves with an end by %s",
-                   caller_request->id, leaves_by);
-}
-
 void
 relay_forward_end (instance_t *instance, transfer_t *transfer,
                    caller_request_t *caller_request)
@@ -279,14 +268,11 @@
   if (transfer->has_events)
     {
       relay_forward (instance, transfer, caller_request);
-      if (caller_deliver (instance, caller_request, DELIVERY_STREAM_END)
+      if (caller_deliver (instance, caller_request,
+                          delivery_end (transfer->by_close))
           == DELIVER_END)
-        {
-          log_end_by_close (caller_request, transfer, "chunks");
-          server_end (instance->caller_server, caller_request->handle);
-        }
+        server_end (instance->caller_server, caller_request->handle);
       return;
     }
-  log_end_by_close (caller_request, transfer, "length");
   transfer_reply (instance, transfer, caller_request, NULL);
 }
--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -202,7 +202,7 @@
 void
 server_begin (server_t *server, kwf_handle_t handle, int status,
               const char *content_type, const header_t *headers,
-              size_t n_headers)
+              size_t n_headers, server_end_t end)
 {
   server_request_state_t *request
       = find_unanswered (server, handle, "the begin of an answer");
@@ -216,6 +216,12 @@
       return;
     }
   add_headers (server, response, content_type, headers, n_headers);
+  if (end == SERVER_END_CLOSE)
+    {
+      MHD_set_response_options (response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT,
+                                MHD_RO_END);
+      request->no_chunks = true;
+    }
   request->streaming = true;
   set_response (request, status, response);
 }
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -44,8 +44,8 @@
   bool answered;       /* server_reply, server_end or server_abort was called;
                           bytes may still be pending */
   bool streaming;      /* server_begin was called */
-  bool no_chunks;      /* HTTP/1.0: the end of a stream is that of its
-                          connection */
+  bool no_chunks; /* HTTP/1.0, or so begun: the end of a stream is that of its
+                     connection */
   bool aborted;
   bool gone; /* the caller closed, or its connection was reset */
   bool suspended;
--- a/net/server.h
+++ b/net/server.h
@@ -116,6 +116,14 @@
 bool server_head_fits (const server_t *server, kwf_handle_t request,
                        size_t size);
 
+/* What marks the end of an answer in parts.  */
+typedef enum
+{
+  SERVER_END_CHUNKS, /* its last chunk; for a caller of HTTP/1.0, who knows
+                        none, the end of the connection */
+  SERVER_END_CLOSE   /* the end of the connection */
+} server_end_t;
+
 /* Answers in parts: server_begin, any number of server_write, server_end.
    CONTENT_TYPE NULL: none is sent.  Each does nothing when the caller closed,
    or, which is logged, when the request is answered, and server_write and
@@ -123,11 +131,11 @@
    resets the connection, which no caller takes for the end of an answer.
    server_abort closes the connection without the
    regular end of an answer, so that the caller sees that it is incomplete:
-   without the last chunk or, for a caller of HTTP/1.0, who gets no chunks,
-   with a reset.  */
+   without the last chunk or, for a caller who gets no chunks, with a reset.
+   The same reset follows when this process is killed.  */
 void server_begin (server_t *server, kwf_handle_t request, int status,
                    const char *content_type, const header_t *headers,
-                   size_t n_headers);
+                   size_t n_headers, server_end_t end);
 void server_write (server_t *server, kwf_handle_t request, const void *bytes,
                    size_t size);
 void server_end (server_t *server, kwf_handle_t request);
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -322,7 +322,8 @@
   header_t headers[] = { { "X-Request-Id", caller_request->id },
                          { "Cache-Control", "no-store" } };
   server_begin (instance->caller_server, caller_request->handle, 200,
-                "text/event-stream", headers, G_N_ELEMENTS (headers));
+                "text/event-stream", headers, G_N_ELEMENTS (headers),
+                SERVER_END_CHUNKS);
 }
 
 static void
@@ -390,16 +391,27 @@
 transfer_reply (instance_t *instance, const transfer_t *transfer,
                 caller_request_t *caller_request, const header_t *extra_header)
 {
-  if (caller_deliver (instance, caller_request, DELIVERY_ANSWER)
-      != DELIVER_WHOLE)
+  delivery_action_t action = caller_deliver (
+      instance, caller_request, delivery_answer (transfer->by_close));
+  if (action != DELIVER_WHOLE && action != DELIVER_WHOLE_OPEN)
     return;
-  GArray *headers = transfer_headers (transfer, extra_header);
-  const GString *body = transfer->body;
-  server_reply (instance->caller_server, caller_request->handle,
-                transfer->status, transfer->content_type,
-                (const header_t *)(void *)headers->data, headers->len,
-                body ? body->str : "", body ? body->len : 0);
-  g_array_free (headers, TRUE);
+  server_t *server = instance->caller_server;
+  kwf_handle_t handle = caller_request->handle;
+  GArray *array = transfer_headers (transfer, extra_header);
+  const header_t *headers = (const header_t *)(void *)array->data;
+  const char *body = transfer->body ? transfer->body->str : "";
+  size_t size = transfer->body ? transfer->body->len : 0;
+  if (action == DELIVER_WHOLE)
+    server_reply (server, handle, transfer->status, transfer->content_type,
+                  headers, array->len, body, size);
+  else
+    {
+      server_begin (server, handle, transfer->status, transfer->content_type,
+                    headers, array->len, SERVER_END_CLOSE);
+      server_write (server, handle, body, size);
+      server_end (server, handle);
+    }
+  g_array_free (array, TRUE);
 }
 
 void
--- a/standin/common-batch.c
+++ b/standin/common-batch.c
@@ -150,7 +150,7 @@
   static const header_t headers[] = { { "Cache-Control", "no-cache" } };
   if (!sequence->begun)
     server_begin (batch->server, sequence->request, 200, "text/event-stream",
-                  headers, 1);
+                  headers, 1, SERVER_END_CHUNKS);
   sequence->begun = true;
 }
 
--- a/test/common-server.c
+++ b/test/common-server.c
@@ -67,7 +67,7 @@
 {
   kwf_handle_t handle = request->handle;
   char **sizes = g_strsplit (request->query, ",", -1);
-  server_begin (server, handle, 200, "text/plain", NULL, 0);
+  server_begin (server, handle, 200, "text/plain", NULL, 0, SERVER_END_CHUNKS);
   for (char **size = sizes; *size; size++)
     {
       gsize n = g_ascii_strtoull (*size, NULL, 10);
@@ -109,7 +109,8 @@
     }
   else if (strcmp (request->path, "/numbers") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       fixture->numbers_request = handle;
       fixture->next = 0;
     }
@@ -117,7 +118,8 @@
     replace_certificate (server, request);
   else if (strcmp (request->path, "/batch") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       for (int i = 0; i < 100; i++)
         server_write (server, handle, "x", 1);
       server_end (server, handle);
@@ -127,10 +129,12 @@
   else if (strcmp (request->path, "/head") == 0)
     reply_with_head (server, request);
   else if (strcmp (request->path, "/open") == 0)
-    server_begin (server, handle, 200, "text/plain", NULL, 0);
+    server_begin (server, handle, 200, "text/plain", NULL, 0,
+                  SERVER_END_CHUNKS);
   else if (strcmp (request->path, "/flood") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       fixture->flood_request = handle;
     }
   else if (strcmp (request->path, "/busy") == 0)
@@ -142,13 +146,15 @@
     {
       server_reply (server, handle, 200, "text/plain", NULL, 0, "first", 5);
       server_reply (server, handle, 503, "text/plain", NULL, 0, "second", 6);
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       server_write (server, handle, "third", 5);
       server_end (server, handle);
     }
   else if (strcmp (request->path, "/mixed") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       server_write (server, handle, "part", 4);
       server_reply (server, handle, 503, "text/plain", NULL, 0, "whole", 5);
     }
@@ -156,12 +162,14 @@
     server_abort (server, handle);
   else if (strcmp (request->path, "/abort-later") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       fixture->to_abort = handle;
     }
   else if (strcmp (request->path, "/abort") == 0)
     {
-      server_begin (server, handle, 200, "text/plain", NULL, 0);
+      server_begin (server, handle, 200, "text/plain", NULL, 0,
+                    SERVER_END_CHUNKS);
       server_write (server, handle, "part", 4);
       server_abort (server, handle);
     }
