Add a failing test: a reset behind a FIN counts as the end of an answer

The kernel gives no error for a reset that arrives behind the end of the data: recv returns 0, and libcurl takes that for the regular end. An answer without a length or chunks whose connection was reset then counts as whole.

--- a/test/answer_bytes-every.c
+++ b/test/answer_bytes-every.c
@@ -84,6 +84,12 @@
   return g_strdup (variant->at < head ? "" : variant->bytes + head);
 }
 
+static bool
+is_reset (ending_t ending)
+{
+  return ending == ENDING_RESET || ending == ENDING_CLOSE_RESET;
+}
+
 /* What is wrong with EXCHANGE; NULL: nothing.  */
 static const char *
 check (const variant_t *variant, const exchange_t *exchange)
@@ -113,7 +119,7 @@
     return "not whole, but done";
   if (exchange->done && !equal)
     return "another body";
-  if (!exchange->done && whole && exchange->ending != ENDING_RESET
+  if (!exchange->done && whole && !is_reset (exchange->ending)
       && (!answer->open || variant->after == AFTER_NOTHING))
     return "whole, but failed";
   if ((answer->open || variant->after == AFTER_NOTHING) && !begins)
@@ -193,7 +199,7 @@
       GArray *variants = g_array_new (FALSE, TRUE, sizeof (variant_t));
       GArray *exchanges = g_array_new (FALSE, TRUE, sizeof (exchange_t));
       for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
-        for (int ending = 0; ending < N_ENDINGS; ending++)
+        for (int ending = 0; ending <= ENDING_CLOSE_RESET; ending++)
           add_variants (variants, exchanges, &answers[i], (ending_t)ending);
       n += exchanges->len;
       exchange_run (rig, (exchange_t *)(void *)exchanges->data,
--- a/test/answer_relay-check.c
+++ b/test/answer_relay-check.c
@@ -113,7 +113,7 @@
 }
 
 static const char *
-check_success (const relay_case_t *relay_case, const relay_view_t *view,
+check_success (const relay_case_t *relay_case, const byte_view_t *view,
                int attempt, int arrivals)
 {
   answer_kind_t kind = relay_kind (relay_case, attempt);
@@ -136,7 +136,7 @@
 }
 
 static const char *
-check_answer (const relay_case_t *relay_case, const relay_view_t *view,
+check_answer (const relay_case_t *relay_case, const byte_view_t *view,
               const char *stamp, int arrivals)
 {
   int attempt = stamp ? atoi (stamp + 1) : 0;
@@ -168,7 +168,7 @@
 }
 
 const char *
-relay_check (const relay_case_t *relay_case, const relay_view_t *view,
+relay_check (const relay_case_t *relay_case, const byte_view_t *view,
              const char *id, int arrivals)
 {
   if (view->timed_out)
@@ -183,8 +183,8 @@
     return "a whole answer that its caller did not get";
   if (!view->answered) /* visibly broken */
     return relay_case->good ? "a good call without an answer" : NULL;
-  char *stamp = relay_view_header (view, "X-Server-Stamp");
-  char *seen_id = relay_view_header (view, "X-Request-Id");
+  char *stamp = byte_view_header (view, "X-Server-Stamp");
+  char *seen_id = byte_view_header (view, "X-Request-Id");
   const char *fault = seen_id && strcmp (seen_id, id) != 0
                           ? "the id of another request"
                           : check_answer (relay_case, view, stamp, arrivals);
--- a/test/answer_relay.h
+++ b/test/answer_relay.h
@@ -4,6 +4,7 @@
 #ifndef KNAPWEEDFORK_TEST_ANSWER_RELAY_H
 #define KNAPWEEDFORK_TEST_ANSWER_RELAY_H
 
+#include "common-byte-call.h"
 #include "common-sender.h"
 
 typedef enum
@@ -58,30 +59,6 @@
   size_t second_at;     /* the bytes of it before FIN; 0: all, and no end */
 } relay_case_t;
 
-/* What a caller saw.  */
-typedef struct
-{
-  bool answered; /* a status line was read */
-  bool complete; /* the end of the answer was marked */
-  bool timed_out;
-  int status;
-  GString *head;
-  GString *body;
-} relay_view_t;
-
-/* One call of a caller, on a connection of its own.  */
-typedef struct relay_call relay_call_t;
-typedef void (*relay_call_fn_t) (void *data, const relay_view_t *view);
-
-/* Calls TARGET at the instance with address ADDRESS.  FN is called once, when
-   the answer has ended, the connection has, or LIMIT_S passed.  */
-void relay_call_start (struct ev_loop *loop, const char *address,
-                       const char *target, const char *id, double limit_s,
-                       relay_call_fn_t fn, void *data);
-
-/* The value of header NAME of VIEW; NULL: none.  Free with g_free.  */
-char *relay_view_header (const relay_view_t *view, const char *name);
-
 /* The bytes of the answer of attempt ATTEMPT (from 1) to request ID; events up
    to LAST_EVENT are left out.  */
 GString *relay_answer (answer_kind_t kind, const char *id, int attempt,
@@ -95,7 +72,7 @@
 /* What is wrong with VIEW of request ID after the first server did RELAY_CASE;
    NULL: nothing.  ARRIVALS: attempts that reached a server.  */
 const char *relay_check (const relay_case_t *relay_case,
-                         const relay_view_t *view, const char *id,
+                         const byte_view_t *view, const char *id,
                          int arrivals);
 
 #endif
--- a/test/answer_relay-caller.c
+++ b/test/common-byte-call.c
@@ -1,7 +1,7 @@
 /* A caller that takes nothing for granted: it reads the bytes of an answer
    itself.  */
 
-#include "answer_relay.h"
+#include "common-byte-call.h"
 
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -9,19 +9,19 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-struct relay_call
+struct byte_call
 {
   struct ev_loop *loop;
   ev_io io;
   ev_timer timer;
   GString *in;
   char *request;
-  relay_call_fn_t fn;
+  byte_call_fn_t fn;
   void *data;
 };
 
 char *
-relay_view_header (const relay_view_t *view, const char *name)
+byte_view_header (const byte_view_t *view, const char *name)
 {
   char **lines = g_strsplit (view->head->str, "\r\n", -1);
   size_t size = strlen (name);
@@ -56,18 +56,18 @@
 
 /* Reads the answer in IN; ENDED: its connection has ended with FIN.  */
 static void
-read_answer (relay_view_t *view, const GString *in, bool ended)
+read_answer (byte_view_t *view, const GString *in, bool ended)
 {
   const char *blank = strstr (in->str, "\r\n\r\n");
-  if (!g_str_has_prefix (in->str, "HTTP/1.1 ") || !blank)
+  if (!g_str_has_prefix (in->str, "HTTP/1.") || !blank)
     return;
   view->answered = true;
   view->status = atoi (in->str + 9);
   g_string_append_len (view->head, in->str, blank - in->str);
   const char *bytes = blank + 4;
   const char *end = in->str + in->len;
-  char *length = relay_view_header (view, "Content-Length");
-  char *coding = relay_view_header (view, "Transfer-Encoding");
+  char *length = byte_view_header (view, "Content-Length");
+  char *coding = byte_view_header (view, "Transfer-Encoding");
   if (coding)
     view->complete = read_chunks (view->body, bytes, end);
   else
@@ -76,12 +76,13 @@
       view->complete
           = length ? view->body->len >= strtoul (length, NULL, 10) : ended;
     }
+  view->marked = view->complete && (coding || length);
   g_free (length);
   g_free (coding);
 }
 
 static void
-end_call (relay_call_t *call, relay_view_t *view)
+end_call (byte_call_t *call, byte_view_t *view)
 {
   call->fn (call->data, view);
   g_string_free (view->head, TRUE);
@@ -98,7 +99,7 @@
 on_bytes (struct ev_loop *loop, ev_io *io, int events)
 {
   (void)loop;
-  relay_call_t *call = io->data;
+  byte_call_t *call = io->data;
   char bytes[16384];
   if (events & EV_WRITE)
     {
@@ -111,7 +112,7 @@
   ssize_t size = recv (io->fd, bytes, sizeof bytes, 0);
   if (size > 0)
     g_string_append_len (call->in, bytes, size);
-  relay_view_t view
+  byte_view_t view
       = { .head = g_string_new (NULL), .body = g_string_new (NULL) };
   read_answer (&view, call->in, size == 0);
   if (size <= 0 || view.complete)
@@ -128,24 +129,24 @@
 {
   (void)loop;
   (void)events;
-  relay_call_t *call = timer->data;
-  relay_view_t view = { .head = g_string_new (NULL),
-                        .body = g_string_new (NULL),
-                        .timed_out = true };
+  byte_call_t *call = timer->data;
+  byte_view_t view = { .head = g_string_new (NULL),
+                       .body = g_string_new (NULL),
+                       .timed_out = true };
   read_answer (&view, call->in, false);
   end_call (call, &view);
 }
 
 void
-relay_call_start (struct ev_loop *loop, const char *address,
-                  const char *target, const char *id, double limit_s,
-                  relay_call_fn_t fn, void *data)
+byte_call_start (struct ev_loop *loop, const char *address, const char *target,
+                 const char *id, const byte_caller_t *caller,
+                 byte_call_fn_t fn, void *data)
 {
   const char *colon = strrchr (address, ':');
   struct sockaddr_in in = { .sin_family = AF_INET,
                             .sin_port = htons ((in_port_t)atoi (colon + 1)),
                             .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  relay_call_t *call = g_new0 (relay_call_t, 1);
+  byte_call_t *call = g_new0 (byte_call_t, 1);
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   (void)connect (fd, (const struct sockaddr *)&in, sizeof in);
   call->loop = loop;
@@ -153,14 +154,17 @@
   call->fn = fn;
   call->data = data;
   call->request = g_strdup_printf (
-      "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\n"
-      "X-Deadline-Ms: 1000\r\nContent-Length: 2\r\n\r\nhi",
-      target, id);
+      "POST %s HTTP/%s\r\nHost: h.example\r\nX-Request-Id: %s\r\n"
+      "X-Deadline-Ms: %d\r\n%s%s%sContent-Length: 2\r\n\r\nhi",
+      target, caller->version, id, caller->deadline_ms,
+      caller->connection ? "Connection: " : "",
+      caller->connection ? caller->connection : "",
+      caller->connection ? "\r\n" : "");
   ev_io_init (&call->io, on_bytes, fd, EV_WRITE);
   call->io.data = call;
   ev_io_start (loop, &call->io);
   ev_now_update (loop);
-  ev_timer_init (&call->timer, on_limit, limit_s, 0.0);
+  ev_timer_init (&call->timer, on_limit, caller->limit_s, 0.0);
   call->timer.data = call;
   ev_timer_start (loop, &call->timer);
 }
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -20,6 +20,13 @@
 void
 test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                    const char *routes)
+{
+  test_daemon_start_with (daemon, loop, routes, "retry_share = 0.2\n");
+}
+
+void
+test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
+                        const char *routes, const char *retries)
 {
   *daemon = (test_daemon_t){ .loop = loop };
   daemon->store = fake_store_start (loop);
@@ -38,9 +45,9 @@
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
       "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = 0.2\n"
+      "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
-      fake_store_address (daemon->store));
+      fake_store_address (daemon->store), retries);
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -24,6 +24,9 @@
    objects separated by commas.  */
 void test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                         const char *routes);
+/* The same with other limits for repeats, lines of the settings.  */
+void test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
+                             const char *routes, const char *retries);
 void test_daemon_stop (test_daemon_t *daemon);
 
 /* Lists the server NAME of the service "desk" at ADDRESS.  */
--- a/test/common-sender.c
+++ b/test/common-sender.c
@@ -3,6 +3,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define LATE_RESET_S 0.002
+
 /* It has a descriptor of its own, because the listener may close the
    connection meanwhile.  */
 typedef struct
@@ -20,9 +22,9 @@
 end_connection (int fd, ending_t ending)
 {
   const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  if (ending == ENDING_CLOSE)
+  if (ending == ENDING_CLOSE || ending == ENDING_CLOSE_RESET)
     shutdown (fd, SHUT_WR);
-  else if (ending == ENDING_RESET)
+  if (ending == ENDING_RESET || ending == ENDING_CLOSE_RESET)
     /* Resets a TCP connection.  */
     (void)connect (fd, &none, sizeof none);
   close (fd);
@@ -43,6 +45,14 @@
   if (sender->sent < sender->size)
     return;
   ev_timer_stop (loop, timer);
+  if (sender->ending == ENDING_CLOSE_THEN_RESET)
+    {
+      shutdown (sender->fd, SHUT_WR);
+      sender->ending = ENDING_RESET;
+      ev_timer_set (timer, LATE_RESET_S, 0.0);
+      ev_timer_start (loop, timer);
+      return;
+    }
   end_connection (sender->fd, sender->ending);
   g_free (sender->bytes);
   g_free (sender);
--- a/test/common-sender.h
+++ b/test/common-sender.h
@@ -10,7 +10,9 @@
 {
   ENDING_CLOSE, /* FIN, as of a process that is killed */
   ENDING_RESET,
-  ENDING_SILENCE, /* the connection stays open */
+  ENDING_SILENCE,          /* the connection stays open */
+  ENDING_CLOSE_RESET,      /* FIN and a reset behind it, at once */
+  ENDING_CLOSE_THEN_RESET, /* FIN, and a reset LATE_RESET_S later */
   N_ENDINGS
 } ending_t;
 
--- a/test/test_answer_relay.c
+++ b/test/test_answer_relay.c
@@ -171,7 +171,7 @@
 }
 
 static void
-print_fault (const flight_t *flight, const relay_view_t *view,
+print_fault (const flight_t *flight, const byte_view_t *view,
              const char *fault)
 {
   static const char *const kinds[N_ANSWERS]
@@ -180,7 +180,8 @@
           "refusal",        "failure",         "no stamp",     "foreign id" };
   static const char *const spoils[N_SPOILS]
       = { "none", "cut", "rubbish", "rubbish after", "second answer" };
-  static const char *const endings[N_ENDINGS] = { "FIN", "reset", "silence" };
+  static const char *const endings[N_ENDINGS]
+      = { "FIN", "reset", "silence", "FIN and reset", "FIN, then reset" };
   const relay_case_t *relay_case = &flight->relay_case;
   print_message ("%s: route %s, %s, %s at %zu, then %s, in pieces of %zu, "
                  "then %s (%zu); %d attempts, status %d, %zu bytes\n",
@@ -195,7 +196,7 @@
 static void start_more (fixture_t *fixture);
 
 static void
-on_ended (void *data, const relay_view_t *view)
+on_ended (void *data, const byte_view_t *view)
 {
   flight_t *flight = data;
   fixture_t *fixture = flight->fixture;
@@ -218,6 +219,8 @@
 static void
 start_flight (fixture_t *fixture, const relay_case_t *relay_case)
 {
+  static const byte_caller_t caller
+      = { .version = "1.1", .deadline_ms = 1000, .limit_s = LIMIT_S };
   flight_t *flight = g_new0 (flight_t, 1);
   flight->fixture = fixture;
   flight->relay_case = *relay_case;
@@ -226,8 +229,8 @@
   g_snprintf (target, sizeof target, "%sx%d",
               routes[flight->relay_case.route].prefix, fixture->n_started);
   g_hash_table_insert (fixture->flights, flight->id, flight);
-  relay_call_start (fixture->loop, fixture->daemon.address, target, flight->id,
-                    LIMIT_S, on_ended, flight);
+  byte_call_start (fixture->loop, fixture->daemon.address, target, flight->id,
+                   &caller, on_ended, flight);
 }
 
 static int
@@ -250,7 +253,7 @@
   relay_case_t relay_case
       = { .route = (route_kind_t)pick (fixture, ROUTE_TWIN),
           .spoil = (spoil_t)pick (fixture, N_SPOILS),
-          .ending = (ending_t)pick (fixture, N_ENDINGS),
+          .ending = (ending_t)pick (fixture, ENDING_CLOSE_RESET),
           .piece = pieces[pick (fixture, G_N_ELEMENTS (pieces))] };
   static const answer_kind_t seconds[]
       = { ANSWER_LENGTH,  ANSWER_LENGTH,  ANSWER_LENGTH,
