Don't take an open end for whole when its connection was reset

Callers could get an answer as complete although its server's connection was reset: one without a length or chunks, whose reset arrived behind the FIN.

Cause: after the FIN, the kernel reports no reset to who reads (recv returns 0), so libcurl reports no error. The state of the connection at its close tells it, and was only logged.

net/whole judges it: where only the connection marks the end, a reset is no end (cause reset, event 251 and the metric). An answer with a length or chunks is whole at its mark, whatever follows. A reset that arrives after the FIN was read and the connection closed can't be seen by anybody; so event 257 and its metric need not say any more whether there was one.

--- a/net/client-head.c
+++ b/net/client-head.c
@@ -210,16 +210,13 @@
 static void
 count_end_by_close (client_transfer_t *transfer, int status)
 {
-  client_counts_t *counts = &transfer->client->counts;
-  counts->by_close++;
-  counts->by_reset += transfer->reset;
+  transfer->client->counts.by_close++;
   logging_event (257, KWF_LOG_INFO,
                  "the answer of %s ended with its connection: request=%s "
-                 "status=%d head_bytes=%zu body_bytes=%zu reset=%d",
+                 "status=%d head_bytes=%zu body_bytes=%zu",
                  transfer->address,
                  transfer->expected_value ? transfer->expected_value : "-",
-                 status, transfer->header_bytes, transfer->body_bytes,
-                 transfer->reset);
+                 status, transfer->header_bytes, transfer->body_bytes);
 }
 
 whole_t
@@ -229,6 +226,7 @@
   whole_facts_t facts = collect_facts (transfer);
   facts.complete = transfer->code == CURLE_OK;
   facts.empty = !transfer->body_bytes;
+  facts.reset = transfer->reset;
   facts.may_end = !handler->may_end
                   || handler->may_end (transfer->data, facts.delimited);
   whole_t whole = whole_check (&facts);
--- a/net/client.h
+++ b/net/client.h
@@ -38,7 +38,6 @@
   uint64_t not_whole[N_WHOLE]; /* answers of each kind */
   uint64_t by_close;           /* whole answers whose end only the end of the
                                   connection marked */
-  uint64_t by_reset;           /* of these: the connection was reset, too */
 } client_counts_t;
 
 /* OPTIONS NULL: defaults.  Returns NULL when libcurl cannot be initialised. */
--- a/net/operator.c
+++ b/net/operator.c
@@ -209,14 +209,10 @@
 static void
 write_by_close (GString *out, const char *to, const client_t *client)
 {
-  const client_counts_t *counts = client_counts (client);
   g_string_append_printf (out,
-                          "kwf_answers_ended_by_close_total{to=\"%s\",reset="
-                          "\"no\"} %" G_GUINT64_FORMAT "\n"
-                          "kwf_answers_ended_by_close_total{to=\"%s\",reset="
-                          "\"yes\"} %" G_GUINT64_FORMAT "\n",
-                          to, counts->by_close - counts->by_reset, to,
-                          counts->by_reset);
+                          "kwf_answers_ended_by_close_total{to=\"%s\"} "
+                          "%" G_GUINT64_FORMAT "\n",
+                          to, client_counts (client)->by_close);
 }
 
 static void
--- a/net/whole.c
+++ b/net/whole.c
@@ -40,6 +40,9 @@
     return WHOLE_BROKEN;
   if (!has_end (facts))
     return WHOLE_NO_END;
+  /* Only the end of the connection marks the end, and it was not regular.  */
+  if (!facts->delimited && facts->reset)
+    return WHOLE_RESET;
   return facts->may_end ? WHOLE_YES : WHOLE_PART_CUT;
 }
 
@@ -51,6 +54,7 @@
     [WHOLE_BAD_HEAD] = "bad_head", [WHOLE_FOREIGN] = "foreign_id",
     [WHOLE_NO_STAMP] = "no_stamp", [WHOLE_NO_END] = "no_end",
     [WHOLE_PART_CUT] = "part_cut", [WHOLE_BROKEN] = "broken",
+    [WHOLE_RESET] = "reset",
   };
   return names[whole];
 }
@@ -67,6 +71,7 @@
     [WHOLE_NO_END] = "the end of the answer is marked by its connection only",
     [WHOLE_PART_CUT] = "the answer ended inside an event",
     [WHOLE_BROKEN] = "the transfer of the answer failed",
+    [WHOLE_RESET] = "the connection was reset behind its end",
   };
   return causes[whole];
 }
--- a/net/whole.h
+++ b/net/whole.h
@@ -24,6 +24,7 @@
   bool may_end_close; /* the end of the connection may mark it, too */
   bool empty;         /* no byte of the body came */
   bool may_end;       /* the body may end where it does */
+  bool reset;         /* the connection was reset, maybe behind its end */
 } whole_facts_t;
 
 typedef enum
@@ -36,6 +37,7 @@
   WHOLE_NO_END,
   WHOLE_PART_CUT,
   WHOLE_BROKEN,
+  WHOLE_RESET, /* behind the end of a connection that is the only mark */
   N_WHOLE
 } whole_t;
 
