--- a/test/common-core.h
+++ b/test/common-core.h
@@ -22,7 +22,9 @@
   bool silent;      /* the table sends no replies */
 } core_world_t;
 
-/* Time limit of a stop.  */
+/* How long a stopping instance takes requests, and the time limit of a
+   stop.  */
+#define CORE_WORLD_SERVE_MS 3000
 #define CORE_WORLD_STOP_MS 4000
 
 /* Start a core of instance "a" that has a lease, a share and a configuration
@@ -33,6 +35,9 @@
 void core_world_start (core_world_t *world);
 /* The same.  UNCHECKED: the engines do not check fencing tokens.  */
 void core_world_start_tokens (core_world_t *world, bool unchecked);
+/* The same with other limits of a stop.  */
+void core_world_start_grace (core_world_t *world, int64_t serve_ms,
+                             int64_t limit_ms);
 void core_world_stop (core_world_t *world);
 
 /* Feed EVENT; the effects of the step are in world->effects.  Transactions
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -18,8 +18,8 @@
 #include "common-listener.h"
 
 void
-test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
-                   const char *routes)
+test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
+                         const char *routes, int grace_s)
 {
   *daemon = (test_daemon_t){ .loop = loop };
   daemon->store = fake_store_start (loop);
@@ -34,13 +34,14 @@
   char *text = g_strdup_printf (
       "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
+      "grace_s = %d\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
       "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\nretry_share = 0.2\n"
       "[placement]\nmode = \"dynamic\"\n",
-      fake_store_address (daemon->store));
+      grace_s, fake_store_address (daemon->store));
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
@@ -49,6 +50,13 @@
   daemon->process.address[strcspn (daemon->process.address, ",")] = '\0';
 }
 
+void
+test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
+                   const char *routes)
+{
+  test_daemon_start_grace (daemon, loop, routes, 0);
+}
+
 void
 test_daemon_stop (test_daemon_t *daemon)
 {
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -24,6 +24,9 @@
    objects separated by commas.  */
 void test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                         const char *routes);
+/* The same with a grace time; 0: none.  */
+void test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
+                              const char *routes, int grace_s);
 void test_daemon_stop (test_daemon_t *daemon);
 
 /* Lists the server NAME of the service "desk" at ADDRESS.  */
