Take in a planned stop only what ends before its limit

Callers of a stopping instance saw requests taken up to 2.8 s after SIGTERM (grace_s = 8) and cut at 7.7 s, among them requests that may not be repeated (LOST). Cause: admission asked for the time since SIGTERM, not for the time that the request needs; retries and requests in the queue were not asked at all.

Now an attempt of any kind starts in a stop only if the deadline of the request is before the cut, or if the time left is twice (not repeatable: four times) the longest of the latest 64 requests of its kind and of the open ones. What is not known is refused. A refusal comes at once, also for what waits when the stop begins: 503 with run "no" and Retry-After 0, as another instance can take it; 502 if an attempt may have run. A server's own failure is passed on if a retry could not end. Answers carry "Connection: close" from SIGTERM on. Event 241 and two metrics count what was refused and cut.

Two tests of test_routed sent calls late in a stop whose kind was not known; they make 20 calls before it. What they assert is unchanged.

--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -107,5 +107,7 @@
                      priority, kwf_now_ns (core->options.clock));
   request->max_attempts = route->max_attempts;
   request->resumable = route->stream && route->resumable;
+  request->duration_kind = duration_kind (route->name, service_name,
+                                          request->model, request->stream);
   admit_charge (core, request, cost_of (event, organisation), effects);
 }
--- a/lib/admit.c
+++ b/lib/admit.c
@@ -23,7 +23,10 @@
   if (organisation)
     series = metrics_series (core->metrics, organisation->name,
                              organisation->priority);
-  int64_t retry_after_ms = error_code_status (code) == 503 ? 1000 : -1;
+  /* Another instance can take what a stopping one does not.  */
+  int64_t retry_after_ms = code == CODE_STOPPING             ? 0
+                           : error_code_status (code) == 503 ? 1000
+                                                             : -1;
   request_refuse_event (core, event, series,
                         &(refusal_t){ .code = code,
                                       .run = KWF_RUN_NO,
@@ -245,6 +248,8 @@
 admit_charge (kwf_core_t *core, request_t *request, double tokens,
               kwf_effects_t *effects)
 {
+  if (!stop_check_start (core, request, effects))
+    return;
   if (tokens <= 0 || !request->organisation[0])
     {
       claim_or_dispatch (core, request, effects);
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -271,6 +271,7 @@
 may_retry_failure (const kwf_core_t *core, const request_t *request)
 {
   return request->idempotent && request->n_attempts < request->max_attempts
+         && stop_allows_start (core, request, now_of (core))
          && retry_budget_left (core->retries, request->service);
 }
 
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -292,7 +292,7 @@
     request_fail (core, request, CODE_KEY_WITHDRAWN, -1,
                   "the key was withdrawn", effects);
   else
-    return true;
+    return stop_check_start (core, request, effects);
   return false;
 }
 
@@ -466,6 +466,7 @@
   if (request->hedge || !request->attempt || request->trial
       || request->n_attempts >= request->max_attempts
       || !session_may_act (core->session)
+      || !stop_allows_start (core, request, now_ns)
       || crash_state (core->crash, request->fingerprint) != CRASH_CLEAR)
     return;
   server_t *running = request->attempt->server;
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -14,6 +14,7 @@
 #include "config.h"
 #include "crash.h"
 #include "demand.h"
+#include "duration.h"
 #include "fleet-load.h"
 #include "metric.h"
 #include "permit.h"
@@ -90,6 +91,8 @@
   int64_t linger_ns;      /* the last writes of claims are under way until
                              then */
   bool exited;
+  uint64_t n_refused; /* requests that could not end before the limit */
+  uint64_t n_cut;     /* requests that were open at the limit */
 } stop_t;
 
 struct kwf_core
@@ -109,6 +112,7 @@
   permits_t *permits;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
+  durations_t *durations;
   wait_queue_t waits;
 
   GHashTable *requests;  /* handle to request_t */
--- a/lib/core.c
+++ b/lib/core.c
@@ -37,6 +37,7 @@
   core->loads = own->push_updates ? fleet_load_new (own->clock) : NULL;
   core->retries = retry_budget_new (own, core->session);
   hedge_delays_init (core->hedge_delays, now_ns);
+  core->durations = durations_new ();
   waits_init (core, now_ns);
   core->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -55,6 +56,7 @@
   kwf_slots_free (core->attempts);
   g_hash_table_unref (core->requests);
   hedge_delays_clear (core->hedge_delays);
+  durations_free (core->durations);
   metrics_free (core->metrics);
   fleet_load_free (core->loads);
   permits_free (core->permits);
--- a/lib/request.c
+++ b/lib/request.c
@@ -114,6 +114,8 @@
   request->route_key
       = route_key (organisation, event->model ? event->model : event->service,
                    event->prefix ? event->prefix : request->fingerprint);
+  request->duration_kind = duration_kind (NULL, request->service,
+                                          request->model, request->stream);
   g_hash_table_insert (core->requests, &request->handle, request);
   request->wake
       = g_sequence_insert_sorted (core->wakes, request, compare_wakes, NULL);
@@ -154,6 +156,20 @@
   core->stop.linger_ns = kwf_now_ns (core->options.clock) + KWF_NS_PER_S / 2;
 }
 
+/* A request that ended early shows only that its kind takes at least that
+   long.  */
+static void
+record_duration (kwf_core_t *core, const request_t *request, error_code_t code,
+                 int64_t age_ns)
+{
+  int n;
+  if (code == CODE_OK
+      || (request->n_ran
+          && age_ns > durations_longest_ns (core->durations,
+                                            request->duration_kind, &n)))
+    durations_record (core->durations, request->duration_kind, age_ns);
+}
+
 void
 request_end (kwf_core_t *core, request_t *request, error_code_t code,
              kwf_effects_t *effects)
@@ -182,6 +198,7 @@
           ? (request->first_data_ns - request->arrived_ns) / KWF_NS_PER_MS
           : -1,
       request->longest_gap_ns / KWF_NS_PER_MS);
+  record_duration (core, request, code, age_ns);
   double unused = request->charged - used_tokens (request, code);
   if (unused > 0)
     shares_refund (core->shares, request->organisation, unused);
--- a/lib/request.h
+++ b/lib/request.h
@@ -52,6 +52,7 @@
   int64_t delivered; /* tokens forwarded to the caller */
   uint64_t fingerprint;
   uint64_t route_key;
+  uint64_t duration_kind;
   int max_attempts;
   int priority;
   int64_t arrived_ns;
@@ -280,6 +281,13 @@
 int64_t stop_next_tick_ns (const kwf_core_t *core);
 /* Whether this instance refuses new requests, as it is stopping.  */
 bool stop_refuses_requests (const kwf_core_t *core, int64_t now_ns);
+/* Whether an attempt of REQUEST may start now: this instance is not stopping,
+   or the request will end before it cuts what is open.  */
+bool stop_allows_start (const kwf_core_t *core, const request_t *request,
+                        int64_t now_ns);
+/* The same; if not, REQUEST is refused.  */
+bool stop_check_start (kwf_core_t *core, request_t *request,
+                       kwf_effects_t *effects);
 
 /* hedge-delay.c */
 /* Record the time from sending to the first data.  */
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -254,6 +254,10 @@
                       (double)core->n_resumes);
   metric_write_value (out, "kwf_trials_total", "counter",
                       (double)core->n_trials);
+  metric_write_value (out, "kwf_stop_refused_total", "counter",
+                      (double)core->stop.n_refused);
+  metric_write_value (out, "kwf_stop_cut_total", "counter",
+                      (double)core->stop.n_cut);
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
--- a/net/instance.c
+++ b/net/instance.c
@@ -10,9 +10,9 @@
 
 #include "../lib/logging.h"
 
-/* A stopping instance accepts requests until this long before the end of the
-   grace time, when it is killed, so that the accepted requests can be
-   completed.  */
+/* A stopping instance accepts no request later than this long before the end
+   of the grace time, when it is killed, and until then those that can end in
+   time (lib/stop.c).  */
 #define GRACE_RESERVED_S 5.2
 /* Open requests are cut off this long before the end of the grace time.  */
 #define GRACE_MARGIN_S 0.3
@@ -598,6 +598,7 @@
 void
 instance_stop (instance_t *instance)
 {
+  server_close_after_answers (instance->caller_server);
   instance_step (instance, &(kwf_event_t){ .type = KWF_EV_STOP });
 }
 
--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -102,7 +102,7 @@
     add_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, content_type);
   for (size_t i = 0; i < n_headers; i++)
     add_header (response, headers[i].name, headers[i].value);
-  if (server->quiesced)
+  if (server->closing)
     add_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
 
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -80,6 +80,7 @@
   int port;
   int hangup_fd; /* epoll set that reports connections that callers closed */
   bool run_pending; /* MHD_run is due before the loop waits */
+  bool closing;     /* each connection is closed after its next answer */
   bool quiesced;    /* server_quiesce was called: no new connections */
   bool stopping;
   ev_io mhd_io;
--- a/net/server.c
+++ b/net/server.c
@@ -413,12 +413,18 @@
   return tls_set_certificate (server->tls, certificate, key, error);
 }
 
+void
+server_close_after_answers (server_t *server)
+{
+  server->closing = true;
+}
+
 void
 server_quiesce (server_t *server)
 {
   if (server->quiesced)
     return;
-  server->quiesced = true;
+  server->quiesced = server->closing = true;
   MHD_socket fd = MHD_quiesce_daemon (server->daemon);
   if (fd != MHD_INVALID_SOCKET)
     close (fd);
--- a/net/server.h
+++ b/net/server.h
@@ -81,6 +81,9 @@
 kwf_status_t server_set_certificate (server_t *server, const char *certificate,
                                      const char *key, kwf_error_t *error);
 
+/* From now on, answers tell callers to close their connections.  */
+void server_close_after_answers (server_t *server);
+
 /* Stops accepting connections; open ones go on, and are closed after their
    next answer.  */
 void server_quiesce (server_t *server);
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -510,6 +510,17 @@
   assert_int_equal (granted, 100);
 }
 
+/* Calls of PATH that end at once, so that it is known how long they take.  */
+static void
+make_quick_calls (core_world_t *world, const char *path)
+{
+  for (kwf_handle_t i = 1000; i < 1020; i++)
+    {
+      core_world_request (world, i, path, NULL);
+      end_attempt (world, i, assert_sent (world), 200, false);
+    }
+}
+
 /* Guards against a stopping instance that takes requests which it cannot
    finish any more.  */
 static void
@@ -517,6 +528,7 @@
 {
   core_world_t *world = *state;
   core_world_servers (world);
+  make_quick_calls (world, "/read/x");
   core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
   assert_false (kwf_core_ready (world->core));
   core_world_advance (world, 2900);
@@ -537,6 +549,7 @@
 {
   core_world_t *world = *state;
   core_world_servers (world);
+  make_quick_calls (world, "/book/x");
   core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
   core_world_advance (world, CORE_WORLD_STOP_MS - 1500);
   core_world_request (world, 1, "/book/x", NULL);
