Add a failing test: links close when both sides stood still

idle_links_stay once failed beside load with 0x2 != 0: each side had closed the link. Both sides of that test run on one loop. The new test stops the loop for 100 to 1000 ms, with links that are silent for 300 ms at most:

a pause of 300 ms closed links: 1 of a, 1 of b

A side whose silence timer runs after the pause reads its socket first, but the other side, which stood still as well, has sent nothing yet.

--- a/test/test_peer.c
+++ b/test/test_peer.c
@@ -110,6 +110,25 @@
   assert_int_equal (fixture->a->messages + fixture->b->messages, 0);
 }
 
+/* Guards against links that are closed after a pause of the whole machine:
+   each side reads its sockets before the other one can send.  */
+static void
+links_stay_when_both_sides_stood_still (void **state)
+{
+  fixture_t *fixture = *state;
+  link_up (fixture);
+  for (int ms = 100; ms <= 1000; ms += 100)
+    {
+      run_for (fixture->loop, 0.03 + ms * 1e-4);
+      pause_ms (ms);
+      run_for (fixture->loop, 0.2);
+      if (fixture->a->down + fixture->b->down)
+        fail_msg ("a pause of %d ms closed links: %d of a, %d of b", ms,
+                  fixture->a->down, fixture->b->down);
+    }
+  assert_int_equal (fixture->a->reports + fixture->b->reports, 0);
+}
+
 static void
 swallow (connection_t *connection, const char *bytes, void *data)
 {
@@ -455,6 +474,7 @@
     TEST (messages_pass_both_ways),
     TEST (large_messages_pass),
     TEST (idle_links_stay),
+    TEST (links_stay_when_both_sides_stood_still),
     TEST (refused_and_lost_differ),
     TEST (silent_handshake_ends),
     cmocka_unit_test (paused_handshake_goes_on),
