Let a limit return without its owner

A backend server got 22 requests in 4 s at a limit of 2 a second (allowed 17). Its limit had ended and its owner stood still, so nobody granted permits in the 2 s in which the load is to return slowly.

An instance whose owner has not answered for 300 ms after the end of a limit now takes permits itself, at its part of the rate among the live instances. While a limit stands nothing changes: without an owner there are no permits.

--- a/lib/limit.c
+++ b/lib/limit.c
@@ -135,6 +135,7 @@
   limit->n_unpermitted = recent_calls (limit, LIMIT_BEFORE_NS, now_ns);
   limit->owner_hash = 0;
   limit->asked_ns = 0;
+  limit->unanswered_ns = 0;
   limit->next_ask_ns = now_ns;
   limit->free_ns = 0;
   limit_hold_grants (limit, LIMIT_BEFORE_NS, now_ns);
@@ -322,8 +323,31 @@
          + (int64_t)(turn_s * (double)KWF_NS_PER_S);
 }
 
+/* When the next permit may be taken without the owner; INT64_MAX: the owner
+   decides.  */
+static int64_t
+self_slot_ns (const limit_t *limit, int n_instances, int64_t now_ns)
+{
+  if (limit->named || !limit->unanswered_ns
+      || limit->n_waiting <= limit->n_permits)
+    return INT64_MAX;
+  int64_t spacing_ns = (int64_t)((double)KWF_NS_PER_S * n_instances
+                                 / limit_rate (limit, now_ns));
+  return MAX (limit->unanswered_ns + ASK_TIMEOUT_NS,
+              limit->self_ns + spacing_ns);
+}
+
+void
+limit_return_alone (limit_t *limit, int n_instances, int64_t now_ns)
+{
+  if (now_ns < self_slot_ns (limit, n_instances, now_ns))
+    return;
+  limit->self_ns = now_ns;
+  limit_take_permits (limit, 1, now_ns, 0, 0, now_ns);
+}
+
 int64_t
-limit_next_ns (const limit_t *limit, int64_t now_ns)
+limit_next_ns (const limit_t *limit, int n_instances, int64_t now_ns)
 {
   int64_t next_ns = INT64_MAX;
   if (limit->n_permits && limit->permits[0] > now_ns)
@@ -333,7 +357,7 @@
   if (limit->n_waiting > limit->n_permits || limit->wished)
     next_ns = MIN (next_ns, limit->asked_ns ? limit->asked_ns + ASK_TIMEOUT_NS
                                             : limit->next_ask_ns);
-  return next_ns;
+  return MIN (next_ns, self_slot_ns (limit, n_instances, now_ns));
 }
 
 /* The owner.  */
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -76,6 +76,9 @@
   int64_t ask_number;
   int n_asked; /* permits in the open question */
   int64_t next_ask_ns;
+  int64_t unanswered_ns; /* first question since the owner's last answer; 0:
+                            none */
+  int64_t self_ns;       /* when the last permit was taken without the owner */
   int64_t free_ns; /* start of the first free slot, as the owner last said */
   int n_refused;   /* callers that were told when to come back */
 
@@ -148,8 +151,12 @@
    when N_INSTANCES share the limit.  */
 int64_t limit_retry_after_ns (limit_t *limit, int priority, int n_instances,
                               int64_t now_ns);
+/* The limit has ended and its owner does not answer: take a permit without it,
+   at this instance's part of the rate, so that what waits is not sent all at
+   once when the limit is dropped.  N_INSTANCES share the rate.  */
+void limit_return_alone (limit_t *limit, int n_instances, int64_t now_ns);
 /* When the permits next need attention.  */
-int64_t limit_next_ns (const limit_t *limit, int64_t now_ns);
+int64_t limit_next_ns (const limit_t *limit, int n_instances, int64_t now_ns);
 
 /* The owner.  SHARE: part of the limit that it may grant.  */
 
--- a/lib/permit.c
+++ b/lib/permit.c
@@ -307,6 +307,7 @@
       limit->n_unspent += n;
       return;
     }
+  limit->unanswered_ns = 0;
   permits->taken += (uint64_t)n;
   limit_take_permits (limit, n, limit->asked_ns, grant->start_ns,
                       MAX (grant->spacing_ns, 0), now_ns);
@@ -421,6 +422,8 @@
 {
   limit_t *limit = &server->limit;
   const char *owner = permits_owner (session, server);
+  if (n && !limit->unanswered_ns)
+    limit->unanswered_ns = now_ns;
   if (!*owner)
     {
       limit->next_ask_ns = now_ns + ASK_AGAIN_MIN_NS;
@@ -463,11 +466,13 @@
   bool waits = n && limit->n_waiting;
   if (n || limit->n_unspent || limit->n_unpermitted)
     ask_owner (permits, session, server, n, patience_ns, now_ns, effects);
+  limit_return_alone (limit, permits->n_live, now_ns);
   server->recheck
       |= limit->n_waiting && limit->n_permits && limit->permits[0] <= now_ns;
   result->usable |= server->recheck;
   result->denied |= waits && !limit->asked_ns;
-  permits->next_ns = MIN (permits->next_ns, limit_next_ns (limit, now_ns));
+  permits->next_ns
+      = MIN (permits->next_ns, limit_next_ns (limit, permits->n_live, now_ns));
 }
 
 static void
--- a/test/test_server_limit.c
+++ b/test/test_server_limit.c
@@ -129,6 +129,39 @@
   return text ? (int)g_ascii_strtoll (text, NULL, 10) : 60;
 }
 
+/* Plays the schedule of SEED; returns the number of failures.  */
+static int
+play (uint64_t seed, bool verbose)
+{
+  int failures = 0;
+  core_fleet_t *fleet = core_fleet_new (seed, 8, 3);
+  fleet->verbose = verbose;
+  run_schedule (fleet);
+  for (int i = 0; i < fleet->n_servers; i++)
+    if (fleet->servers[i].n_excessive)
+      {
+        failures++;
+        print_message ("seed %d, %s: %d windows with too many, most %d at "
+                       "%.3f s, limit %g\n",
+                       (int)seed, fleet->servers[i].id,
+                       fleet->servers[i].n_excessive, fleet->servers[i].most,
+                       (double)fleet->servers[i].most_ns / 1e9,
+                       fleet->servers[i].limit);
+      }
+  for (guint i = 0; i < fleet->requests->len; i++)
+    {
+      const core_fleet_request_t *request
+          = &g_array_index (fleet->requests, core_fleet_request_t, i);
+      if (request->ended)
+        continue;
+      failures++;
+      print_message ("seed %d: request of %.3f s has no end\n", (int)seed,
+                     (double)request->sent_ns / 1e9);
+    }
+  core_fleet_free (fleet);
+  return failures;
+}
+
 /* Guards against a limit that is broken while instances end, stand still or
    are cut off, servers restart, limits come and go and the store is away; and
    against requests without an end.  The seed of a failure is printed; it is
@@ -142,37 +175,19 @@
   uint64_t last = only ? first : (uint64_t)schedules ();
   int failures = 0;
   for (uint64_t seed = first; seed <= last; seed++)
-    {
-      core_fleet_t *fleet = core_fleet_new (seed, 8, 3);
-      fleet->verbose = only != NULL;
-      run_schedule (fleet);
-      for (int i = 0; i < fleet->n_servers; i++)
-        if (fleet->servers[i].n_excessive)
-          {
-            failures++;
-            print_message ("seed %d, %s: %d windows with too many, most %d at "
-                           "%.3f s, limit %g\n",
-                           (int)seed, fleet->servers[i].id,
-                           fleet->servers[i].n_excessive,
-                           fleet->servers[i].most,
-                           (double)fleet->servers[i].most_ns / 1e9,
-                           fleet->servers[i].limit);
-          }
-      for (guint i = 0; i < fleet->requests->len; i++)
-        {
-          const core_fleet_request_t *request
-              = &g_array_index (fleet->requests, core_fleet_request_t, i);
-          if (request->ended)
-            continue;
-          failures++;
-          print_message ("seed %d: request of %.3f s has no end\n", (int)seed,
-                         (double)request->sent_ns / 1e9);
-        }
-      core_fleet_free (fleet);
-    }
+    failures += play (seed, only != NULL);
   assert_int_equal (failures, 0);
 }
 
+/* Guards against requests that are sent all at once when a limit is dropped
+   whose owner has stood still since its end.  */
+static void
+limit_is_dropped_while_its_owner_stands_still (void **state)
+{
+  (void)state;
+  assert_int_equal (play (437, false), 0);
+}
+
 /* Guards against a limit that outlasts its end, and against a load that comes
    back all at once.  */
 static void
@@ -354,6 +369,7 @@
     cmocka_unit_test (server_gets_more_than_its_limit),
     cmocka_unit_test (placement_breaks_the_limit_of_an_engine),
     cmocka_unit_test (limit_is_broken_by_a_fault),
+    cmocka_unit_test (limit_is_dropped_while_its_owner_stands_still),
     cmocka_unit_test (limit_outlasts_its_end),
     cmocka_unit_test (callers_wait_for_what_cannot_be_served),
     cmocka_unit_test (old_news_change_a_limit),
