Reset at once what a stop breaks off without chunks

Callers of open answers, and of HTTP/1.0, read a regular end (FIN) of streams that the limit of a stop had cut: the end of a whole answer.

Cause: when the last open request counts as ended, the process exits and MHD_stop_daemon shuts down each socket that libmicrohttpd has not closed yet; the shutdown sends FIN before the armed reset.

A connection whose answer ends with it is dissolved as soon as the answer fails, and when the server stops, so that no FIN can precede the reset.

--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -102,6 +102,10 @@
 /* RESET: from now on, a close of the connection resets it and drops unsent
    bytes, also when this process ends.  False: it closes regularly.  */
 void server_set_reset (const server_connection_t *connection, bool reset);
+/* Resets CONNECTION at once.  */
+void server_dissolve_connection (const server_connection_t *connection);
+/* Whether the end of the connection is the end of REQUEST's answer.  */
+bool server_ends_by_close (const server_request_state_t *request);
 
 /* Closes the connection with a reset and drops unsent bytes.  */
 void server_reset_connection (server_request_state_t *request);
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -62,6 +62,12 @@
   kwf_slots_remove (request->server->requests, request->public.handle);
 }
 
+bool
+server_ends_by_close (const server_request_state_t *request)
+{
+  return request->streaming && request->no_chunks;
+}
+
 void
 server_request_completed (void *data, struct MHD_Connection *mhd,
                           void **context, enum MHD_RequestTerminationCode code)
@@ -75,9 +81,13 @@
     server_schedule_run (server);
   if (!request)
     return;
-  if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK && request->streaming
-      && request->no_chunks)
-    server_set_reset (request->connection, false);
+  if (server_ends_by_close (request))
+    {
+      if (code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+        server_set_reset (request->connection, false);
+      else
+        server_dissolve_connection (request->connection);
+    }
   *context = NULL;
   if (request->handler_called)
     server->n_open--;
@@ -297,7 +307,7 @@
       struct MHD_Response *response = request->response;
       request->response = NULL;
       /* Without a reset, a stream that is broken off looks complete.  */
-      if (request->streaming && request->no_chunks)
+      if (server_ends_by_close (request))
         server_set_reset (request->connection, true);
       enum MHD_Result result
           = MHD_queue_response (mhd, (unsigned)request->status, response);
--- a/net/server.c
+++ b/net/server.c
@@ -61,20 +61,27 @@
   setsockopt (connection->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
-/* Without the reset, a caller that does not read would keep the unsent bytes
-   in the kernel for minutes.  A shutdown would send the end of the data before
-   the reset, which is that of a whole answer for a caller without chunks.
-   Where the kernel cannot dissolve a connection, its close, after 1 s without
-   progress at the latest, resets it.  */
+/* A shutdown, such as that by libmicrohttpd before it closes a connection,
+   would send the end of the data before the reset, which is that of a whole
+   answer for a caller without chunks.  */
 void
-server_reset_connection (server_request_state_t *request)
+server_dissolve_connection (const server_connection_t *connection)
 {
   static const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  const server_connection_t *connection = request->connection;
   server_set_reset (connection, true);
   if (connect (connection->fd, &none, sizeof none) != 0)
     logging_event (255, KWF_LOG_WARNING, "reset of a connection: %s",
                    g_strerror (errno));
+}
+
+/* Without the reset, a caller that does not read would keep the unsent bytes
+   in the kernel for minutes.  Where the kernel cannot dissolve a connection,
+   its close, after 1 s without progress at the latest, resets it.  */
+void
+server_reset_connection (server_request_state_t *request)
+{
+  const server_connection_t *connection = request->connection;
+  server_dissolve_connection (connection);
   MHD_set_connection_option (connection->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
                              1U);
   server_schedule_run (connection->server);
@@ -440,11 +447,15 @@
   kwf_handle_t handle = 0;
   server_request_state_t *request;
   while ((request = kwf_slots_next (server->requests, &handle)))
-    if (request->suspended)
-      {
-        request->gone = true;
-        server_resume (request);
-      }
+    {
+      if (server_ends_by_close (request))
+        server_dissolve_connection (request->connection);
+      if (request->suspended)
+        {
+          request->gone = true;
+          server_resume (request);
+        }
+    }
   tls_set_current (server->tls);
   MHD_run (server->daemon);
   MHD_stop_daemon (server->daemon);
--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -3,10 +3,15 @@
    sees the bytes.  */
 
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include "common-daemon.h"
@@ -15,6 +20,7 @@
 #define N_SERVERS 2
 #define LIMIT_S 3.0
 #define MAX_READY_CALLS 200
+#define N_OPEN_CALLS 7
 
 #define OWN "X-Request-Id: c1\r\nX-Server-Stamp: s\r\n"
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
@@ -29,6 +35,9 @@
   const char *answer; /* bytes before the end of the connection */
   size_t size;
   int n_runs;
+  bool holds; /* the server keeps its connection open */
+  ev_timer stop_timer;
+  int n_signals;
 } fixture_t;
 
 static void
@@ -41,9 +50,10 @@
       return;
     }
   /* A second run ends without a byte, so that nothing goes on.  */
-  if (!fixture->n_runs++)
+  if (!fixture->n_runs++ || fixture->holds)
     connection_write (connection, fixture->answer, fixture->size);
-  connection_close (connection);
+  if (!fixture->holds)
+    connection_close (connection);
 }
 
 static void
@@ -270,6 +280,78 @@
   assert_int_equal (bad, 0);
 }
 
+/* SIGTERM, then SIGINT, which ends the stop at once.  */
+static void
+on_stop_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)events;
+  fixture_t *fixture = timer->data;
+  kill (fixture->daemon.process.pid, fixture->n_signals++ ? SIGINT : SIGTERM);
+  if (fixture->n_signals == 2)
+    ev_timer_stop (loop, timer);
+}
+
+/* Sends a call on a connection of its own, which is returned.  */
+static int
+open_call (const fixture_t *fixture)
+{
+  static const char request[]
+      = "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c1\r\n"
+        "X-Deadline-Ms: 2500\r\nContent-Length: 0\r\n\r\n";
+  const char *address = fixture->daemon.process.address;
+  struct sockaddr_in to
+      = { .sin_family = AF_INET,
+          .sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1)),
+          .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  assert_int_equal (
+      connect (fd, (const struct sockaddr *)(const void *)&to, sizeof to), 0);
+  assert_int_equal (send (fd, request, strlen (request), 0), strlen (request));
+  return fd;
+}
+
+/* Whether FD, which is closed, was ended with a reset.  */
+static bool
+ends_with_reset (int fd)
+{
+  char buffer[4096];
+  ssize_t n;
+  do
+    n = recv (fd, buffer, sizeof buffer, 0);
+  while (n > 0);
+  close (fd);
+  return n < 0;
+}
+
+/* Guards against open answers that a stop cuts and that end at their callers
+   like whole ones, with FIN instead of a reset.  */
+static void
+open_answer_cut_by_a_stop_ends_regularly (void **state)
+{
+  fixture_t *fixture = *state;
+  raw_answer_t answer;
+  int calls[N_OPEN_CALLS];
+  int n_regular = 0;
+  fixture->answer = OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS;
+  fixture->size = strlen (fixture->answer);
+  fixture->holds = true;
+  for (int i = 0; i < N_OPEN_CALLS; i++)
+    calls[i] = open_call (fixture);
+  ev_timer_init (&fixture->stop_timer, on_stop_timer, 0.2, 0.2);
+  fixture->stop_timer.data = fixture;
+  ev_timer_start (fixture->loop, &fixture->stop_timer);
+  call (fixture, "POST", "/stream/x", &answer);
+  assert_int_equal (fixture->n_signals, 2);
+  assert_true (answer.closed);
+  n_regular += !answer.reset;
+  for (int i = 0; i < N_OPEN_CALLS; i++)
+    n_regular += !ends_with_reset (calls[i]);
+  print_message ("%d of %d open answers end with FIN\n", n_regular,
+                 N_OPEN_CALLS + 1);
+  raw_answer_clear (&answer);
+  assert_int_equal (n_regular, 0);
+}
+
 int
 main (void)
 {
@@ -281,6 +363,8 @@
     cmocka_unit_test_setup_teardown (
         answer_that_ended_with_its_connection_is_framed_as_complete, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (open_answer_cut_by_a_stop_ends_regularly,
+                                     set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
