Ask whether the server has ended when its connection is the end of an answer

Cause: FIN of a process that ended cannot be told from FIN of a server that is done, and the core took each for the second.

A success that ends so is kept now until the load report of its server has come, which is asked for at once, one for all ends of a moment. If its address refuses, another server answers there (421), or its incarnation is another, there or in the list, the end is a broken connection: the stream goes on, the call is repeated, charged to the retry budget, or the answer ends visibly. If the server answers, or nothing is known after 0.5 s or half of the time left, the end leaves open as before. The report knows more than the connection: a process that has ended gives none.

The servers of test_framed_ends, which live, answer questions for their report.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -190,11 +190,11 @@
 typedef struct
 {
   const char *server; /* member id of the server */
-  bool valid;         /* false: there is no report; see refused */
-  bool refused;       /* the server's address refused the connection */
-  bool answered;      /* an answer came, whether or not it is a report */
-  bool replaced;      /* it says that another server has the address now */
   uint64_t incarnation;
+  bool valid;    /* false: there is no report; see the next three */
+  bool refused;  /* the server's address refused the connection */
+  bool answered; /* an answer came, whether or not it is a report */
+  bool replaced; /* it says that another server has the address now */
   bool leaving;
   bool fencing;
   bool resume;
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -391,7 +391,8 @@
   if (request->state != REQUEST_STREAMING)
     handle_first_data (core, attempt, now_ns, effects);
   attempt->tokens = event->tokens;
-  if (request->claimed)
+  bool is_stored = request->claimed;
+  if (is_stored)
     {
       /* The request has run, so its outcome is recorded whether or not this
          instance has a lease.  */
@@ -406,10 +407,20 @@
       = request->kind == KWF_REQUEST_ROUTED
         && event->status >= HTTP_SERVER_ERROR
         && server_outcome (core, attempt, event->status) == OUTCOME_BAD;
+  /* An answer whose outcome is stored goes to its caller as it is stored.  */
+  if (attempt->by_close && event->status / 100 == 2 && !is_stored)
+    end_check_begin (core, attempt, effects);
+  else
+    answer_complete (core, attempt, effects);
+}
+
+void
+answer_complete (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
+{
   if (session_may_act (core->session))
     finish_request (core, attempt, effects);
   else
-    withhold (core, request, now_ns);
+    withhold (core, attempt->request, now_of (core));
 }
 
 void
@@ -472,14 +483,13 @@
   retry (core, attempt, outcome, CODE_NO_SERVER, effects);
 }
 
-static void
-handle_broken (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
+void
+answer_broken (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
   server_t *server = attempt->server;
   crash_connection_ended (core->crash, request->fingerprint, server->id,
                           attempt->incarnation, true);
-  backend_probe_now (core->backend, server, effects);
   if (!request->idempotent)
     {
       refuse_unrepeatable (core, attempt, OUTCOME_BAD, unanswered, effects);
@@ -551,7 +561,8 @@
       handle_unsent (core, attempt, event->failure, effects);
       break;
     case KWF_FAIL_BROKEN:
-      handle_broken (core, attempt, effects);
+      backend_probe_now (core->backend, attempt->server, effects);
+      answer_broken (core, attempt, effects);
       break;
     case KWF_FAIL_TIMEOUT:
       handle_timeout (core, attempt, effects);
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -640,6 +640,8 @@
                                 .fresh = !server->probe_again,
                                 .valid = report->valid,
                                 .refused = report->refused,
+                                .answered = report->answered,
+                                .replaced = report->replaced,
                                 .incarnation_before = server->incarnation };
   server->probing = false;
   if (report->valid)
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -128,9 +128,11 @@
 typedef struct
 {
   server_t *server;
-  bool fresh;   /* the probe started after the last backend_probe_now */
-  bool valid;   /* a report arrived */
-  bool refused; /* the address refused the connection */
+  bool fresh;    /* the probe started after the last backend_probe_now */
+  bool valid;    /* a report arrived */
+  bool refused;  /* the address refused the connection */
+  bool answered; /* an answer came, whether or not it is a report */
+  bool replaced; /* it says that another server has the address now */
   uint64_t incarnation_before;
 } backend_report_t;
 
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -44,6 +44,16 @@
   int64_t since_ns;
 } hedge_delay_t;
 
+/* What is known of a server whose connection was the only end of an
+   answer.  */
+typedef enum
+{
+  END_UNKNOWN, /* nothing, within the time limit */
+  END_LIVES,   /* the process of the attempt still answers */
+  END_CRASHED, /* that process has ended */
+  N_END_VERDICTS
+} end_verdict_t;
+
 /* Why a request was shed.  */
 typedef enum
 {
@@ -131,6 +141,8 @@
   uint64_t n_hedges;
   uint64_t n_resumes;
   uint64_t n_trials;
+  size_t n_end_checks;                  /* requests in REQUEST_END_CHECK */
+  uint64_t n_open_ends[N_END_VERDICTS]; /* open ends of each verdict */
 };
 
 #endif
--- a/lib/core.c
+++ b/lib/core.c
@@ -155,8 +155,12 @@
   backend_step (core->backend, event, effects, &report);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
+  if (event->type == KWF_EV_MEMBERS)
+    end_checks_listed (core, effects);
   if (!report.server)
     return;
+  /* Runs that this report ends count as lost by it below.  */
+  end_checks_reported (core, &report, effects);
   crash_handle_report (core->crash, core->session, report.server->id,
                        report.valid, report.refused, report.fresh,
                        report.server->incarnation, effects);
--- a/lib/request.c
+++ b/lib/request.c
@@ -158,6 +158,7 @@
 request_end (kwf_core_t *core, request_t *request, error_code_t code,
              kwf_effects_t *effects)
 {
+  end_check_cancel (core, request);
   if (request->hedge)
     attempt_cancel (core, request->hedge, effects);
   if (request->attempt)
@@ -283,6 +284,9 @@
     case REQUEST_CRASH_CHECK:
       crash_check_timeout (core, request, effects);
       break;
+    case REQUEST_END_CHECK:
+      end_check_timeout (core, request, effects);
+      break;
     case REQUEST_SENT:
     case REQUEST_STREAMING:
       if (request->withheld)
--- a/lib/request.h
+++ b/lib/request.h
@@ -17,8 +17,10 @@
   REQUEST_AWAITS_TRIAL,  /* waits until the table grants a trial */
   REQUEST_SENT,          /* an attempt runs, no data arrived yet */
   REQUEST_STREAMING,     /* data of the answer arrived */
-  REQUEST_CRASH_CHECK    /* the connection broke; a load report is to show
+  REQUEST_CRASH_CHECK,   /* the connection broke; a load report is to show
                             whether the server crashed */
+  REQUEST_END_CHECK      /* only its connection marks the end of the answer;
+                            the same is to show whether the answer is cut */
 } request_state_t;
 
 typedef struct attempt attempt_t;
@@ -108,6 +110,7 @@
   bool late;        /* its first data came far later than that of other
                        servers */
   bool answered;    /* data arrived */
+  bool probed_again; /* a second load report was asked for at its end */
 };
 
 typedef struct
@@ -249,6 +252,31 @@
 void answer_forward_withheld (kwf_core_t *core, kwf_effects_t *effects);
 void answer_caller_gone (kwf_core_t *core, kwf_handle_t handle,
                          kwf_effects_t *effects);
+/* The answer of ATTEMPT is complete: forward it, or withhold it until this
+   instance has a lease again.  */
+void answer_complete (kwf_core_t *core, attempt_t *attempt,
+                      kwf_effects_t *effects);
+/* The connection of ATTEMPT ended before its answer did: the request goes on
+   elsewhere, or has no result.  */
+void answer_broken (kwf_core_t *core, attempt_t *attempt,
+                    kwf_effects_t *effects);
+
+/* end-check.c: successes whose end only the end of the connection marks, as a
+   server that crashes ends them, too.  */
+/* Find out whether the server of ATTEMPT, whose answer has ended in this way,
+   has crashed.  Then, or at the time limit, answer_broken or answer_complete
+   is called.  */
+void end_check_begin (kwf_core_t *core, attempt_t *attempt,
+                      kwf_effects_t *effects);
+void end_checks_reported (kwf_core_t *core, const backend_report_t *report,
+                          kwf_effects_t *effects);
+/* The membership list was read.  */
+void end_checks_listed (kwf_core_t *core, kwf_effects_t *effects);
+void end_check_timeout (kwf_core_t *core, request_t *request,
+                        kwf_effects_t *effects);
+/* REQUEST, which may be in such a check, ends.  */
+void end_check_cancel (kwf_core_t *core, request_t *request);
+void end_checks_write_metrics (const kwf_core_t *core, GString *out);
 
 /* crash-check.c */
 /* A load report of SERVER shows whether it crashed: continue the requests
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -254,6 +254,7 @@
                       (double)core->n_resumes);
   metric_write_value (out, "kwf_trials_total", "counter",
                       (double)core->n_trials);
+  end_checks_write_metrics (core, out);
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
--- a/net/probe.c
+++ b/net/probe.c
@@ -10,6 +10,9 @@
 /* Many times the size of the report of a server with hundreds of models.  */
 #define MAX_REPORT_BYTES ((size_t)256 << 10)
 
+/* Answered by a server other than the one that the request names.  */
+#define HTTP_MISDIRECTED 421
+
 typedef struct
 {
   instance_t *instance;
@@ -35,8 +38,11 @@
                probe->asked_ns, answer);
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_report_event_t report = { 0 };
-  report.valid
-      = probe->instance->protocol->read_report (&report, texts, answer);
+  const protocol_t *protocol = probe->instance->protocol;
+  report.valid = protocol->read_report (&report, texts, answer);
+  report.answered = true;
+  report.replaced
+      = protocol->expect_server_header && answer->status == HTTP_MISDIRECTED;
   report_and_free (probe, &report);
   g_ptr_array_free (texts, TRUE);
 }
--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -40,6 +40,12 @@
       connection_print (connection, OK_HEAD OWN "Content-Length: 0\r\n\r\n");
       return;
     }
+  /* The server lives.  */
+  if (strstr (request, " /-/report "))
+    {
+      connection_reply (connection, 404, "");
+      return;
+    }
   /* A second run ends without a byte, so that nothing goes on.  */
   if (!fixture->n_runs++)
     connection_write (connection, fixture->answer, fixture->size);
