--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -255,6 +255,10 @@
   metric_write_value (out, "kwf_trials_total", "counter",
                       (double)core->n_trials);
   end_checks_write_metrics (core, out);
+  metric_write_value (out, "kwf_stop_refused_total", "counter",
+                      (double)core->stop.n_refused);
+  metric_write_value (out, "kwf_stop_cut_total", "counter",
+                      (double)core->stop.n_cut);
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
