Test the other ends of an answer without a mark

This instance killed, stopped or at the deadline during such an answer: its caller gets a reset, no regular end. A stop with SIGTERM lets one end. 204, 304 and answers to HEAD keep the mark of their status or method. A body of 5,000,000 bytes, more than max_pending_bytes, arrives whole and ends by close.

test_begun_answer can fail: with no reset armed for such answers, "open, killed", "open, stopped" and "open, deadline" are whole at the caller (3 of 9 cuts).

--- a/test/test_begun_answer.c
+++ b/test/test_begun_answer.c
@@ -7,6 +7,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <cmocka.h>
 
 #include "common-daemon.h"
@@ -43,6 +44,9 @@
 } case_t;
 
 #define BROKEN_OFF STREAM EVENT ("1", "a") EVENT ("2", "b")
+/* The same without a mark of its end.  */
+#define EVENTS_TYPE "Content-Type: text/event-stream\r\n\r\n"
+#define OPEN_STREAM "HTTP/1.1 200 OK\r\n" OWN EVENTS_TYPE SEEN_1_2
 
 static const case_t cases[] = {
   { "goes on", BROKEN_OFF, STREAM EVENT ("3", "c") EVENT ("4", "d") LAST,
@@ -300,6 +304,15 @@
   connection_print (timer->data, "%s", EVENT ("3", "c") LAST);
 }
 
+static void
+close_stream (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  const connection_t *connection = timer->data;
+  shutdown (connection->io.fd, SHUT_WR);
+}
+
 static void
 do_nothing (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -320,13 +333,17 @@
     const char *version;
     timer_fn_t cut;
     const char *deadline_ms;
+    const char *first;
   } cuts[] = {
-    { "killed", "1.1", kill_daemon, DEADLINE_MS },
-    { "killed", "1.0", kill_daemon, DEADLINE_MS },
-    { "stopped", "1.1", stop_daemon, DEADLINE_MS },
-    { "stopped", "1.0", stop_daemon, DEADLINE_MS },
-    { "deadline", "1.1", do_nothing, SHORT_DEADLINE_MS },
-    { "deadline", "1.0", do_nothing, SHORT_DEADLINE_MS },
+    { "killed", "1.1", kill_daemon, DEADLINE_MS, BROKEN_OFF },
+    { "killed", "1.0", kill_daemon, DEADLINE_MS, BROKEN_OFF },
+    { "stopped", "1.1", stop_daemon, DEADLINE_MS, BROKEN_OFF },
+    { "stopped", "1.0", stop_daemon, DEADLINE_MS, BROKEN_OFF },
+    { "deadline", "1.1", do_nothing, SHORT_DEADLINE_MS, BROKEN_OFF },
+    { "deadline", "1.0", do_nothing, SHORT_DEADLINE_MS, BROKEN_OFF },
+    { "open, killed", "1.1", kill_daemon, DEADLINE_MS, OPEN_STREAM },
+    { "open, stopped", "1.1", stop_daemon, DEADLINE_MS, OPEN_STREAM },
+    { "open, deadline", "1.1", do_nothing, SHORT_DEADLINE_MS, OPEN_STREAM },
   };
   int bad = 0;
   for (size_t i = 0; i < G_N_ELEMENTS (cuts); i++)
@@ -334,7 +351,7 @@
       set_up (state);
       fixture_t *fixture = *state;
       wait_for_daemon (fixture);
-      case_t script = { cuts[i].name, BROKEN_OFF, NULL, SEEN_1_2, false };
+      case_t script = { cuts[i].name, cuts[i].first, NULL, SEEN_1_2, false };
       fixture->deadline_ms = cuts[i].deadline_ms;
       ev_timer timer;
       ev_timer_init (&timer, cuts[i].cut, 0.5, 0);
@@ -347,12 +364,12 @@
   assert_int_equal (bad, 0);
 }
 
-/* Guards against a stream that is cut because SIGTERM comes more than once. */
-static void
-second_sigterm_cuts_a_stream (void **state)
+/* Whether SCRIPT holds although SIGTERM comes several times, while its server
+   ends it with END.  */
+static bool
+holds_during_stop (void **state, const case_t *script,
+                   void (*end_fn) (struct ev_loop *, ev_timer *, int))
 {
-  static const case_t script
-      = { "SIGTERM twice", BROKEN_OFF, NULL, SEEN_1_2 SEEN ("3", "c"), true };
   ev_timer signals;
   ev_timer end;
   set_up (state);
@@ -361,14 +378,33 @@
   fixture->end = &end;
   ev_timer_init (&signals, terminate_daemon_again, 0.2, 0.1);
   signals.data = &fixture->daemon.process;
-  ev_timer_init (&end, end_stream, 0.8, 0);
+  ev_timer_init (&end, end_fn, 0.8, 0);
   ev_timer_start (fixture->loop, &signals);
   ev_timer_start (fixture->loop, &end);
-  bool good = holds (fixture, &script, "1.1", "close");
+  bool good = holds (fixture, script, "1.1", "close");
   ev_timer_stop (fixture->loop, &signals);
   ev_timer_stop (fixture->loop, &end);
   tear_down (state);
-  assert_true (good);
+  return good;
+}
+
+/* Guards against a stream that is cut because SIGTERM comes more than once. */
+static void
+second_sigterm_cuts_a_stream (void **state)
+{
+  static const case_t script
+      = { "SIGTERM twice", BROKEN_OFF, NULL, SEEN_1_2 SEEN ("3", "c"), true };
+  assert_true (holds_during_stop (state, &script, end_stream));
+}
+
+/* Guards against a stop that breaks off a stream that then ends with its
+   server's connection.  */
+static void
+stop_breaks_off_an_open_stream (void **state)
+{
+  static const case_t script
+      = { "open, SIGTERM", OPEN_STREAM, NULL, SEEN_1_2, true };
+  assert_true (holds_during_stop (state, &script, close_stream));
 }
 
 int
@@ -379,6 +415,7 @@
     cmocka_unit_test (break_without_chunks_looks_like_an_end),
     cmocka_unit_test (cut_stream_looks_like_an_end),
     cmocka_unit_test (second_sigterm_cuts_a_stream),
+    cmocka_unit_test (stop_breaks_off_an_open_stream),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -2,6 +2,7 @@
    first: the daemon as a process, servers that follow a script, a caller that
    sees the bytes.  */
 
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -15,6 +16,8 @@
 #define N_SERVERS 2
 #define LIMIT_S 3.0
 #define MAX_READY_CALLS 200
+/* More than the default of max_pending_bytes.  */
+#define LARGE_BYTES 5000000
 
 #define OWN "X-Request-Id: c1\r\nX-Server-Stamp: s\r\n"
 #define OK_HEAD "HTTP/1.1 200 OK\r\n"
@@ -40,6 +43,8 @@
       connection_print (connection, OK_HEAD OWN "Content-Length: 0\r\n\r\n");
       return;
     }
+  /* The daemon reads meanwhile, so all bytes may be written at once.  */
+  fcntl (connection->io.fd, F_SETFL, 0);
   /* A second run ends without a byte, so that nothing goes on.  */
   if (!fixture->n_runs++)
     connection_write (connection, fixture->answer, fixture->size);
@@ -270,6 +275,70 @@
   assert_int_equal (bad, 0);
 }
 
+/* Guards against an answer whose status or method marks its end and that
+   leaves without a mark, because its server closes the connection.  */
+static void
+answer_without_a_body_lacks_its_mark (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *method;
+    const char *answer;
+    int status;
+  } cases[] = {
+    { "204", "GET", "HTTP/1.1 204 None\r\n" OWN "\r\n", 204 },
+    { "304", "GET", "HTTP/1.1 304 Same\r\n" OWN "\r\n", 304 },
+    { "HEAD", "HEAD", OK_HEAD OWN "Connection: close\r\n\r\n", 200 },
+  };
+  fixture_t *fixture = *state;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      raw_answer_t answer;
+      fixture->answer = cases[i].answer;
+      fixture->size = strlen (cases[i].answer);
+      wait_ready (fixture);
+      fixture->n_runs = 0;
+      call (fixture, cases[i].method, "/read/x", &answer);
+      print_message ("%s: status %d, %s\n", cases[i].name,
+                     raw_answer_status (&answer),
+                     answer.reset ? "reset" : "no reset");
+      assert_int_equal (raw_answer_status (&answer), cases[i].status);
+      assert_true (g_str_has_suffix (answer.bytes->str, "\r\n\r\n"));
+      assert_null (strcasestr (answer.bytes->str, "\r\nTransfer-Encoding"));
+      assert_false (answer.reset);
+      raw_answer_clear (&answer);
+    }
+}
+
+/* Guards against an answer without a length or chunks that is broken off
+   because it is larger than what may wait for a caller.  */
+static void
+large_answer_without_a_mark_is_broken_off (void **state)
+{
+  static const char head[] = OK_HEAD OWN "Content-Type: text/plain\r\n\r\n";
+  fixture_t *fixture = *state;
+  char *body = g_strnfill (LARGE_BYTES, 'x');
+  char *text = g_strconcat (head, body, NULL);
+  raw_answer_t answer;
+  bool whole;
+  fixture->answer = text;
+  fixture->size = strlen (text);
+  wait_ready (fixture);
+  fixture->n_runs = 0;
+  call (fixture, "POST", "/book/x", &answer);
+  char *seen = raw_answer_body (&answer, &whole);
+  print_message ("%zu of %d bytes, %s by %s\n", strlen (seen), LARGE_BYTES,
+                 whole ? "whole" : "broken off", end_mark (&answer));
+  assert_true (whole);
+  assert_string_equal (end_mark (&answer), "close");
+  assert_true (strcmp (seen, body) == 0);
+  raw_answer_clear (&answer);
+  g_free (seen);
+  g_free (text);
+  g_free (body);
+}
+
 int
 main (void)
 {
@@ -281,6 +350,10 @@
     cmocka_unit_test_setup_teardown (
         answer_that_ended_with_its_connection_is_framed_as_complete, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (answer_without_a_body_lacks_its_mark,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (large_answer_without_a_mark_is_broken_off,
+                                     set_up, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
