--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -24,9 +24,18 @@
    objects separated by commas.  */
 void test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                         const char *routes);
-/* The same with other limits for repeats, lines of the settings.  */
+
+typedef struct
+{
+  int grace_s;         /* 0: none */
+  const char *retries; /* limits for repeats, lines of the settings; NULL: the
+                          default of these tests */
+} test_daemon_options_t;
+
+/* The same with OPTIONS.  */
 void test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
-                             const char *routes, const char *retries);
+                             const char *routes,
+                             const test_daemon_options_t *options);
 void test_daemon_stop (test_daemon_t *daemon);
 
 /* Lists the server NAME of the service "desk" at ADDRESS.  */
--- a/test/test_answer_ends.c
+++ b/test/test_answer_ends.c
@@ -305,9 +305,11 @@
   fixture->cases = g_array_new (FALSE, TRUE, sizeof (end_case_t));
   fixture->again = g_ptr_array_new_with_free_func (g_free);
   choose_cases (fixture->cases);
-  test_daemon_start_with (&fixture->daemon, fixture->loop, routes,
-                          "retry_share = 1.0\nretry_window_s = 1\n"
-                          "retry_slack = 1000000\n");
+  test_daemon_start_with (
+      &fixture->daemon, fixture->loop, routes,
+      &(test_daemon_options_t){ .retries
+                                = "retry_share = 1.0\nretry_window_s = 1\n"
+                                  "retry_slack = 1000000\n" });
   for (int i = 0; i < N_SERVERS; i++)
     {
       char name[8];
