--- a/test/test_delivery.c
+++ b/test/test_delivery.c
@@ -175,6 +175,21 @@
   assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
 }
 
+/* Guards against a last chunk for an end that only the connection of the
+   second run marked.  */
+static void
+open_end_is_no_end_of_a_marked_stream (void **state)
+{
+  core_world_t *world = *state;
+  kwf_handle_t second = resume_stream (world, 2);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                          .attempt = { .attempt = second,
+                                                       .request = 1,
+                                                       .status = 200,
+                                                       .by_close = true } });
+  assert_broken_off (world);
+}
+
 /* Guards against a run that is joined although events are missing, and that
    still runs after it was given up.  */
 static void
@@ -429,6 +444,7 @@
     cmocka_unit_test (every_part_has_one_place),
     cmocka_unit_test (begun_stream_gets_no_other_answer),
     TEST (resumed_stream_may_end_without_events),
+    TEST (open_end_is_no_end_of_a_marked_stream),
     TEST (run_with_a_gap_is_cancelled),
     TEST (run_that_ends_after_a_gap_is_no_end),
     cmocka_unit_test (stream_has_one_begin_and_one_end),
