--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -17,9 +17,11 @@
 
 #include "common-listener.h"
 
-void
-test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
-                         const char *routes, int grace_s)
+#define DEFAULT_RETRIES "retry_share = 0.2\n"
+
+static void
+start (test_daemon_t *daemon, struct ev_loop *loop, const char *routes,
+       const char *retries, int grace_s)
 {
   *daemon = (test_daemon_t){ .loop = loop };
   daemon->store = fake_store_start (loop);
@@ -39,9 +41,9 @@
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
       "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = 0.2\n"
+      "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
-      grace_s, fake_store_address (daemon->store));
+      grace_s, fake_store_address (daemon->store), retries);
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
@@ -54,7 +56,21 @@
 test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                    const char *routes)
 {
-  test_daemon_start_grace (daemon, loop, routes, 0);
+  test_daemon_start_with (daemon, loop, routes, DEFAULT_RETRIES);
+}
+
+void
+test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
+                        const char *routes, const char *retries)
+{
+  start (daemon, loop, routes, retries, 0);
+}
+
+void
+test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
+                         const char *routes, int grace_s)
+{
+  start (daemon, loop, routes, DEFAULT_RETRIES, grace_s);
 }
 
 void
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -27,6 +27,9 @@
 /* The same with a grace time; 0: none.  */
 void test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
                               const char *routes, int grace_s);
+/* The same with other limits for repeats, lines of the settings.  */
+void test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
+                             const char *routes, const char *retries);
 void test_daemon_stop (test_daemon_t *daemon);
 
 /* Lists the server NAME of the service "desk" at ADDRESS.  */
