Test the waiting, the half read and the kept in a planned stop

test_stop: a request that waits for a model when the stop begins is refused at once. Without check_waiting in lib/stop.c (a trial) it had no reply: "--- effect ... FAILED waiting_request_is_held_in_a_stop".

test_stop_daemon, three tests at real sockets: a request whose body arrives after SIGTERM is served, a request on a kept connection is answered 503 when the stop takes none any more while an older one runs to its end, and SIGHUP and SIGTERM in series end the stop with status 0. None of the three was seen to fail for a fault of the daemon. The second failed once for a race of its own, a fixed wait that ended when the answer was due; it now reads until the answer is there.

--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -139,16 +139,36 @@
   return fd;
 }
 
+static void
+send_text (int fd, const char *text)
+{
+  assert_int_equal (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                    strlen (text));
+}
+
+int
+raw_send (const char *address, const char *request)
+{
+  int fd = connect_to (address);
+  send_text (fd, request);
+  return fd;
+}
+
 void
-raw_call (struct ev_loop *loop, const char *address, const char *request,
-          const char *until, double limit_s, raw_answer_t *answer)
+raw_call_in_parts (struct ev_loop *loop, const char *address,
+                   const char *first, double pause_s, const char *rest,
+                   const char *until, double limit_s, raw_answer_t *answer)
 {
   *answer = (raw_answer_t){ .bytes = g_string_new (NULL) };
   raw_caller_t caller = { .answer = answer, .until = until };
   int64_t began_ns = kwf_now_ns (kwf_clock_system ());
   int fd = connect_to (address);
-  assert_int_equal (send (fd, request, strlen (request), MSG_NOSIGNAL),
-                    strlen (request));
+  send_text (fd, first);
+  if (rest)
+    {
+      run_for (loop, pause_s);
+      send_text (fd, rest);
+    }
   ev_io_init (&caller.io, on_readable, fd, EV_READ);
   ev_io_start (loop, &caller.io);
   run_until (loop, &caller.ended, 1, limit_s);
@@ -158,6 +178,13 @@
                     / (double)KWF_NS_PER_S;
 }
 
+void
+raw_call (struct ev_loop *loop, const char *address, const char *request,
+          const char *until, double limit_s, raw_answer_t *answer)
+{
+  raw_call_in_parts (loop, address, request, 0, NULL, until, limit_s, answer);
+}
+
 void
 raw_answer_clear (raw_answer_t *answer)
 {
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -50,6 +50,13 @@
    answer with raw_answer_clear.  */
 void raw_call (struct ev_loop *loop, const char *address, const char *request,
                const char *until, double limit_s, raw_answer_t *answer);
+/* Sends REQUEST on a new connection and returns its file descriptor.  */
+int raw_send (const char *address, const char *request);
+/* As raw_call, with a pause before the REST of the request.  */
+void raw_call_in_parts (struct ev_loop *loop, const char *address,
+                        const char *first, double pause_s, const char *rest,
+                        const char *until, double limit_s,
+                        raw_answer_t *answer);
 void raw_answer_clear (raw_answer_t *answer);
 
 /* The status; 0: there is no status line.  */
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -244,6 +244,21 @@
   assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
 }
 
+/* Guards against a request that waits on when the stop begins, although it
+   cannot end before the limit any more.  */
+static void
+waiting_request_is_held_in_a_stop (void **state)
+{
+  core_world_t *world = *state;
+  core_world_request (world, 1, "/draft/x", "n");
+  assert_int_equal (sent (world), 0);
+  assert_null (core_world_effect (world, KWF_FX_REPLY));
+  begin_stop (world);
+  assert_refused (world, 503);
+  assert_int_equal (core_world_effect (world, KWF_FX_REPLY)->reply.run,
+                    KWF_RUN_NO);
+}
+
 /* One schedule: calls of all kinds, then a stop.  */
 typedef struct
 {
@@ -455,6 +470,9 @@
     cmocka_unit_test_setup_teardown (late_retry_is_cut, set_up, tear_down),
     cmocka_unit_test_setup_teardown (failure_of_the_server_is_withheld, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (waiting_request_is_held_in_a_stop,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
     cmocka_unit_test (calls_taken_in_a_stop_are_cut),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_stop_daemon.c
+++ b/test/test_stop_daemon.c
@@ -8,6 +8,8 @@
 #include <stdint.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <cmocka.h>
 
 #include "common-daemon.h"
@@ -19,6 +21,10 @@
 #define N_QUICK 30
 #define AT_ONCE_S 1.
 
+#define CALL(method, path)                                                    \
+  method " " path " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: c1\r\n"      \
+         "X-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n"
+
 typedef struct
 {
   struct ev_loop *loop;
@@ -58,23 +64,17 @@
 }
 
 static void
-call (fixture_t *fixture, const char *head, raw_answer_t *answer)
+call (fixture_t *fixture, const char *request, raw_answer_t *answer)
 {
-  char *request = g_strdup_printf ("%s HTTP/1.1\r\nHost: h.example\r\n"
-                                   "X-Request-Id: c1\r\n"
-                                   "X-Deadline-Ms: 20000\r\n"
-                                   "Content-Length: 0\r\n\r\n",
-                                   head);
   raw_call (fixture->loop, fixture->daemon.process.address, request,
             "\r\n\r\n", GRACE_S, answer);
-  g_free (request);
 }
 
 static int
 call_quick (fixture_t *fixture, bool *closes)
 {
   raw_answer_t answer;
-  call (fixture, "GET /quick/x", &answer);
+  call (fixture, CALL ("GET", "/quick/x"), &answer);
   int status = raw_answer_status (&answer);
   *closes = strcasestr (answer.bytes->str, "\r\nConnection: close\r\n");
   raw_answer_clear (&answer);
@@ -133,7 +133,7 @@
   process_signal (&fixture->daemon.process, SIGTERM);
   run_for (fixture->loop, 2);
   raw_answer_t answer;
-  call (fixture, "POST /slow/x", &answer);
+  call (fixture, CALL ("POST", "/slow/x"), &answer);
   print_message ("late call: status %d after %.1f s, %d passed on\n",
                  raw_answer_status (&answer), answer.seconds, fixture->n_slow);
   assert_int_equal (raw_answer_status (&answer), 503);
@@ -149,12 +149,101 @@
   assert_int_equal (process_wait (&fixture->daemon.process, 10000), 0);
 }
 
+static void
+terminate (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  const fixture_t *fixture = timer->data;
+  process_signal (&fixture->daemon.process, SIGTERM);
+}
+
+/* Guards against a request whose body arrives during the stop and that is
+   closed without an answer.  */
+static void
+half_read_request_is_closed (void **state)
+{
+  fixture_t *fixture = *state;
+  ev_timer timer;
+  ev_timer_init (&timer, terminate, 0.2, 0);
+  timer.data = fixture;
+  ev_timer_start (fixture->loop, &timer);
+  raw_answer_t answer;
+  raw_call_in_parts (fixture->loop, fixture->daemon.process.address,
+                     "POST /quick/x HTTP/1.1\r\nHost: h.example\r\n"
+                     "X-Request-Id: c1\r\nX-Deadline-Ms: 20000\r\n"
+                     "Content-Length: 6\r\n\r\nabc",
+                     1, "def", "\r\n\r\n", GRACE_S, &answer);
+  assert_int_equal (raw_answer_status (&answer), 200);
+  assert_non_null (
+      strcasestr (answer.bytes->str, "\r\nConnection: close\r\n"));
+  raw_answer_clear (&answer);
+  assert_int_equal (process_wait (&fixture->daemon.process, 10000), 0);
+}
+
+/* Guards against a request on a kept connection that is closed without an
+   answer when the stop takes none any more, while another one runs.  */
+static void
+kept_connection_is_closed_without_an_answer (void **state)
+{
+  fixture_t *fixture = *state;
+  const char *address = fixture->daemon.process.address;
+  int slow = raw_send (address, CALL ("POST", "/slow/x"));
+  assert_true (run_until (fixture->loop, &fixture->n_slow, 1, AT_ONCE_S));
+  ev_timer timer;
+  ev_timer_init (&timer, terminate, 0.3, 0);
+  timer.data = fixture;
+  ev_timer_start (fixture->loop, &timer);
+  raw_answer_t answer;
+  raw_call_in_parts (fixture->loop, address, CALL ("GET", "/quick/x"), 4,
+                     CALL ("GET", "/quick/x"), "use another address", GRACE_S,
+                     &answer);
+  assert_int_equal (raw_answer_status (&answer), 200);
+  const char *second = strstr (answer.bytes->str, "HTTP/1.1 503 ");
+  assert_non_null (second);
+  assert_non_null (strcasestr (second, "\r\nConnection: close\r\n"));
+  raw_answer_clear (&answer);
+  char head[16] = "";
+  for (int i = 0; i < 10 * GRACE_S && !head[0]; i++)
+    {
+      run_for (fixture->loop, 0.1);
+      recv (slow, head, sizeof head - 1, MSG_DONTWAIT);
+    }
+  assert_string_equal (head, "HTTP/1.1 200 OK");
+  close (slow);
+  assert_int_equal (process_wait (&fixture->daemon.process, 10000), 0);
+}
+
+/* Guards against a stop that a series of signals ends early, or breaks.  */
+static void
+signals_in_series_end_the_stop (void **state)
+{
+  fixture_t *fixture = *state;
+  static const int signals[]
+      = { SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGTERM, SIGHUP };
+  for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
+    {
+      process_signal (&fixture->daemon.process, signals[i]);
+      run_for (fixture->loop, 0.1);
+    }
+  bool closes;
+  assert_int_equal (call_quick (fixture, &closes), 200);
+  assert_true (closes);
+  assert_int_equal (process_wait (&fixture->daemon.process, 10000), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (call_taken_in_the_grace_is_cut, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (half_read_request_is_closed, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        kept_connection_is_closed_without_an_answer, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (signals_in_series_end_the_stop, set_up,
+                                     tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
