Keep a limit that was just read against an older end

A backend server got 6 requests in 4 s at a limit of 0 (allowed 5). An instance that had just started read the limit first, as version 1. The others knew the end of an earlier limit as version 2, passed over version 1 as old, and told the reader of their end, so it forgot the limit that it had just read.

An instance that knew nothing of a server's limits when it read one now keeps it, within 1 s, against news of an end: it raises the version above the news and tells all. If the end was the newer one, the next answer ends the limit.

--- a/lib/limit.c
+++ b/lib/limit.c
@@ -22,6 +22,9 @@
 #define RETURN_DOUBLE_NS (250 * KWF_NS_PER_MS)
 /* An owner that does not answer within this time is asked again.  */
 #define ASK_TIMEOUT_NS (300 * KWF_NS_PER_MS)
+/* What others know of a limit that an answer named to an instance without any
+   news of it reaches that instance within this time.  */
+#define ALONE_NS (1 * KWF_NS_PER_S)
 /* Callers come back within this time.  */
 #define RETURN_SPREAD_NS (5 * KWF_NS_PER_S)
 /* A limit that lets a server's slots fill within this time costs it no
@@ -56,6 +59,7 @@
   limit->named_ns = now_ns;
   if (limit->named && limit->rate_per_s == rate_per_s)
     return LIMIT_UNCHANGED;
+  limit->alone_ns = limit->version ? 0 : now_ns;
   set_named (limit, rate_per_s, limit->version + 1, now_ns);
   return LIMIT_SET;
 }
@@ -93,6 +97,16 @@
 {
   if (!is_news (limit, version, named, rate_per_s))
     return LIMIT_UNCHANGED;
+  /* The end may be that of an earlier limit.  If it is not, the next answer
+     tells.  */
+  bool keeps = limit->named && !named && limit->alone_ns
+               && now_ns - limit->alone_ns < ALONE_NS;
+  limit->alone_ns = 0;
+  if (keeps)
+    {
+      limit->version = version + 1;
+      return LIMIT_SET;
+    }
   if (named)
     {
       set_named (limit, MIN (rate_per_s, LIMIT_MAX_PER_S), version, now_ns);
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -55,6 +55,8 @@
   int64_t ended_ns; /* when it learnt of the end; 0: it has not ended */
   bool named_in[KWF_ANSWER_KINDS]; /* answers of this kind have named it */
   bool unreadable;                 /* an answer had no valid number */
+  int64_t alone_ns; /* when an answer named it here before any news: versions
+                       of others may be higher and older; 0: none */
 
   /* Calls of this instance, whether or not there is a limit.  */
   int calls[LIMIT_COUNTERS]; /* the newest first */
--- a/lib/permit.c
+++ b/lib/permit.c
@@ -209,7 +209,8 @@
 /* Apply what instance FROM knows; NULL: the server is not known, or is another
    process.  */
 static server_t *
-apply_news (permits_t *permits, const backend_t *backend, const char *from,
+apply_news (permits_t *permits, const session_t *session,
+            const backend_t *backend, const char *from,
             const kwf_server_limit_t *news, kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (permits->clock);
@@ -222,6 +223,8 @@
   if (change != LIMIT_UNCHANGED)
     handle_change (permits, server, change, before_per_s, from, now_ns,
                    effects);
+  if (change != LIMIT_UNCHANGED && server->limit.version > news->version)
+    tell_peers (session, server, effects);
   return server;
 }
 
@@ -231,7 +234,7 @@
               kwf_effects_t *effects)
 {
   const kwf_server_limit_t *news = &peer->message->server_limit;
-  apply_news (permits, backend, peer->instance, news, effects);
+  apply_news (permits, session, backend, peer->instance, news, effects);
   /* Views of who passes messages on may differ, and two instances could send
      one back and forth.  */
   if (news->forwarded)
@@ -328,8 +331,8 @@
 {
   int64_t now_ns = kwf_now_ns (permits->clock);
   const kwf_permit_ask_t *ask = &peer->message->permit_ask;
-  server_t *server
-      = apply_news (permits, backend, peer->instance, &ask->limit, effects);
+  server_t *server = apply_news (permits, session, backend, peer->instance,
+                                 &ask->limit, effects);
   if (!server)
     return;
   if (server->limit.version > ask->limit.version)
--- a/test/test_server_limit.c
+++ b/test/test_server_limit.c
@@ -188,6 +188,15 @@
   assert_int_equal (play (437, false), 0);
 }
 
+/* Guards against the end of an earlier limit, of which an instance has not
+   heard, that takes the place of the limit that it has just read.  */
+static void
+limit_that_was_read_gives_way_to_an_older_end (void **state)
+{
+  (void)state;
+  assert_int_equal (play (470, false), 0);
+}
+
 /* Guards against a limit that outlasts its end, and against a load that comes
    back all at once.  */
 static void
@@ -370,6 +379,7 @@
     cmocka_unit_test (placement_breaks_the_limit_of_an_engine),
     cmocka_unit_test (limit_is_broken_by_a_fault),
     cmocka_unit_test (limit_is_dropped_while_its_owner_stands_still),
+    cmocka_unit_test (limit_that_was_read_gives_way_to_an_older_end),
     cmocka_unit_test (limit_outlasts_its_end),
     cmocka_unit_test (callers_wait_for_what_cannot_be_served),
     cmocka_unit_test (old_news_change_a_limit),
