Soak: open ends, killed servers, long calls, overlapping stops; judge the certainty of ends

Judged: a length or last chunk at the caller only if the server marked its end and wrote all of it; FIN before the end of the body only if the server's end was open and FIN cut it. The share served at the end is now that of instances in touch: a stop with long calls lasts longer than the calm part, and rightly refuses until its end.

--- a/test/common-listener.c
+++ b/test/common-listener.c
@@ -24,6 +24,32 @@
   return fd;
 }
 
+/* Lets a later socket take the address while connections of this one are
+   still ending.  */
+static void
+allow_reuse (int fd)
+{
+  int one = 1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+}
+
+/* A socket at *PORT, or at another port if that one is taken.  */
+static int
+bind_again (int *port)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  struct sockaddr_in in = { .sin_family = AF_INET,
+                            .sin_port = htons ((in_port_t)*port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  allow_reuse (fd);
+  if (*port && bind (fd, (struct sockaddr *)&in, sizeof in) == 0)
+    return fd;
+  close (fd);
+  fd = bind_local (port);
+  allow_reuse (fd);
+  return fd;
+}
+
 static void
 connection_free (connection_t *connection)
 {
@@ -112,9 +138,17 @@
 
 listener_t *
 listener_start (struct ev_loop *loop, listener_fn_t fn, void *data)
+{
+  return listener_start_at (loop, 0, fn, data);
+}
+
+listener_t *
+listener_start_at (struct ev_loop *loop, int port, listener_fn_t fn,
+                   void *data)
 {
   listener_t *listener = g_new0 (listener_t, 1);
-  int fd = bind_local (&listener->port);
+  listener->port = port;
+  int fd = bind_again (&listener->port);
   if (listen (fd, 128))
     g_error ("cannot listen");
   g_snprintf (listener->address, sizeof listener->address, "127.0.0.1:%d",
--- a/test/common-listener.h
+++ b/test/common-listener.h
@@ -48,6 +48,10 @@
 
 listener_t *listener_start (struct ev_loop *loop, listener_fn_t fn,
                             void *data);
+/* The same at PORT, where a listener ended before; at another port if PORT is
+   0 or taken.  */
+listener_t *listener_start_at (struct ev_loop *loop, int port,
+                               listener_fn_t fn, void *data);
 /* Closes the listener and its connections, and frees them.  */
 void listener_stop (listener_t *listener);
 
--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -14,13 +14,17 @@
 #include "soak.h"
 
 /* Of each instance.  */
-#define CALLERS 8
-#define MOST_CALLERS 240
+#define CALLERS 12
+#define MOST_CALLERS 360
+/* One in so many makes long calls only, the others make none.  */
+#define LONG_ONE_IN 3
 #define PAUSE_MS 120
 #define DEADLINE_MS 3500
 #define SHORT_DEADLINE_MS 300
 /* A caller waits for this time beyond its deadline.  */
 #define SPARE_MS 500
+/* After CONFIG_APPLY_MS a configuration explains a cut for this time.  */
+#define CONFIG_SPARE_MS 1000
 #define EVENTS 30
 #define LEAVE_ONE_IN 10
 #define BODY_BYTES 2000
@@ -63,7 +67,8 @@
   soak->outcomes[request->end]++;
   soak->statuses[CLAMP (request->status, 0, 599)]++;
   soak->successes += good;
-  if (at_s > soak->seconds - LAST_S)
+  /* A stop may last longer than the calm part.  */
+  if (at_s > soak->seconds - LAST_S && request->calm)
     {
       soak->calm_requests++;
       soak->calm_successes += good;
@@ -82,8 +87,14 @@
       = same
         && is_in_touch (caller->soak, request->instance, request->ended_ns);
   request->planned = same
-                     && is_ending_as_planned (caller->soak, request->instance,
-                                              request->sent_ns);
+                     && is_planned (caller->soak, request->instance,
+                                    request->sent_ns, request->ended_ns);
+  request->steady
+      = same && is_steady (caller->soak, request->instance, request->sent_ns);
+  request->by_config = request->ended_ns - caller->soak->config_ns
+                       <= (CONFIG_APPLY_MS + CONFIG_SPARE_MS) * KWF_NS_PER_MS;
+  request->term_ns
+      = same ? caller->soak->instances[request->instance].term_ns : 0;
   request->status = answer->status;
   caller->request = NULL;
   caller->next_ns
@@ -93,9 +104,9 @@
   count_outcome (caller->soak, request);
 }
 
-/* Reads what came.  AT_END: the connection has ended.  */
+/* Reads what came.  AT_END: the connection has ended, RESET: not by FIN.  */
 static void
-read_answer (caller_t *caller, bool at_end)
+read_answer (caller_t *caller, bool at_end, bool reset)
 {
   answer_read_t answer = { 0 };
   if (!caller->request && caller->in->len)
@@ -108,6 +119,9 @@
       return;
     }
   answer_read (&answer, caller->in, at_end);
+  if (reset && answer.end == END_WHOLE && !answer.by_length
+      && !answer.by_chunks)
+    answer.end = END_BROKEN;
   if (answer.end != END_NONE)
     {
       end_request (caller, &answer);
@@ -134,7 +148,7 @@
     return;
   if (size > 0)
     g_string_append_len (caller->in, bytes, size);
-  read_answer (caller, size <= 0);
+  read_answer (caller, size <= 0, size < 0);
 }
 
 /* Connects to an instance that listens; false: there is none.  */
@@ -180,11 +194,16 @@
       = (double)(soak_now_ns () - soak->start_ns) / (double)KWF_NS_PER_S;
   size_t n_routes
       = at_s > soak->seconds - LAST_S ? n_soak_routes : n_first_routes;
-  size_t route = (size_t)g_rand_int_range (rand, 0, (int)n_routes);
+  bool is_long = caller->index % LONG_ONE_IN == 0;
+  size_t route;
+  do
+    route = (size_t)g_rand_int_range (rand, 0, (int)n_routes);
+  while (soak_routes[route].is_long != is_long);
+  int deadline_ms = is_long ? LONG_MS + DEADLINE_MS : DEADLINE_MS;
   *request = (request_t){ .route = &soak_routes[route],
                           .n_events = g_rand_int_range (rand, 2, EVENTS),
                           .deadline_ms = g_rand_int_range (rand, 0, 15)
-                                             ? DEADLINE_MS
+                                             ? deadline_ms
                                              : SHORT_DEADLINE_MS,
                           .runs = g_ptr_array_new () };
   g_snprintf (request->id, sizeof request->id, "%08x%03x%05x",
--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -9,7 +9,7 @@
 #include "soak.h"
 
 #define N_DATA_CENTRES 2
-/* From the first answer to SIGTERM until the end, beyond GRACE_S.  */
+/* From SIGTERM until the end, beyond the grace.  */
 #define STOP_SPARE_MS 2000
 
 static void
@@ -28,7 +28,7 @@
       "[backend]\nretry_share = %g\nretry_window_s = %d\nretry_slack = %d\n"
       "[placement]\nmode = \"static\"\n"
       "[log]\nformat = \"json\"\nlevel = \"info\"\n",
-      instance->id, instance->data_centre, GRACE_S,
+      instance->id, instance->data_centre, soak->grace_s,
       fake_store_address (soak->store), CONFIG_APPLY_MS, BUDGET_RATIO,
       BUDGET_WINDOW_MS / 1000, BUDGET_SLACK);
   g_file_set_contents (path, text, -1, NULL);
@@ -52,7 +52,12 @@
   instance->is_up = false;
   instance->is_frozen = false;
   instance->end_expected = false;
+  instance->restarts = false;
   instance->start_ns = 0;
+  instance->term_ns = 0;
+  instance->hup_ns = 0;
+  instance->again_ns = 0;
+  instance->rude_ns = 0;
   instance->kill_ns = 0;
   instance->continue_ns = 0;
   g_free (settings);
@@ -77,15 +82,33 @@
   return !soak->store_back_ns && soak->store_calm_ns <= since_ns;
 }
 
-bool
-is_ending_as_planned (const soak_t *soak, int i, int64_t sent_ns)
+/* Whether no unplanned disruption came since CONTACT_MS before SENT_NS.  */
+static bool
+is_undisturbed (const soak_t *soak, int i, int64_t sent_ns)
 {
   const instance_t *instance = &soak->instances[i];
   int64_t since_ns = sent_ns - CONTACT_MS * KWF_NS_PER_MS;
-  /* What a server still works on in the last sixth may be cut.  */
-  int64_t last_ns = instance->kill_ns - GRACE_S * KWF_NS_PER_S / 6;
-  return instance->kill_ns && !instance->is_frozen && soak_now_ns () < last_ns
-         && instance->calm_ns <= since_ns && is_store_calm (soak, since_ns);
+  return !instance->is_frozen && instance->calm_ns <= since_ns
+         && is_store_calm (soak, since_ns);
+}
+
+bool
+is_steady (const soak_t *soak, int i, int64_t sent_ns)
+{
+  const instance_t *instance = &soak->instances[i];
+  return instance->is_up && !instance->term_ns && !instance->hup_ns
+         && is_undisturbed (soak, i, sent_ns);
+}
+
+bool
+is_planned (const soak_t *soak, int i, int64_t sent_ns, int64_t now_ns)
+{
+  const instance_t *instance = &soak->instances[i];
+  int64_t stop_ns = (soak->grace_s + 1) * KWF_NS_PER_S;
+  int64_t apply_ns = CONFIG_APPLY_MS * KWF_NS_PER_MS;
+  bool stops = instance->term_ns && now_ns <= instance->term_ns + stop_ns;
+  bool hangs_up = instance->hup_ns && sent_ns <= instance->hup_ns + apply_ns;
+  return (stops || hangs_up) && is_undisturbed (soak, i, sent_ns);
 }
 
 bool
@@ -143,7 +166,9 @@
         instance->log);
   instance->is_up = false;
   instance->is_frozen = false;
-  if (!soak->closing)
+  if (instance->restarts && !soak->closing)
+    instance->start_ns = now_ns;
+  else if (!soak->closing)
     instance->start_ns
         = now_ns
           + (int64_t)(100
@@ -169,6 +194,17 @@
       instance->is_frozen = false;
       instance->calm_ns = now_ns;
     }
+  if (instance->again_ns && now_ns >= instance->again_ns)
+    {
+      instance->again_ns = 0;
+      process_signal (process, SIGTERM);
+    }
+  if (instance->rude_ns && now_ns >= instance->rude_ns)
+    {
+      instance->rude_ns = 0;
+      instance->calm_ns = now_ns;
+      process_signal (process, SIGKILL);
+    }
   if (instance->kill_ns && now_ns >= instance->kill_ns)
     {
       process_signal (process, SIGKILL);
@@ -200,8 +236,13 @@
     instance->calm_ns = now_ns;
   if (signal == SIGTERM || signal == SIGKILL)
     instance->end_expected = true;
-  if (signal == SIGTERM && !instance->kill_ns)
-    instance->kill_ns = now_ns + GRACE_S * KWF_NS_PER_S;
+  if (signal == SIGHUP)
+    instance->hup_ns = now_ns;
+  if (signal == SIGTERM && !instance->term_ns)
+    {
+      instance->term_ns = now_ns;
+      instance->kill_ns = now_ns + soak->grace_s * KWF_NS_PER_S;
+    }
   if (signal == SIGSTOP)
     {
       instance->is_frozen = true;
@@ -210,6 +251,25 @@
     }
 }
 
+void
+instance_term_again (soak_t *soak, int i, unsigned value)
+{
+  instance_signal (soak, i, SIGTERM, 0);
+  soak->instances[i].again_ns
+      = soak_now_ns () + (int64_t)(value % 8000) * KWF_NS_PER_MS;
+}
+
+void
+instance_restart (soak_t *soak, int i, unsigned value)
+{
+  instance_t *instance = &soak->instances[i];
+  instance_signal (soak, i, SIGTERM, 0);
+  instance->restarts = true;
+  if (value & 1)
+    instance->rude_ns
+        = soak_now_ns () + (int64_t)(value / 2 % 4000) * KWF_NS_PER_MS;
+}
+
 void
 instances_stop (soak_t *soak)
 {
@@ -217,7 +277,7 @@
   for (int i = 0; i < soak->n_instances; i++)
     instance_signal (soak, i, SIGTERM, 0);
   int n_left = 1;
-  int64_t end_ns = soak_now_ns () + GRACE_S * KWF_NS_PER_S
+  int64_t end_ns = soak_now_ns () + soak->grace_s * KWF_NS_PER_S
                    + STOP_SPARE_MS * KWF_NS_PER_MS;
   while (n_left && soak_now_ns () < end_ns)
     {
--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -1,6 +1,7 @@
 /* The work of a scripted server on one request.  The script and its answer
    depend on the seed, the request's id and the number of the run alone.  */
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,7 +16,9 @@
 #define PIECE_PAUSE_MS 25
 #define BODY_BYTES 3000
 #define EVENT_BYTES 120
-#define LATE_MS 400
+#define EXTRA_MS 400
+/* Shortest work on a long call.  */
+#define LEAST_LONG_MS 100
 /* About the size of a head.  */
 #define HEAD_BYTES 180
 
@@ -32,6 +35,7 @@
   int n_requests;   /* of the connection with this one */
   size_t stop_at;   /* OUT is cut here */
   int pause_ms;     /* longest pause */
+  bool by_event;    /* each piece ends with an event */
   int64_t next_ns;
   bool wrote; /* some byte of the answer */
 };
@@ -141,9 +145,9 @@
 {
   bool is_event_stream
       = run->status == 200 && run->request->route->kind >= SOAK_STREAM;
-  int framing = is_event_stream ? 1 : g_rand_int_range (rand, 0, 10);
-  bool chunked = framing < 4;
-  bool closes = framing == 9 && run->status == 200;
+  int framing = g_rand_int_range (rand, 0, 10);
+  bool chunked = framing < (is_event_stream ? 5 : 4);
+  bool closes = framing >= 7 && !run->refused;
   make_body (run, rand);
   bool id_first = g_rand_boolean (rand);
   g_string_append_printf (out, "HTTP/1.1 %d X\r\n", run->status);
@@ -160,7 +164,7 @@
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
   else if (!closes)
     g_string_append_printf (out, "Content-Length: %zu\r\n", run->body->len);
-  if (closes || g_rand_int_range (rand, 0, 20) == 0)
+  if (g_rand_int_range (rand, 0, closes ? 2 : 20) == 0)
     g_string_append (out, "Connection: close\r\n");
   if (!id_first)
     append_id (out, run->request->id);
@@ -216,9 +220,6 @@
     case SCRIPT_RESET:
     case SCRIPT_STALL:
       job->stop_at = draw_stop (job);
-      /* Nothing tells a caller that such an answer was cut by FIN.  */
-      if (!run->has_end && run->script == SCRIPT_CUT)
-        run->script = SCRIPT_RESET;
       break;
     case SCRIPT_REFUSE:
       if (g_rand_boolean (rand))
@@ -324,6 +325,32 @@
     run->status = 500;
 }
 
+/* Times of the first piece and between pieces.  */
+static void
+arrange_times (job_t *job)
+{
+  run_t *run = job->run;
+  bool slow = run->script == SCRIPT_SLOW;
+  int pieces = (int)(job->out->len / PIECE_BYTES);
+  int64_t wait_ns = draw_pause_ns (job, slow ? 1500 : 40);
+  job->pause_ms = slow ? 10 * PIECE_PAUSE_MS : PIECE_PAUSE_MS;
+  if (run->request->route->is_long)
+    {
+      double share = g_rand_double (job->rand);
+      int work_ms = (int)(LEAST_LONG_MS
+                          * pow ((double)LONG_MS / LEAST_LONG_MS, share));
+      if (run->request->route->kind == SOAK_ONCE)
+        wait_ns = work_ms * KWF_NS_PER_MS;
+      else
+        job->pause_ms = work_ms / (pieces + 1);
+    }
+  job->next_ns = run->began_ns + wait_ns;
+  run->due_ns
+      = run->script == SCRIPT_STALL
+            ? INT64_MAX
+            : job->next_ns + (int64_t)pieces * job->pause_ms * KWF_NS_PER_MS;
+}
+
 void
 job_start (backend_t *backend, connection_t *connection, const char *text)
 {
@@ -352,15 +379,8 @@
   make_answer (job->run, job->out, job->rand);
   arrange_script (job);
   job->run->size = job->out->len;
-  bool slow = job->run->script == SCRIPT_SLOW;
-  job->pause_ms = slow ? 10 * PIECE_PAUSE_MS : PIECE_PAUSE_MS;
-  int64_t wait_ns = draw_pause_ns (job, slow ? 1500 : 40);
-  job->next_ns = job->run->began_ns + wait_ns;
-  job->run->due_ns = job->next_ns
-                     + (int64_t)(job->out->len / PIECE_BYTES) * job->pause_ms
-                           * KWF_NS_PER_MS;
-  if (job->run->script == SCRIPT_STALL)
-    job->run->due_ns = INT64_MAX;
+  job->by_event = g_rand_boolean (job->rand);
+  arrange_times (job);
   g_ptr_array_add (backend->jobs, job);
   judge_run (backend->soak, job->run);
 }
@@ -379,17 +399,23 @@
 }
 
 void
-job_disturb (job_t *job)
+job_disturb (job_t *job, bool killed)
 {
-  job->run->disturbed |= !job->run->ended_ns;
+  run_t *run = job->run;
+  run->disturbed |= !run->ended_ns;
+  if (killed && run->sent < run->size)
+    run->killed = run->fin_early = true;
 }
 
-/* Ends the connection: the loop then reads its end and frees it.  */
+/* Ends the connection: the loop then reads its end and frees it.  Where FIN
+   marks no end of the answer, RST follows it at times.  */
 static void
-end_connection (const job_t *job, bool reset)
+end_connection (job_t *job, bool reset)
 {
   int fd = job->connection->io.fd;
-  if (reset)
+  run_t *run = job->run;
+  run->fin_early |= !reset && run->sent < run->size;
+  if (reset || (run->fin_early && g_rand_boolean (job->rand)))
     setsockopt (fd, SOL_SOCKET, SO_LINGER,
                 &(struct linger){ .l_onoff = 1, .l_linger = 0 },
                 sizeof (struct linger));
@@ -432,7 +458,7 @@
       int when = g_rand_int_range (job->rand, 0, 3);
       job->extra_waits = when == 0;
       job->next_ns
-          = when == 1 ? now_ns : now_ns + draw_pause_ns (job, LATE_MS);
+          = when == 1 ? now_ns : now_ns + draw_pause_ns (job, EXTRA_MS);
       return false;
     }
   bool reset = run->script == SCRIPT_RESET;
@@ -441,6 +467,21 @@
   return true;
 }
 
+/* Size of the next piece.  */
+static size_t
+draw_piece (const job_t *job)
+{
+  size_t sent = job->run->sent;
+  size_t size = (size_t)g_rand_int_range (job->rand, 1, PIECE_BYTES);
+  if (job->by_event && job->run->request->route->kind >= SOAK_STREAM)
+    {
+      const char *end = strstr (job->out->str + sent, "\n\n");
+      if (end)
+        size = (size_t)(end + 2 - job->out->str) - sent;
+    }
+  return MIN (size, job->stop_at - sent);
+}
+
 bool
 job_tick (job_t *job, int64_t now_ns)
 {
@@ -459,8 +500,7 @@
                               job->extra->len);
           return true;
         }
-      size_t size = (size_t)g_rand_int_range (job->rand, 1, PIECE_BYTES);
-      size = MIN (size, job->stop_at - run->sent);
+      size_t size = draw_piece (job);
       connection_write (job->connection, job->out->str + run->sent, size);
       run->sent += size;
       job->wrote |= size > 0;
--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -47,12 +47,15 @@
 {
   g_print (
       "    run %d at %s.%d: %.3f s to %.3f s, script %s, status %d, wrote "
-      "%zu of %zu bytes, events %d to %d%s%s\n",
+      "%zu of %zu bytes, events %d to %d%s%s%s%s%s\n",
       run->number, soak->backends[run->server].key, run->incarnation,
       seconds_at (soak, run->began_ns), seconds_at (soak, run->ended_ns),
       script_name (run->script), run->status, run->sent, run->size, run->first,
       run->last, run->refused ? ", not run" : "",
-      run->disturbed ? ", server killed or frozen" : "");
+      run->has_end ? "" : ", open end",
+      run->disturbed ? ", server killed or frozen" : "",
+      run->killed ? ", killed at work" : "",
+      run->fin_early ? ", FIN before the end" : "");
 }
 
 static void
@@ -109,6 +112,12 @@
       "; repeats at most %d over ratio; %d of %d worked on for a caller that "
       "left",
       soak->excess, soak->n_late, soak->n_left);
+  g_print ("; open ends %d, short %d; killed resumable streams %d, to the "
+           "last event %d; sent after SIGTERM and passed on %d, cut %d, at "
+           "work in the last sixth %d",
+           soak->n_open, soak->n_open_short, soak->n_killed,
+           soak->n_killed_last, soak->n_late_taken, soak->n_late_cut,
+           soak->n_late_excused);
   g_print ("; longest tick %d ms;", (int)(soak->max_lag_ns / KWF_NS_PER_MS));
   for (int i = 0; i < N_RULES; i++)
     g_print (" %s %d", rule_names[i], soak->broken[i]);
@@ -210,6 +219,44 @@
   return NULL;
 }
 
+/* Whether the answer may end as it did after N bytes of the body of RUN: with
+   a mark only if the server gave one, and short only at the end of the
+   connection, where the server gave no mark and its FIN came early.  */
+static bool
+may_end (const answer_read_t *answer, const run_t *run, size_t n)
+{
+  bool framed = answer->by_length || answer->by_chunks;
+  bool whole = n == run->body->len;
+  if (answer->end != END_WHOLE)
+    return true;
+  if (framed)
+    return whole && run->has_end && run->sent == run->size;
+  return whole || (!run->has_end && run->fin_early);
+}
+
+/* Whether a run that goes on after event NUMBER may end at once.  */
+static bool
+may_end_after (const answer_read_t *answer, const request_t *request,
+               int number)
+{
+  for (guint i = 0; i < request->runs->len; i++)
+    {
+      const run_t *run = request->runs->pdata[i];
+      if (run->status == 200 && run->first == number + 1
+          && may_end (answer, run, 0))
+        return true;
+    }
+  return false;
+}
+
+static const char *
+framing_name (const answer_read_t *answer)
+{
+  return answer->by_chunks   ? "in chunks"
+         : answer->by_length ? "by length"
+                             : "with its connection";
+}
+
 /* The events of a stream: from RUN, and from runs that resumed it.  */
 static void
 judge_stream (soak_t *soak, const request_t *request, const run_t *run,
@@ -222,11 +269,15 @@
       size_t n = common_size (body, at, run->body);
       if (at + n == body->len)
         {
-          if (answer->end == END_WHOLE && n < run->body->len)
+          bool between = last_event_end (run->body, n) == n;
+          int number = event_before (run, body, at, at + n);
+          if (!may_end (answer, run, n)
+              && !(between && request->route->kind == SOAK_RESUMABLE
+                   && may_end_after (answer, request, number)))
             soak_break (soak, RULE_ORDER, request, bytes,
-                        "a stream ends as complete after %zu of %zu bytes of "
-                        "run %d",
-                        n, run->body->len, run->number);
+                        "a stream ends as complete %s after %zu of %zu bytes "
+                        "of run %d",
+                        framing_name (answer), n, run->body->len, run->number);
           return;
         }
       size_t end = last_event_end (run->body, n);
@@ -263,14 +314,11 @@
   else
     {
       size_t n = common_size (answer->body, 0, run->body);
-      /* Nothing tells the end of a body without length from that of the
-         process that wrote it.  */
-      bool may_be_short = run->disturbed && !run->has_end;
-      if (n < answer->body->len
-          || (answer->end == END_WHOLE && n < run->body->len && !may_be_short))
+      if (n < answer->body->len || !may_end (answer, run, n))
         soak_break (soak, RULE_MIXED, request, bytes,
-                    "the body is not the server's, %zu bytes of %zu are", n,
-                    run->body->len);
+                    "the body is not the server's or ends as complete %s: "
+                    "%zu bytes of %zu are",
+                    framing_name (answer), n, run->body->len);
     }
 }
 
@@ -282,6 +330,11 @@
   if (*answer->stamp && (!run || run->status != answer->status))
     soak_break (soak, RULE_MIXED, request, bytes,
                 "a failure with a stamp and another status than the server's");
+  else if (run
+           && !may_end (answer, run, common_size (answer->body, 0, run->body)))
+    soak_break (soak, RULE_MIXED, request, bytes,
+                "a failure with a stamp ends as complete %s",
+                framing_name (answer));
   if (answer->status >= 400 && answer->status < 500
       && !is_promise (answer->status))
     soak_break (soak, RULE_CONFIG, request, bytes,
@@ -300,6 +353,35 @@
     }
 }
 
+/* Whether the last event of a stream has come.  */
+static bool
+has_last_event (const request_t *request, const GString *body)
+{
+  char *text
+      = g_strdup_printf ("id: %d\ndata: %s ", request->n_events, request->id);
+  bool found = request->route->kind >= SOAK_STREAM
+               && last_event_end (body, body->len) == body->len
+               && strstr (body->str, text);
+  g_free (text);
+  return found;
+}
+
+/* What the figures of the summary need of an answer.  */
+static void
+note_end (soak_t *soak, request_t *request, const answer_read_t *answer)
+{
+  const run_t *run = find_stamp (request, answer->stamp);
+  request->has_last = has_last_event (request, answer->body);
+  if (answer->end != END_WHOLE || answer->by_length || answer->by_chunks)
+    return;
+  soak->n_open++;
+  request->open_short
+      = request->route->kind >= SOAK_STREAM && answer->status == 200
+            ? !request->has_last
+            : run && answer->body->len < run->body->len;
+  soak->n_open_short += request->open_short;
+}
+
 void
 judge_answer (soak_t *soak, request_t *request, const answer_read_t *answer,
               const GString *bytes)
@@ -312,6 +394,7 @@
     }
   if (!answer->status)
     return;
+  note_end (soak, request, answer);
   if (*answer->id && strcmp (answer->id, request->id) != 0)
     soak_break (soak, RULE_MIXED, request, bytes,
                 "the answer of request \"%s\"", answer->id);
--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -14,25 +14,29 @@
 #define WITHIN_S 0.15
 #define SERIES_MOST 6
 #define SILENT_MS 1500
+#define TIMEOUT_MS 4000
 
 const soak_route_t soak_routes[] = {
-  { "/a/", SOAK_IDEMPOTENT, 3, false },
-  { "/b/", SOAK_IDEMPOTENT, 2, false },
-  { "/c/", SOAK_IDEMPOTENT, 1, false },
-  { "/n/", SOAK_ONCE, 2, false },
-  { "/m/", SOAK_ONCE, 3, false },
-  { "/s/", SOAK_STREAM, 2, false },
-  { "/t/", SOAK_RESUMABLE, 3, false },
-  { "/e/", SOAK_STREAM, 2, true },
-  { "/f/", SOAK_RESUMABLE, 3, true },
+  { "/a/", SOAK_IDEMPOTENT, 3, false, false },
+  { "/b/", SOAK_IDEMPOTENT, 2, false, false },
+  { "/c/", SOAK_IDEMPOTENT, 1, false, false },
+  { "/n/", SOAK_ONCE, 2, false, false },
+  { "/m/", SOAK_ONCE, 3, false, false },
+  { "/s/", SOAK_STREAM, 2, false, false },
+  { "/t/", SOAK_RESUMABLE, 3, false, false },
+  { "/e/", SOAK_STREAM, 2, true, false },
+  { "/f/", SOAK_RESUMABLE, 3, true, false },
+  { "/l/", SOAK_ONCE, 2, false, true },
+  { "/v/", SOAK_STREAM, 2, false, true },
   /* Added in the last part.  */
-  { "/y/", SOAK_IDEMPOTENT, 2, false },
+  { "/y/", SOAK_IDEMPOTENT, 2, false, false },
 };
 const size_t n_soak_routes = G_N_ELEMENTS (soak_routes);
 const size_t n_first_routes = G_N_ELEMENTS (soak_routes) - 1;
 
 static const char *const act_names[N_ACTS]
-    = { "term",         "kill",         "stop",        "hup",
+    = { "term",         "term-many",    "term-again",  "restart",
+        "kill",         "stop",         "hup",         "hup-all",
         "config",       "odd-entry",    "server-kill", "server-freeze",
         "server-leave", "service-fail", "store-silent" };
 
@@ -45,12 +49,14 @@
 static act_t
 draw_act (GRand *rand)
 {
-  static const act_t acts[] = {
-    ACT_TERM,          ACT_TERM,         ACT_KILL,         ACT_STOP,
-    ACT_STOP,          ACT_HUP,          ACT_CONFIG,       ACT_CONFIG,
-    ACT_ODD_ENTRY,     ACT_SERVER_KILL,  ACT_SERVER_KILL,  ACT_SERVER_KILL,
-    ACT_SERVER_FREEZE, ACT_SERVER_LEAVE, ACT_SERVICE_FAIL, ACT_STORE_SILENT
-  };
+  static const act_t acts[]
+      = { ACT_TERM,         ACT_TERM,         ACT_TERM_MANY,
+          ACT_TERM_AGAIN,   ACT_RESTART,      ACT_KILL,
+          ACT_STOP,         ACT_HUP,          ACT_HUP_ALL,
+          ACT_CONFIG,       ACT_CONFIG,       ACT_ODD_ENTRY,
+          ACT_SERVER_KILL,  ACT_SERVER_KILL,  ACT_SERVER_KILL,
+          ACT_SERVER_KILL,  ACT_SERVER_KILL,  ACT_SERVER_FREEZE,
+          ACT_SERVER_LEAVE, ACT_SERVICE_FAIL, ACT_STORE_SILENT };
   return acts[g_rand_int_range (rand, 0, G_N_ELEMENTS (acts))];
 }
 
@@ -93,10 +99,11 @@
       text,
       "%s{\"name\":\"r%c\",\"hostname\":\"h.example\",\"path_prefix\":\"%s\","
       "\"backend\":\"%s\",\"kind\":\"%s\",\"resumable\":%s,"
-      "\"max_attempts\":%d,\"timeout_ms\":4000,\"target_latency_ms\":500%s}",
+      "\"max_attempts\":%d,\"timeout_ms\":%d,\"target_latency_ms\":500%s}",
       text->str[text->len - 1] == '[' ? "" : ",", prefix[1], prefix, service,
       kinds[route->kind], route->kind == SOAK_RESUMABLE ? "true" : "false",
-      route->attempts, route->engine ? ",\"sticky\":true" : "");
+      route->attempts, route->is_long ? 2 * LONG_MS : TIMEOUT_MS,
+      route->engine ? ",\"sticky\":true" : "");
 }
 
 /* Plain routes change places between "desk" and "tally" when they move.  */
@@ -110,8 +117,10 @@
 void
 config_put (soak_t *soak)
 {
-  static const soak_route_t extra = { "/x/", SOAK_IDEMPOTENT, 2, false };
+  static const soak_route_t extra
+      = { "/x/", SOAK_IDEMPOTENT, 2, false, false };
   soak->version += 3;
+  soak->config_ns = soak_now_ns ();
   GString *text = g_string_new (NULL);
   g_string_append_printf (
       text,
@@ -152,6 +161,27 @@
       = soak_now_ns () + (int64_t)(100 + value % SILENT_MS) * KWF_NS_PER_MS;
 }
 
+/* SIGTERM of half of the instances.  */
+static void
+term_many (soak_t *soak, int first)
+{
+  for (int i = 0; i < (soak->n_instances + 1) / 2; i++)
+    instance_signal (soak, (first + i) % soak->n_instances, SIGTERM, 0);
+}
+
+/* A change of the configuration around SIGHUP of all.  */
+static void
+hup_all (soak_t *soak, unsigned value)
+{
+  soak->has_extra_route ^= value & 1;
+  if (value & 2)
+    config_put (soak);
+  for (int i = 0; i < soak->n_instances; i++)
+    instance_signal (soak, i, SIGHUP, 0);
+  if (!(value & 2))
+    config_put (soak);
+}
+
 static void
 carry_out (soak_t *soak, const action_t *action)
 {
@@ -164,6 +194,15 @@
     case ACT_TERM:
       instance_signal (soak, i, SIGTERM, 0);
       break;
+    case ACT_TERM_MANY:
+      term_many (soak, i);
+      break;
+    case ACT_TERM_AGAIN:
+      instance_term_again (soak, i, action->value);
+      break;
+    case ACT_RESTART:
+      instance_restart (soak, i, action->value);
+      break;
     case ACT_KILL:
       instance_signal (soak, i, SIGKILL, 0);
       break;
@@ -173,6 +212,9 @@
     case ACT_HUP:
       instance_signal (soak, i, SIGHUP, 0);
       break;
+    case ACT_HUP_ALL:
+      hup_all (soak, action->value);
+      break;
     case ACT_CONFIG:
       soak->has_extra_route ^= action->value & 1;
       soak->moved ^= action->value >> 1 & 1;
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -119,10 +119,28 @@
   return true;
 }
 
+/* Whether a server was still at work in the last sixth of the grace, on a
+   request that was sent at most LATE_MS after SIGTERM.  */
 static bool
-is_lost_as_planned (const request_t *request)
+is_excused_by_grace (const soak_t *soak, const request_t *request)
 {
-  return request->planned
+  int64_t last_ns = request->term_ns + soak->grace_s * KWF_NS_PER_S * 5 / 6;
+  if (!request->term_ns
+      || request->sent_ns > request->term_ns + LATE_MS * KWF_NS_PER_MS)
+    return false;
+  for (guint i = 0; i < request->runs->len; i++)
+    {
+      const run_t *run = request->runs->pdata[i];
+      if (!run->refused && (!run->ended_ns || run->ended_ns >= last_ns))
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_lost_as_planned (const soak_t *soak, const request_t *request)
+{
+  return request->planned && !is_excused_by_grace (soak, request)
          && (request->runs->len
              || request->ended_ns - request->sent_ns
                     > LOSS_SLACK_MS * KWF_NS_PER_MS);
@@ -141,10 +159,45 @@
           && !request->status && request->runs->len && ++n > FEW)
         soak_break (soak, RULE_LOST, request, NULL,
                     "no answer on a kept connection, number %d", n);
-      if (is_lost_as_planned (request))
+      if (is_lost_as_planned (soak, request))
         soak_break (soak, RULE_LOST, request, NULL,
-                    "no complete answer after SIGTERM");
+                    "no complete answer around %s, %.3f s after SIGTERM",
+                    request->term_ns ? "a stop" : "SIGHUP",
+                    request->term_ns
+                        ? (double)(request->ended_ns - request->term_ns)
+                              / (double)KWF_NS_PER_S
+                        : -1);
+    }
+}
+
+/* Instances that cut more requests beside a new configuration than at other
+   times.  */
+static void
+judge_lost_by_config (soak_t *soak, const GList *requests)
+{
+  int64_t (*n)[2][2] = g_malloc0_n ((gsize)soak->n_instances, sizeof *n);
+  for (; requests; requests = requests->next)
+    {
+      const request_t *request = requests->data;
+      int64_t time_ns = request->ended_ns - request->sent_ns;
+      if (!request->steady || !request->runs->len)
+        continue;
+      bool cut = is_cut (request)
+                 && 10 * time_ns < request->deadline_ms * (7 * KWF_NS_PER_MS);
+      n[request->instance][request->by_config][cut]++;
+    }
+  for (int i = 0; i < soak->n_instances; i++)
+    {
+      int64_t beside = n[i][1][0] + n[i][1][1];
+      int64_t apart = n[i][0][0] + n[i][0][1];
+      if (n[i][1][1] * apart > 3 * n[i][0][1] * beside)
+        soak_break (soak, RULE_LOST, NULL, NULL,
+                    "i%d cut %d of %d requests beside a configuration and %d "
+                    "of %d apart",
+                    i, (int)n[i][1][1], (int)beside, (int)n[i][0][1],
+                    (int)apart);
     }
+  g_free (n);
 }
 
 /* Servers that work on for a caller that has left.  */
@@ -183,6 +236,31 @@
                 soak->n_late, soak->n_left);
 }
 
+static void
+count_figures (soak_t *soak, const GList *requests)
+{
+  for (; requests; requests = requests->next)
+    {
+      const request_t *request = requests->data;
+      bool killed = false;
+      for (guint i = 0; i < request->runs->len; i++)
+        killed |= ((const run_t *)request->runs->pdata[i])->killed;
+      if (killed && request->route->kind == SOAK_RESUMABLE
+          && request->end != END_LEFT)
+        {
+          soak->n_killed++;
+          soak->n_killed_last += request->has_last;
+        }
+      if (!request->planned || !request->term_ns || !request->runs->len
+          || request->sent_ns < request->term_ns)
+        continue;
+      soak->n_late_taken++;
+      soak->n_late_cut += is_cut (request);
+      soak->n_late_excused
+          += is_cut (request) && is_excused_by_grace (soak, request);
+    }
+}
+
 void
 judge_end (soak_t *soak)
 {
@@ -192,6 +270,8 @@
   judge_budget (soak, "engine");
   judge_attempts (soak, requests);
   judge_lost (soak, requests);
+  judge_lost_by_config (soak, requests);
   judge_gone (soak, requests);
+  count_figures (soak, requests);
   g_list_free (requests);
 }
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -1,6 +1,7 @@
 /* Scripted backend servers: their processes, entries and reports.  */
 
 #include <string.h>
+#include <sys/socket.h>
 
 #include <knapweedfork/clock.h>
 
@@ -84,7 +85,8 @@
   backend->start_ns = 0;
   g_hash_table_remove_all (backend->last_ids);
   name_process (backend);
-  backend->listener = listener_start (backend->soak->loop, serve, backend);
+  backend->listener
+      = listener_start_at (backend->soak->loop, backend->port, serve, backend);
   put_entry (backend);
 }
 
@@ -106,12 +108,20 @@
     }
 }
 
-/* Ends the process: its connections end with FIN.  */
+/* Ends the process: its connections end with FIN, or with FIN and RST.  */
 static void
-end_process (backend_t *backend)
+end_process (backend_t *backend, bool reset)
 {
+  static const struct linger none = { .l_onoff = 1, .l_linger = 0 };
   for (guint i = 0; i < backend->jobs->len; i++)
-    job_disturb (backend->jobs->pdata[i]);
+    job_disturb (backend->jobs->pdata[i], true);
+  for (guint i = 0; reset && i < backend->listener->open->len; i++)
+    {
+      const connection_t *connection = backend->listener->open->pdata[i];
+      shutdown (connection->io.fd, SHUT_WR);
+      setsockopt (connection->io.fd, SOL_SOCKET, SO_LINGER, &none,
+                  sizeof none);
+    }
   g_ptr_array_set_size (backend->jobs, 0);
   listener_stop (backend->listener);
   backend->listener = NULL;
@@ -124,9 +134,11 @@
 {
   if (!backend->listener)
     return;
-  end_process (backend);
-  backend->start_ns
-      = soak_now_ns () + (int64_t)(100 + value % 1400) * KWF_NS_PER_MS;
+  int port = backend->listener->port;
+  int64_t pause_ms = value & 3 ? 100 + value % 1400 : 1 + value / 4 % 30;
+  end_process (backend, value & 8);
+  backend->port = value & 16 ? port : 0;
+  backend->start_ns = soak_now_ns () + pause_ms * KWF_NS_PER_MS;
 }
 
 /* Stops or goes on reading; what arrives meanwhile stays in the kernel.  */
@@ -152,7 +164,7 @@
   if (!backend->listener || backend->thaw_ns)
     return;
   for (guint i = 0; i < backend->jobs->len; i++)
-    job_disturb (backend->jobs->pdata[i]);
+    job_disturb (backend->jobs->pdata[i], false);
   set_reading (backend, false);
   backend->thaw_ns
       = soak_now_ns () + (int64_t)(100 + value % 2000) * KWF_NS_PER_MS;
@@ -166,6 +178,7 @@
     return;
   backend->leaving = true;
   put_entry (backend);
+  backend->port = 0;
   backend->start_ns
       = soak_now_ns () + (int64_t)(2000 + value % 1500) * KWF_NS_PER_MS;
 }
@@ -201,7 +214,7 @@
   if (backend->start_ns && now_ns >= backend->start_ns)
     {
       if (backend->listener)
-        end_process (backend);
+        end_process (backend, false);
       start (backend);
     }
   if (backend->thaw_ns && now_ns >= backend->thaw_ns)
@@ -227,7 +240,7 @@
     {
       backend_t *backend = &soak->backends[i];
       if (backend->listener)
-        end_process (backend);
+        end_process (backend, false);
       g_ptr_array_free (backend->jobs, TRUE);
       g_hash_table_destroy (backend->last_ids);
     }
--- a/test/soak.h
+++ b/test/soak.h
@@ -22,16 +22,23 @@
 #define BUDGET_SLACK 52
 #define GONE_MS 500
 #define LOSS_SLACK_MS 200
-#define GRACE_S 8
 #define CONFIG_APPLY_MS 2000
+#define GRACE_S 8
+#define LONG_GRACE_S 12
+/* A caller's SIGTERM excuses what was sent up to this time after it and is
+   still at work in the last sixth of the grace.  */
+#define LATE_MS 3000
+
+/* A long call lasts up to this time.  */
+#define LONG_MS 20000
 
 /* Traffic starts after this time, and no disruption follows in the last part,
    in which all must be served again.  */
 #define WARM_UP_S 4.0
 #define CALM_S 7.0
 
-/* A process that was stopped at the end of the disruptions is back, and knows
-   the last configuration, for the last part of this length.  */
+/* Instances in touch know the last configuration in the last part of this
+   length.  */
 #define LAST_S 2.0
 
 #define TICK_S 0.01
@@ -50,6 +57,7 @@
   soak_kind_t kind;
   int attempts;
   bool engine;
+  bool is_long; /* its servers work for up to LONG_MS */
 } soak_route_t;
 
 /* One way of a backend server to treat a request.  */
@@ -85,6 +93,8 @@
   bool has_end;     /* the answer's framing marks its end */
   bool disturbed;   /* the server was killed, started or frozen since the
                        request was sent */
+  bool killed;      /* the server was killed before the whole answer */
+  bool fin_early;   /* FIN came before the whole answer */
   int64_t began_ns; /* when the request was read */
   int64_t due_ns;   /* when the script ends if nothing interferes */
   int64_t ended_ns; /* 0: at work */
@@ -135,7 +145,12 @@
   bool kept;       /* on a connection that was used before */
   bool calm;       /* the instance was in touch when it was sent */
   bool ended_calm; /* and when it ended */
-  bool planned;    /* it ended after SIGTERM, with no other disruption */
+  bool planned;    /* it ended around planned work, with no disruption */
+  bool steady;     /* no disruption but that of a configuration */
+  bool by_config;  /* it ended beside a new configuration */
+  bool open_short; /* the end of the connection, before the body's */
+  bool has_last;   /* the last event of a stream came */
+  int64_t term_ns; /* SIGTERM of its instance, 0: none until it ended */
   int64_t sent_ns;
   int64_t ended_ns;
   end_t end;
@@ -153,7 +168,12 @@
   bool is_frozen;      /* SIGSTOP */
   bool end_expected;   /* SIGTERM or SIGKILL was sent */
   int64_t calm_ns;     /* end of its last disruption other than SIGTERM */
+  int64_t term_ns;     /* its first SIGTERM; 0: none */
+  int64_t hup_ns;      /* its last SIGHUP; 0: none */
+  int64_t again_ns;    /* when SIGTERM comes again; 0: never */
+  int64_t rude_ns;     /* when it is killed in spite of its grace; 0: never */
   int64_t kill_ns;     /* when it is killed after SIGTERM; 0: never */
+  bool restarts;       /* it is started as soon as it has ended */
   int64_t continue_ns; /* when SIGCONT is sent; 0: never */
   int64_t start_ns;    /* when it is started again; 0: never */
   char *log;
@@ -164,6 +184,7 @@
   char key[16];
   const char *service;
   listener_t *listener; /* NULL: down */
+  int port;             /* of the next one; 0: any */
   int incarnation;
   int64_t born_ms;
   int64_t calm_ns;
@@ -206,9 +227,13 @@
 typedef enum
 {
   ACT_TERM,
+  ACT_TERM_MANY,
+  ACT_TERM_AGAIN,
+  ACT_RESTART,
   ACT_KILL,
   ACT_STOP,
   ACT_HUP,
+  ACT_HUP_ALL,
   ACT_CONFIG,
   ACT_ODD_ENTRY,
   ACT_SERVER_KILL,
@@ -232,6 +257,7 @@
   struct ev_loop *loop;
   fake_store_t *store;
   guint32 seed;
+  int grace_s;
   double seconds;
   char *directory;
   instance_t *instances;
@@ -247,6 +273,7 @@
   ev_timer tick;
   int64_t start_ns;
   int64_t tick_ns;       /* time of the last tick */
+  int64_t config_ns;     /* when the newest configuration was put */
   int64_t store_calm_ns; /* end of the last disruption of the store */
   int64_t store_back_ns; /* when it answers again; 0: it does */
   int64_t max_lag_ns;    /* longest time between two ticks */
@@ -260,11 +287,18 @@
   int outcomes[END_UNREADABLE + 1];
   int statuses[600];
   int successes;
-  int excess;        /* most arrivals beyond the first in a window, less
-                        BUDGET_RATIO of its requests */
-  int n_left;        /* runs that must end when their caller leaves */
-  int n_late;        /* those that did not */
-  int calm_requests; /* sent in the last part */
+  int excess;         /* most arrivals beyond the first in a window, less
+                         BUDGET_RATIO of its requests */
+  int n_left;         /* runs that must end when their caller leaves */
+  int n_late;         /* those that did not */
+  int n_open;         /* answers that ended with the caller's connection */
+  int n_open_short;   /* those that were short */
+  int n_killed;       /* resumable streams whose server was killed at work */
+  int n_killed_last;  /* those that reached their last event */
+  int n_late_taken;   /* requests passed on that were sent after SIGTERM */
+  int n_late_cut;     /* those that were cut */
+  int n_late_excused; /* of these, at work in the last sixth of the grace */
+  int calm_requests;  /* sent in the last part */
   int calm_successes;
 };
 
@@ -290,14 +324,20 @@
 void instances_start (soak_t *soak);
 void instances_tick (soak_t *soak, int64_t now_ns);
 void instance_signal (soak_t *soak, int i, int signal, unsigned value);
+void instance_term_again (soak_t *soak, int i, unsigned value);
+/* Some restarts kill the process before the end of its grace.  */
+void instance_restart (soak_t *soak, int i, unsigned value);
 /* Ends all; each must end by itself after SIGTERM.  */
 void instances_stop (soak_t *soak);
 void instances_free (soak_t *soak);
 /* Whether nothing disturbed instance I for CONTACT_MS before NOW_NS.  */
 bool is_in_touch (const soak_t *soak, int i, int64_t now_ns);
-/* Whether SIGTERM is the only disruption since CONTACT_MS before SENT_NS, and
-   not long ago.  */
-bool is_ending_as_planned (const soak_t *soak, int i, int64_t sent_ns);
+/* Whether instance I had no disruption at all since CONTACT_MS before
+   SENT_NS, and no signal.  */
+bool is_steady (const soak_t *soak, int i, int64_t sent_ns);
+/* Whether SIGTERM or SIGHUP, which may explain an end at NOW_NS, are the only
+   disruptions since CONTACT_MS before SENT_NS.  */
+bool is_planned (const soak_t *soak, int i, int64_t sent_ns, int64_t now_ns);
 
 /* soak-server.c  */
 void backends_start (soak_t *soak);
@@ -316,7 +356,7 @@
 /* Returns whether the job has ended.  */
 bool job_tick (job_t *job, int64_t now_ns);
 /* The server was killed or frozen at work.  */
-void job_disturb (job_t *job);
+void job_disturb (job_t *job, bool killed);
 void job_free (void *job);
 /* Value of header NAME in TEXT, "" if it is missing.  */
 void header_copy (const char *text, const char *name, char *value,
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -91,6 +91,8 @@
   soak->seed = seed;
   soak->seconds = setting ("KWF_SOAK_S", SOAK_S);
   soak->n_instances = (int)setting ("KWF_SOAK_INSTANCES", INSTANCES);
+  soak->grace_s
+      = (int)setting ("KWF_SOAK_GRACE_S", seed % 3 ? GRACE_S : LONG_GRACE_S);
   soak->loop = ev_loop_new (EVFLAG_AUTO);
   soak->store = fake_store_start (soak->loop);
   soak->directory = g_dir_make_tmp ("kwf-soak-XXXXXX", NULL);
