--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -28,6 +28,7 @@
   { "/f/", SOAK_RESUMABLE, 3, true, false },
   { "/l/", SOAK_ONCE, 2, false, true },
   { "/v/", SOAK_STREAM, 2, false, true },
+  { "/w/", SOAK_RESUMABLE, 3, false, true },
   /* Added in the last part.  */
   { "/y/", SOAK_IDEMPOTENT, 2, false, false },
 };
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -191,6 +191,11 @@
   soak_t *soak = backend->soak;
   int64_t until_ns
       = soak_now_ns () + (int64_t)(500 + value % 9500) * KWF_NS_PER_MS;
+  int64_t calm_ns
+      = soak->start_ns
+        + (int64_t)((soak->seconds - CALM_S) * (double)KWF_NS_PER_S)
+        + CONTACT_MS * KWF_NS_PER_MS;
+  until_ns = MIN (until_ns, calm_ns);
   for (int i = 0; i < soak->n_backends; i++)
     if (strcmp (soak->backends[i].service, backend->service) == 0)
       {
