--- a/test/soak.h
+++ b/test/soak.h
@@ -89,8 +89,9 @@
   int number; /* among the runs of the request, from 1 */
   script_t script;
   int status;
-  bool refused;     /* the server did not run it and said so */
-  bool has_end;     /* the answer's framing marks its end */
+  bool refused; /* the server did not run it and said so */
+  bool has_end; /* the answer's framing marks its end */
+  bool by_chunks;
   bool disturbed;   /* the server was killed, started or frozen since the
                        request was sent */
   bool killed;      /* the server was killed before the whole answer */
@@ -100,6 +101,8 @@
   int64_t ended_ns; /* 0: at work */
   size_t sent;      /* bytes of the answer that were written */
   size_t size;      /* of the answer, with its head */
+  size_t mark_at;   /* bytes up to the mark of its end; the line that is empty
+                       after the last chunk is none */
   char stamp[48];
   GString *body; /* whole, without its transfer coding */
   int first;     /* of its events */
