--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -113,11 +113,11 @@
       "left",
       soak->excess, soak->n_late, soak->n_left);
   g_print ("; open ends %d, short %d; killed resumable streams %d, to the "
-           "last event %d; sent after SIGTERM and passed on %d, cut %d, at "
-           "work in the last sixth %d",
+           "last event %d (with an open end %d, %d); sent after SIGTERM and "
+           "passed on %d, cut %d, at work in the last sixth %d",
            soak->n_open, soak->n_open_short, soak->n_killed,
-           soak->n_killed_last, soak->n_late_taken, soak->n_late_cut,
-           soak->n_late_excused);
+           soak->n_killed_last, soak->n_killed_open, soak->n_killed_open_last,
+           soak->n_late_taken, soak->n_late_cut, soak->n_late_excused);
   g_print ("; longest tick %d ms;", (int)(soak->max_lag_ns / KWF_NS_PER_MS));
   for (int i = 0; i < N_RULES; i++)
     g_print (" %s %d", rule_names[i], soak->broken[i]);
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -243,13 +243,20 @@
     {
       const request_t *request = requests->data;
       bool killed = false;
+      bool open = false;
       for (guint i = 0; i < request->runs->len; i++)
-        killed |= ((const run_t *)request->runs->pdata[i])->killed;
+        {
+          const run_t *run = request->runs->pdata[i];
+          killed |= run->killed;
+          open |= run->killed && !run->has_end;
+        }
       if (killed && request->route->kind == SOAK_RESUMABLE
           && request->end != END_LEFT)
         {
           soak->n_killed++;
           soak->n_killed_last += request->has_last;
+          soak->n_killed_open += open;
+          soak->n_killed_open_last += open && request->has_last;
         }
       if (!request->planned || !request->term_ns || !request->runs->len
           || request->sent_ns < request->term_ns)
--- a/test/soak.h
+++ b/test/soak.h
@@ -290,13 +290,15 @@
   int outcomes[END_UNREADABLE + 1];
   int statuses[600];
   int successes;
-  int excess;         /* most arrivals beyond the first in a window, less
-                         BUDGET_RATIO of its requests */
-  int n_left;         /* runs that must end when their caller leaves */
-  int n_late;         /* those that did not */
-  int n_open;         /* answers that ended with the caller's connection */
-  int n_open_short;   /* those that were short */
-  int n_killed;       /* resumable streams whose server was killed at work */
+  int excess;        /* most arrivals beyond the first in a window, less
+                        BUDGET_RATIO of its requests */
+  int n_left;        /* runs that must end when their caller leaves */
+  int n_late;        /* those that did not */
+  int n_open;        /* answers that ended with the caller's connection */
+  int n_open_short;  /* those that were short */
+  int n_killed;      /* resumable streams whose server was killed at work */
+  int n_killed_open; /* those of a server that gave no mark of the end */
+  int n_killed_open_last;
   int n_killed_last;  /* those that reached their last event */
   int n_late_taken;   /* requests passed on that were sent after SIGTERM */
   int n_late_cut;     /* those that were cut */
