Reset a broken-off answer without chunks when it is broken off

Callers of open answers, and of HTTP/1.0, waited for the end of an answer that had been broken off, and could read FIN for it when the process exited soon.

The connection is dissolved at once, as one whose caller left too much unread.

--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -293,5 +293,8 @@
     return;
   request->answered = true;
   request->aborted = true;
-  server_resume (request);
+  if (server_ends_by_close (request))
+    server_reset_connection (request);
+  else
+    server_resume (request);
 }
