--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -17,11 +17,10 @@
 
 #include "common-listener.h"
 
-#define DEFAULT_RETRIES "retry_share = 0.2\n"
-
-static void
-start (test_daemon_t *daemon, struct ev_loop *loop, const char *routes,
-       const char *retries, int grace_s)
+void
+test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
+                        const char *routes,
+                        const test_daemon_options_t *options)
 {
   *daemon = (test_daemon_t){ .loop = loop };
   daemon->store = fake_store_start (loop);
@@ -43,7 +42,8 @@
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
-      grace_s, fake_store_address (daemon->store), retries);
+      options->grace_s, fake_store_address (daemon->store),
+      options->retries ? options->retries : "retry_share = 0.2\n");
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
@@ -56,21 +56,7 @@
 test_daemon_start (test_daemon_t *daemon, struct ev_loop *loop,
                    const char *routes)
 {
-  test_daemon_start_with (daemon, loop, routes, DEFAULT_RETRIES);
-}
-
-void
-test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
-                        const char *routes, const char *retries)
-{
-  start (daemon, loop, routes, retries, 0);
-}
-
-void
-test_daemon_start_grace (test_daemon_t *daemon, struct ev_loop *loop,
-                         const char *routes, int grace_s)
-{
-  start (daemon, loop, routes, DEFAULT_RETRIES, grace_s);
+  test_daemon_start_with (daemon, loop, routes, &(test_daemon_options_t){ 0 });
 }
 
 void
@@ -162,8 +148,7 @@
   *answer = (raw_answer_t){ .bytes = g_string_new (NULL) };
   raw_caller_t caller = { .answer = answer, .until = until };
   int64_t began_ns = kwf_now_ns (kwf_clock_system ());
-  int fd = connect_to (address);
-  send_text (fd, first);
+  int fd = raw_send (address, first);
   if (rest)
     {
       run_for (loop, pause_s);
--- a/test/test_stop_daemon.c
+++ b/test/test_stop_daemon.c
@@ -96,7 +96,8 @@
   ev_init (&fixture->late, answer_late);
   fixture->late.data = fixture;
   fixture->server = listener_start (fixture->loop, on_call, fixture);
-  test_daemon_start_grace (&fixture->daemon, fixture->loop, routes, GRACE_S);
+  test_daemon_start_with (&fixture->daemon, fixture->loop, routes,
+                          &(test_daemon_options_t){ .grace_s = GRACE_S });
   test_daemon_add_server (&fixture->daemon, "d1", fixture->server->address);
   bool closes;
   for (int served = 0, i = 0; served < N_QUICK; i++)
