Reset an open answer of a caller who ends its own data

Cause: the end of the caller's data counts as its leaving, and server_shutdown_connection sends FIN before the armed reset.

The connection is dissolved first.

--- a/net/server.c
+++ b/net/server.c
@@ -222,6 +222,8 @@
       else if (!request->answered && !request->gone)
         {
           server_report_gone (request);
+          if (server_ends_by_close (request))
+            server_dissolve_connection (connection);
           server_shutdown_connection (connection);
           server_resume (request);
         }
--- a/net/server.h
+++ b/net/server.h
@@ -135,7 +135,8 @@
    server_abort closes the connection without the
    regular end of an answer, so that the caller sees that it is incomplete:
    without the last chunk or, for a caller who gets no chunks, with a reset.
-   The same reset follows when this process is killed.  */
+   The reset drops what the kernel has not sent yet.  It also follows when this
+   process is killed.  */
 void server_begin (server_t *server, kwf_handle_t request, int status,
                    const char *content_type, const header_t *headers,
                    size_t n_headers, server_end_t end);
--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -427,6 +427,29 @@
   g_free (body);
 }
 
+/* Guards against an open answer under way that ends with FIN, like a whole
+   one, at a caller who ends only its own data.  */
+static void
+open_answer_ends_regularly_at_a_caller_who_half_closes (void **state)
+{
+  fixture_t *fixture = *state;
+  int n_regular = 0;
+  fixture->answer = OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS;
+  fixture->size = strlen (fixture->answer);
+  fixture->holds = true;
+  for (int i = 0; i < N_OPEN_CALLS; i++)
+    {
+      int fd = open_call (fixture);
+      run_for (fixture->loop, 0.2);
+      shutdown (fd, SHUT_WR);
+      run_for (fixture->loop, 0.2);
+      n_regular += !ends_with_reset (fd);
+    }
+  print_message ("%d of %d open answers end with FIN\n", n_regular,
+                 N_OPEN_CALLS);
+  assert_int_equal (n_regular, 0);
+}
+
 int
 main (void)
 {
@@ -440,6 +463,9 @@
         tear_down),
     cmocka_unit_test_setup_teardown (open_answer_cut_by_a_stop_ends_regularly,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        open_answer_ends_regularly_at_a_caller_who_half_closes, set_up,
+        tear_down),
     cmocka_unit_test_setup_teardown (answer_without_a_body_lacks_its_mark,
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (large_answer_without_a_mark_is_broken_off,
