Estimate durations in a stop from successes only

Cause: each answer of a server was a sample of its kind's duration. 64 failures of 5 ms pushed out all calls of 5 s.

Now it is refused at once. A failure, or what ended early, counts only if it took longer than what is known.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -403,6 +403,7 @@
                            effects);
       core->stop.linger_ns = now_ns + KWF_NS_PER_S / 2;
     }
+  request->succeeded = event->status / 100 == 2;
   attempt->ended = true;
   attempt->failed
       = request->kind == KWF_REQUEST_ROUTED
@@ -489,6 +490,7 @@
 {
   request_t *request = attempt->request;
   server_t *server = attempt->server;
+  request->succeeded = false;
   crash_connection_ended (core->crash, request->fingerprint, server->id,
                           attempt->incarnation, true);
   if (!request->idempotent)
--- a/lib/request.c
+++ b/lib/request.c
@@ -156,14 +156,13 @@
   core->stop.linger_ns = kwf_now_ns (core->options.clock) + KWF_NS_PER_S / 2;
 }
 
-/* A request that ended early shows only that its kind takes at least that
-   long.  */
+/* A request that ended early, or failed, shows only that its kind takes at
+   least that long.  */
 static void
-record_duration (kwf_core_t *core, const request_t *request, error_code_t code,
-                 int64_t age_ns)
+record_duration (kwf_core_t *core, const request_t *request, int64_t age_ns)
 {
   int n;
-  if (code == CODE_OK
+  if (request->succeeded
       || (request->n_ran
           && age_ns > durations_longest_ns (core->durations,
                                             request->duration_kind, &n)))
@@ -199,7 +198,7 @@
           ? (request->first_data_ns - request->arrived_ns) / KWF_NS_PER_MS
           : -1,
       request->longest_gap_ns / KWF_NS_PER_MS);
-  record_duration (core, request, code, age_ns);
+  record_duration (core, request, age_ns);
   double unused = request->charged - used_tokens (request, code);
   if (unused > 0)
     shares_refund (core->shares, request->organisation, unused);
--- a/lib/request.h
+++ b/lib/request.h
@@ -55,6 +55,7 @@
   uint64_t fingerprint;
   uint64_t route_key;
   uint64_t duration_kind;
+  bool succeeded; /* a server has answered it with a success */
   int max_attempts;
   int priority;
   int64_t arrived_ns;
--- a/test/test_stop.c
+++ b/test/test_stop.c
@@ -455,12 +455,41 @@
     }
 }
 
+#define N_FAST_FAILURES 64
+
+/* Guards against an estimate of a kind's duration from failures that were
+   fast.  */
+static void
+fast_failures_hide_long_calls (void **state)
+{
+  core_world_t *world = *state;
+  make_calls (world, "/k8/x", 300, 5000);
+  for (kwf_handle_t i = 0; i < N_FAST_FAILURES; i++)
+    {
+      kwf_handle_t request = 200000 + i;
+      core_world_request (world, request, "/k8/x", NULL);
+      kwf_handle_t attempt = sent (world);
+      core_world_advance (world, 5);
+      core_world_step (world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                              .attempt = { .attempt = attempt,
+                                                           .request = request,
+                                                           .status = 404,
+                                                           .body = "" } });
+    }
+  begin_stop (world);
+  core_world_advance (world, 2700);
+  core_world_request (world, 1, "/k8/x", NULL);
+  assert_int_equal (sent (world), 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test_setup_teardown (call_that_cannot_end_is_taken, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (fast_failures_hide_long_calls, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (call_of_unknown_duration_is_taken, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (call_with_a_short_deadline_is_refused,
