Ask no server about open ends that has named a limit

Cause: the question was held back only while the server asked for a pause.

Evidence: open_ends_ask_a_server_beyond_its_limit, before: 39 questions for 39 open ends, 0 now. Without a question nothing is known, and the end leaves open.

--- a/lib/end-check.c
+++ b/lib/end-check.c
@@ -87,7 +87,9 @@
     }
   request->state = REQUEST_END_CHECK;
   core->n_end_checks++;
-  backend_probe_now (core->backend, server, effects);
+  /* Questions count against a limit that the server has named.  */
+  if (!limit_in_force (&server->limit, now_ns))
+    backend_probe_now (core->backend, server, effects);
   request_set_action (core, request, limit_ns (core, request, now_ns));
   if (is_process_lost (attempt))
     settle (core, request, END_CRASHED, effects);
--- a/test/test_end_check.c
+++ b/test/test_end_check.c
@@ -226,6 +226,57 @@
   assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
 }
 
+#define N_LIMITED 40
+
+/* Guards against questions about open ends that exceed the limit that their
+   server has named.  */
+static void
+open_ends_ask_a_server_beyond_its_limit (void **state)
+{
+  core_world_t *world = *state;
+  sent_t sent[N_LIMITED];
+  kwf_handle_t requests[N_LIMITED];
+  int n_sent = 0;
+  int n_questions = 0;
+  for (kwf_handle_t i = 1; i <= 400 && n_sent < N_LIMITED; i++)
+    {
+      core_world_request (world, i, "/read/x", NULL);
+      if (!core_world_effect (world, KWF_FX_ATTEMPT_START))
+        break;
+      sent[n_sent] = last_sent (world);
+      requests[n_sent] = i;
+      n_sent += strcmp (sent[n_sent].server, sent[0].server) == 0;
+    }
+  assert_true (n_sent > 10);
+  core_world_step (world,
+                   &(kwf_event_t){ .type = KWF_EV_NOTICE,
+                                   .notice = { .attempt = sent[0].attempt,
+                                               .kind = KWF_ANSWER_REQUEST,
+                                               .success = true,
+                                               .limit = KWF_LIMIT_NAMED,
+                                               .limit_per_s = 1 } });
+  for (int i = 1; i < n_sent; i++)
+    {
+      core_world_advance (world, 40);
+      core_world_step (world,
+                       &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                       .attempt = { .attempt = sent[i].attempt,
+                                                    .request = requests[i],
+                                                    .status = 200,
+                                                    .body = "x",
+                                                    .body_size = 1,
+                                                    .by_close = true } });
+      const kwf_effect_t *probe = core_world_effect (world, KWF_FX_PROBE);
+      if (!probe)
+        continue;
+      n_questions += strcmp (probe->probe.server, sent[0].server) == 0;
+      report (world, (kwf_report_event_t){ .server = sent[0].server,
+                                           .answered = true });
+    }
+  print_message ("%d questions at a limit of 1 a second\n", n_questions);
+  assert_int_equal (n_questions, 0);
+}
+
 #define TEST(name)                                                            \
   cmocka_unit_test_setup_teardown (name, core_world_setup_servers,            \
                                    core_world_teardown)
@@ -235,6 +286,7 @@
 {
   const struct CMUnitTest tests[] = {
     TEST (stream_of_a_crashed_server_ends_as_complete),
+    TEST (open_ends_ask_a_server_beyond_its_limit),
     TEST (body_of_a_crashed_server_is_complete),
     TEST (call_that_runs_once_hides_the_crash),
     cmocka_unit_test (answer_of_a_live_server_is_repeated),
