--- a/lib/stop.c
+++ b/lib/stop.c
@@ -123,6 +123,12 @@
   for (GList *item = open; item; item = item->next)
     {
       request_t *request = item->data;
+      /* Its answer is there.  */
+      if (request->state == REQUEST_END_CHECK)
+        {
+          end_check_timeout (core, request, effects);
+          continue;
+        }
       kwf_effects_log (effects, 242, KWF_LOG_WARNING, request->id,
                        "interrupted by the stop: organisation %s, %s %s, "
                        "%" G_GINT64_FORMAT " tokens delivered",
--- a/test/test_end_check.c
+++ b/test/test_end_check.c
@@ -226,6 +226,20 @@
   assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
 }
 
+/* Guards against an answer that is there and is lost, as the stop ends while
+   it is asked whether its server lives.  */
+static void
+end_of_a_stop_replaces_an_answer (void **state)
+{
+  core_world_t *world = *state;
+  end_with_connection (world, 1, "/book/x");
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_STOP });
+  if (!core_world_effect (world, KWF_FX_FORWARD_END))
+    core_world_advance (world, 1);
+  assert_non_null (core_world_effect (world, KWF_FX_FORWARD_END));
+}
+
 #define N_LIMITED 40
 
 /* Guards against questions about open ends that exceed the limit that their
@@ -287,6 +301,7 @@
   const struct CMUnitTest tests[] = {
     TEST (stream_of_a_crashed_server_ends_as_complete),
     TEST (open_ends_ask_a_server_beyond_its_limit),
+    TEST (end_of_a_stop_replaces_an_answer),
     TEST (body_of_a_crashed_server_is_complete),
     TEST (call_that_runs_once_hides_the_crash),
     cmocka_unit_test (answer_of_a_live_server_is_repeated),
