Test open and short answers, and marked streams cut inside an event (known red)

On: 5 of 5 answers whose end only their connection marks end with FIN at their callers although the server does not say that it lives; 4 of 4 streams with a length or chunks are complete inside an event.

--- a/test/test_framed_ends.c
+++ b/test/test_framed_ends.c
@@ -39,6 +39,7 @@
   size_t size;
   int n_runs;
   bool holds; /* the server keeps its connection open */
+  bool mute;  /* the server answers no question for its load report */
   ev_timer stop_timer;
   int n_signals;
 } fixture_t;
@@ -55,7 +56,8 @@
   /* The server lives.  */
   if (strstr (request, " /-/report "))
     {
-      connection_reply (connection, 404, "");
+      if (!fixture->mute)
+        connection_reply (connection, 404, "");
       return;
     }
   /* The daemon reads meanwhile, so all bytes may be written at once.  */
@@ -250,47 +252,99 @@
   assert_int_equal (bad, 0);
 }
 
+typedef struct
+{
+  const char *name;
+  const char *method;
+  const char *path;
+  const char *answer;
+} answer_case_t;
+
+/* Answers whose end only their connection marks; the last one is no
+   success.  */
+static const answer_case_t open_answers[] = {
+  { "stream that may go on", "POST", "/draft/x",
+    OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
+  { "stream that may not", "POST", "/stream/x",
+    OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
+  { "stream without a type", "POST", "/stream/x",
+    OK_HEAD OWN "\r\n" TWO_EVENTS },
+  { "body, once", "POST", "/book/x",
+    OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
+  { "body, repeatable", "GET", "/read/x",
+    OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
+  { "failure", "POST", "/book/x",
+    "HTTP/1.1 500 No\r\n" OWN "Content-Type: text/plain\r\n\r\nabc" },
+};
+
+/* The mark at the caller after the answer of ANSWER_CASE and FIN, which is
+   printed.  */
+static const char *
+mark_of_case (fixture_t *fixture, const answer_case_t *answer_case)
+{
+  bool has_stamp;
+  const char *mark = mark_after (fixture, answer_case->method,
+                                 answer_case->path, answer_case->answer,
+                                 strlen (answer_case->answer), &has_stamp);
+  print_message ("%s: end by %s\n", answer_case->name,
+                 mark ? mark : "no regular end");
+  return mark;
+}
+
 /* Guards against an end with a mark, chunks or a length, that the server never
    gave: its connection ended, as that of a server that crashed does.  */
 static void
 answer_that_ended_with_its_connection_is_framed_as_complete (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    const char *method;
-    const char *path;
-    const char *answer;
-  } cases[] = {
-    { "stream that may go on", "POST", "/draft/x",
-      OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
-    { "stream that may not", "POST", "/stream/x",
-      OK_HEAD OWN EVENTS "\r\n" TWO_EVENTS },
-    { "stream without a type", "POST", "/stream/x",
-      OK_HEAD OWN "\r\n" TWO_EVENTS },
-    { "body, once", "POST", "/book/x",
-      OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
-    { "body, repeatable", "GET", "/read/x",
-      OK_HEAD OWN "Content-Type: text/plain\r\n\r\nabc" },
-    { "failure", "POST", "/book/x",
-      "HTTP/1.1 500 No\r\n" OWN "Content-Type: text/plain\r\n\r\nabc" },
-  };
   fixture_t *fixture = *state;
   int bad = 0;
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (open_answers); i++)
     {
-      bool has_stamp;
-      const char *mark
-          = mark_after (fixture, cases[i].method, cases[i].path,
-                        cases[i].answer, strlen (cases[i].answer), &has_stamp);
-      bool is_marked = mark && strcmp (mark, "close") != 0;
-      print_message ("%s: end by %s\n", cases[i].name,
-                     mark ? mark : "no regular end");
-      bad += is_marked;
+      const char *mark = mark_of_case (fixture, &open_answers[i]);
+      bad += mark && strcmp (mark, "close") != 0;
     }
   assert_int_equal (bad, 0);
 }
 
+/* Guards against a short answer that ends with FIN like a whole one, because
+   its server is silent when it is asked whether it lives.  */
+static void
+answer_of_a_silent_server_ends_regularly (void **state)
+{
+  fixture_t *fixture = *state;
+  int bad = 0;
+  fixture->mute = true;
+  for (size_t i = 0; i < G_N_ELEMENTS (open_answers) - 1; i++)
+    bad += mark_of_case (fixture, &open_answers[i]) != NULL;
+  assert_int_equal (bad, 0);
+}
+
+/* Guards against a stream that ends as complete inside an event, because a
+   length or a last chunk follows.  */
+static void
+stream_with_a_mark_is_complete_inside_an_event (void **state)
+{
+  static const answer_case_t cases[] = {
+    { "chunks, may go on", "POST", "/draft/x",
+      OK_HEAD OWN EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+                         "16\r\nid: 1\ndata: a\n\nid: 2\nd\r\n0\r\n\r\n" },
+    { "chunks, may not", "POST", "/stream/x",
+      OK_HEAD OWN EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+                         "16\r\nid: 1\ndata: a\n\nid: 2\nd\r\n0\r\n\r\n" },
+    { "chunks, first event", "POST", "/stream/x",
+      OK_HEAD OWN EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+                         "d\r\nid: 1\ndata: a\r\n0\r\n\r\n" },
+    { "length", "POST", "/stream/x",
+      OK_HEAD OWN EVENTS "Content-Length: 22\r\n\r\n"
+                         "id: 1\ndata: a\n\nid: 2\nd" },
+  };
+  fixture_t *fixture = *state;
+  int bad = 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    bad += mark_of_case (fixture, &cases[i]) != NULL;
+  assert_int_equal (bad, 0);
+}
+
 /* SIGTERM, then SIGINT, which ends the stop at once.  */
 static void
 on_stop_timer (struct ev_loop *loop, ev_timer *timer, int events)
@@ -461,6 +515,10 @@
     cmocka_unit_test_setup_teardown (
         answer_that_ended_with_its_connection_is_framed_as_complete, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (answer_of_a_silent_server_ends_regularly,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        stream_with_a_mark_is_complete_inside_an_event, set_up, tear_down),
     cmocka_unit_test_setup_teardown (open_answer_cut_by_a_stop_ends_regularly,
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (
