Break off a stream that ends inside an event, whatever marks its end

Callers saw a stream that ends in the middle of an event as complete, with a last chunk. The relay asked only for ends by the connection whether they lie between events; a server that is cut and still ends its chunks, or has announced too short a length, was believed.

--- a/net/relay.c
+++ b/net/relay.c
@@ -152,14 +152,14 @@
   g_string_append_len (transfer->body, bytes, (gssize)size);
 }
 
-/* A body with a length or chunks ends where its server says, even inside an
-   event, and is passed on as it is.  A stream that ends with its connection is
-   cut if that is inside an event, whatever its type.  */
+/* A stream that ends inside an event was broken off, whatever marks its
+   end.  */
 static bool
 may_end (void *data, bool delimited)
 {
+  (void)delimited;
   const transfer_t *transfer = data;
-  return delimited || !transfer->has_events
+  return !transfer->has_events
          || routed_stream_between_events (&transfer->routed_stream);
 }
 
--- a/net/routed-stream.c
+++ b/net/routed-stream.c
@@ -150,13 +150,6 @@
 bool
 routed_stream_finish (routed_stream_t *stream)
 {
-  const char *rest = stream->bytes->str + stream->whole;
-  size_t size = stream->bytes->len - stream->whole;
-  int64_t id = read_id (rest, size);
-  if (id >= 0 && id <= stream->resume_after_id)
-    g_string_truncate (stream->bytes, stream->whole);
-  else if (stream->resumed && !routed_stream_between_events (stream))
-    stream->gap |= id < 0 || !take_event (stream, rest, size);
   stream->whole = stream->bytes->len;
   return !stream->gap;
 }
--- a/net/routed-stream.h
+++ b/net/routed-stream.h
@@ -49,10 +49,8 @@
 bool routed_stream_add (routed_stream_t *stream, const char *bytes,
                         size_t size);
 
-/* The server's body is complete: what follows the last whole event belongs to
-   it, too.  In a run that goes on after another one, it is left out like an
-   event that the caller has, and is a gap if it has no id or leaves out
-   events.  Returns false if there is a gap.  */
+/* The server's body is complete, and ended between events: line ends that
+   follow the last one belong to it, too.  Returns false if there is a gap.  */
 bool routed_stream_finish (routed_stream_t *stream);
 
 /* Whether nothing but line ends follows the last whole event.  */
--- a/test/answer_relay-check.c
+++ b/test/answer_relay-check.c
@@ -121,6 +121,8 @@
     return "an answer that may not be passed on";
   if (kind == ANSWER_STREAM_TAIL && arrivals > 1)
     kind = ANSWER_STREAM_CHUNKS;
+  else if (kind == ANSWER_STREAM_TAIL && view->complete)
+    return "complete inside an event";
   GString *body = relay_body (kind, attempt, 0);
   bool equal = g_string_equal (body, view->body);
   bool begins = g_str_has_prefix (body->str, view->body->str);
@@ -159,6 +161,7 @@
 is_whole_success (const relay_case_t *relay_case)
 {
   if (relay_case->good || relay_case->kind >= ANSWER_REFUSAL
+      || relay_case->kind == ANSWER_STREAM_TAIL
       || relay_case->spoil == SPOIL_CUT || relay_case->spoil == SPOIL_RUBBISH
       || relay_case->ending == ENDING_RESET)
     return false;
