Take the open end of a silent server for a break

Callers could get a short answer that ended with FIN, like a whole one without a length: its server's connection had ended, the server gave no load report within 0.5 s, and the end was passed on as "unknown".

It is now handled like a broken connection: a stream goes on elsewhere, a call that may be repeated is, others are outcome_unknown or reset. What could not be asked, as the deadline or the end of a stop came first or the server has named a limit, is passed on as before.

--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -49,7 +49,8 @@
    answer.  */
 typedef enum
 {
-  END_UNKNOWN, /* nothing, within the time limit */
+  END_UNKNOWN, /* nothing: there was no time to ask, or it must not be asked */
+  END_SILENT,  /* it gave no answer within the time limit */
   END_LIVES,   /* the process of the attempt still answers */
   END_CRASHED, /* that process has ended */
   N_END_VERDICTS
--- a/lib/end-check.c
+++ b/lib/end-check.c
@@ -40,11 +40,20 @@
 {
   static const char *const names[N_END_VERDICTS]
       = { [END_UNKNOWN] = "unknown",
+          [END_SILENT] = "server_silent",
           [END_LIVES] = "server_lives",
           [END_CRASHED] = "server_ended" };
   return names[verdict];
 }
 
+/* Whether an answer counts as cut.  One that was short could not be told from
+   a whole one by its caller.  */
+static bool
+is_broken (end_verdict_t verdict)
+{
+  return verdict == END_CRASHED || verdict == END_SILENT;
+}
+
 static void
 settle (kwf_core_t *core, request_t *request, end_verdict_t verdict,
         kwf_effects_t *effects)
@@ -54,10 +63,10 @@
   request_set_action (core, request, 0);
   core->n_open_ends[verdict]++;
   kwf_effects_log (
-      effects, 239, verdict == END_CRASHED ? KWF_LOG_WARNING : KWF_LOG_INFO,
+      effects, 239, is_broken (verdict) ? KWF_LOG_WARNING : KWF_LOG_INFO,
       request->id, "the answer ended with the connection of server=%s: %s",
       attempt->server->id, verdict_name (verdict));
-  if (verdict == END_CRASHED)
+  if (is_broken (verdict))
     answer_broken (core, attempt, effects);
   else
     answer_complete (core, attempt, effects);
@@ -90,6 +99,7 @@
   /* Questions count against a limit that the server has named.  */
   if (!limit_in_force (&server->limit, now_ns))
     backend_probe_now (core->backend, server, effects);
+  attempt->silent_ns = now_ns + END_CHECK_NS;
   request_set_action (core, request, limit_ns (core, request, now_ns));
   if (is_process_lost (attempt))
     settle (core, request, END_CRASHED, effects);
@@ -181,7 +191,8 @@
 end_check_timeout (kwf_core_t *core, request_t *request,
                    kwf_effects_t *effects)
 {
-  settle (core, request, END_UNKNOWN, effects);
+  bool is_silent = now_of (core) >= request->attempt->silent_ns;
+  settle (core, request, is_silent ? END_SILENT : END_UNKNOWN, effects);
 }
 
 void
--- a/lib/request.h
+++ b/lib/request.h
@@ -113,6 +113,8 @@
                        servers */
   bool answered;    /* data arrived */
   bool probed_again; /* a second load report was asked for at its end */
+  int64_t silent_ns; /* from then on, its server counts as silent in a check of
+                        its end */
 };
 
 typedef struct
