--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -70,6 +70,7 @@
     { SCRIPT_SLOW, 100 }, { SCRIPT_REFUSE, 30 },  { SCRIPT_FAIL, 15 },
     { SCRIPT_CUT, 40 },   { SCRIPT_RESET, 20 },   { SCRIPT_STALL, 10 },
     { SCRIPT_TWICE, 40 }, { SCRIPT_RUBBISH, 20 }, { SCRIPT_OLD_REFUSAL, 20 },
+    { SCRIPT_HALF, 20 },
   };
   int drawn = g_rand_int_range (rand, 0, 1000);
   for (size_t i = 0; i < G_N_ELEMENTS (shares); i++)
@@ -139,6 +140,18 @@
   g_string_append_printf (out, "X-Request-Id: %s\r\n", id);
 }
 
+/* The body of RUN up to a place inside one of its events.  */
+static GString *
+cut_body (const run_t *run, GRand *rand)
+{
+  const GString *body = run->body;
+  gsize size;
+  do
+    size = (gsize)g_rand_int_range (rand, 1, (gint32)body->len);
+  while (body->str[size - 1] == '\n');
+  return g_string_new_len (body->str, (gssize)size);
+}
+
 /* Writes RUN's answer into OUT.  */
 static void
 make_answer (run_t *run, GString *out, GRand *rand)
@@ -149,6 +162,11 @@
   bool chunked = framing < (is_event_stream ? 5 : 4);
   bool closes = framing >= 7 && !run->refused;
   make_body (run, rand);
+  bool is_cut = run->script == SCRIPT_HALF && is_event_stream && !closes
+                && run->body->len;
+  GString *sent
+      = is_cut ? cut_body (run, rand)
+               : g_string_new_len (run->body->str, (gssize)run->body->len);
   bool id_first = g_rand_boolean (rand);
   g_string_append_printf (out, "HTTP/1.1 %d X\r\n", run->status);
   if (id_first)
@@ -163,13 +181,14 @@
   if (chunked)
     g_string_append (out, "Transfer-Encoding: chunked\r\n");
   else if (!closes)
-    g_string_append_printf (out, "Content-Length: %zu\r\n", run->body->len);
+    g_string_append_printf (out, "Content-Length: %zu\r\n", sent->len);
   if (g_rand_int_range (rand, 0, closes ? 2 : 20) == 0)
     g_string_append (out, "Connection: close\r\n");
   if (!id_first)
     append_id (out, run->request->id);
   g_string_append (out, "\r\n");
-  append_body (out, run->body, rand, chunked);
+  append_body (out, sent, rand, chunked);
+  g_string_free (sent, TRUE);
   run->has_end = !closes;
   run->by_chunks = chunked;
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -74,6 +74,7 @@
   SCRIPT_RUBBISH,     /* bytes after the answer */
   SCRIPT_OLD_REFUSAL, /* first a refusal of the request before it */
   SCRIPT_MISPLACED,   /* status 421: another server is expected */
+  SCRIPT_HALF,        /* a stream is cut inside an event, and its end marked */
   N_SCRIPTS
 } script_t;
 
