Log the shared parts of a prompt whose connection broke

Events 300 and 302 name fingerprints of whole requests, so the logs could not tell whether requests that crash servers share a part. Event 305 names the parts, and whether the answer had begun.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -72,7 +72,11 @@
   int64_t max_tokens;
   uint64_t fingerprint; /* hash of kind, model and body */
   uint64_t prefix;      /* hash of the first part of the prompt; 0: none */
-  int64_t timeout_ns;   /* the caller's timeout; 0: the default */
+  /* Identities of the parts of the prompt that other requests may share, in
+     their order.  */
+  const uint64_t *parts;
+  size_t n_parts;
+  int64_t timeout_ns; /* the caller's timeout; 0: the default */
 } kwf_request_event_t;
 
 /* Why an attempt has failed.  */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -47,6 +47,7 @@
   request_t *request = attempt->request;
   cancel_loser (core, attempt, effects);
   attempt->answered = true;
+  attempt->answered_ns = now_ns;
   backend_attempt_answered (core->backend, attempt->server);
   if (request_has_model (request))
     wait_first_token (core, attempt, now_ns);
@@ -491,6 +492,7 @@
   request_t *request = attempt->request;
   server_t *server = attempt->server;
   request->succeeded = false;
+  crash_part_log (attempt, now_of (core), effects);
   crash_connection_ended (core->crash, request->fingerprint, server->id,
                           attempt->incarnation, true);
   if (!request->idempotent)
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -10,6 +10,9 @@
 /* With trials, the second loss is that of a suspect that ran alone.  */
 #define TRIAL_LOSSES 2
 
+/* Tells the parts of prompts from the fingerprints of requests.  */
+#define PART_BIT (UINT64_C (1) << 63)
+
 /* A crash within this time after the request's connection was closed counts
    against the request.  */
 #define CLOSED_RUN_NS (2 * KWF_NS_PER_S)
@@ -86,7 +89,25 @@
 uint64_t
 crash_fingerprint (const char *organisation, uint64_t fingerprint)
 {
-  return XXH64 (organisation, strlen (organisation), fingerprint);
+  return XXH64 (organisation, strlen (organisation), fingerprint) & ~PART_BIT;
+}
+
+uint64_t
+crash_part (uint64_t id)
+{
+  return id | PART_BIT;
+}
+
+bool
+crash_is_part (uint64_t feature)
+{
+  return feature & PART_BIT;
+}
+
+uint64_t
+crash_part_id (uint64_t feature)
+{
+  return feature & ~PART_BIT;
 }
 
 uint64_t
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -38,7 +38,13 @@
 crash_t *crash_new (const kwf_core_options_t *options);
 void crash_free (crash_t *crash);
 
+/* Crashes are counted by features: the fingerprint of a request, and the parts
+   of its prompt.  crash_part returns the feature of the part ID, and
+   crash_part_id its id again.  */
 uint64_t crash_fingerprint (const char *organisation, uint64_t fingerprint);
+uint64_t crash_part (uint64_t id);
+bool crash_is_part (uint64_t feature);
+uint64_t crash_part_id (uint64_t feature);
 
 crash_state_t crash_state (crash_t *crash, uint64_t fingerprint);
 
--- a/lib/request.c
+++ b/lib/request.c
@@ -78,13 +78,15 @@
 request_add (kwf_core_t *core, const kwf_request_event_t *event,
              const char *organisation, int priority, int64_t now_ns)
 {
-  size_t size = sizeof (request_t) + text_size (event->id)
+  size_t parts_size = event->n_parts * sizeof *event->parts;
+  size_t size = sizeof (request_t) + parts_size + text_size (event->id)
                 + text_size (event->key_digest) + text_size (organisation)
                 + text_size (event->model) + text_size (event->adapter)
                 + text_size (event->service)
                 + text_size (event->idempotency_key);
   request_t *request = g_malloc (size);
-  char *end = (char *)(request + 1);
+  uint64_t *parts = (uint64_t *)(void *)(request + 1);
+  char *end = (char *)parts + parts_size;
   int64_t timeout_ns = event->timeout_ns > 0
                            ? event->timeout_ns
                            : core->options.default_timeout_ns;
@@ -104,6 +106,8 @@
     .resumable = event->kind != KWF_REQUEST_ROUTED,
     .max_attempts = DEFAULT_MAX_ATTEMPTS,
     .prompt_tokens = event->prompt_tokens,
+    .parts = parts,
+    .n_parts = event->n_parts,
     .fingerprint = crash_fingerprint (organisation, event->fingerprint),
     .priority = priority,
     .arrived_ns = now_ns,
@@ -111,6 +115,8 @@
     .wake_ns = now_ns + timeout_ns,
     .series = metrics_series (core->metrics, organisation, priority),
   };
+  for (size_t i = 0; i < event->n_parts; i++)
+    parts[i] = crash_part (event->parts[i]);
   request->route_key
       = route_key (organisation, event->model ? event->model : event->service,
                    event->prefix ? event->prefix : request->fingerprint);
--- a/lib/request.h
+++ b/lib/request.h
@@ -53,6 +53,8 @@
   double charged;    /* tokens charged to the organisation */
   int64_t delivered; /* tokens forwarded to the caller */
   uint64_t fingerprint;
+  const uint64_t *parts; /* of the prompt, by which crashes are counted */
+  size_t n_parts;
   uint64_t route_key;
   uint64_t duration_kind;
   bool succeeded; /* a server has answered it with a success */
@@ -112,7 +114,8 @@
   bool late;        /* its first data came far later than that of other
                        servers */
   bool answered;    /* data arrived */
-  bool probed_again; /* a second load report was asked for at its end */
+  int64_t answered_ns; /* when the first of it did */
+  bool probed_again;   /* a second load report was asked for at its end */
   int64_t silent_ns; /* from then on, its server counts as silent in a check of
                         its end */
 };
@@ -282,6 +285,11 @@
 void end_check_cancel (kwf_core_t *core, request_t *request);
 void end_checks_write_metrics (const kwf_core_t *core, GString *out);
 
+/* crash-part.c: parts of prompts.  */
+/* Log the parts of the prompt of ATTEMPT, whose connection broke.  */
+void crash_part_log (const attempt_t *attempt, int64_t now_ns,
+                     kwf_effects_t *effects);
+
 /* crash-check.c */
 /* A load report of SERVER shows whether it crashed: continue the requests
    whose connection to it broke.  */
