--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -19,6 +19,9 @@
    instances that were undisturbed for as long.  */
 #define IN_TOUCH_NS (3 * KWF_NS_PER_S)
 #define RETRY_NS (1 * KWF_NS_PER_S)
+/* From the arrival of a request to the begin of its answer, at most.  */
+#define BEGIN_NS (400 * CORE_FLEET_MS)
+#define DOWN_NS (3 * KWF_NS_PER_S)
 
 typedef enum
 {
@@ -33,7 +36,9 @@
   TASK_ANSWER,
   TASK_REQUEST,
   TASK_MEMBERS,
-  TASK_LOADED
+  TASK_LOADED,
+  TASK_REFUSED,
+  TASK_CRASH
 } task_type_t;
 
 typedef struct
@@ -359,10 +364,16 @@
 counts_for_rule (const core_fleet_t *fleet, const core_fleet_server_t *server,
                  int index)
 {
-  const core_fleet_instance_t *instance = &fleet->instances[index];
   int64_t told_ns = server->told_ns[index];
-  return told_ns && fleet->now_ns - told_ns >= TOLD_NS && instance->alive
-         && !instance->frozen && !instance->cut
+  return told_ns && fleet->now_ns - told_ns >= TOLD_NS
+         && core_fleet_in_touch (fleet, index);
+}
+
+bool
+core_fleet_in_touch (const core_fleet_t *fleet, int index)
+{
+  const core_fleet_instance_t *instance = &fleet->instances[index];
+  return instance->alive && !instance->frozen && !instance->cut
          && fleet->now_ns - instance->disturbed_ns >= IN_TOUCH_NS;
 }
 
@@ -459,6 +470,21 @@
     g_array_append_val (fleet->repeats[server->quiet], fleet->now_ns);
 }
 
+/* The server crashes later if REQUEST is such that it does.  */
+static void
+plan_crash (core_fleet_t *fleet, const task_t *arrival)
+{
+  const core_fleet_server_t *server = &fleet->servers[arrival->server];
+  if (!fleet->crashes
+      || !fleet->crashes (fleet, arrival->to->index, arrival->server,
+                          request_of (fleet, arrival->request)))
+    return;
+  int64_t delay_ns = (int64_t)core_fleet_random (fleet, BEGIN_NS);
+  task_t *task = add_task (fleet, TASK_CRASH, delay_ns, NULL);
+  task->server = arrival->server;
+  task->server_incarnation = server->incarnation;
+}
+
 /* Status of the answer to a request.  */
 static int
 run_request_at (core_fleet_t *fleet, const core_fleet_server_t *server,
@@ -483,6 +509,17 @@
   core_fleet_server_t *server = &fleet->servers[task->server];
   core_fleet_arrival_t arrival
       = { fleet->now_ns, task->to->index, task->kind };
+  if (fleet->now_ns < server->back_ns)
+    {
+      task_t *refusal = add_task (fleet, TASK_REFUSED, SERVER_NS, task->to);
+      refusal->incarnation = task->incarnation;
+      refusal->request = task->request;
+      refusal->attempt = task->attempt;
+      refusal->server = task->server;
+      refusal->kind = task->kind;
+      g_strlcpy (refusal->order_id, task->order_id, sizeof refusal->order_id);
+      return;
+    }
   g_array_append_val (server->arrivals, arrival);
   judge (fleet, server);
   int status = 200;
@@ -491,6 +528,8 @@
   else if (task->kind == KWF_ANSWER_REQUEST)
     status = run_request_at (fleet, server, task->request);
   bool runs = task->kind == KWF_ANSWER_REQUEST && status == 200;
+  if (runs)
+    plan_crash (fleet, task);
   int64_t delay_ns = SERVER_NS + (runs ? fleet->service_ns : 0);
   task_t *answer = add_task (fleet, TASK_ANSWER, delay_ns, task->to);
   answer->status = status;
@@ -588,6 +627,64 @@
     feed_report (instance, server);
 }
 
+/* The address of a server without a process refuses the connection.  */
+static void
+run_refusal (core_fleet_t *fleet, const task_t *task)
+{
+  const char *id = fleet->servers[task->server].id;
+  kwf_event_t event = { 0 };
+  if (task->kind == KWF_ANSWER_REQUEST)
+    event = (kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                           .attempt = { .attempt = task->attempt,
+                                        .request = task->request,
+                                        .failure = KWF_FAIL_REFUSED } };
+  else if (task->kind == KWF_ANSWER_REPORT)
+    event = (kwf_event_t){ .type = KWF_EV_REPORT,
+                           .report = { .server = id, .refused = true } };
+  else
+    event = (kwf_event_t){ .type = KWF_EV_ORDER_REPLY,
+                           .order = { .server = id,
+                                      .id = task->order_id,
+                                      .failure = KWF_FAIL_REFUSED } };
+  step (task->to, &event);
+}
+
+void
+core_fleet_crash_server (core_fleet_t *fleet, int index, int64_t down_ns)
+{
+  core_fleet_server_t *server = &fleet->servers[index];
+  guint n = fleet->tasks.items->len;
+  server->incarnation++;
+  server->revision += fleet->n_servers;
+  server->back_ns = fleet->now_ns + down_ns;
+  for (guint i = 0; i < n; i++)
+    {
+      const task_t *answer
+          = g_array_index (fleet->tasks.items, heap_item_t, i).data;
+      if (answer->type != TASK_ANSWER || answer->server != index
+          || answer->kind != KWF_ANSWER_REQUEST || !answer->status
+          || answer->server_incarnation == server->incarnation)
+        continue;
+      task_t *broken = add_task (fleet, TASK_ANSWER, SERVER_NS, answer->to);
+      broken->incarnation = answer->incarnation;
+      broken->request = answer->request;
+      broken->attempt = answer->attempt;
+      broken->server = index;
+      broken->kind = KWF_ANSWER_REQUEST;
+      broken->status = answer->status;
+      broken->server_incarnation = answer->server_incarnation;
+    }
+  for (int i = 0; i < fleet->n_instances; i++)
+    add_task (fleet, TASK_MEMBERS, down_ns + FEED_NS, &fleet->instances[i]);
+}
+
+static void
+run_crash (core_fleet_t *fleet, const task_t *task)
+{
+  if (fleet->servers[task->server].incarnation == task->server_incarnation)
+    core_fleet_crash_server (fleet, task->server, DOWN_NS);
+}
+
 /* Callers.  */
 
 static void
@@ -626,6 +723,7 @@
   core_fleet_request_t *request = request_of (fleet, reply->request);
   if (request->handle != reply->request)
     return;
+  request->blamed |= g_strcmp0 (reply->code, "request_crashes_servers") == 0;
   fleet->n_exhausted += g_strcmp0 (reply->code, "retry_budget_exhausted") == 0;
   if (reply->status == 200)
     end_request (fleet, request, 200);
@@ -705,6 +803,9 @@
                 .adapter = request->adapter < 0
                                ? NULL
                                : core_fleet_adapter_name (request->adapter),
+                .prefix = request->n_parts ? request->parts[0] : 0,
+                .parts = request->parts,
+                .n_parts = request->n_parts,
                 .fingerprint = request->handle } });
 }
 
@@ -731,6 +832,8 @@
     choose_model (fleet, &request);
   if (fleet->quiet_part > 0)
     request.quiet = core_fleet_random_unit (fleet) < fleet->quiet_part;
+  if (fleet->draw)
+    fleet->draw (fleet, &request);
   g_array_append_val (fleet->requests, request);
   plan_request (fleet, fleet->requests->len - 1, 0);
 }
@@ -1086,6 +1189,9 @@
     case TASK_ANSWER:
       run_answer (fleet, task);
       break;
+    case TASK_REFUSED:
+      run_refusal (fleet, task);
+      break;
     default:
       break;
     }
@@ -1103,6 +1209,8 @@
     run_arrival (fleet, task);
   else if (task->type == TASK_REQUEST)
     run_request (fleet, task);
+  else if (task->type == TASK_CRASH)
+    run_crash (fleet, task);
   else if (task->type == TASK_LOADED)
     {
       if (core_fleet_finish_load (fleet, &fleet->servers[task->server]))
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -17,6 +17,7 @@
 #include "common-fleet-sim.h"
 
 #define CORE_FLEET_MS KWF_NS_PER_MS
+#define CORE_FLEET_PARTS 4
 /* A server judges its limit over this time.  */
 #define CORE_FLEET_WINDOW_NS (4 * KWF_NS_PER_S)
 
@@ -86,6 +87,7 @@
                         told, while the limit stood */
   int64_t most_ns;   /* end of that window */
   int n_excessive;   /* windows with more than the rule allows */
+  int64_t back_ns;   /* when a process is there again after a crash */
 } core_fleet_server_t;
 
 typedef struct
@@ -102,6 +104,10 @@
   int status;
   int64_t ended_ns;
   int n_tries;
+  uint64_t parts[CORE_FLEET_PARTS]; /* of its prompt */
+  size_t n_parts;
+  int kind;    /* for the test */
+  bool blamed; /* ended with "request_crashes_servers" */
 } core_fleet_request_t;
 
 struct core_fleet
@@ -129,6 +135,12 @@
   /* Whether an instance may take a request now; NULL: always.  What it may not
      take is refused to be tried again a second later.  */
   bool (*gate) (core_fleet_t *fleet, int instance);
+  /* Sets the parts of a new request; NULL: it has none.  */
+  void (*draw) (core_fleet_t *fleet, core_fleet_request_t *request);
+  /* REQUEST, sent by an instance, has reached a live server.  Returns whether
+     the server crashes when it begins to answer; NULL: none does.  */
+  bool (*crashes) (core_fleet_t *fleet, int instance, int server,
+                   const core_fleet_request_t *request);
   void *data;
   int n_instances;
   int n_servers;
@@ -166,6 +178,12 @@
 
 /* The process of SERVER is replaced; the new one names no limit.  */
 void core_fleet_restart_server (core_fleet_t *fleet, int server);
+/* The process of SERVER ends, and its connections break; a new one is there
+   after DOWN_NS.  */
+void core_fleet_crash_server (core_fleet_t *fleet, int server,
+                              int64_t down_ns);
+/* Whether instance INDEX has had no fault for as long as the rules ask for. */
+bool core_fleet_in_touch (const core_fleet_t *fleet, int index);
 void core_fleet_name_limit (core_fleet_t *fleet, int server, double limit);
 void core_fleet_end_limit (core_fleet_t *fleet, int server);
 
