Refuse requests with a part of the prompt that crashes servers

The parts of a prompt are now features of a request like its fingerprint, in the same entries and messages. Crashes speak against the features that ran there, an answer for its own; what another cause explains does not count. The verdict is told to all, also over new links, and kept in a row, so that it outlives killed instances; what waits at a server is called back.

Why it holds: the part is the only feature that is there at each crash and never answered; popular parts are cleared by their next answer at any instance, rare ones lack the four servers in two moments, and riders are explained by the cause.

--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -118,14 +118,16 @@
 typedef enum
 {
   KWF_CRASH_REQUEST_FINISHED
-  = 1,             /* copies of the request finished before the crash */
-  KWF_CRASH_PROVEN /* the second crash happened during the request's
-                      trial */
+  = 1,              /* copies of the request finished before the crash */
+  KWF_CRASH_PROVEN, /* the second crash happened during the request's
+                       trial */
+  KWF_CRASH_CAUSE,  /* the sender refuses requests with the feature */
+  KWF_CRASH_SOUND   /* a request with the feature has just been answered */
 } kwf_crash_notice_t;
 
 typedef struct
 {
-  uint64_t fingerprint;
+  uint64_t fingerprint; /* or another feature (lib/crash.h) */
   const char *server;   /* id of the backend server; "": see
                            kwf_crash_notice_t */
   uint64_t incarnation; /* of the server, or a kwf_crash_notice_t */
--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -109,5 +109,6 @@
   request->resumable = route->stream && route->resumable;
   request->duration_kind = duration_kind (route->name, service_name,
                                           request->model, request->stream);
-  admit_charge (core, request, cost_of (event, organisation), effects);
+  if (!feature_refuse_bad_part (core, request, effects))
+    admit_charge (core, request, cost_of (event, organisation), effects);
 }
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -173,9 +173,7 @@
       && delivery_action (request->delivery, DELIVERY_GAP) == DELIVER_RETRY)
     {
       add_attempt_effect (effects, KWF_FX_ATTEMPT_CANCEL, attempt);
-      crash_connection_ended (core->crash, request->fingerprint,
-                              attempt->server->id, attempt->incarnation,
-                              false);
+      feature_run_ended (core, attempt, false, effects);
       reject_run (core, attempt, OUTCOME_BAD, leaves_out_events, effects);
       return;
     }
@@ -184,6 +182,7 @@
   attempt->tokens = event->tokens;
   attempt->by_close = event->by_close;
   attempt->no_resume = event->no_resume;
+  feature_answer_goes_on (core, attempt, now_ns, effects);
   if (session_may_act (core->session))
     forward_data (attempt, now_ns, effects);
   else
@@ -206,10 +205,10 @@
   if (delivery_step (&request->delivery, end_input (attempt))
       != DELIVER_NOTHING)
     add_attempt_effect (effects, KWF_FX_FORWARD_END, attempt);
+  if (!request->trial)
+    feature_answered (core, attempt, effects);
   attempt_remove (core, attempt, attempt->failed ? OUTCOME_BAD : OUTCOME_GOOD,
                   now_of (core));
-  if (!request->trial)
-    crash_request_finished (core->crash, request->fingerprint, effects);
   request_end (core, request, CODE_OK, effects);
 }
 
@@ -492,9 +491,7 @@
   request_t *request = attempt->request;
   server_t *server = attempt->server;
   request->succeeded = false;
-  crash_part_log (attempt, now_of (core), effects);
-  crash_connection_ended (core->crash, request->fingerprint, server->id,
-                          attempt->incarnation, true);
+  feature_run_ended (core, attempt, true, effects);
   if (!request->idempotent)
     {
       refuse_unrepeatable (core, attempt, OUTCOME_BAD, unanswered, effects);
@@ -522,8 +519,7 @@
 handle_timeout (kwf_core_t *core, attempt_t *attempt, kwf_effects_t *effects)
 {
   request_t *request = attempt->request;
-  crash_connection_ended (core->crash, request->fingerprint,
-                          attempt->server->id, attempt->incarnation, false);
+  feature_run_ended (core, attempt, false, effects);
   request->retry_same_server = false;
   if (request->idempotent)
     retry (core, attempt, OUTCOME_BAD, CODE_BACKEND_ERROR, effects);
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -309,6 +309,7 @@
          && !server_leaving (server)
          && !notice_server_is_paused (server, now_ns)
          && session_may_act (core->session)
+         && !feature_has_bad_part (core, request)
          && (!request->organisation[0]
              || config_key_organisation (core->config, request->digest));
 }
@@ -359,7 +360,8 @@
 attempt_dispatch (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
-  if (!check_before_send (core, request, now_ns, effects))
+  if (!check_before_send (core, request, now_ns, effects)
+      || feature_refuse_bad_part (core, request, effects))
     return;
   crash_state_t crash = crash_state (core->crash, request->fingerprint);
   if (crash == CRASH_QUARANTINED && request->n_ran
@@ -467,7 +469,8 @@
       || request->n_attempts >= request->max_attempts
       || !session_may_act (core->session)
       || !stop_allows_start (core, request, now_ns)
-      || crash_state (core->crash, request->fingerprint) != CRASH_CLEAR)
+      || crash_state (core->crash, request->fingerprint) != CRASH_CLEAR
+      || feature_has_bad_part (core, request))
     return;
   server_t *running = request->attempt->server;
   request->tried_servers[request->n_tried++] = running;
@@ -509,8 +512,7 @@
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_CANCEL);
   effect->attempt.request = attempt->request->handle;
   effect->attempt.attempt = attempt->handle;
-  crash_connection_ended (core->crash, attempt->request->fingerprint,
-                          attempt->server->id, attempt->incarnation, false);
+  feature_run_ended (core, attempt, false, effects);
   attempt_remove (core, attempt, OUTCOME_NEUTRAL,
                   kwf_now_ns (core->options.clock));
 }
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -134,6 +134,7 @@
   uint64_t config_generation; /* generation at the last check of all keys */
   int64_t config_version;
   uint64_t crash_generation;
+  uint64_t crash_verdicts;
   int64_t next_attainment_ns; /* time of the next update of the attainment */
   int64_t requested_tick_ns;  /* due time of the last KWF_FX_TIMER; 0: none
                                  since the last tick */
@@ -146,7 +147,8 @@
   uint64_t n_hedges;
   uint64_t n_resumes;
   uint64_t n_trials;
-  size_t n_end_checks;                  /* requests in REQUEST_END_CHECK */
+  uint64_t n_bad_parts; /* requests refused for a part of their prompt */
+  size_t n_end_checks;  /* requests in REQUEST_END_CHECK */
   uint64_t n_open_ends[N_END_VERDICTS]; /* open ends of each verdict */
 };
 
--- a/lib/core.c
+++ b/lib/core.c
@@ -143,6 +143,11 @@
         attempt_dispatch (core, request, effects);
     }
   g_array_free (queued, TRUE);
+  uint64_t verdicts = crash_verdicts (core->crash);
+  if (verdicts == core->crash_verdicts)
+    return;
+  core->crash_verdicts = verdicts;
+  feature_end_bad_parts (core, effects);
 }
 
 static void
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -13,6 +13,11 @@
 /* Tells the parts of prompts from the fingerprints of requests.  */
 #define PART_BIT (UINT64_C (1) << 63)
 
+/* Without trials, the others are told that a request with a feature finished
+   before when this many servers are lost: one loss is common beside another
+   cause.  */
+#define TELL_LOSSES 2
+
 /* A crash within this time after the request's connection was closed counts
    against the request.  */
 #define CLOSED_RUN_NS (2 * KWF_NS_PER_S)
@@ -52,11 +57,12 @@
   crash_t *crash = g_new0 (crash_t, 1);
   crash->clock = options->clock;
   crash->trials = !options->push_updates;
-  crash->limit = crash->trials ? TRIAL_LOSSES : CRASHROW_MAX_LOST;
+  crash->limit = TRIAL_LOSSES;
   crash->random = options->random;
   crash->instance = g_strdup (options->instance);
   crash->entries
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, entry_free);
+  crash->crashes = g_array_new (FALSE, FALSE, sizeof (crash_seen_t));
   crash->ended_runs = g_array_new (FALSE, TRUE, sizeof (ended_run_t));
   g_array_set_clear_func (crash->ended_runs, ended_run_clear);
   crash->writes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
@@ -77,6 +83,7 @@
     return;
   g_free (crash->instance);
   g_hash_table_unref (crash->entries);
+  g_array_free (crash->crashes, TRUE);
   g_array_free (crash->ended_runs, TRUE);
   g_hash_table_unref (crash->writes);
   g_hash_table_unref (crash->locks);
@@ -110,6 +117,12 @@
   return feature & ~PART_BIT;
 }
 
+uint64_t
+crash_verdicts (const crash_t *crash)
+{
+  return crash->n_verdicts;
+}
+
 uint64_t
 crash_generation (const crash_t *crash)
 {
@@ -249,6 +262,8 @@
 static bool
 ran_beside_cause (const crash_t *crash, const crash_entry_t *entry)
 {
+  if (!crash->trials)
+    return crash_is_rider (crash, entry);
   return entry->finished && entry->n_lost >= crash->limit
          && are_losses_explained (crash, entry, true);
 }
@@ -274,6 +289,16 @@
              : CRASH_SUSPECT;
 }
 
+const char *
+crash_feature_name (kwf_effects_t *effects, uint64_t fingerprint)
+{
+  return crash_is_part (fingerprint)
+             ? kwf_effects_printf (effects, "prompt part %" PRIx64,
+                                   crash_part_id (fingerprint))
+             : kwf_effects_printf (effects, "request fingerprint %016" PRIx64,
+                                   fingerprint);
+}
+
 bool
 crash_is_unproven (const crash_t *crash, uint64_t fingerprint)
 {
@@ -322,6 +347,8 @@
                   kwf_effects_t *effects)
 {
   entry->state = CRASH_QUARANTINED;
+  entry->verdict = ++crash->n_verdicts;
+  entry->verdict_ns = crash_now (crash);
   entry->proven = entry->server && crash_has_loss (entry, entry->server, 0);
   crash_set_expiry (crash, entry, crash_now (crash) + CRASH_QUARANTINE_NS);
   crash->generation++;
@@ -331,10 +358,11 @@
         crash_row_text (crash, entry, "quarantined", entry->until_ns),
         effects);
   kwf_effects_log (effects, 302, KWF_LOG_ERROR, NULL,
-                   "request fingerprint %016" PRIx64
-                   " quarantined: it crashed %s and %s",
-                   entry->fingerprint, entry->lost[0].server,
-                   entry->n_lost > 1 ? entry->lost[1].server : "?");
+                   "%s quarantined: it crashed %s and %s, servers=%d",
+                   crash_feature_name (effects, entry->fingerprint),
+                   entry->n_lost ? entry->lost[0].server : "?",
+                   entry->n_lost > 1 ? entry->lost[1].server : "?",
+                   entry->n_lost);
   if (entry->proven)
     clear_explained (crash, entry, effects);
 }
@@ -346,6 +374,8 @@
   for (int i = 0; i < entry->n_lost; i++)
     g_free (entry->lost[i].server);
   entry->n_lost = 0;
+  entry->n_moments = 0;
+  entry->hearing_ns = 0;
   entry->seen_here = false;
 }
 
@@ -355,7 +385,8 @@
 add_loss (crash_t *crash, uint64_t fingerprint, const char *server,
           uint64_t incarnation, bool here, kwf_effects_t *effects)
 {
-  if (is_explained (crash, fingerprint, server, incarnation, false))
+  if (is_explained (crash, fingerprint, server, incarnation, false)
+      || g_hash_table_size (crash->entries) >= CRASH_MAX_ENTRIES)
     return false;
   crash_entry_t *entry = crash_find_or_add (crash, fingerprint);
   if (entry->n_lost && crash_state (crash, fingerprint) == CRASH_CLEAR
@@ -363,15 +394,19 @@
     forget_losses (entry);
   if (here)
     entry->seen_here = true;
-  if (entry->n_lost == crash->limit
+  if (entry->n_lost == (crash->trials ? TRIAL_LOSSES : CRASH_MAX_LOST)
       || crash_has_loss (entry, server, incarnation))
     return false;
   entry->lost[entry->n_lost++]
       = (crash_loss_t){ g_strdup (server), incarnation };
+  if (!crash->trials)
+    {
+      crash_judge (crash, entry, effects);
+      return true;
+    }
   if (entry->n_lost == crash->limit)
     {
-      crash_quarantine (crash, entry, entry->seen_here && crash->trials,
-                        effects);
+      crash_quarantine (crash, entry, entry->seen_here, effects);
       return true;
     }
   entry->state = CRASH_SUSPECT;
@@ -380,12 +415,8 @@
   return true;
 }
 
-/* Send KWF_MSG_CRASH to the instances with a link.  SERVER "": nothing
-   crashed, and INCARNATION is a code: KWF_CRASH_PROVEN, FINGERPRINT caused the
-   crashes it is blamed for; or KWF_CRASH_REQUEST_FINISHED, a request with it
-   finished before.  */
-static void
-send_crash_message (const session_t *session, uint64_t fingerprint,
+void
+crash_send_message (const session_t *session, uint64_t fingerprint,
                     const char *server, uint64_t incarnation,
                     kwf_effects_t *effects)
 {
@@ -415,12 +446,13 @@
   if (!entry)
     return;
   if (entry->proven)
-    send_crash_message (session, fingerprint, "", KWF_CRASH_PROVEN, effects);
-  if (entry->finished || !crash_has_finished (crash, fingerprint))
+    crash_send_message (session, fingerprint, "", KWF_CRASH_PROVEN, effects);
+  if (entry->finished || !crash_has_finished (crash, fingerprint)
+      || (!crash->trials && entry->n_lost < TELL_LOSSES))
     return;
   entry->finished = true;
   crash->generation++;
-  send_crash_message (session, fingerprint, "", KWF_CRASH_REQUEST_FINISHED,
+  crash_send_message (session, fingerprint, "", KWF_CRASH_REQUEST_FINISHED,
                       effects);
 }
 
@@ -459,10 +491,10 @@
                        true, effects))
           continue;
         kwf_effects_log (effects, 300, KWF_LOG_WARNING, NULL,
-                         "request fingerprint %016" PRIx64
-                         " ran on %s when it crashed",
-                         run->fingerprint, run->server);
-        send_crash_message (session, run->fingerprint, run->server,
+                         "%s ran on %s when it crashed",
+                         crash_feature_name (effects, run->fingerprint),
+                         run->server);
+        crash_send_message (session, run->fingerprint, run->server,
                             run->incarnation, effects);
         send_crash_notices (crash, session, run->fingerprint, effects);
       }
@@ -568,32 +600,68 @@
     return;
   crash->generation++;
   if (content->incarnation == KWF_CRASH_REQUEST_FINISHED)
-    entry->finished = true;
+    {
+      entry->finished = true;
+      crash_reconsider (crash, entry);
+    }
   if (content->incarnation != KWF_CRASH_PROVEN
       || entry->state != CRASH_QUARANTINED)
     return;
   crash_mark_proven (crash, entry, effects);
 }
 
+/* A peer has found that the process INCARNATION of SERVER crashed: count that
+   against what ran there for this instance.  */
+static void
+count_reported_crash (crash_t *crash, const session_t *session,
+                      const kwf_crash_t *content, kwf_effects_t *effects)
+{
+  GArray *crashed = g_array_new (FALSE, TRUE, sizeof (ended_run_t));
+  g_array_set_clear_func (crashed, ended_run_clear);
+  for (guint i = crash->ended_runs->len; i-- > 0;)
+    {
+      ended_run_t *run = &g_array_index (crash->ended_runs, ended_run_t, i);
+      if (crash_now (crash) >= run->until_ns || !content->incarnation
+          || run->incarnation != content->incarnation
+          || strcmp (run->server, content->server) != 0)
+        continue;
+      g_array_append_val (crashed, *run);
+      run->server = NULL;
+      g_array_remove_index_fast (crash->ended_runs, i);
+    }
+  count_crash (crash, session, crashed, effects);
+  g_array_free (crashed, TRUE);
+}
+
 static void
 handle_message (crash_t *crash, const session_t *session,
                 const kwf_peer_event_t *peer, kwf_effects_t *effects)
 {
   const kwf_crash_t *content = &peer->message->crash;
+  if (!*content->server && content->incarnation >= KWF_CRASH_CAUSE)
+    {
+      crash_handle_verdict (crash, session, content, effects);
+      return;
+    }
   if (!*content->server)
     {
       handle_evidence (crash, content, effects);
       return;
     }
-  if (add_loss (crash, content->fingerprint, content->server,
-                content->incarnation, false, effects))
-    kwf_effects_log (effects, 301, KWF_LOG_WARNING, NULL,
-                     "%s reports that request fingerprint %016" PRIx64
-                     " ran on %s when it crashed",
-                     peer->instance, content->fingerprint, content->server);
+  bool is_new = add_loss (crash, content->fingerprint, content->server,
+                          content->incarnation, false, effects);
   const crash_entry_t *entry = crash_find (crash, content->fingerprint);
+  if (is_new && (crash->trials || entry->n_lost >= TELL_LOSSES))
+    kwf_effects_log (
+        effects, 301, KWF_LOG_WARNING, NULL,
+        "%s reports that %s ran on %s when it crashed", peer->instance,
+        crash_feature_name (effects, content->fingerprint), content->server);
+  if (is_new && entry->state == CRASH_QUARANTINED && !crash->trials)
+    crash_send_verdicts (crash, peer->instance, content->fingerprint, effects);
   if (entry && !entry->proven)
     send_crash_notices (crash, session, content->fingerprint, effects);
+  if (!crash->trials)
+    count_reported_crash (crash, session, content, effects);
 }
 
 typedef struct
@@ -638,8 +706,11 @@
     {
       crash->next_tick_ns = INT64_MAX;
       crash_retry_writes (crash, now_ns, effects);
+      crash_end_hearings (crash, now_ns, effects);
       expire_entries (crash, now_ns, effects);
     }
+  if (event->type == KWF_EV_PEER_UP && !crash->trials)
+    crash_send_verdicts (crash, event->peer.instance, 0, effects);
   if (event->type == KWF_EV_STORE_REPLY)
     return crash_handle_reply (crash, event->store.op, &event->store.reply,
                                effects);
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -5,7 +5,11 @@
    becomes a suspect when a server crashed that ran a request with it.  A
    suspect may run once more, alone on the other candidate server: its trial.
    If that server crashes too, the fingerprint is quarantined: requests with it
-   are refused.  */
+   are refused.
+
+   Where the platform's rows are pushed there are no trials, and the parts of a
+   prompt that requests share are counted like fingerprints; both are features
+   of a request.  lib/crash-verdict.c tells which one is the cause.  */
 
 #ifndef KNAPWEEDFORK_CRASH_H
 #define KNAPWEEDFORK_CRASH_H
@@ -92,8 +96,8 @@
 /* A request with FINGERPRINT has finished.  This clears a suspect.  It is also
    remembered: of several fingerprints that ran on the same two servers when
    these crashed, those that finished before are not the cause.  */
-void crash_request_finished (crash_t *crash, uint64_t fingerprint,
-                             kwf_effects_t *effects);
+void crash_request_finished (crash_t *crash, const session_t *session,
+                             uint64_t fingerprint, kwf_effects_t *effects);
 
 /* Handle store replies, KWF_MSG_CRASH, ticks, and the rows of crash/ and
    trial/ in CHANGES.  Return true when no other module needs the event.  */
@@ -103,6 +107,9 @@
 
 const crash_result_t *crash_take_results (crash_t *crash, size_t *count);
 
+/* Number of verdicts so far that a feature is the cause of crashes.  */
+uint64_t crash_verdicts (const crash_t *crash);
+
 /* Increases with each change of any fingerprint's state.  */
 uint64_t crash_generation (const crash_t *crash);
 
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -13,6 +13,11 @@
 /* Delay before a failed write is repeated.  */
 #define CRASH_WRITE_RETRY_NS (1 * KWF_NS_PER_S)
 
+/* Losses that are kept of a feature.  */
+#define CRASH_MAX_LOST 16
+/* Features that are kept at most; no more are counted then.  */
+#define CRASH_MAX_ENTRIES 20000
+
 /* Slots for the fingerprints that finished lately; a later fingerprint with
    the same slot replaces the former one.  */
 #define CRASH_FINISHED_SLOTS 16384
@@ -23,13 +28,27 @@
   int64_t at_ns;
 } finished_request_t;
 
+/* A crash that some instance has found.  */
+typedef struct
+{
+  uint64_t id; /* hash of the server and its incarnation */
+  int64_t at_ns;
+} crash_seen_t;
+
 typedef struct
 {
   uint64_t fingerprint;
   crash_state_t state;
   /* Servers that crashed while they ran a request with it.  */
-  crash_loss_t lost[CRASHROW_MAX_LOST];
+  crash_loss_t lost[CRASH_MAX_LOST];
   int n_lost;
+  int64_t first_ns; /* of the first loss */
+  int moment_of[CRASH_MAX_LOST];
+  int n_moments;      /* servers that are lost together count as one */
+  int64_t moment_ns;  /* when the last of them began */
+  int64_t hearing_ns; /* end of the hearing before a verdict; 0: none */
+  uint64_t verdict;   /* number of the verdict against it; 0: none */
+  int64_t verdict_ns;
   int64_t until_ns;       /* end of suspicion or quarantine */
   int64_t cleanup_ns;     /* when the entry and its row are deleted */
   int64_t trial_until_ns; /* CRASH_TRIAL: when the holder is presumed dead */
@@ -93,6 +112,7 @@
   kwf_random_t *random;
   char *instance;
   GHashTable *entries; /* fingerprint to crash_entry_t */
+  GArray *crashes;     /* of crash_seen_t */
   GArray *ended_runs;  /* of ended_run_t */
   GHashTable *writes;  /* op to crash_write_t */
   GHashTable *locks;   /* server to trial_lock_t */
@@ -100,6 +120,7 @@
   GArray *results; /* of crash_result_t */
   GArray *taken;   /* of crash_result_t, returned by crash_take_results */
   uint64_t generation;
+  uint64_t n_verdicts;
   uint64_t next_op;
   int64_t next_tick_ns; /* of the next timed step; INT64_MAX: none */
 };
@@ -118,6 +139,45 @@
 void crash_quarantine (crash_t *crash, crash_entry_t *entry, bool write,
                        kwf_effects_t *effects);
 
+/* Send KWF_MSG_CRASH to the instances with a link.  SERVER "": nothing
+   crashed, and INCARNATION is a kwf_crash_notice_t.  */
+void crash_send_message (const session_t *session, uint64_t fingerprint,
+                         const char *server, uint64_t incarnation,
+                         kwf_effects_t *effects);
+
+/* FINGERPRINT as text for the log.  */
+const char *crash_feature_name (kwf_effects_t *effects, uint64_t fingerprint);
+
+/* crash-verdict.c: verdicts from losses alone, where there are no trials.  */
+
+/* A loss was added to ENTRY: if there is enough evidence, hold it to be the
+   cause after others were heard.  */
+void crash_judge (crash_t *crash, crash_entry_t *entry,
+                  kwf_effects_t *effects);
+/* Give the verdicts that are due.  */
+void crash_end_hearings (crash_t *crash, int64_t now_ns,
+                         kwf_effects_t *effects);
+
+/* A request with the feature of ENTRY was answered before its losses: drop a
+   verdict for which there is too little evidence then.  */
+void crash_reconsider (crash_t *crash, crash_entry_t *entry);
+
+/* Whether ENTRY was lost only with servers that another cause explains.  */
+bool crash_is_rider (const crash_t *crash, const crash_entry_t *entry);
+
+/* A request with the feature of ENTRY was answered: forget its losses.  */
+void crash_acquit (crash_t *crash, const session_t *session,
+                   crash_entry_t *entry, kwf_effects_t *effects);
+
+/* Handle KWF_CRASH_CAUSE and KWF_CRASH_SOUND.  */
+void crash_handle_verdict (crash_t *crash, const session_t *session,
+                           const kwf_crash_t *content, kwf_effects_t *effects);
+
+/* Tell INSTANCE, which has a new link or reports a loss that it need not have
+   had, what is held to be the cause: FINGERPRINT, or 0: everything.  */
+void crash_send_verdicts (crash_t *crash, const char *instance,
+                          uint64_t fingerprint, kwf_effects_t *effects);
+
 /* A server crashed during the trial of ENTRY.  Only then the entry explains
    crashes for other fingerprints: one whose two servers crashed at the same
    time may only have run beside the cause.  */
--- a/lib/crashtable.c
+++ b/lib/crashtable.c
@@ -31,7 +31,7 @@
                 const char *state, int64_t until_ns)
 {
   crashrow_t row = { .state = state,
-                     .n_lost = entry->n_lost,
+                     .n_lost = MIN (entry->n_lost, CRASHROW_MAX_LOST),
                      .for_ms = ms_until (crash, until_ns) };
   memcpy (row.lost, entry->lost, sizeof row.lost);
   if (strcmp (state, "trial") == 0)
@@ -152,6 +152,12 @@
   entry->version = context->version;
   if (entry->owns_trial_row)
     return;
+  if (!crash->trials)
+    {
+      if (entry->state != CRASH_QUARANTINED)
+        crash_quarantine (crash, entry, false, context->effects);
+      return;
+    }
   merge_losses (crash, entry, row);
   if (entry->n_lost == crash->limit && entry->state != CRASH_QUARANTINED)
     {
--- a/lib/crashtrial.c
+++ b/lib/crashtrial.c
@@ -118,15 +118,17 @@
 }
 
 void
-crash_request_finished (crash_t *crash, uint64_t fingerprint,
-                        kwf_effects_t *effects)
+crash_request_finished (crash_t *crash, const session_t *session,
+                        uint64_t fingerprint, kwf_effects_t *effects)
 {
   crash->finished[fingerprint % CRASH_FINISHED_SLOTS]
       = (finished_request_t){ fingerprint, crash_now (crash) };
   if (!g_hash_table_size (crash->entries))
     return;
   crash_entry_t *entry = crash_find (crash, fingerprint);
-  if (entry && entry->state == CRASH_SUSPECT)
+  if (entry && !crash->trials)
+    crash_acquit (crash, session, entry, effects);
+  else if (entry && entry->state == CRASH_SUSPECT)
     crash_clear (crash, entry, effects);
 }
 
--- a/lib/end-check.c
+++ b/lib/end-check.c
@@ -66,6 +66,7 @@
       effects, 239, is_broken (verdict) ? KWF_LOG_WARNING : KWF_LOG_INFO,
       request->id, "the answer ended with the connection of server=%s: %s",
       attempt->server->id, verdict_name (verdict));
+  attempt->server_lives = verdict == END_LIVES;
   if (is_broken (verdict))
     answer_broken (core, attempt, effects);
   else
--- a/lib/request.h
+++ b/lib/request.h
@@ -115,6 +115,8 @@
                        servers */
   bool answered;    /* data arrived */
   int64_t answered_ns; /* when the first of it did */
+  bool server_lives;   /* its server answered after an open end */
+  bool cleared;        /* its answer has gone on, which clears its parts */
   bool probed_again;   /* a second load report was asked for at its end */
   int64_t silent_ns; /* from then on, its server counts as silent in a check of
                         its end */
@@ -285,10 +287,24 @@
 void end_check_cancel (kwf_core_t *core, request_t *request);
 void end_checks_write_metrics (const kwf_core_t *core, GString *out);
 
-/* crash-part.c: parts of prompts.  */
-/* Log the parts of the prompt of ATTEMPT, whose connection broke.  */
-void crash_part_log (const attempt_t *attempt, int64_t now_ns,
-                     kwf_effects_t *effects);
+/* feature.c: what of a request may be the cause of a crash.  */
+/* The connection of ATTEMPT ended before its answer did: it broke (BROKEN) or
+   this instance closed it.  */
+void feature_run_ended (kwf_core_t *core, const attempt_t *attempt,
+                        bool broken, kwf_effects_t *effects);
+/* Data of the answer of ATTEMPT arrived.  */
+void feature_answer_goes_on (kwf_core_t *core, attempt_t *attempt,
+                             int64_t now_ns, kwf_effects_t *effects);
+/* The answer of ATTEMPT is complete.  */
+void feature_answered (kwf_core_t *core, const attempt_t *attempt,
+                       kwf_effects_t *effects);
+/* Whether a part of REQUEST is held to crash servers.  */
+bool feature_has_bad_part (const kwf_core_t *core, const request_t *request);
+/* If so, refuse REQUEST and return true.  */
+bool feature_refuse_bad_part (kwf_core_t *core, request_t *request,
+                              kwf_effects_t *effects);
+/* End the requests with such a part that wait at a server.  */
+void feature_end_bad_parts (kwf_core_t *core, kwf_effects_t *effects);
 
 /* crash-check.c */
 /* A load report of SERVER shows whether it crashed: continue the requests
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -254,6 +254,8 @@
                       (double)core->n_resumes);
   metric_write_value (out, "kwf_trials_total", "counter",
                       (double)core->n_trials);
+  metric_write_value (out, "kwf_bad_parts_refused_total", "counter",
+                      (double)core->n_bad_parts);
   end_checks_write_metrics (core, out);
   metric_write_value (out, "kwf_stop_refused_total", "counter",
                       (double)core->stop.n_refused);
--- a/test/test_crash_parts.c
+++ b/test/test_crash_parts.c
@@ -131,6 +131,7 @@
   world->shape = shape;
   world->from_ns = SETTLED_NS + CALM_NS;
   world->until_ns = world->from_ns + for_ns;
+  fleet->verbose = g_getenv ("KWF_PARTS_VERBOSE") != NULL;
   fleet->data = world;
   fleet->draw = draw;
   fleet->crashes = crashes;
@@ -307,7 +308,7 @@
   int n_blamed;
   shape_t shape = (shape_t)(SHAPE_MIDDLE + seed % (N_SHAPES - SHAPE_MIDDLE));
   world_t *world = world_new (seed, shape, 40 * KWF_NS_PER_S);
-  world->fleet->verbose = verbose;
+  world->fleet->verbose |= verbose;
   run_schedule (world);
   int failures = check_parts (world, shape_names[shape], seed);
   sound_served (world, world->from_ns + 10 * KWF_NS_PER_S, world->until_ns,
