Soak: requests with a part that crashes each engine that begins to answer

The judge counts those that reach a server later than contact_ms after the fifth process has ended, and a 4xx for any sound one.

--- a/test/soak-caller.c
+++ b/test/soak-caller.c
@@ -209,6 +209,8 @@
   g_snprintf (request->id, sizeof request->id, "%08x%03x%05x",
               soak_hash (soak, "caller", caller->index), caller->index,
               ++caller->n_sent);
+  request->is_bad = request->route->engine && at_s > BAD_FROM_S
+                    && soak->has_bad_part && !g_rand_int_range (rand, 0, 8);
   request->path = g_strdup_printf ("%s%x/%s", request->route->prefix,
                                    g_rand_int (rand), request->id);
   if (request->route->kind >= SOAK_STREAM && !g_rand_int_range (rand, 0, 10))
@@ -234,10 +236,13 @@
   if (request->after)
     g_string_append_printf (text, "Last-Event-Id: %d\r\n", request->after);
   if (request->route->engine)
-    g_string_append_printf (text,
-                            "X-Model: m\r\nX-Token-Counts: 20,%d\r\n"
-                            "X-Prompt-Prefix: %.8s:20\r\n",
-                            request->n_events, request->id + 8);
+    g_string_append_printf (
+        text,
+        "X-Model: m\r\nX-Token-Counts: 20,%d\r\n"
+        "X-Prompt-Prefix: a%d:10,%x:5,%.8s:20\r\n",
+        request->n_events, g_rand_int_range (caller->rand, 0, 2),
+        request->is_bad ? 0xbad : g_rand_int_range (caller->rand, 1, 8),
+        request->id + 8);
   size_t size = strlen (request->body);
   if (g_rand_int_range (caller->rand, 0, 4))
     g_string_append_printf (text, "Content-Length: %zu\r\n\r\n%s", size,
--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -41,8 +41,8 @@
 };
 
 static const char *const script_names[N_SCRIPTS]
-    = { "plain", "slow",  "refuse",  "fail",        "cut",      "reset",
-        "stall", "twice", "rubbish", "old-refusal", "misplaced" };
+    = { "plain", "slow",  "refuse",  "fail",        "cut",       "reset",
+        "stall", "twice", "rubbish", "old-refusal", "misplaced", "half" };
 
 const char *
 script_name (script_t script)
@@ -521,6 +521,11 @@
                               job->extra->len);
           return true;
         }
+      if (run->request->is_bad && !run->refused)
+        {
+          job->backend->crashes = true;
+          return false;
+        }
       size_t size = draw_piece (job);
       connection_write (job->connection, job->out->str + run->sent, size);
       run->sent += size;
--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -106,6 +106,9 @@
     if (soak->statuses[i])
       g_print (" %zu: %d;", i, soak->statuses[i]);
   g_print (" last 2 s: %d of %d;", soak->calm_successes, soak->calm_requests);
+  g_print (" with the bad part: %d reached a server, %d servers ended, %d too "
+           "late;",
+           soak->n_bad, soak->n_bad_ended, soak->n_bad_late);
   for (int i = 0; i < N_ACTS; i++)
     g_print (" %s %d", act_name ((act_t)i), soak->acts[i]);
   g_print (
@@ -142,6 +145,8 @@
 judge_run (soak_t *soak, run_t *run)
 {
   request_t *request = run->request;
+  if (request->is_bad && !run->refused)
+    judge_bad_run (soak, request);
   if (run->refused || may_repeat (request))
     return;
   for (guint i = 0; i + 1 < request->runs->len; i++)
@@ -336,7 +341,7 @@
                 "a failure with a stamp ends as complete %s",
                 framing_name (answer));
   if (answer->status >= 400 && answer->status < 500
-      && !is_promise (answer->status))
+      && !is_promise (answer->status) && !request->is_bad)
     soak_break (soak, RULE_CONFIG, request, bytes,
                 "status %d for a request that is allowed", answer->status);
   if (may_repeat (request) || !is_promise (answer->status))
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -72,6 +72,27 @@
   g_array_free (again, TRUE);
 }
 
+void
+judge_bad_end (soak_t *soak)
+{
+  if (++soak->n_bad_ended == BAD_ENDED)
+    soak->bad_fifth_ns = soak_now_ns ();
+}
+
+void
+judge_bad_run (soak_t *soak, const request_t *request)
+{
+  soak->n_bad++;
+  if (!soak->bad_fifth_ns || !request->calm
+      || soak_now_ns () - soak->bad_fifth_ns < CONTACT_MS * KWF_NS_PER_MS)
+    return;
+  if (++soak->n_bad_late == BAD_LATE + 1)
+    soak_break (soak, RULE_BUDGET, request, NULL,
+                "requests with a part that crashes servers still reach them, "
+                "after %d have ended",
+                soak->n_bad_ended);
+}
+
 /* Servers that ran a request and did not end meanwhile.  */
 static int
 count_servers (const request_t *request)
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -83,6 +83,7 @@
   backend->calm_ns = soak_now_ns ();
   backend->leaving = false;
   backend->start_ns = 0;
+  backend->crashes = false;
   g_hash_table_remove_all (backend->last_ids);
   name_process (backend);
   backend->listener
@@ -229,6 +230,12 @@
   for (guint i = backend->jobs->len; i-- > 0;)
     if (job_tick (backend->jobs->pdata[i], now_ns))
       g_ptr_array_remove_index (backend->jobs, i);
+  if (!backend->crashes)
+    return;
+  backend->crashes = false;
+  judge_bad_end (backend->soak);
+  backend_kill (backend,
+                soak_hash (backend->soak, "bad", backend->incarnation));
 }
 
 void
--- a/test/soak.h
+++ b/test/soak.h
@@ -41,6 +41,13 @@
    length.  */
 #define LAST_S 2.0
 
+/* From then on some requests have a part in their prompts that crashes each
+   server that begins to answer on it; after BAD_ENDED processes of servers,
+   more than BAD_LATE later ones are too many.  */
+#define BAD_FROM_S 6.0
+#define BAD_ENDED 5
+#define BAD_LATE 3
+
 #define TICK_S 0.01
 
 typedef enum
@@ -146,6 +153,7 @@
   int deadline_ms;
   int instance;
   int incarnation;
+  bool is_bad;     /* a part of its prompt crashes servers */
   bool kept;       /* on a connection that was used before */
   bool calm;       /* the instance was in touch when it was sent */
   bool ended_calm; /* and when it ended */
@@ -197,6 +205,7 @@
   int64_t fail_ns;  /* until then all requests get FAIL_SCRIPT */
   script_t fail_script;
   bool leaving;
+  bool crashes; /* a bad request begins to be answered */
   soak_t *soak;
   int index;
   GPtrArray *jobs;      /* of job_t */
@@ -283,6 +292,7 @@
   int64_t max_lag_ns;    /* longest time between two ticks */
   int version;           /* of the configuration */
   bool has_extra_route;
+  bool has_bad_part;
   bool moved;
   bool is_calm; /* the last part has begun */
   bool closing; /* callers send nothing new */
@@ -300,11 +310,15 @@
   int n_killed;      /* resumable streams whose server was killed at work */
   int n_killed_open; /* those of a server that gave no mark of the end */
   int n_killed_open_last;
-  int n_killed_last;  /* those that reached their last event */
-  int n_late_taken;   /* requests passed on that were sent after SIGTERM */
-  int n_late_cut;     /* those that were cut */
-  int n_late_excused; /* of these, at work in the last sixth of the grace */
-  int calm_requests;  /* sent in the last part */
+  int n_killed_last;    /* those that reached their last event */
+  int n_late_taken;     /* requests passed on that were sent after SIGTERM */
+  int n_late_cut;       /* those that were cut */
+  int n_late_excused;   /* of these, at work in the last sixth of the grace */
+  int n_bad;            /* requests with the bad part that reached a server */
+  int n_bad_ended;      /* processes of servers that ended under them */
+  int n_bad_late;       /* those that came too late */
+  int64_t bad_fifth_ns; /* when the fifth process ended */
+  int calm_requests;    /* sent in the last part */
   int calm_successes;
 };
 
@@ -383,6 +397,9 @@
 /* soak-judge.c  */
 bool may_repeat (const request_t *request);
 void judge_run (soak_t *soak, run_t *run);
+/* A server ends under a bad request; one has reached a server.  */
+void judge_bad_end (soak_t *soak);
+void judge_bad_run (soak_t *soak, const request_t *request);
 void judge_answer (soak_t *soak, request_t *request,
                    const answer_read_t *answer, const GString *bytes);
 /* Rules that need the whole soak.  */
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -648,8 +648,9 @@
     for (int resumed = 0; resumed <= 1; resumed++)
       {
         routed_stream_t stream;
-        stream_position_t start = resumed ? (stream_position_t){ .last_id = 2 }
-                                          : STREAM_POSITION_START;
+        stream_position_t start = STREAM_POSITION_START;
+        if (resumed)
+          start.last_id = 2;
         routed_stream_init (&stream, &start, resumed);
         routed_stream_add (&stream, cases[i].body, strlen (cases[i].body));
         if (routed_stream_between_events (&stream) != cases[i].may_end)
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -89,6 +89,7 @@
 {
   soak_t *soak = g_new0 (soak_t, 1);
   soak->seed = seed;
+  soak->has_bad_part = seed % 2;
   soak->seconds = setting ("KWF_SOAK_S", SOAK_S);
   soak->n_instances = (int)setting ("KWF_SOAK_INSTANCES", INSTANCES);
   soak->grace_s
