--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -289,7 +289,8 @@
         crash_clear (crash, entry, effects);
       return;
     }
-  if (entry && entry->state == CRASH_QUARANTINED)
+  if (entry && entry->state == CRASH_QUARANTINED
+      && crash_now (crash) < entry->until_ns)
     return;
   /* The sender may not know that a request with it was answered before.  */
   if (crash_has_finished (crash, fingerprint))
