Void verdicts on features that ride along with another cause, and their rows

A sound part that is convicted before the cause stayed in the table and was told to instances that start, although its verdict had become void. Its entry and row are now removed as soon as another cause explains it, and a row is written only for a verdict that has stood for a second.

test_crash_parts gets a part that always comes with the cause and that few sound requests share.

--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -28,6 +28,9 @@
 /* Before a verdict, the others are heard for this time: they may know that a
    request with the feature was answered, or have lost more to another one.  */
 #define HEARING_NS (KWF_NS_PER_S / 10)
+/* A verdict on a part that stands for this time is written to the table: it
+   outlives the instances that know it, as others bring the part again.  */
+#define ROW_DELAY_NS (1 * KWF_NS_PER_S)
 /* All instances have had the evidence of a verdict after this time.  */
 #define RECENT_NS (1 * KWF_NS_PER_S)
 
@@ -149,7 +152,7 @@
 }
 
 void
-crash_reconsider (crash_t *crash, crash_entry_t *entry)
+crash_reconsider (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
   if (crash->trials || entry->state != CRASH_QUARANTINED
       || is_cause (crash, entry))
@@ -157,6 +160,28 @@
   entry->state = CRASH_SUSPECT;
   entry->verdict = 0;
   crash->generation++;
+  if (entry->version)
+    crash_write_row (crash, entry, NULL, effects);
+}
+
+/* Clears the features whose verdicts are void since another one is held to be
+   the cause, or has lost more.  */
+static void
+clear_riders (crash_t *crash, kwf_effects_t *effects)
+{
+  GPtrArray *riders = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, crash->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const crash_entry_t *entry = value;
+      if (entry->state == CRASH_QUARANTINED && crash_is_rider (crash, entry))
+        g_ptr_array_add (riders, value);
+    }
+  for (guint i = 0; i < riders->len; i++)
+    crash_clear (crash, g_ptr_array_index (riders, i), effects);
+  g_ptr_array_free (riders, TRUE);
 }
 
 /* The process INCARNATION of SERVER has crashed.  */
@@ -191,10 +216,12 @@
 static void
 give_verdict (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
-  /* A part outlives the instances that know it: others bring it again.  */
-  bool write = entry->seen_here && crash_is_part (entry->fingerprint);
   entry->hearing_ns = 0;
-  crash_quarantine (crash, entry, write, effects);
+  if (entry->seen_here && crash_is_part (entry->fingerprint))
+    entry->row_ns = crash_now (crash) + ROW_DELAY_NS;
+  crash_quarantine (crash, entry, false, effects);
+  crash_schedule_tick (crash, crash_now (crash) + ROW_DELAY_NS);
+  clear_riders (crash, effects);
 }
 
 void
@@ -205,7 +232,10 @@
   count_moment (entry, now_ns);
   crash->generation++;
   if (entry->state == CRASH_QUARANTINED && now_ns < entry->until_ns)
-    return;
+    {
+      clear_riders (crash, effects);
+      return;
+    }
   /* A feature whose quarantine has run out needs no more evidence.  */
   if (entry->verdict)
     {
@@ -250,8 +280,33 @@
   return next;
 }
 
+static void
+write_rows (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, crash->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      crash_entry_t *entry = value;
+      if (!entry->row_ns || entry->state != CRASH_QUARANTINED)
+        continue;
+      if (now_ns < entry->row_ns)
+        {
+          crash_schedule_tick (crash, entry->row_ns);
+          continue;
+        }
+      entry->row_ns = 0;
+      if (!entry->version)
+        crash_write_row (
+            crash, entry,
+            crash_row_text (crash, entry, "quarantined", entry->until_ns),
+            effects);
+    }
+}
+
 void
-crash_end_hearings (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
+crash_run_verdicts (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
 {
   crash_entry_t *entry;
   while ((entry = next_heard (crash, now_ns)))
@@ -260,6 +315,7 @@
       if (is_cause (crash, entry))
         give_verdict (crash, entry, effects);
     }
+  write_rows (crash, now_ns, effects);
 }
 
 void
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -385,7 +385,8 @@
 add_loss (crash_t *crash, uint64_t fingerprint, const char *server,
           uint64_t incarnation, bool here, kwf_effects_t *effects)
 {
-  if (is_explained (crash, fingerprint, server, incarnation, false)
+  if ((crash->trials
+       && is_explained (crash, fingerprint, server, incarnation, false))
       || g_hash_table_size (crash->entries) >= CRASH_MAX_ENTRIES)
     return false;
   crash_entry_t *entry = crash_find_or_add (crash, fingerprint);
@@ -602,7 +603,7 @@
   if (content->incarnation == KWF_CRASH_REQUEST_FINISHED)
     {
       entry->finished = true;
-      crash_reconsider (crash, entry);
+      crash_reconsider (crash, entry, effects);
     }
   if (content->incarnation != KWF_CRASH_PROVEN
       || entry->state != CRASH_QUARANTINED)
@@ -651,12 +652,12 @@
   bool is_new = add_loss (crash, content->fingerprint, content->server,
                           content->incarnation, false, effects);
   const crash_entry_t *entry = crash_find (crash, content->fingerprint);
-  if (is_new && (crash->trials || entry->n_lost >= TELL_LOSSES))
+  if (is_new && entry && (crash->trials || entry->n_lost >= TELL_LOSSES))
     kwf_effects_log (
         effects, 301, KWF_LOG_WARNING, NULL,
         "%s reports that %s ran on %s when it crashed", peer->instance,
         crash_feature_name (effects, content->fingerprint), content->server);
-  if (is_new && entry->state == CRASH_QUARANTINED && !crash->trials)
+  if (is_new && entry && entry->state == CRASH_QUARANTINED && !crash->trials)
     crash_send_verdicts (crash, peer->instance, content->fingerprint, effects);
   if (entry && !entry->proven)
     send_crash_notices (crash, session, content->fingerprint, effects);
@@ -706,7 +707,7 @@
     {
       crash->next_tick_ns = INT64_MAX;
       crash_retry_writes (crash, now_ns, effects);
-      crash_end_hearings (crash, now_ns, effects);
+      crash_run_verdicts (crash, now_ns, effects);
       expire_entries (crash, now_ns, effects);
     }
   if (event->type == KWF_EV_PEER_UP && !crash->trials)
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -47,6 +47,7 @@
   int n_moments;      /* servers that are lost together count as one */
   int64_t moment_ns;  /* when the last of them began */
   int64_t hearing_ns; /* end of the hearing before a verdict; 0: none */
+  int64_t row_ns;     /* when its row is written; 0: it is not */
   uint64_t verdict;   /* number of the verdict against it; 0: none */
   int64_t verdict_ns;
   int64_t until_ns;       /* end of suspicion or quarantine */
@@ -154,13 +155,14 @@
    cause after others were heard.  */
 void crash_judge (crash_t *crash, crash_entry_t *entry,
                   kwf_effects_t *effects);
-/* Give the verdicts that are due.  */
-void crash_end_hearings (crash_t *crash, int64_t now_ns,
+/* Give the verdicts and write the rows that are due.  */
+void crash_run_verdicts (crash_t *crash, int64_t now_ns,
                          kwf_effects_t *effects);
 
 /* A request with the feature of ENTRY was answered before its losses: drop a
    verdict for which there is too little evidence then.  */
-void crash_reconsider (crash_t *crash, crash_entry_t *entry);
+void crash_reconsider (crash_t *crash, crash_entry_t *entry,
+                       kwf_effects_t *effects);
 
 /* Whether ENTRY was lost only with servers that another cause explains.  */
 bool crash_is_rider (const crash_t *crash, const crash_entry_t *entry);
--- a/lib/crashtable.c
+++ b/lib/crashtable.c
@@ -154,7 +154,11 @@
     return;
   if (!crash->trials)
     {
-      if (entry->state != CRASH_QUARANTINED)
+      /* The writer may not know that a request with it was answered.  */
+      if (entry->state != CRASH_QUARANTINED
+          && crash_has_finished (crash, entry->fingerprint))
+        crash_remove (crash, entry);
+      else if (entry->state != CRASH_QUARANTINED)
         crash_quarantine (crash, entry, false, context->effects);
       return;
     }
--- a/test/test_crash_parts.c
+++ b/test/test_crash_parts.c
@@ -23,6 +23,10 @@
 #define CALM_NS (6 * KWF_NS_PER_S)
 #define SOUND_PER_S 60
 #define BAD_PER_S 6
+/* The part that comes with the bad one, and the part of the sound requests
+   that have it.  */
+#define PAIR_ID 900
+#define PAIR_ONE_IN 40
 #define CONTACT_NS (3 * KWF_NS_PER_S)
 /* From the arrival of a bad request to the end of its server, at most.  */
 #define BEGIN_NS (KWF_NS_PER_S / 2)
@@ -38,6 +42,7 @@
   SHAPE_MIDDLE, /* the bad part follows parts that sound requests share */
   SHAPE_FIRST,  /* it is the first one */
   SHAPE_TWO,    /* two bad parts, in different requests */
+  SHAPE_PAIR,   /* it comes with one other part, which few sound ones share */
   N_SHAPES
 } shape_t;
 
@@ -89,6 +94,8 @@
 {
   const world_t *world = fleet->data;
   draw_sound (fleet, request);
+  if (world->shape == SHAPE_PAIR && !core_fleet_random (fleet, PAIR_ONE_IN))
+    request->parts[1] = PAIR_ID;
   bool is_bad
       = world->shape != SHAPE_NONE && fleet->now_ns >= world->from_ns
         && fleet->now_ns < world->until_ns
@@ -99,7 +106,9 @@
   request->kind = 1 + bad;
   if (world->shape == SHAPE_FIRST)
     request->parts[0] = bad_id (bad);
-  else
+  else if (world->shape == SHAPE_PAIR)
+    request->parts[1] = PAIR_ID;
+  if (world->shape != SHAPE_FIRST)
     request->parts[request->n_parts++] = bad_id (bad);
 }
 
@@ -196,7 +205,7 @@
 }
 
 static const char *const shape_names[N_SHAPES]
-    = { "none", "middle", "first", "two" };
+    = { "none", "middle", "first", "two", "pair" };
 
 /* Guards against requests with one part in their prompts that crash server
    after server, and against sound ones that are refused beside them.  */
