Take a broken question at an open end for no silence

An accepted connection shows a process, that of a crash refuses; so only a question without a connection or an answer counts as silence, and a broken one leaves the verdict unknown, as before.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -198,6 +198,7 @@
   bool valid;    /* false: there is no report; see the next three */
   bool refused;  /* the server's address refused the connection */
   bool answered; /* an answer came, whether or not it is a report */
+  bool broken;   /* the connection was accepted, and ended without an answer */
   bool replaced; /* it says that another server has the address now */
   bool leaving;
   bool fencing;
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -641,6 +641,7 @@
                                 .valid = report->valid,
                                 .refused = report->refused,
                                 .answered = report->answered,
+                                .broken = report->broken,
                                 .replaced = report->replaced,
                                 .incarnation_before = server->incarnation };
   server->probing = false;
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -132,6 +132,7 @@
   bool valid;    /* a report arrived */
   bool refused;  /* the address refused the connection */
   bool answered; /* an answer came, whether or not it is a report */
+  bool broken;   /* the connection was accepted, and ended without an answer */
   bool replaced; /* it says that another server has the address now */
   uint64_t incarnation_before;
 } backend_report_t;
--- a/lib/end-check.c
+++ b/lib/end-check.c
@@ -169,7 +169,10 @@
       if (verdict != END_UNKNOWN)
         settle (core, request, verdict, effects);
       else if (report->fresh)
-        probe_again (core, request->attempt, effects);
+        {
+          request->attempt->question_broken |= report->broken;
+          probe_again (core, request->attempt, effects);
+        }
     }
   g_array_free (handles, TRUE);
 }
@@ -192,7 +195,10 @@
 end_check_timeout (kwf_core_t *core, request_t *request,
                    kwf_effects_t *effects)
 {
-  bool is_silent = now_of (core) >= request->attempt->silent_ns;
+  const attempt_t *attempt = request->attempt;
+  /* A server resets connections beyond its limit and lives.  */
+  bool is_silent
+      = now_of (core) >= attempt->silent_ns && !attempt->question_broken;
   settle (core, request, is_silent ? END_SILENT : END_UNKNOWN, effects);
 }
 
--- a/lib/request.h
+++ b/lib/request.h
@@ -114,10 +114,11 @@
   bool late;        /* its first data came far later than that of other
                        servers */
   bool answered;    /* data arrived */
-  int64_t answered_ns; /* when the first of it did */
-  bool server_lives;   /* its server answered after an open end */
-  bool cleared;        /* its answer has gone on, which clears its parts */
-  bool probed_again;   /* a second load report was asked for at its end */
+  int64_t answered_ns;  /* when the first of it did */
+  bool server_lives;    /* its server answered after an open end */
+  bool question_broken; /* its server broke the question at an open end */
+  bool cleared;         /* its answer has gone on, which clears its parts */
+  bool probed_again;    /* a second load report was asked for at its end */
   int64_t silent_ns; /* from then on, its server counts as silent in a check of
                         its end */
 };
--- a/net/probe.c
+++ b/net/probe.c
@@ -54,7 +54,8 @@
   (void)transfer;
   (void)error;
   report_and_free (
-      data, &(kwf_report_event_t){ .refused = failure == KWF_FAIL_REFUSED });
+      data, &(kwf_report_event_t){ .refused = failure == KWF_FAIL_REFUSED,
+                                   .broken = failure == KWF_FAIL_BROKEN });
 }
 
 void
