test_hidden_cut: count runs of the request only

After a broken answer the instance asks the server for its load report. Its servers now answer the question, as servers do, and still count each arrival of the request.

--- a/test/test_hidden_cut.c
+++ b/test/test_hidden_cut.c
@@ -44,6 +44,8 @@
   if (strstr (request, " /ready/"))
     connection_print (connection,
                       "HTTP/1.1 200 OK\r\n" OWN "Content-Length: 0\r\n\r\n");
+  else if (strstr (request, " /-/report "))
+    connection_reply (connection, 404, "");
   else
     {
       const char *answer
