--- a/lib/crash.c
+++ b/lib/crash.c
@@ -94,9 +94,9 @@
 }
 
 uint64_t
-crash_fingerprint (const char *organisation, uint64_t fingerprint)
+crash_fingerprint (uint64_t hash)
 {
-  return XXH64 (organisation, strlen (organisation), fingerprint) & ~PART_BIT;
+  return hash & ~PART_BIT;
 }
 
 uint64_t
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -43,9 +43,9 @@
 void crash_free (crash_t *crash);
 
 /* Crashes are counted by features: the fingerprint of a request, and the parts
-   of its prompt.  crash_part returns the feature of the part ID, and
-   crash_part_id its id again.  */
-uint64_t crash_fingerprint (const char *organisation, uint64_t fingerprint);
+   of its prompt.  crash_fingerprint returns that of a request with HASH,
+   crash_part the feature of the part ID, and crash_part_id its id again.  */
+uint64_t crash_fingerprint (uint64_t hash);
 uint64_t crash_part (uint64_t id);
 bool crash_is_part (uint64_t feature);
 uint64_t crash_part_id (uint64_t feature);
--- a/lib/request.c
+++ b/lib/request.c
@@ -1,6 +1,7 @@
 #include "request.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "error-code.h"
 #include "promise.h"
@@ -90,6 +91,8 @@
   int64_t timeout_ns = event->timeout_ns > 0
                            ? event->timeout_ns
                            : core->options.default_timeout_ns;
+  uint64_t hash
+      = XXH64 (organisation, strlen (organisation), event->fingerprint);
   *request = (request_t){
     .handle = event->handle,
     .kind = event->kind,
@@ -108,7 +111,8 @@
     .prompt_tokens = event->prompt_tokens,
     .parts = parts,
     .n_parts = event->n_parts,
-    .fingerprint = crash_fingerprint (organisation, event->fingerprint),
+    .hash = hash,
+    .fingerprint = crash_fingerprint (hash),
     .priority = priority,
     .arrived_ns = now_ns,
     .deadline_ns = now_ns + timeout_ns,
@@ -119,7 +123,7 @@
     parts[i] = crash_part (event->parts[i]);
   request->route_key
       = route_key (organisation, event->model ? event->model : event->service,
-                   event->prefix ? event->prefix : request->fingerprint);
+                   event->prefix ? event->prefix : hash);
   request->duration_kind = duration_kind (NULL, request->service,
                                           request->model, request->stream);
   g_hash_table_insert (core->requests, &request->handle, request);
--- a/lib/request.h
+++ b/lib/request.h
@@ -52,6 +52,8 @@
   int64_t prompt_tokens;
   double charged;    /* tokens charged to the organisation */
   int64_t delivered; /* tokens forwarded to the caller */
+  uint64_t
+      hash; /* of organisation, kind, model and body: it chooses servers */
   uint64_t fingerprint;
   const uint64_t *parts; /* of the prompt, by which crashes are counted */
   size_t n_parts;
