Tell a verdict when it is given

A verdict was told over new links only; without the same evidence, or with a part of it explained by another verdict, other instances went on sending.

--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -306,14 +306,19 @@
 }
 
 void
-crash_run_verdicts (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
+crash_run_verdicts (crash_t *crash, const session_t *session, int64_t now_ns,
+                    kwf_effects_t *effects)
 {
   crash_entry_t *entry;
   while ((entry = next_heard (crash, now_ns)))
     {
       entry->hearing_ns = 0;
-      if (is_cause (crash, entry))
-        give_verdict (crash, entry, effects);
+      if (!is_cause (crash, entry))
+        continue;
+      /* Others may have less evidence, or explain it by another verdict.  */
+      crash_send_message (session, entry->fingerprint, "", KWF_CRASH_CAUSE,
+                          effects);
+      give_verdict (crash, entry, effects);
     }
   write_rows (crash, now_ns, effects);
 }
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -707,7 +707,7 @@
     {
       crash->next_tick_ns = INT64_MAX;
       crash_retry_writes (crash, now_ns, effects);
-      crash_run_verdicts (crash, now_ns, effects);
+      crash_run_verdicts (crash, session, now_ns, effects);
       expire_entries (crash, now_ns, effects);
     }
   if (event->type == KWF_EV_PEER_UP && !crash->trials)
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -156,8 +156,8 @@
 void crash_judge (crash_t *crash, crash_entry_t *entry,
                   kwf_effects_t *effects);
 /* Give the verdicts and write the rows that are due.  */
-void crash_run_verdicts (crash_t *crash, int64_t now_ns,
-                         kwf_effects_t *effects);
+void crash_run_verdicts (crash_t *crash, const session_t *session,
+                         int64_t now_ns, kwf_effects_t *effects);
 
 /* A request with the feature of ENTRY was answered before its losses: drop a
    verdict for which there is too little evidence then.  */
