--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,8 +13,8 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]
                        / "standins"))
-from kwf import (BOUNDS, Daemon, Server, Store, answer, header, read_body,
-                 read_head, temporary_directory)
+from kwf import (BOUNDS, HOST, Daemon, Server, Store, answer, header,
+                 read_body, read_head, temporary_directory)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RECORD = os.environ.get("RECORD") or (
@@ -88,13 +88,14 @@
 
 async def read_stream(port, name, key, kind):
     """The status, the ids of the events, and whether the end was there."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(HOST, port)
     deadline_ms = 15000 if kind == "long" else 4000
+    own = zlib.crc32(name.encode())  # the part of this request alone
     writer.write(f"POST /{kind}/{name} HTTP/1.1\r\nHost: h.example\r\n"
                  f"X-Request-Id: {name}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
                  f"X-Api-Key: {key}\r\nX-Kind: {kind}\r\nX-Model: m1\r\n"
                  f"X-Token-Counts: 500,100\r\n"
-                 f"X-Prompt-Prefix: aa11:300,{zlib.crc32(name.encode()):08x}:200\r\n"
+                 f"X-Prompt-Prefix: aa11:300,{own:08x}:200\r\n"
                  f"Content-Length: 1\r\n\r\nx".encode())
     status, data = 0, b""
     try:
--- a/review/standins/kwf.py
+++ b/review/standins/kwf.py
@@ -10,6 +10,7 @@
 import ctypes
 import json
 import pathlib
+import random
 import signal
 import socket
 import tempfile
@@ -25,10 +26,24 @@
     ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
 
 
-def free_port(ip="127.0.0.1"):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+# All listeners of a case are at one loopback address of its own, so that cases
+# that run at the same time do not take each other's ports.
+HOST = "127." + ".".join(str(random.randrange(1, 255)) for _ in range(3))
+used_ports = set()
+
+
+def free_port():
+    """A free port below those that the kernel gives to connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in used_ports:
+            used_ports.add(port)
+            return port
 
 
 async def read_head(reader):
@@ -53,7 +68,10 @@
 async def read_chunks(reader):
     body = b""
     while True:
-        size = int((await reader.readline()).split(b";")[0], 16)
+        line = await reader.readline()
+        if not line.endswith(b"\n"):
+            raise asyncio.IncompleteReadError(line, None)
+        size = int(line.split(b";")[0], 16)
         if size == 0:
             while (await reader.readline()) not in (b"\r\n", b""):
                 pass
@@ -83,10 +101,10 @@
         self.begin = time.monotonic()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0,
+        self.server = await asyncio.start_server(self.serve, HOST, 0,
                                                  limit=1 << 22)
         port = self.server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        self.address = f"{HOST}:{port}"
 
     def now_ms(self):
         return int((time.monotonic() - self.begin) * 1000) + 50000
@@ -239,7 +257,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{HOST}:{self.port}"
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -253,7 +271,7 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def listen(self):
-        return asyncio.start_server(self.serve, "127.0.0.1", self.port,
+        return asyncio.start_server(self.serve, HOST, self.port,
                                     limit=1 << 23, reuse_address=True)
 
     def register(self, state="ready"):
@@ -321,7 +339,7 @@
 
     def settings(self):
         p, b = self.ports, BOUNDS
-        at = {k: f"127.0.0.1:{v}" for k, v in p.items()}
+        at = {k: f"{HOST}:{v}" for k, v in p.items()}
         return f"""[instance]
 id = "{self.name}"
 data_centre = "{self.zone}"
@@ -406,7 +424,7 @@
 
     async def run():
         reader, writer = await asyncio.open_connection(
-            "127.0.0.1", port, limit=1 << 23)
+            HOST, port, limit=1 << 23)
         try:
             head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
             for name, value in headers:
