--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -154,7 +154,7 @@
                                           .publish = on_publish };
   fixture->version = version;
   fixture->max_age_ns = max_age;
-  fixture->feed = feed_new (fixture->loop, fixture->store_client,
+  fixture->feed = feed_new (feed_io_new (fixture->loop, fixture->store_client),
                             &(feed_options_t){ .table = "t",
                                                .number = 2,
                                                .fresh_ms = fixture->fresh_ms,
