test_drain: gone servers stay in use, shown by a simulation of 295 instances

Callers' requests reached backend servers whose entry had been removed (DRAIN).

The feeds and the records of the servers are the real ones. The store, the links and the choice of the instances that pass changes on are simulated.

--- a/lib/fanout.c
+++ b/lib/fanout.c
@@ -81,27 +81,28 @@
   return true;
 }
 
-static int64_t
-part_of_fresh_ns (const session_t *session, double part)
-{
-  return (int64_t)((double)session_fresh_ns (session) * part);
-}
-
 int64_t
-fanout_max_age_ns (const session_t *session)
+fanout_role_max_age_ns (fanout_role_t role, int64_t fresh_ns)
 {
-  switch (fanout_role (session))
+  switch (role)
     {
     case FANOUT_READER:
-      if (!is_starting (session))
-        return 0;
-      break;
+      return 0;
     case FANOUT_RELAY:
-      return part_of_fresh_ns (session, RELAY_MAX_AGE_PART);
+      return (int64_t)((double)fresh_ns * RELAY_MAX_AGE_PART);
     case FANOUT_LEAF:
       break;
     }
-  return part_of_fresh_ns (session, LEAF_MAX_AGE_PART);
+  return (int64_t)((double)fresh_ns * LEAF_MAX_AGE_PART);
+}
+
+int64_t
+fanout_max_age_ns (const session_t *session)
+{
+  fanout_role_t role = fanout_role (session);
+  if (role == FANOUT_READER && is_starting (session))
+    role = FANOUT_LEAF;
+  return fanout_role_max_age_ns (role, session_fresh_ns (session));
 }
 
 const char *
--- a/lib/fanout.h
+++ b/lib/fanout.h
@@ -29,6 +29,10 @@
    polls the store itself. 0: it polls all the time, as the reader does.  */
 int64_t fanout_max_age_ns (const session_t *session);
 
+/* The same for an instance in ROLE, where a change must be in force after
+   FRESH_NS.  */
+int64_t fanout_role_max_age_ns (fanout_role_t role, int64_t fresh_ns);
+
 /* Calls FN with each instance to which this one passes changes of the tables
    on.  OWN: this instance read the changes from the store; false: another
    instance passed them on to it.  */
--- /dev/null
+++ b/test/test_drain.c
@@ -0,0 +1,262 @@
+/* Requests for backend servers that have left, and servers that stay and get
+   none, in a large fleet that follows the platform's list of servers.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <cmocka.h>
+
+#include "drain-fleet.h"
+
+#define SETTLED_NS (18 * KWF_NS_PER_S)
+#define FRESH_NS (4 * KWF_NS_PER_S)
+#define N_INSTANCES 295
+#define N_SERVERS 40
+#define SCHEDULES 6
+/* Length of a schedule's troubles, and of the calm after them.  */
+#define TROUBLE_NS (20 * KWF_NS_PER_S)
+#define CALM_NS (14 * KWF_NS_PER_S)
+
+static void
+end_fleet (list_fleet_t *fleet, const char *name, uint64_t seed)
+{
+  int n_late = fleet->n_late;
+  int n_unused = fleet->n_unused;
+  if (n_late || n_unused)
+    print_message ("%s %d: a server that left is used %d times, at most %d ms "
+                   "after it; one that stays is not, %d times, for %d ms\n",
+                   name, (int)seed, n_late,
+                   (int)(fleet->worst_late_ns / LIST_MS), n_unused,
+                   (int)(fleet->worst_unused_ns / LIST_MS));
+  list_fleet_free (fleet);
+  assert_int_equal (n_late, 0);
+  assert_int_equal (n_unused, 0);
+}
+
+static list_fleet_t *
+new_fleet (uint64_t seed)
+{
+  list_fleet_t *fleet
+      = list_fleet_new (seed, N_INSTANCES, N_SERVERS, FRESH_NS);
+  fleet->verbose = g_getenv ("KWF_VERBOSE") != NULL;
+  list_fleet_run (fleet, SETTLED_NS);
+  return fleet;
+}
+
+static void
+run_for (list_fleet_t *fleet, int64_t ms)
+{
+  list_fleet_run (fleet, fleet->now_ns + ms * LIST_MS);
+}
+
+/* Guards against requests for servers whose entry was removed while nobody
+   passed changes on: the silence was taken for an outage of the store, after
+   which servers without an entry stay in use.  */
+static void
+silence_of_the_reader_keeps_gone_servers_in_use (void **state)
+{
+  (void)state;
+  list_fleet_t *fleet = new_fleet (1);
+  list_fleet_reject (fleet, list_fleet_reader (fleet), LIST_STORE_REFUSES);
+  run_for (fleet, 100);
+  list_fleet_remove (fleet, 3);
+  run_for (fleet, 12000);
+  end_fleet (fleet, "silent reader", 1);
+}
+
+/* Guards against servers that were gone before an outage of the store and are
+   used again after it.  */
+static void
+outage_brings_gone_servers_back (void **state)
+{
+  (void)state;
+  list_fleet_t *fleet = new_fleet (2);
+  list_fleet_remove (fleet, 3);
+  run_for (fleet, 7000);
+  list_fleet_set_store (fleet, LIST_STORE_REFUSES);
+  run_for (fleet, 4500);
+  list_fleet_set_store (fleet, LIST_STORE_UP);
+  fleet->contact_ns = 0;
+  run_for (fleet, 6000);
+  end_fleet (fleet, "outage", 2);
+}
+
+/* Guards against servers that stay and get no requests, because their entries
+   expired while the store was away.  */
+static void
+outage_takes_servers_away (void **state)
+{
+  (void)state;
+  static const list_store_state_t kinds[]
+      = { LIST_STORE_SILENT, LIST_STORE_REFUSES };
+  for (int ms = 1500; ms <= 9000; ms += 1500)
+    for (int i = 0; i < 2; i++)
+      {
+        list_fleet_t *fleet = new_fleet ((uint64_t)ms);
+        list_fleet_set_store (fleet, kinds[i]);
+        run_for (fleet, ms);
+        list_fleet_set_store (fleet, LIST_STORE_UP);
+        run_for (fleet, 8000);
+        end_fleet (fleet, "outage of ms", (uint64_t)ms);
+      }
+}
+
+static list_store_state_t
+draw_state (list_fleet_t *fleet)
+{
+  return (list_store_state_t)(1 + list_fleet_random (fleet, 3));
+}
+
+/* Rejects, or takes back, a part of the instances and perhaps the reader.  */
+static void
+reject_part (list_fleet_t *fleet, list_store_state_t state)
+{
+  for (int i = 0; i < fleet->n_instances; i++)
+    if (state == LIST_STORE_UP || list_fleet_random (fleet, 100) < 35)
+      list_fleet_reject (fleet, i, state);
+  int reader = list_fleet_reader (fleet);
+  if (reader >= 0 && list_fleet_random (fleet, 2))
+    list_fleet_reject (fleet, reader, state);
+}
+
+/* A hub, mostly, since only these pass changes on.  */
+static int
+draw_instance (list_fleet_t *fleet)
+{
+  uint64_t n = list_fleet_random (fleet, 4) ? 3 * LIST_CENTRES : N_INSTANCES;
+  int reader = list_fleet_reader (fleet);
+  bool is_reader = reader >= 0 && !list_fleet_random (fleet, 3);
+  return is_reader ? reader : (int)list_fleet_random (fleet, n);
+}
+
+static void
+trouble_instance (list_fleet_t *fleet)
+{
+  int index = draw_instance (fleet);
+  const list_instance_t *instance = &fleet->instances[index];
+  if (!instance->alive)
+    list_fleet_start (fleet, index);
+  else if (instance->leaving || list_fleet_random (fleet, 2))
+    list_fleet_kill (fleet, index);
+  else if (instance->lag_ns)
+    list_fleet_slow (fleet, index, 0);
+  else if (list_fleet_random (fleet, 2))
+    list_fleet_stop (fleet, index);
+  else
+    list_fleet_slow (fleet, index,
+                     (int64_t)list_fleet_random (fleet, 900) * LIST_MS);
+}
+
+static void
+trouble_server (list_fleet_t *fleet)
+{
+  int index = (int)list_fleet_random (fleet, N_SERVERS);
+  switch (list_fleet_random (fleet, 3))
+    {
+    case 0:
+      list_fleet_drain (fleet, index);
+      break;
+    case 1:
+      list_fleet_remove (fleet, index);
+      break;
+    default:
+      list_fleet_crash (fleet, index);
+    }
+}
+
+static void
+trouble_store (list_fleet_t *fleet)
+{
+  switch (list_fleet_random (fleet, 5))
+    {
+    case 0:
+      list_fleet_set_store (fleet, fleet->store == LIST_STORE_UP
+                                       ? draw_state (fleet)
+                                       : LIST_STORE_UP);
+      break;
+    case 1:
+      list_fleet_forget_history (fleet);
+      break;
+    case 2:
+      fleet->latency_ns
+          = fleet->latency_ns > 4 * LIST_MS ? 4 * LIST_MS : 100 * LIST_MS;
+      break;
+    default:
+      reject_part (fleet, list_fleet_random (fleet, 2) ? draw_state (fleet)
+                                                       : LIST_STORE_UP);
+    }
+}
+
+static void
+end_troubles (list_fleet_t *fleet)
+{
+  reject_part (fleet, LIST_STORE_UP);
+  fleet->latency_ns = 4 * LIST_MS;
+  if (fleet->store != LIST_STORE_UP)
+    list_fleet_set_store (fleet, LIST_STORE_UP);
+  for (int i = 0; i < fleet->n_instances; i++)
+    {
+      if (fleet->instances[i].lag_ns)
+        list_fleet_slow (fleet, i, 0);
+      if (fleet->instances[i].leaving && fleet->instances[i].alive)
+        list_fleet_kill (fleet, i);
+      if (!fleet->instances[i].alive)
+        list_fleet_start (fleet, i);
+    }
+}
+
+static void
+run_schedule (uint64_t seed)
+{
+  list_fleet_t *fleet = new_fleet (seed);
+  int64_t end_ns = fleet->now_ns + TROUBLE_NS;
+  while (fleet->now_ns < end_ns)
+    {
+      uint64_t kind = list_fleet_random (fleet, 10);
+      if (kind < 4)
+        trouble_server (fleet);
+      else if (kind < 8)
+        trouble_instance (fleet);
+      else
+        trouble_store (fleet);
+      run_for (fleet, (int64_t)list_fleet_random (fleet, 1000));
+    }
+  end_troubles (fleet);
+  list_fleet_run (fleet, fleet->now_ns + CALM_NS);
+  end_fleet (fleet, "schedule", seed);
+}
+
+/* Guards against both in schedules of servers that leave by their entry, by
+   its removal or by a crash, of instances that are killed, stopped or slow,
+   and of a store that is away, slow, without history or rejects some
+   instances. KWF_DRAIN_SEED plays one of them, KWF_DRAIN_SCHEDULES sets their
+   number. */
+static void
+troubles_break_the_bound_of_leaving (void **state)
+{
+  (void)state;
+  const char *seed = g_getenv ("KWF_DRAIN_SEED");
+  const char *n = g_getenv ("KWF_DRAIN_SCHEDULES");
+  if (seed)
+    {
+      run_schedule (strtoull (seed, NULL, 10));
+      return;
+    }
+  int schedules = n ? atoi (n) : SCHEDULES;
+  for (int i = 1; i <= schedules; i++)
+    run_schedule ((uint64_t)i);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (silence_of_the_reader_keeps_gone_servers_in_use),
+    cmocka_unit_test (outage_brings_gone_servers_back),
+    cmocka_unit_test (outage_takes_servers_away),
+    cmocka_unit_test (troubles_break_the_bound_of_leaving),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
