Keep servers gone that were gone before an outage of the store

Callers' requests reached servers whose entry had been removed long before: up to a minute. When the store was back, all servers that an instance remembered counted as listed for 2.5 s, not only those whose entry went missing in the outage.

Only an entry that was there before the outage can have expired in it, so only such a server stays in use.

--- a/lib/backend.c
+++ b/lib/backend.c
@@ -598,7 +598,7 @@
       server_t *server = g_ptr_array_index (backend->servers, i);
       if (server->listed)
         server->unlisted_ns = now_ns;
-      server->listed = event->after_outage && !server->member_leaving;
+      server->listed &= event->after_outage && !server->member_leaving;
     }
   for (size_t i = 0; i < event->n_members; i++)
     apply_member (backend, &event->members[i], !event->after_outage, now_ns);
--- a/test/test_routed.c
+++ b/test/test_routed.c
@@ -477,6 +477,21 @@
   assert_refused (world, 503, "no_server");
 }
 
+/* Guards against servers that were gone before the list could not be read and
+   are used again after it.  */
+static void
+unsure_list_brings_no_server_back (void **state)
+{
+  core_world_t *world = *state;
+  core_world_servers (world);
+  kwf_event_t event = { .type = KWF_EV_MEMBERS, .members = { .valid = true } };
+  core_world_step (world, &event);
+  event.members.after_outage = true;
+  core_world_step (world, &event);
+  core_world_request (world, 1, "/read/x", NULL);
+  assert_refused (world, 503, "no_server");
+}
+
 /* Guards against a rate that is not enforced, and against charging requests
    that did not run.  */
 static void
@@ -625,6 +640,8 @@
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (unsure_list_drops_no_server,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (unsure_list_brings_no_server_back,
+                                     core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
         requests_count_against_the_rate_once_they_run, core_world_setup,
         core_world_teardown),
