Apply and pass on changes while all rows are read again

The configuration, keys and members are read in the same way.

Cause: after a 410 a table was read anew with nothing known, so an instance that the store rejected ignored what others told it and passed nothing on; and what such a read brought was never passed on, so the rejected ones, the reader among them, learned nothing.

The rows now stay known until the read is complete; messages apply meanwhile and win over an older read. A finished read is compared with the known keys and becomes a list of changes with removals, which goes on to the others like any other.

--- a/test/drain-fleet.c
+++ b/test/drain-fleet.c
@@ -180,6 +180,11 @@
   list_instance_t *from = data;
   list_fleet_t *fleet = from->fleet;
   list_role_t role = role_of (from);
+  if (role == LIST_LEAF && own)
+    {
+      list_instance_t *relay = first_hub (fleet, from, from->centre);
+      send_feed (from, relay ? relay : first_hub (fleet, from, -1), message);
+    }
   if (role == LIST_LEAF)
     return;
   for (int i = 0; i < fleet->n_instances; i++)
@@ -467,12 +472,6 @@
 
 /* The handler of a feed.  */
 
-static void
-on_reset (void *data)
-{
-  g_hash_table_remove_all (((list_instance_t *)data)->rows);
-}
-
 static void
 on_row (void *data, const kwf_row_t *row)
 {
@@ -573,11 +572,9 @@
                                         .start_call = io_start_call,
                                         .cancel_call = io_cancel_call,
                                         .free = io_free };
-  static const feed_handler_t handler = { .reset = on_reset,
-                                          .row = on_row,
-                                          .end = on_end,
-                                          .max_age_ns = max_age_ns,
-                                          .publish = publish };
+  static const feed_handler_t handler = {
+    .row = on_row, .end = on_end, .max_age_ns = max_age_ns, .publish = publish
+  };
   list_instance_t *instance = &fleet->instances[index];
   char name[8];
   g_snprintf (name, sizeof name, "i%d", index);
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -31,6 +31,7 @@
                          since the requested version */
   int refusal;        /* status that it answers; 0: it answers well */
   bool silent;        /* does not answer */
+  bool silent_reads;  /* does not answer reads of all rows */
   bool hold_requests; /* does not answer requests; the test answers the last
                          one, on waiting_connection */
   int answer_age_ms;  /* answers were made this long before they arrive */
@@ -87,8 +88,11 @@
   fixture_t *fixture = data;
   bool is_full_read = strstr (request, "rows-get") != NULL;
   *(is_full_read ? &fixture->n_full_reads : &fixture->n_polls) += 1;
-  if (fixture->silent)
-    return;
+  if (fixture->silent || (fixture->silent_reads && is_full_read))
+    {
+      fixture->waiting_connection = connection;
+      return;
+    }
   if (fixture->hold_requests)
     {
       fixture->waiting_connection = connection;
@@ -106,12 +110,6 @@
     reply_rows (fixture, connection, false);
 }
 
-static void
-on_reset (void *data)
-{
-  ((fixture_t *)data)->row = 0;
-}
-
 static void
 on_row (void *data, const kwf_row_t *row)
 {
@@ -147,8 +145,7 @@
 static void
 make_feed (fixture_t *fixture, int64_t max_age, int64_t version)
 {
-  static const feed_handler_t handler = { .reset = on_reset,
-                                          .row = on_row,
+  static const feed_handler_t handler = { .row = on_row,
                                           .end = on_end,
                                           .max_age_ns = max_age_ns,
                                           .publish = on_publish };
@@ -337,6 +334,30 @@
   assert_true (recovery_left_ns (fixture) > 0);
 }
 
+/* Guards against an instance that ignores the messages of others, and passes
+   none on, while it reads all rows because the store dropped its history; and
+   against the answer to that read, which is older by then.  */
+static void
+news_count_while_all_is_read (void **state)
+{
+  fixture_t *fixture = *state;
+  start_feed (fixture, MAX_AGE_NS);
+  fixture->history_gone = fixture->silent_reads = true;
+  assert_true (run_until (fixture->loop, &fixture->n_full_reads, 2, 5));
+  receive (fixture, 7, 40, true);
+  assert_int_equal (fixture->row, 40);
+  assert_int_equal (fixture->n_published, 1);
+  fixture->version = 8;
+  reply_rows (fixture, fixture->waiting_connection, true);
+  run_for (fixture->loop, 0.1);
+  assert_int_equal (fixture->row, 40);
+  assert_false (fixture->went_back);
+  fixture->version = 41;
+  fixture->silent_reads = false;
+  run_for (fixture->loop, 2.5);
+  assert_int_equal (fixture->row, 41);
+}
+
 /* Guards against an instance that ignores the messages of others while its own
    path to the store is broken.  */
 static void
@@ -558,6 +579,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (first_row_of_an_empty_store_is_seen,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (news_count_while_all_is_read, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (news_count_while_the_store_is_silent,
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (own_failures_do_not_make_news_unsure,
