Bound the answers of an instance by its memory and by their number

Cause: bodies of open answers were bounded by 64 MiB together, whatever the instance has, and a body of up to 256 KiB was never ended for the others' sake: 300 of them are 75 MB, twice that in buffers that grow by doubling.

--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -52,6 +52,7 @@
   int64_t max_header_bytes;    /* [callers] max_header_bytes */
   int64_t max_body_bytes;      /* [callers] max_body_bytes */
   int64_t max_answer_bytes;    /* [backend] max_answer_bytes */
+  int64_t memory_mb;           /* [instance] memory_mb; 0: not told */
   int64_t max_connections;     /* [callers] max_connections */
   int64_t max_pending_bytes;   /* [callers] max_pending_bytes */
   int64_t stop_limit_ms;       /* [callers] stop_limit_ms; 0: none */
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -22,6 +22,8 @@
     .always_required = true, .unit = "" },
   { "instance", "cores", SETTING_REAL, FIELD (cores), .unit = "cores",
     .default_number = 1, .min = 0.01, .max = 1024 },
+  { "instance", "memory_mb", SETTING_INTEGER, FIELD (memory_mb), .unit = "MB",
+    .default_number = 0, .min = 0, .max = 1048576 },
   { "callers", "listen", SETTING_LISTEN, FIELD (caller_listen),
     .always_required = true, .unit = "" },
   { "callers", "address", SETTING_ADDRESS, FIELD (caller_address),
--- a/net/client.c
+++ b/net/client.c
@@ -24,11 +24,23 @@
   POOL_SIZE = 1024,
   KEPT_BUFFER_BYTES = 64 * 1024,
   DEFAULT_TOTAL_BYTES = 64 * 1024 * 1024,
-  /* When the bodies together exceed the limit, transfers with more than this
-     are ended.  */
-  LARGE_BYTES = 256 * 1024
+  /* When the bodies together exceed the limit, transfers with more than their
+     share of it, but at most the first and at least the second of these, are
+     ended.  */
+  LARGE_BYTES = 256 * 1024,
+  SMALL_BYTES = 16 * 1024
 };
 
+/* Bytes of a body with which its transfer is ended when all bodies together
+   exceed their limit.  */
+static size_t
+share_of_total (const client_t *client)
+{
+  size_t n = MAX (kwf_slots_count (client->transfers), 1);
+  return CLAMP (client->options.max_total_bytes / n, (size_t)SMALL_BYTES,
+                (size_t)LARGE_BYTES);
+}
+
 /* Lets client_deliver call the handler of TRANSFER.  */
 static void
 queue_handler_call (client_transfer_t *transfer)
@@ -52,7 +64,7 @@
   client->total_bytes += size;
   if (transfer->body_bytes > transfer->max_answer_bytes
       || (client->total_bytes > client->options.max_total_bytes
-          && transfer->body_bytes > LARGE_BYTES))
+          && transfer->body_bytes > share_of_total (client)))
     {
       transfer->oversized = true;
       return 0;
--- a/net/client.h
+++ b/net/client.h
@@ -27,7 +27,8 @@
   size_t max_answer_bytes;  /* limit of one answer's body; default 8 MiB */
   size_t max_total_bytes;   /* limit of the bodies of all open transfers
                                together; while it is exceeded, transfers with
-                               more than 256 KiB are ended; default 64 MiB */
+                               more than their share of it, at most 256 KiB,
+                               are ended; default 64 MiB */
   unsigned max_connections; /* to each address; 0: no limit */
 } client_options_t;
 
--- a/net/instance.c
+++ b/net/instance.c
@@ -26,6 +26,19 @@
 /* Limit of an answer of the platform or of a model engine's load report.  */
 #define MAX_CONTROL_ANSWER_BYTES ((size_t)16 << 20)
 
+/* Part of the instance's memory that the bodies of open answers may take, of
+   backend servers and of the platform each.  Buffers that grow take twice as
+   much.  */
+#define ANSWERS_MEMORY_PART 10
+#define ANSWERS_MAX_BYTES ((int64_t)64 << 20)
+
+static size_t
+max_answers_bytes (const kwf_settings_t *settings)
+{
+  int64_t bytes = (settings->memory_mb << 20) / ANSWERS_MEMORY_PART;
+  return (size_t)(bytes ? MIN (bytes, ANSWERS_MAX_BYTES) : ANSWERS_MAX_BYTES);
+}
+
 static void
 on_store_reply (void *data, kwf_handle_t op, const kwf_store_reply_t *reply)
 {
@@ -576,10 +589,13 @@
   client_options_t transfers = {
     .connect_ms = (unsigned)settings->connect_ms,
     .max_answer_bytes = (size_t)settings->max_answer_bytes,
+    .max_total_bytes = max_answers_bytes (settings),
   };
   instance->client = client_new (loop, &transfers);
-  client_options_t control = { .connect_ms = (unsigned)settings->connect_ms,
-                               .max_answer_bytes = MAX_CONTROL_ANSWER_BYTES };
+  client_options_t control
+      = { .connect_ms = (unsigned)settings->connect_ms,
+          .max_answer_bytes = MAX_CONTROL_ANSWER_BYTES,
+          .max_total_bytes = max_answers_bytes (settings) };
   instance->control = client_new (loop, &control);
   instance->store = protocol->new_store (instance, &store_handler);
   if (!open_listeners (instance, error))
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -33,7 +33,7 @@
   fake_store_put (daemon->store, "op", "config", config);
   g_free (config);
   char *text = g_strdup_printf (
-      "[instance]\nid = \"i1\"\ndata_centre = \"c\"\n"
+      "[instance]\nid = \"i1\"\ndata_centre = \"c\"\nmemory_mb = %d\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "grace_s = %d\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
@@ -42,13 +42,17 @@
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
-      options->grace_s, fake_store_address (daemon->store),
+      options->memory_mb, options->grace_s, fake_store_address (daemon->store),
       options->retries ? options->retries : "retry_share = 0.2\n");
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
   const char *args[] = { "--config", daemon->settings, NULL };
   assert_true (process_start (&daemon->process, "knapweedforkd", args));
   /* Other addresses follow on the same line.  */
+  const char *peers = strstr (daemon->process.address, "peers on ");
+  if (peers)
+    g_strlcpy (daemon->peers, peers + strlen ("peers on "),
+               sizeof daemon->peers);
   daemon->process.address[strcspn (daemon->process.address, ",")] = '\0';
 }
 
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -16,6 +16,7 @@
   struct ev_loop *loop;
   fake_store_t *store;
   process_t process;
+  char peers[32]; /* address for links of other instances */
   char *directory;
   char *settings;
 } test_daemon_t;
@@ -28,6 +29,7 @@
 typedef struct
 {
   int grace_s;         /* 0: none */
+  int memory_mb;       /* of the instance; 0: not told */
   const char *retries; /* limits for repeats, lines of the settings; NULL: the
                           default of these tests */
 } test_daemon_options_t;
