Let only an entry written after the answer take a server's leaving back

Callers' requests could reach a server that had said in an answer that it leaves, when an older entry reached the instance late: entries that arrived more than fresh_ms after the answer counted as written after it.

The list now comes with its age. An entry takes the leaving back only if it is newer than one of a list that was itself the newest later than the answer.

late_list_does_not_take_leaving_back of test_notice failed before: a request was sent to the server after a list that was 10 s old.

--- a/lib/backend.c
+++ b/lib/backend.c
@@ -558,11 +558,9 @@
   window_set_batch (&server->window, member->slots);
 }
 
-/* LIST_IS_COMPLETE: the list has all entries that were written more than
-   list_delay_ns ago.  */
 static void
 apply_member (backend_t *backend, const kwf_member_t *member,
-              bool list_is_complete, int64_t now_ns)
+              const notice_list_t *list, int64_t now_ns)
 {
   /* Members of this kind are not backend servers.  */
   if (member->kind == KWF_MEMBER_ENTRY)
@@ -590,8 +588,8 @@
   server->member_leaving = member->leaving;
   if (member->described)
     apply_description (backend, server, member, now_ns);
-  notice_handle_member (server, member->revision, !member->leaving,
-                        list_is_complete, backend->list_delay_ns, now_ns);
+  notice_handle_member (server, member->revision, !member->leaving, list,
+                        now_ns);
 }
 
 static void
@@ -632,8 +630,12 @@
     return;
   for (guint i = 0; i < backend->servers->len; i++)
     ((server_t *)g_ptr_array_index (backend->servers, i))->present = false;
+  int64_t current_ns = event->age_ns == INT64_MAX ? 0 : now_ns - event->age_ns;
+  notice_list_t list = { .current_ns = current_ns,
+                         .delay_ns = backend->list_delay_ns,
+                         .is_complete = !event->recovery_ns };
   for (size_t i = 0; i < event->n_members; i++)
-    apply_member (backend, &event->members[i], !event->recovery_ns, now_ns);
+    apply_member (backend, &event->members[i], &list, now_ns);
   int n_doubted = 0;
   for (guint i = 0; i < backend->servers->len; i++)
     {
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -40,11 +40,13 @@
   int64_t unsettled_revision; /* newest revision of its entry that may have
                                  been written before it announced that it
                                  leaves */
-  int64_t pause_until_ns;     /* end of the pause; 0: it never asked for one */
-  int64_t slow_start_ns;      /* length of the slow start after the pause */
-  int in_flight;        /* requests in flight when it asked for the pause */
-  int n_started;        /* requests started since period_start_ns */
-  int n_started_before; /* in the period of a second before that */
+  bool settled; /* a list that is newer than the announcement, and has all
+                   entries written before it, has set that revision */
+  int64_t pause_until_ns; /* end of the pause; 0: it never asked for one */
+  int64_t slow_start_ns;  /* length of the slow start after the pause */
+  int in_flight;          /* requests in flight when it asked for the pause */
+  int n_started;          /* requests started since period_start_ns */
+  int n_started_before;   /* in the period of a second before that */
   int64_t period_start_ns;
   int started_per_period;              /* in such a period before the pause */
   int refused_callers[NOTICE_CLASSES]; /* callers refused during the pause */
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -37,6 +37,7 @@
   notice->leaving = true;
   notice->leaving_ns = now_ns - age_ns;
   notice->leaving_probe_ns = now_ns + LEAVING_PROBE_NS;
+  notice->settled = false;
   kwf_effects_log (effects, 227, KWF_LOG_INFO, NULL,
                    "server=%s leaves, announced by %s %lld ms ago; it gets no "
                    "new requests",
@@ -157,16 +158,21 @@
 
 void
 notice_handle_member (server_t *server, int64_t revision, bool ready,
-                      bool list_is_complete, int64_t list_delay_ns,
-                      int64_t now_ns)
+                      const notice_list_t *list, int64_t now_ns)
 {
   notice_t *notice = &server->notice;
-  /* For a while, entries may arrive that were written before the answer.  */
-  if (!notice->leaving || !list_is_complete
-      || now_ns - notice->leaving_ns <= list_delay_ns)
-    notice->unsettled_revision = revision;
-  else if (ready && revision > notice->unsettled_revision)
+  /* An entry of this list may have been written before the answer.  */
+  bool settles = list->is_complete
+                 && list->current_ns - notice->leaving_ns > list->delay_ns;
+  if (notice->leaving && notice->settled && settles && ready
+      && revision > notice->unsettled_revision)
     clear_leaving (server, now_ns);
+  else if (!notice->leaving || !notice->settled || !settles)
+    {
+      /* Only what a later list adds was written after the answer.  */
+      notice->unsettled_revision = revision;
+      notice->settled = notice->leaving && settles;
+    }
 }
 
 bool
--- a/lib/notice.h
+++ b/lib/notice.h
@@ -42,12 +42,18 @@
    leave.  */
 void notice_handle_report (server_t *server, int64_t asked_ns, int64_t now_ns);
 
-/* Handle the entry of SERVER, which has REVISION.  LIST_IS_COMPLETE: the list
-   has all entries that were written more than LIST_DELAY_NS ago.  READY: the
-   entry says that the server does not leave.  */
+/* How far a membership list can be trusted.  */
+typedef struct
+{
+  int64_t current_ns; /* it was the newest at this time */
+  int64_t delay_ns;   /* entries written longer than this before are in it */
+  bool is_complete; /* false: entries that expired in an outage are missing */
+} notice_list_t;
+
+/* Handle the entry of SERVER in LIST, which has REVISION.  READY: the entry
+   says that the server does not leave.  */
 void notice_handle_member (server_t *server, int64_t revision, bool ready,
-                           bool list_is_complete, int64_t list_delay_ns,
-                           int64_t now_ns);
+                           const notice_list_t *list, int64_t now_ns);
 
 /* Whether a pause that SERVER asked this instance for still lasts.  */
 bool notice_server_is_paused (const server_t *server, int64_t now_ns);
--- a/test/test_notice.c
+++ b/test/test_notice.c
@@ -102,10 +102,12 @@
   return count;
 }
 
-/* Feed a membership list in which the entry of desk ID has REVISION.  */
+/* Feed a membership list that was the newest AGE_MS ago, in which the entry of
+   desk ID has REVISION.  */
 static void
-feed_entry (core_world_t *world, const char *id, int64_t revision,
-            bool leaving, uint64_t incarnation, bool after_outage)
+feed_old_entry (core_world_t *world, const char *id, int64_t revision,
+                bool leaving, uint64_t incarnation, bool after_outage,
+                int64_t age_ms)
 {
   kwf_member_t members[2];
   static const char *const ids[] = { "d1", "d2" };
@@ -128,11 +130,39 @@
       &(kwf_event_t){
           .type = KWF_EV_MEMBERS,
           .members = { .valid = true,
+                       .age_ns = age_ms * KWF_NS_PER_MS,
                        .recovery_ns = after_outage ? 2500 * KWF_NS_PER_MS : 0,
                        .members = members,
                        .n_members = 2 } });
 }
 
+static void
+feed_entry (core_world_t *world, const char *id, int64_t revision,
+            bool leaving, uint64_t incarnation, bool after_outage)
+{
+  feed_old_entry (world, id, revision, leaving, incarnation, after_outage, 0);
+}
+
+/* Guards against an entry that was written before the answer, reaches this
+   instance late, and makes the server usable again.  */
+static void
+late_list_does_not_take_leaving_back (void **state)
+{
+  core_world_t *world = *state;
+  sent_attempt_t sent = send_one (world, 1, "/read/x");
+  feed_entry (world, sent.server, 50, false, 1, false);
+  feed_notice (world, &sent, true, 0);
+  core_world_advance (world, 10000);
+  feed_old_entry (world, sent.server, 60, false, 1, false, 10000);
+  assert_int_equal (count_sent_to (world, sent.server, "/read/x", 5), 0);
+  /* Written before this list; nobody knows how long before.  */
+  feed_entry (world, sent.server, 61, false, 1, false);
+  assert_int_equal (count_sent_to (world, sent.server, "/read/x", 5), 0);
+  core_world_advance (world, 1000);
+  feed_entry (world, sent.server, 62, false, 1, false);
+  assert_in_range (count_sent_to (world, sent.server, "/read/x", 20), 1, 20);
+}
+
 /* Guards against requests for a server that announced in the head of a stream
    that it leaves, while the stream goes on.  */
 static void
@@ -595,6 +625,7 @@
     TEST (head_of_a_stream_tells_that_a_server_leaves),
     TEST (waiting_requests_go_elsewhere),
     TEST (older_entries_do_not_take_leaving_back),
+    TEST (late_list_does_not_take_leaving_back),
     TEST (new_process_does_not_leave),
     TEST (engine_that_stays_is_asked),
     TEST (leaving_is_told_between_instances),
