--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -371,6 +371,20 @@
             : job->next_ns + (int64_t)pieces * job->pause_ms * KWF_NS_PER_MS;
 }
 
+/* REQUEST has reached BACKEND, which may have left too long ago.  */
+static void
+check_leaving (const backend_t *backend, const request_t *request)
+{
+  soak_t *soak = backend->soak;
+  int64_t now_ns = soak_now_ns ();
+  int64_t since_ms = (now_ns - backend->left_ns) / KWF_NS_PER_MS;
+  if (backend->left_ns && since_ms > DRAIN_MS
+      && is_in_touch (soak, request->instance, now_ns))
+    soak_break (soak, RULE_DRAIN, request, NULL,
+                "server %s got it %d ms after it had left", backend->key,
+                (int)since_ms);
+}
+
 void
 job_start (backend_t *backend, connection_t *connection, const char *text)
 {
@@ -386,6 +400,7 @@
     }
   count_arrival (backend, request);
   check_request (backend, request, text);
+  check_leaving (backend, request);
   job_t *job = g_new0 (job_t, 1);
   *job = (job_t){ .backend = backend,
                   .connection = connection,
--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -12,8 +12,8 @@
 #define MOST_REPORTS 12
 
 static const char *const rule_names[N_RULES]
-    = { "MIXED",  "ORDER", "UNASKED", "TWICE", "REFUSED",
-        "BUDGET", "LOST",  "GONE",    "CONFIG" };
+    = { "MIXED",  "ORDER", "UNASKED", "TWICE",  "REFUSED",
+        "BUDGET", "LOST",  "GONE",    "CONFIG", "DRAIN" };
 
 static const char *const end_names[] = { "nothing yet", "whole", "broken off",
                                          "left by the caller", "unreadable" };
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -82,6 +82,7 @@
   backend->born_ms = soak_now_ns () / KWF_NS_PER_MS;
   backend->calm_ns = soak_now_ns ();
   backend->leaving = false;
+  backend->left_ns = 0;
   backend->start_ns = 0;
   backend->crashes = false;
   g_hash_table_remove_all (backend->last_ids);
@@ -171,17 +172,30 @@
       = soak_now_ns () + (int64_t)(100 + value % 2000) * KWF_NS_PER_MS;
 }
 
-/* Says "draining", serves on for a while and ends.  */
+static bool
+is_store_stable (const soak_t *soak)
+{
+  return !soak->store_back_ns
+         && soak_now_ns () - soak->store_calm_ns >= CONTACT_MS * KWF_NS_PER_MS;
+}
+
+/* Says "draining" or removes its entry, serves on for a while and ends.  */
 void
 backend_leave (backend_t *backend, unsigned value)
 {
   if (!backend->listener || backend->leaving)
     return;
   backend->leaving = true;
-  put_entry (backend);
+  if (value % 2)
+    put_entry (backend);
+  else
+    fake_store_put_odd (backend->soak->store, "servers", backend->key,
+                        "{\"removed\":true}");
+  if (is_store_stable (backend->soak))
+    backend->left_ns = soak_now_ns ();
   backend->port = 0;
   backend->start_ns
-      = soak_now_ns () + (int64_t)(2000 + value % 1500) * KWF_NS_PER_MS;
+      = soak_now_ns () + (int64_t)(2000 + value % 4000) * KWF_NS_PER_MS;
 }
 
 void
--- a/test/soak.h
+++ b/test/soak.h
@@ -22,6 +22,7 @@
 #define BUDGET_SLACK 52
 #define GONE_MS 500
 #define LOSS_SLACK_MS 200
+#define DRAIN_MS 2000
 #define CONFIG_APPLY_MS 2000
 #define GRACE_S 8
 #define LONG_GRACE_S 12
@@ -205,7 +206,9 @@
   int64_t fail_ns;  /* until then all requests get FAIL_SCRIPT */
   script_t fail_script;
   bool leaving;
-  bool crashes; /* a bad request begins to be answered */
+  int64_t left_ns; /* when the store, undisturbed, took an entry that says so,
+                      or its removal; 0: it has not */
+  bool crashes;    /* a bad request begins to be answered */
   soak_t *soak;
   int index;
   GPtrArray *jobs;      /* of job_t */
@@ -233,6 +236,7 @@
   RULE_LOST,
   RULE_GONE,
   RULE_CONFIG,
+  RULE_DRAIN,
   N_RULES
 } rule_t;
 
