Read the load of servers that send more than three figures

What callers saw: at deployments whose servers send a fourth figure in X-Server-Load (how long work takes on the machine now), requests went to busy and slow servers as if no load were known. Cause: the reader wanted the end of the text after the third figure, so the whole header was void; each line of event 222 said load=0+0. Now the counts hold whatever follows them, the fourth figure is kept with its time, and a load that cannot be read is counted and logged (268). The test load_with_further_figures_is_read fails without the change.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -111,11 +111,14 @@
   bool not_run;   /* the server says that it did not run the request */
   bool misplaced; /* not_run, because the request reached another server than
                      meant or one without the model */
-  /* DATA, END: the next three are the server's load, sent with the answer.  */
+  /* DATA, END: the next four are the server's load, sent with the answer.  */
   bool has_load;
   int running;
   int waiting;
   int slots; /* requests that the server runs at once */
+  int pace;  /* how long work takes there now, in per cent of its usual time;
+                0: not given */
+  bool load_unreadable; /* a load was sent that is none */
   /* FAILED only.  */
   kwf_failure_t failure;
 } kwf_attempt_event_t;
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -115,11 +115,25 @@
 }
 
 static void
-update_load (const attempt_t *attempt, const kwf_attempt_event_t *event)
+update_load (kwf_core_t *core, const attempt_t *attempt,
+             const kwf_attempt_event_t *event, kwf_effects_t *effects)
 {
+  server_t *server = attempt->server;
   if (event->has_load)
-    server_set_load (attempt->server, event->running, event->waiting,
-                     event->slots);
+    {
+      server_set_load (server, event->running, event->waiting, event->slots);
+      server_set_pace (server, event->pace, now_of (core));
+      server->load_unreadable = false;
+    }
+  else if (event->load_unreadable)
+    {
+      core->notices.unreadable_loads++;
+      if (!server->load_unreadable)
+        kwf_effects_log (effects, 268, KWF_LOG_WARNING, NULL,
+                         "the load that server=%s sends cannot be read",
+                         server->id);
+      server->load_unreadable = true;
+    }
 }
 
 /* ATTEMPT is over: dispatch the request again, unless its other attempt still
@@ -168,7 +182,7 @@
     return;
   request_t *request = attempt->request;
   int64_t now_ns = now_of (core);
-  update_load (attempt, event);
+  update_load (core, attempt, event, effects);
   if (event->gap
       && delivery_action (request->delivery, DELIVERY_GAP) == DELIVER_RETRY)
     {
@@ -364,7 +378,7 @@
   if (!attempt)
     return;
   request_t *request = attempt->request;
-  update_load (attempt, event);
+  update_load (core, attempt, event, effects);
   if (request->kind == KWF_REQUEST_ROUTED
       && request->state != REQUEST_STREAMING
       && handle_routed_failure (core, attempt, event, effects))
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -97,6 +97,10 @@
   int waiting;
   int sent; /* requests sent by this instance since its load was last known */
   int sent_at_probe;
+  int pace;        /* how long work takes there, in per cent of its usual time;
+                      0: it never said */
+  int64_t pace_ns; /* when it said so */
+  bool load_unreadable; /* the last load that it sent was none */
   int open_attempts;
   int unanswered;        /* of these, attempts without any data yet */
   bool others_known;     /* whether the next two are known
@@ -196,6 +200,9 @@
 
 /* Set the load of SERVER that came with an answer.  SLOTS 0: unchanged.  */
 void server_set_load (server_t *server, int running, int waiting, int slots);
+/* Set how long work takes at SERVER, in per cent of its usual time, as an
+   answer said at NOW_NS.  PACE 0 or less: the answer did not say it.  */
+void server_set_pace (server_t *server, int pace, int64_t now_ns);
 
 /* Handle CHANGE, from this or another instance: a model or an adapter is, or
    soon will be, present on an engine or absent.  PRESENT is sent when the
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -74,7 +74,8 @@
 {
   uint64_t leaving;
   uint64_t pauses;
-  uint64_t unreadable; /* pauses without a valid time */
+  uint64_t unreadable;       /* pauses without a valid time */
+  uint64_t unreadable_loads; /* loads that cannot be read */
 } notice_counts_t;
 
 /* Waiting requests, and the state of shedding and preemption.  */
--- a/lib/notice.c
+++ b/lib/notice.c
@@ -246,6 +246,9 @@
       "# TYPE kwf_server_notices_total counter\n"
       "kwf_server_notices_total{kind=\"leaving\"} %" G_GUINT64_FORMAT "\n"
       "kwf_server_notices_total{kind=\"pause\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n",
-      counts->leaving, counts->pauses, counts->unreadable);
+      "kwf_server_notices_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n"
+      "# TYPE kwf_server_loads_unreadable_total counter\n"
+      "kwf_server_loads_unreadable_total %" G_GUINT64_FORMAT "\n",
+      counts->leaving, counts->pauses, counts->unreadable,
+      counts->unreadable_loads);
 }
--- a/net/protocol.h
+++ b/net/protocol.h
@@ -30,6 +30,9 @@
   int running;
   int waiting;
   int slots;
+  int pace; /* how long work takes at the server now, in per cent of its usual
+               time; 0: not given */
+  bool load_unreadable; /* a load was sent that is none */
 } answer_facts_t;
 
 typedef struct protocol
--- a/net/relay.c
+++ b/net/relay.c
@@ -20,7 +20,10 @@
   event.running = facts->running;
   event.waiting = facts->waiting;
   event.slots = facts->slots;
+  event.pace = facts->pace;
+  event.load_unreadable = facts->load_unreadable;
   transfer->facts.has_load = false;
+  transfer->facts.load_unreadable = false;
   instance_step (transfer->instance,
                  &(kwf_event_t){ .type = type, .attempt = event });
 }
--- a/test/test_platform_decode.c
+++ b/test/test_platform_decode.c
@@ -371,6 +371,36 @@
   facts = (answer_facts_t){ 0 };
   rows_protocol.read_facts (&facts, &answer);
   assert_false (facts.has_load);
+  assert_true (facts.load_unreadable);
+}
+
+/* Guards against a load that is lost because more figures follow than were
+   known: then no load of any server is known.  */
+static void
+load_with_further_figures_is_read (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *text;
+    int pace;
+  } cases[] = { { "3,1,64", 0 },           { "3,1,64,250", 250 },
+                { "3,1,64,250,7,x", 250 }, { "3,1,64,", 0 },
+                { "3,1,64,fast", 0 },      { "3,1,64,-5", 0 },
+                { "3,1,64,1e9,2", 0 },     { "3,1,64,99999999", 0 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      header_t header = { "X-Server-Load", cases[i].text };
+      client_answer_t answer
+          = { .status = 200, .headers = &header, .n_headers = 1 };
+      answer_facts_t facts = { 0 };
+      rows_protocol.read_facts (&facts, &answer);
+      assert_true (facts.has_load && !facts.load_unreadable);
+      assert_int_equal (facts.running, 3);
+      assert_int_equal (facts.waiting, 1);
+      assert_int_equal (facts.slots, 64);
+      assert_int_equal (facts.pace, cases[i].pace);
+    }
 }
 
 /* Guards against a server's message that it is leaving or asks for a pause and
@@ -676,6 +706,7 @@
     cmocka_unit_test (cut_answers_are_none),
     cmocka_unit_test (answer_without_a_list_is_none),
     cmocka_unit_test (answers_tell_whether_the_request_ran),
+    cmocka_unit_test (load_with_further_figures_is_read),
     cmocka_unit_test (answers_tell_of_leaving_and_pauses),
     cmocka_unit_test (only_valid_limits_are_read),
     cmocka_unit_test (attempts_name_server_and_organisation),
