Send nothing to the servers of an evacuated data centre

Callers' requests went on reaching servers of a data centre after the operator had written the row evacuate/DATA_CENTRE, because only the row "config" of that table was read.

The rows arrive with the feed of the configuration and become the event KWF_EV_EVACUATIONS. The servers of these data centres count as leaving, which excludes them where servers that leave are excluded: from the choice of a server, from the placement, and at the moment of sending. Orders are now checked at that moment, too.

An instance that reads all rows of that table again, after a failed poll, did not notice that a row had been removed, since no row of it was ever removed so far. The data centre would have stayed evacuated.

[platform] evacuation_ms enables this; without it the rows are ignored as before.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -36,7 +36,8 @@
   KWF_EV_CONFIG,         /* lists and all keys, read by another module */
   KWF_EV_ROWS,           /* changed table rows that no transaction asked for */
   KWF_EV_OPERATOR,       /* command on the operator port */
-  KWF_EV_STOP            /* SIGTERM or SIGINT */
+  KWF_EV_STOP,           /* SIGTERM or SIGINT */
+  KWF_EV_EVACUATIONS     /* data centres that the operator evacuates */
 } kwf_event_type_t;
 
 typedef enum
@@ -197,6 +198,14 @@
   size_t n_rows;
 } kwf_rows_event_t;
 
+/* All data centres that are evacuated now: their servers get no new request or
+   order.  */
+typedef struct
+{
+  const char *const *data_centres;
+  size_t n;
+} kwf_evacuations_event_t;
+
 /* Load report of a backend server, or the failure to read one.  */
 typedef struct
 {
@@ -319,6 +328,7 @@
     kwf_attempt_event_t attempt;
     kwf_config_event_t config;
     kwf_rows_event_t rows;
+    kwf_evacuations_event_t evacuations;
     kwf_operator_event_t operator_;
     kwf_order_event_t order;
     kwf_notice_event_t notice;
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -32,9 +32,10 @@
   char *ready_listen;          /* [callers] ready_listen, or NULL */
   char *directory_listen;      /* [callers] directory_listen, or NULL */
   char *platform;              /* [platform] address */
-  int64_t fresh_ms;            /* lower one of [platform] fresh_ms and
-                                  lists_ms */
+  int64_t fresh_ms;            /* lowest of [platform] fresh_ms, lists_ms
+                                  and, unless 0, evacuation_ms */
   int64_t lists_ms;            /* [platform] lists_ms */
+  int64_t evacuation_ms;       /* [platform] evacuation_ms; 0: off */
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* contents of [keys] pepper_file */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -119,6 +119,7 @@
   bool listed;  /* in the latest membership list, or doubted */
   bool present; /* in the latest membership list */
   bool member_leaving;
+  bool evacuated; /* its data centre is (lib/evacuation/evacuation.h) */
   bool report_leaving;
   bool reported; /* a load report or a description of it has arrived */
   bool refused;  /* the address refused the last connection */
@@ -181,6 +182,8 @@
 
 /* Whether new requests may be sent to SERVER.  */
 bool server_usable (const server_t *server, int64_t now_ns);
+/* Whether nothing new may be sent to SERVER until its process is replaced or
+   its data centre is in service again.  */
 bool server_leaving (const server_t *server);
 
 /* Whether SERVER, which is usable, may be sent one more request now.  Slow
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -15,6 +15,7 @@
 #include "crash.h"
 #include "demand.h"
 #include "duration.h"
+#include "evacuation/evacuation.h"
 #include "fleet-load.h"
 #include "metric.h"
 #include "permit.h"
@@ -115,6 +116,7 @@
   shares_t *shares;
   claims_t *claims;
   backend_t *backend;
+  evacuation_t *evacuation;
   crash_t *crash;
   demand_t *demand;
   placement_t *placement;
--- a/lib/core.c
+++ b/lib/core.c
@@ -24,6 +24,7 @@
   core->shares = shares_new (own);
   core->claims = claims_new (own);
   core->backend = backend_new (own);
+  core->evacuation = evacuation_new ();
   core->crash = crash_new (own);
   core->demand = demand_new (own->clock);
   core->placement
@@ -64,6 +65,7 @@
   placement_free (core->placement);
   demand_free (core->demand);
   crash_free (core->crash);
+  evacuation_free (core->evacuation);
   backend_free (core->backend);
   claims_free (core->claims);
   shares_free (core->shares);
@@ -160,6 +162,9 @@
     notice_handle_peer (core, &event->peer, effects);
   permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
+  if (evacuation_step (core->evacuation, core->backend,
+                       core->options.data_centre, event, effects))
+    waits_recheck_all (core);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS)
@@ -221,6 +226,13 @@
     answer_forward_withheld (core, effects);
 }
 
+bool
+kwf_core_may_order (const kwf_core_t *core, const char *server)
+{
+  const server_t *found = backend_find (core->backend, server);
+  return found && !server_leaving (found);
+}
+
 bool
 kwf_core_knows_limit (const kwf_core_t *core, const kwf_notice_event_t *notice)
 {
--- /dev/null
+++ b/lib/evacuation/evacuation.c
@@ -0,0 +1,143 @@
+#include "evacuation.h"
+
+#include <string.h>
+
+struct evacuation
+{
+  GHashTable *data_centres;   /* set of names */
+  GHashTable *logged_unknown; /* set: names that no server has, and that were
+                                 logged */
+};
+
+static GHashTable *
+new_set (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+evacuation_t *
+evacuation_new (void)
+{
+  evacuation_t *evacuation = g_new0 (evacuation_t, 1);
+  evacuation->data_centres = new_set ();
+  evacuation->logged_unknown = new_set ();
+  return evacuation;
+}
+
+void
+evacuation_free (evacuation_t *evacuation)
+{
+  if (!evacuation)
+    return;
+  g_hash_table_unref (evacuation->data_centres);
+  g_hash_table_unref (evacuation->logged_unknown);
+  g_free (evacuation);
+}
+
+bool
+evacuation_contains (const evacuation_t *evacuation, const char *data_centre)
+{
+  return data_centre
+         && g_hash_table_contains (evacuation->data_centres, data_centre);
+}
+
+static int
+count_servers (const backend_t *backend, const char *data_centre)
+{
+  const GPtrArray *servers = backend_servers (backend);
+  int n = 0;
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const server_t *server = g_ptr_array_index (servers, i);
+      n += server->listed && g_strcmp0 (server->data_centre, data_centre) == 0;
+    }
+  return n;
+}
+
+/* Log the names of BEFORE that AFTER lacks, with MESSAGE; return whether there
+   are any.  */
+static bool
+log_difference (const backend_t *backend, GHashTable *before,
+                GHashTable *after, int number, const char *message,
+                kwf_effects_t *effects)
+{
+  bool any = false;
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, before);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      if (g_hash_table_contains (after, name))
+        continue;
+      any = true;
+      kwf_effects_log (effects, number, KWF_LOG_WARNING, NULL,
+                       "data centre %s %s; servers=%d", (const char *)name,
+                       message, count_servers (backend, name));
+    }
+  return any;
+}
+
+static bool
+replace_names (evacuation_t *evacuation, const backend_t *backend,
+               const kwf_evacuations_event_t *event, kwf_effects_t *effects)
+{
+  GHashTable *names = new_set ();
+  for (size_t i = 0; i < event->n; i++)
+    g_hash_table_add (names, g_strdup (event->data_centres[i]));
+  bool begins = log_difference (backend, names, evacuation->data_centres, 270,
+                                "is evacuated: its servers get no new request",
+                                effects);
+  bool ends = log_difference (backend, evacuation->data_centres, names, 271,
+                              "is in service again", effects);
+  g_hash_table_unref (evacuation->data_centres);
+  evacuation->data_centres = names;
+  return begins || ends;
+}
+
+static void
+mark_servers (const evacuation_t *evacuation, const backend_t *backend)
+{
+  const GPtrArray *servers = backend_servers (backend);
+  for (guint i = 0; i < servers->len; i++)
+    {
+      server_t *server = g_ptr_array_index (servers, i);
+      server->evacuated
+          = evacuation_contains (evacuation, server->data_centre);
+    }
+}
+
+/* Log the names that no server has, once each.  Without any server it is not
+   known which names there are.  */
+static void
+log_unknown (const evacuation_t *evacuation, const backend_t *backend,
+             const char *own, kwf_effects_t *effects)
+{
+  if (!backend_servers (backend)->len)
+    return;
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, evacuation->data_centres);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (g_strcmp0 (name, own) != 0 && !count_servers (backend, name)
+        && g_hash_table_add (evacuation->logged_unknown, g_strdup (name)))
+      kwf_effects_log (effects, 272, KWF_LOG_WARNING, NULL,
+                       "no server is in data centre %s, which is to be "
+                       "evacuated",
+                       (const char *)name);
+}
+
+bool
+evacuation_step (evacuation_t *evacuation, const backend_t *backend,
+                 const char *own, const kwf_event_t *event,
+                 kwf_effects_t *effects)
+{
+  bool changed = false;
+  if (event->type == KWF_EV_EVACUATIONS)
+    changed
+        = replace_names (evacuation, backend, &event->evacuations, effects);
+  else if (event->type != KWF_EV_MEMBERS)
+    return false;
+  mark_servers (evacuation, backend);
+  log_unknown (evacuation, backend, own, effects);
+  return changed;
+}
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -132,8 +132,8 @@
     engine->needs_report = true;
 }
 
-/* Update which engines accept orders: not those that are leaving, and those
-   that requested a pause only after its end.  */
+/* Update which engines accept orders: not those that are leaving or evacuated,
+   and those that requested a pause only after its end.  */
 static void
 update_usable_engines (const placement_direct_t *direct)
 {
@@ -927,7 +927,6 @@
     }
 }
 
-/* Send this instance's demand to the leader.  */
 static void
 send_demand (placement_direct_t *direct, kwf_effects_t *effects)
 {
@@ -971,7 +970,8 @@
       apply_members (direct, &event->members, now_ns);
       schedule_round_soon (direct, now_ns);
     }
-  else if (event->type == KWF_EV_NOTICE && event->notice.leaving)
+  else if ((event->type == KWF_EV_NOTICE && event->notice.leaving)
+           || event->type == KWF_EV_EVACUATIONS)
     schedule_round_soon (direct, now_ns);
   else if (event->type == KWF_EV_ORDER_REPLY)
     handle_order_reply (direct, &event->order, now_ns, effects);
--- a/lib/server.c
+++ b/lib/server.c
@@ -42,7 +42,7 @@
 server_leaving (const server_t *server)
 {
   return !server->listed || server->member_leaving || server->report_leaving
-         || server->notice.leaving;
+         || server->notice.leaving || server->evacuated;
 }
 
 static bool
@@ -96,6 +96,8 @@
 const char *
 server_state (const server_t *server, int64_t now_ns)
 {
+  if (server->evacuated)
+    return "evacuated";
   if (server_leaving (server))
     return "leaving";
   if (server->refused)
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -78,6 +78,8 @@
     .default_number = 2000, .min = 500, .max = 60000 },
   { "platform", "lists_ms", SETTING_INTEGER, FIELD (lists_ms), .unit = "ms",
     .default_number = 60000, .min = 500, .max = 60000 },
+  { "platform", "evacuation_ms", SETTING_INTEGER, FIELD (evacuation_ms),
+    .unit = "ms", .default_number = 0, .min = 0, .max = 600000 },
   { "platform", "protocol", SETTING_CHOICE, FIELD (protocol), .unit = "",
     .default_text = "table", .choices = protocols },
   { "keys", "pepper_file", SETTING_SECRET, FIELD (key_pepper), .unit = "" },
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -20,6 +20,10 @@
 /* Longest session lease with protocol "table".  */
 #define MAX_TABLE_LEASE_MS 2400
 
+/* Tables cannot be kept fresh within a shorter time than the least
+   fresh_ms.  */
+#define MIN_EVACUATION_MS 500
+
 #define SECRET_MIN_BYTES 16
 #define SECRET_MAX_BYTES 4096
 
@@ -369,6 +373,17 @@
         "0 to %g without retry_window_s", MAX_SHARE_WITHOUT_WINDOW);
 }
 
+static void
+check_evacuation (const settings_reader_t *reader)
+{
+  int64_t evacuation_ms = reader->settings->evacuation_ms;
+  finding_location_t platform = location_of (reader, "platform");
+  if (evacuation_ms && evacuation_ms < MIN_EVACUATION_MS)
+    finding_report (&platform, "evacuation_ms", NULL,
+                    finding_value (&platform, "evacuation_ms"),
+                    "0 (off), or %d to 600000 ms", MIN_EVACUATION_MS);
+}
+
 /* Rules that involve several settings.  */
 static void
 check_combinations (const settings_reader_t *reader)
@@ -384,6 +399,7 @@
                     "at most half of lease_ms, %lld",
                     (long long)(s->lease_ms / 2));
   check_placement_lease (reader);
+  check_evacuation (reader);
   check_retry_share (reader);
 }
 
@@ -407,6 +423,8 @@
   set_default_address (&reader, "peers", settings->peer_listen,
                        &settings->peer_address);
   settings->fresh_ms = MIN (settings->fresh_ms, settings->lists_ms);
+  if (settings->evacuation_ms)
+    settings->fresh_ms = MIN (settings->fresh_ms, settings->evacuation_ms);
   check_combinations (&reader);
   finding_source_free_document (&source);
   if (!source.n_findings)
--- a/net/address.c
+++ b/net/address.c
@@ -1,6 +1,7 @@
 #include "address.h"
 
 #include <arpa/inet.h>
+#include <glib.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <stdlib.h>
@@ -71,3 +72,12 @@
                    buffer, (socklen_t)size, NULL, 0, NI_NUMERICHOST))
     buffer[0] = 0;
 }
+
+char *
+address_replace_port (const char *address, int port)
+{
+  const char *colon = strrchr (address, ':');
+  if (!colon || strcmp (colon, ":0") != 0)
+    return g_strdup (address);
+  return g_strdup_printf ("%.*s:%d", (int)(colon - address), address, port);
+}
--- a/net/address.h
+++ b/net/address.h
@@ -23,4 +23,7 @@
    empty string on failure.  */
 void address_ip (const address_t *address, char *buffer, size_t size);
 
+/* Returns ADDRESS with a port 0 replaced by PORT; release with g_free.  */
+char *address_replace_port (const char *address, int port);
+
 #endif
--- a/net/instance.c
+++ b/net/instance.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../lib/logging.h"
+#include "address.h"
 
 /* A stopping instance accepts no request later than this long before the end
    of the grace time, when it is killed, and until then those that can end in
@@ -60,6 +61,13 @@
                  &(kwf_event_t){ .type = KWF_EV_CONFIG, .config = *config });
 }
 
+static void
+on_evacuations (void *data, const kwf_evacuations_event_t *event)
+{
+  instance_step (data, &(kwf_event_t){ .type = KWF_EV_EVACUATIONS,
+                                       .evacuations = *event });
+}
+
 static void
 on_rows (void *data, const kwf_rows_event_t *rows)
 {
@@ -114,6 +122,7 @@
 static const store_handler_t store_handler = { .reply = on_store_reply,
                                                .members = on_members,
                                                .config = on_config,
+                                               .evacuations = on_evacuations,
                                                .rows = on_rows,
                                                .max_age_ns = table_max_age_ns,
                                                .publish = on_publish,
@@ -302,16 +311,6 @@
   instance->stepping = false;
 }
 
-/* Returns ADDRESS with a port 0 replaced by PORT; release with g_free.  */
-static char *
-replace_port (const char *address, int port)
-{
-  const char *colon = strrchr (address, ':');
-  if (!colon || strcmp (colon, ":0") != 0)
-    return g_strdup (address);
-  return g_strdup_printf ("%.*s:%d", (int)(colon - address), address, port);
-}
-
 /* Time after SIGTERM at which open requests are cut off, early enough for the
    end of their answers to reach the callers.  */
 static int64_t
@@ -552,12 +551,12 @@
   instance->caller_server = start_callers (instance, error);
   if (!instance->caller_server)
     return false;
-  instance->caller_address = replace_port (
+  instance->caller_address = address_replace_port (
       settings->caller_address, server_port (instance->caller_server));
-  instance->operator_address = replace_port (
+  instance->operator_address = address_replace_port (
       settings->operator_listen, server_port (instance->operator_server));
-  instance->peer_address
-      = replace_port (settings->peer_address, peers_port (instance->peers));
+  instance->peer_address = address_replace_port (settings->peer_address,
+                                                 peers_port (instance->peers));
   return true;
 }
 
--- a/net/order.c
+++ b/net/order.c
@@ -63,11 +63,18 @@
                            : ORDER_TIMEOUT_NS;
 }
 
+static bool
+may_send (void *data)
+{
+  const pending_order_t *order = data;
+  return kwf_core_may_order (order->instance->core, order->server);
+}
+
 void
 order_start (instance_t *instance, const kwf_order_t *order)
 {
   static const client_handler_t handler
-      = { .done = on_done, .failed = on_failed };
+      = { .may_send = may_send, .done = on_done, .failed = on_failed };
   const protocol_t *protocol = instance->protocol;
   char *body = protocol->order_body (order);
   size_t server_size = strlen (order->server) + 1;
--- a/net/store.h
+++ b/net/store.h
@@ -21,6 +21,8 @@
   void (*reply) (void *data, kwf_handle_t op, const kwf_store_reply_t *reply);
   void (*members) (void *data, const kwf_members_event_t *members);
   void (*config) (void *data, const kwf_config_event_t *config);
+  /* All data centres that are evacuated now.  */
+  void (*evacuations) (void *data, const kwf_evacuations_event_t *event);
   /* Changed rows of this product's own table, if the store follows that table
      by itself.  */
   void (*rows) (void *data, const kwf_rows_event_t *rows);
--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -116,8 +116,8 @@
   json_decref (body);
 }
 
-/* Rows of TABLE that changed after a version, in the order of their
-   changes.  */
+/* Rows of TABLE that changed after a version, in the order of their changes; a
+   read of all rows (AFTER 0) has no removed ones.  */
 static json_t *
 rows_after (const fake_store_t *store, const char *table, int64_t after)
 {
@@ -126,7 +126,8 @@
     for (guint i = 0; i < store->rows->len; i++)
       {
         const row_t *row = store->rows->pdata[i];
-        if (row->version == version && strcmp (row->table, table) == 0)
+        if (row->version == version && strcmp (row->table, table) == 0
+            && (after || !json_object_get (row->odd, "removed")))
           json_array_append_new (list, row_json (row));
       }
   return list;
@@ -300,6 +301,12 @@
   fake_store_put_bytes (store, table, key, value, strlen (value));
 }
 
+void
+fake_store_remove (fake_store_t *store, const char *table, const char *key)
+{
+  fake_store_put_odd (store, table, key, "{\"removed\":true}");
+}
+
 void
 fake_store_put_odd (fake_store_t *store, const char *table, const char *key,
                     const char *fields)
--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -26,6 +26,10 @@
 void fake_store_put_bytes (fake_store_t *store, const char *table,
                            const char *key, const void *value, size_t size);
 
+/* Removes the row KEY of TABLE.  */
+void fake_store_remove (fake_store_t *store, const char *table,
+                        const char *key);
+
 /* Writes a row whose JSON has FIELDS, a JSON object, instead of its own.  */
 void fake_store_put_odd (fake_store_t *store, const char *table,
                          const char *key, const char *fields);
--- /dev/null
+++ b/test/test_evacuation.c
@@ -0,0 +1,289 @@
+/* Evacuated data centres.  The load replayed is steady traffic to servers of
+   two data centres while the operator evacuates one, takes it back, or
+   evacuates both.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <gsl/gsl_rng.h>
+
+#include "common-core.h"
+
+static const char *const own[] = { "c" };
+static const char *const both[] = { "c", "x" };
+static const char *const unknown[] = { "mars" };
+
+/* Desks and engines with digit 1 in data centre "c", the instance's own one,
+   those with digit 2 in "x".  Engine "e2" is empty, "e1" holds model "m".  */
+static void
+feed_servers (core_world_t *world, int64_t revision)
+{
+  static const kwf_resident_t model = { .name = "m", .version = "" };
+  static const char *const ids[] = { "d1", "d2", "e1", "e2" };
+  kwf_member_t members[G_N_ELEMENTS (ids)];
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    members[i] = (kwf_member_t){ .id = ids[i],
+                                 .kind = i < 2 ? KWF_MEMBER_SERVICE
+                                               : KWF_MEMBER_ENGINE,
+                                 .name = i < 2 ? "desk" : "models",
+                                 .address = "127.0.0.1:11",
+                                 .data_centre = i % 2 ? "x" : "c",
+                                 .described = true,
+                                 .revision = revision + (int64_t)i,
+                                 .incarnation = 1,
+                                 .slots = 6,
+                                 .models = &model,
+                                 .n_models = i == 2 };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_MEMBERS,
+                                          .members = { .valid = true,
+                                                       .members = members,
+                                                       .n_members = 4 } });
+}
+
+static void
+evacuate (core_world_t *world, const char *const *names, size_t n)
+{
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_EVACUATIONS,
+                                          .evacuations = { names, n } });
+}
+
+static bool
+logs_event (const core_world_t *world, int number)
+{
+  bool any = false;
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      any |= effect->type == KWF_FX_LOG && effect->log.number == number;
+    }
+  return any;
+}
+
+/* The digit of the server that request NUMBER to PATH is sent to; 0: none.  */
+static char
+sent_to (core_world_t *world, kwf_handle_t number, const char *path)
+{
+  core_world_request (world, number, path, path[1] == 'd' ? "m" : NULL);
+  const kwf_effect_t *effect = core_world_effect (world, KWF_FX_ATTEMPT_START);
+  if (!effect)
+    return '\0';
+  return effect->start.server[1];
+}
+
+/* Guards against requests to a data centre after its evacuation, and against
+   servers that stay unused after it was taken back at once.  */
+static void
+evacuated_data_centre_gets_no_requests (void **state)
+{
+  core_world_t *world = *state;
+  evacuate (world, own, 1);
+  assert_true (logs_event (world, 270));
+  for (kwf_handle_t i = 1; i < 40; i++)
+    assert_int_equal (sent_to (world, i, "/read/x"), '2');
+  feed_servers (world, 11);
+  assert_int_equal (sent_to (world, 50, "/read/x"), '2');
+  evacuate (world, own, 0);
+  assert_true (logs_event (world, 271));
+  bool first = false;
+  for (kwf_handle_t i = 60; i < 100; i++)
+    first |= sent_to (world, i, "/read/x") == '1';
+  assert_true (first);
+  /* Both at a time: a request is refused at once with a retry time.  */
+  evacuate (world, both, 2);
+  assert_int_equal (sent_to (world, 200, "/read/x"), 0);
+  const kwf_effect_t *reply = core_world_effect (world, KWF_FX_REPLY);
+  assert_non_null (reply);
+  assert_int_equal (reply->reply.status, 503);
+  assert_true (reply->reply.retry_after_ms > 0);
+}
+
+/* Guards against a request or order that waits for its connection while the
+   evacuation is learnt, and is written all the same.  */
+static void
+decision_is_checked_again_at_the_send (void **state)
+{
+  core_world_t *world = *state;
+  core_world_request (world, 1, "/draft/x", "m");
+  kwf_attempt_start_t sent
+      = core_world_effect (world, KWF_FX_ATTEMPT_START)->start;
+  assert_true (kwf_core_may_send (world->core, sent.attempt));
+  assert_true (kwf_core_may_order (world->core, "e1"));
+  evacuate (world, own, 1);
+  /* A stream that runs there goes on.  */
+  assert_null (core_world_effect (world, KWF_FX_ATTEMPT_CANCEL));
+  assert_false (kwf_core_may_send (world->core, sent.attempt));
+  assert_false (kwf_core_may_order (world->core, "e1"));
+  assert_true (kwf_core_may_order (world->core, "e2"));
+  evacuate (world, own, 0);
+  assert_true (kwf_core_may_send (world->core, sent.attempt));
+}
+
+/* Guards against a name without servers that is logged again and again, and
+   against servers that are listed after their evacuation was read.  */
+static void
+unknown_data_centre_is_kept (void **state)
+{
+  core_world_t *world = *state;
+  evacuate (world, own, 1);
+  assert_false (logs_event (world, 272));
+  feed_servers (world, 1);
+  assert_int_equal (sent_to (world, 1, "/read/x"), '2');
+  evacuate (world, unknown, 1);
+  assert_true (logs_event (world, 272));
+  feed_servers (world, 11);
+  assert_false (logs_event (world, 272));
+}
+
+/* What a schedule has sent so far.  */
+typedef struct
+{
+  GArray *attempts; /* of kwf_handle_t: open */
+  GArray *requests; /* of kwf_handle_t: of these */
+  int n_sent;
+  int n_repeats;
+  int n_orders;
+} sent_t;
+
+/* Take the sends of the last step to SENT.  None may go to a data centre of
+   the first N of "c" and "x", whose servers have the digits 1 and 2.  Return
+   the digit of an engine that was asked for a report; 0: none.  */
+static char
+take_sent (const core_world_t *world, size_t n, sent_t *sent)
+{
+  char asked = 0;
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      const char *server = "s9";
+      if (effect->type == KWF_FX_PROBE)
+        asked = effect->probe.server[1];
+      else if (effect->type == KWF_FX_ORDER)
+        {
+          server = effect->order.server;
+          sent->n_orders++;
+        }
+      else if (effect->type == KWF_FX_ATTEMPT_START)
+        {
+          server = effect->start.server;
+          sent->n_sent++;
+          for (guint k = 0; k < sent->requests->len; k++)
+            sent->n_repeats += g_array_index (sent->requests, kwf_handle_t, k)
+                               == effect->start.request;
+          g_array_append_val (sent->attempts, effect->start.attempt);
+          g_array_append_val (sent->requests, effect->start.request);
+        }
+      assert_true ((size_t)(server[1] - '0') > n);
+    }
+  return asked;
+}
+
+static void
+report_of (core_world_t *world, char digit)
+{
+  static const kwf_resident_t model = { .name = "m", .version = "" };
+  core_world_step (
+      world, &(kwf_event_t){ .type = KWF_EV_REPORT,
+                             .report = { .server = digit == '1' ? "e1" : "e2",
+                                         .valid = true,
+                                         .incarnation = 1,
+                                         .fencing = true,
+                                         .resume = true,
+                                         .orders = 3,
+                                         .models = &model,
+                                         .n_models = digit == '1' } });
+}
+
+static void
+break_attempt (core_world_t *world, const sent_t *sent, guint i)
+{
+  core_world_step (
+      world,
+      &(kwf_event_t){
+          .type = KWF_EV_ATTEMPT_FAILED,
+          .attempt
+          = { .attempt = g_array_index (sent->attempts, kwf_handle_t, i),
+              .request = g_array_index (sent->requests, kwf_handle_t, i),
+              .failure = KWF_FAIL_BROKEN } });
+}
+
+static void
+run_schedule (core_world_t *world, unsigned long seed, sent_t *sent)
+{
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (rng, seed);
+  size_t n = 0;
+  for (int step = 0; step < 400; step++)
+    {
+      kwf_handle_t id = seed * 1000 + (kwf_handle_t)step;
+      unsigned long kind = gsl_rng_uniform_int (rng, 8);
+      if (kind == 0)
+        evacuate (world, both, n = gsl_rng_uniform_int (rng, 3));
+      else if (kind == 1)
+        feed_servers (world, (int64_t)id * 10);
+      else if (kind == 2 && sent->attempts->len)
+        break_attempt (world, sent,
+                       (guint)gsl_rng_uniform_int (rng, sent->attempts->len));
+      else if (kind < 5)
+        core_world_advance (world, 100);
+      else
+        core_world_request (world, id, kind == 5 ? "/draft/x" : "/read/x",
+                            kind == 5 ? "m" : NULL);
+      for (char asked; (asked = take_sent (world, n, sent));)
+        report_of (world, asked);
+    }
+  gsl_rng_free (rng);
+}
+
+/* Guards against sends of any kind to an evacuated server: first attempts,
+   retries, hedges and orders, in seeded random order.  */
+static void
+nothing_is_sent_in_seeded_schedules (void **state)
+{
+  (void)state;
+  sent_t sent
+      = { .attempts = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t)),
+          .requests = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t)) };
+  for (unsigned long seed = 1; seed <= 40; seed++)
+    {
+      core_world_t world;
+      core_world_start (&world);
+      feed_servers (&world, 1);
+      run_schedule (&world, seed, &sent);
+      core_world_stop (&world);
+      g_array_set_size (sent.attempts, 0);
+      g_array_set_size (sent.requests, 0);
+    }
+  print_message ("sent %d, again %d, orders %d\n", sent.n_sent, sent.n_repeats,
+                 sent.n_orders);
+  assert_true (sent.n_sent > 1000 && sent.n_repeats > 100
+               && sent.n_orders > 10);
+  g_array_free (sent.attempts, TRUE);
+  g_array_free (sent.requests, TRUE);
+}
+
+static int
+set_up (void **state)
+{
+  core_world_setup (state);
+  feed_servers (*state, 1);
+  return 0;
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (evacuated_data_centre_gets_no_requests,
+                                     set_up, core_world_teardown),
+    cmocka_unit_test_setup_teardown (decision_is_checked_again_at_the_send,
+                                     set_up, core_world_teardown),
+    cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
+                                     core_world_setup, core_world_teardown),
+    cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
+  };
+  return cmocka_run_group_tests_name ("evacuation", tests, NULL, NULL);
+}
--- a/test/test_feed.c
+++ b/test/test_feed.c
@@ -27,6 +27,7 @@
   storeclock_t clock;
   /* The scripted store.  */
   int64_t version;    /* of its only row, "k" */
+  bool row_gone;      /* the row was removed at VERSION */
   bool history_gone;  /* answers polls with 410: it no longer has the changes
                          since the requested version */
   int refusal;        /* status that it answers; 0: it answers well */
@@ -44,6 +45,7 @@
   int64_t fresh_ms;
   bool few_rows;
   int64_t row;    /* version of "k" that is known */
+  bool removed;   /* that version is its removal */
   bool went_back; /* an older row was delivered */
   int n_complete;
   int n_published;
@@ -103,7 +105,8 @@
   else if (!is_full_read && fixture->history_gone)
     connection_reply (connection, 410, "{}");
   else if (is_full_read || fixture->version > number_in (request, "after="))
-    reply_rows (fixture, connection, fixture->version > 0);
+    reply_rows (fixture, connection,
+                fixture->version > 0 && !fixture->row_gone);
   else if (number_in (request, "wait_ms=") > 0)
     fixture->waiting_connection = connection;
   else
@@ -116,6 +119,7 @@
   fixture_t *fixture = data;
   fixture->went_back |= row->version < fixture->row;
   fixture->row = row->version;
+  fixture->removed = !row->value;
 }
 
 static void
@@ -449,6 +453,24 @@
   assert_int_equal (fixture->row, 12);
 }
 
+/* Guards against a removal that a read of all rows hides: a data centre that
+   was taken back would stay evacuated.  */
+static void
+removal_is_seen_in_a_read_of_all_rows (void **state)
+{
+  fixture_t *fixture = *state;
+  fixture->few_rows = true;
+  start_feed (fixture, MAX_AGE_NS);
+  fixture->row_gone = true;
+  fixture->version = 9;
+  assert_true (run_until (fixture->loop, &fixture->n_full_reads, 2, 5));
+  run_for (fixture->loop, 0.1);
+  assert_true (fixture->removed);
+  assert_int_equal (fixture->row, 9);
+  assert_int_equal (fixture->published.after, 7);
+  assert_int_equal (fixture->published.n_rows, 1);
+}
+
 /* Guards against a long answer that is cut off while it arrives: all changes
    of a burst come in one answer.  */
 static void
@@ -591,6 +613,8 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         few_rows_are_read_instead_of_their_changes, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (removal_is_seen_in_a_read_of_all_rows,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (slow_answer_is_not_cut, set_up,
                                      tear_down),
     cmocka_unit_test_setup_teardown (news_held_back_on_a_link_are_old, set_up,
--- a/test/test_platform_daemon.c
+++ b/test/test_platform_daemon.c
@@ -58,10 +58,11 @@
   char *directory;
   char *settings;
   backend_t backends[N_SERVERS + N_QUIET];
-  const char *retries; /* settings of the daemons */
-  GArray *quiet_sent;  /* times of int64_t of requests for "quiet" */
-  GHashTable *arrived; /* ids of those that reached a server */
-  GArray *repeats;     /* times of int64_t at which one did so again */
+  const char *retries;  /* settings of the daemons */
+  const char *platform; /* more of them; NULL: none */
+  GArray *quiet_sent;   /* times of int64_t of requests for "quiet" */
+  GHashTable *arrived;  /* ids of those that reached a server */
+  GArray *repeats;      /* times of int64_t at which one did so again */
   int n_sent;
   int n_ended;
   int status; /* of the last answer; 0: none */
@@ -195,12 +196,12 @@
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
-      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = %d\n"
+      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = %d\n%s"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
       id, fake_store_address (fixture->store), (int)(FRESH_S * 1000),
-      fixture->retries);
+      fixture->platform ? fixture->platform : "", fixture->retries);
 }
 
 static void
@@ -398,6 +399,43 @@
   assert_int_equal (preferred_server (fixture), i);
 }
 
+/* Guards against requests to an evacuated data centre after the store was lost
+   right after it acknowledged the row, whose value is no JSON; by a process
+   that starts later; and against one that stays evacuated when it was taken
+   back.  */
+static void
+evacuation_is_in_force_in_time (void **state)
+{
+  fixture_t *fixture = *state;
+  process_kill (&fixture->daemon);
+  fixture->platform = "evacuation_ms = 5000\n";
+  char *entry = g_strdup_printf (
+      "{\"backend\":\"desk\",\"address\":\"%s\",\"zone\":\"x\",\"version\":"
+      "\"1\",\"slots\":6,\"state\":\"ready\",\"seq\":2,\"born\":1}",
+      fixture->backends[1].listener->address);
+  fake_store_put (fixture->store, "servers", "d1", entry);
+  g_free (entry);
+  start_daemon (fixture, &fixture->daemon, "i1");
+  wait_for_daemon (fixture, &fixture->daemon);
+  run_for (fixture->loop, START_S + FRESH_S);
+  assert_true (count (fixture, 0, 5) > 0);
+  fake_store_put (fixture->store, "op", "evacuate/c", "not JSON {");
+  fake_store_set_silent (fixture->store, true);
+  run_for (fixture->loop, 0.5);
+  assert_int_equal (count (fixture, 0, 10), 0);
+  fake_store_set_silent (fixture->store, false);
+  process_kill (&fixture->daemon);
+  start_daemon (fixture, &fixture->daemon, "i1");
+  int before = fixture->backends[0].n_requests;
+  wait_for_daemon (fixture, &fixture->daemon);
+  assert_int_equal (count (fixture, 1, 10), 10);
+  assert_int_equal (fixture->backends[0].n_requests, before);
+  run_for (fixture->loop, START_S + FRESH_S);
+  fake_store_remove (fixture->store, "op", "evacuate/c");
+  run_for (fixture->loop, 0.5);
+  assert_true (count (fixture, 0, 5) > 0);
+}
+
 /* Guards against a change of the configuration that is not in force in
    time.  */
 static void
@@ -563,6 +601,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    TEST (evacuation_is_in_force_in_time),
     TEST (server_that_says_it_leaves_gets_no_more),
     TEST (server_that_asks_for_a_pause_gets_one),
     TEST (leaving_outlasts_the_store_and_signals),
