Serve requests in the home regions of their route and organisation

Requests of an organisation that may be served in some regions only were sent to servers of any region, because allowed_regions was not read.

Routes and organisations carry the list; the settings name the region of each data centre ([regions], filled from zones). A server outside the intersection is left out of the choice for the request, and checked for at the moment of sending. The list of instances for an organisation begins with those in its regions, and the addresses for a data centre prefer those of its region to others. Event 275 names routes that no server can serve in their regions.

Without the table [regions] all data centres are one region, as before.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -96,6 +96,8 @@
                         out have expired */
   const struct queue_ops *queue_order; /* order within a priority class; NULL:
                                           weighted fair queueing */
+  const kwf_region_t *regions;         /* of the data centres */
+  size_t n_regions;
   kwf_placement_options_t placement;
   const kwf_clock_t *clock;
   kwf_random_t *random;
--- a/include/knapweedfork/lists.h
+++ b/include/knapweedfork/lists.h
@@ -15,6 +15,16 @@
 
 #include <knapweedfork/status.h>
 
+/* The region of a data centre.  */
+typedef struct
+{
+  char *data_centre;
+  char *region;
+} kwf_region_t;
+
+/* Different regions at most.  */
+#define KWF_REGIONS_MAX 62
+
 typedef enum
 {
   KWF_PRIORITY_URGENT = 0,
@@ -73,6 +83,9 @@
   int priority;         /* 0 is the highest */
   int64_t timeout_ns;   /* 0: none */
   int64_t objective_ns; /* target for the time to the first byte; 0: none */
+  /* Regions whose servers may be sent requests; NULL: all.  */
+  const char *const *allowed_regions;
+  size_t n_allowed_regions;
 } kwf_route_t;
 
 /* What an organisation may use: its plan, narrowed by its branch.  */
@@ -93,6 +106,8 @@
   bool by_request;     /* rate and burst are requests, not tokens */
   double plain_tokens; /* tokens charged for a routed request that has no token
                           counts */
+  const char *const *allowed_regions; /* as those of a route */
+  size_t n_allowed_regions;
 } kwf_organisation_t;
 
 typedef struct kwf_lists kwf_lists_t;
@@ -138,6 +153,8 @@
 const kwf_model_t *kwf_lists_model_at (const kwf_lists_t *lists, size_t i);
 size_t kwf_lists_n_services (const kwf_lists_t *lists);
 const kwf_service_t *kwf_lists_service_at (const kwf_lists_t *lists, size_t i);
+size_t kwf_lists_n_routes (const kwf_lists_t *lists);
+const kwf_route_t *kwf_lists_route_at (const kwf_lists_t *lists, size_t i);
 
 /* Whether ORGANISATION may use the model (with ADAPTER, if not NULL) or the
    service.  */
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -36,6 +36,8 @@
                                   and, unless 0, evacuation_ms */
   int64_t lists_ms;            /* [platform] lists_ms */
   int64_t evacuation_ms;       /* [platform] evacuation_ms; 0: off */
+  kwf_region_t *regions;       /* [regions] */
+  size_t n_regions;
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* contents of [keys] pepper_file */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
--- a/lib/addresses.c
+++ b/lib/addresses.c
@@ -37,10 +37,13 @@
     }
 }
 
+/* LOCAL gets the instances of DATA_CENTRE, NEAR the others of its region, and
+   REMOTE those of other regions.  Without regions REMOTE gets none.  */
 static void
 split_by_data_centre (const kwf_core_t *core, const char *data_centre,
-                      GArray *local, GArray *remote)
+                      GArray *local, GArray *near, GArray *remote)
 {
+  uint64_t region = regions_bit (core->regions, data_centre);
   session_member_t member;
   size_t at = 0;
   while (session_next_member (core->session, &at, &member))
@@ -51,7 +54,8 @@
                           member.data_centre ? member.data_centre : "" };
       bool is_local
           = !data_centre || strcmp (entry.data_centre, data_centre) == 0;
-      g_array_append_val (is_local ? local : remote, entry);
+      bool is_near = regions_bit (core->regions, entry.data_centre) == region;
+      g_array_append_val (is_local ? local : is_near ? near : remote, entry);
     }
 }
 
@@ -71,20 +75,25 @@
                     size_t most, kwf_address_fn_t fn, void *data)
 {
   GArray *local = g_array_new (FALSE, FALSE, sizeof (address_t));
+  GArray *near = g_array_new (FALSE, FALSE, sizeof (address_t));
   GArray *remote = g_array_new (FALSE, FALSE, sizeof (address_t));
-  split_by_data_centre (core, data_centre, local, remote);
+  split_by_data_centre (core, data_centre, local, near, remote);
   guint n_local = local->len;
-  guint n_remote = remote->len;
-  if (local->len + remote->len > most)
+  guint n_others = near->len + remote->len;
+  if (n_local + n_others > most)
     {
-      n_remote = MIN (remote->len, (guint)(most - LOCAL_PART (most)));
-      n_local = MIN (local->len, (guint)most - n_remote);
-      n_remote = MIN (remote->len, (guint)most - n_local);
+      n_others = MIN (n_others, (guint)(most - LOCAL_PART (most)));
+      n_local = MIN (local->len, (guint)most - n_others);
+      n_others = MIN (near->len + remote->len, (guint)most - n_local);
       shuffle_to_front (local, n_local, core->options.random);
-      shuffle_to_front (remote, n_remote, core->options.random);
+      shuffle_to_front (near, n_others, core->options.random);
+      shuffle_to_front (remote, n_others, core->options.random);
     }
+  guint n_near = MIN (near->len, n_others);
   call_for_addresses (local, n_local, fn, data);
-  call_for_addresses (remote, n_remote, fn, data);
+  call_for_addresses (near, n_near, fn, data);
+  call_for_addresses (remote, n_others - n_near, fn, data);
+  g_array_free (near, TRUE);
   g_array_free (local, TRUE);
   g_array_free (remote, TRUE);
 }
--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -96,6 +96,8 @@
   bool has_model = service && service->engine && event->model;
   kwf_request_event_t routed = *event;
   routed.service = service_name;
+  routed.host = route->host;
+  routed.path = route->prefix;
   routed.model = has_model ? event->model : NULL;
   routed.adapter = has_model ? event->adapter : NULL;
   routed.stream = route->stream;
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 
+#include "evacuation/home.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -183,6 +184,7 @@
                           .key = request->route_key,
                           .sample_key = request->hash,
                           .data_centre = core->options.data_centre,
+                          .excluded_regions = home_excluded (core, request),
                           .tried = tried,
                           .n_tried = n_tried,
                           .suspect = suspect,
@@ -207,6 +209,7 @@
       server_t *server = g_ptr_array_index (holders, i);
       if (notice_server_is_paused (server, now_ns) && !server_leaving (server)
           && !server->refused && server_holds_model (server, request->model)
+          && !home_excludes (core, request, server)
           && (!first
               || server->notice.pause_until_ns < first->notice.pause_until_ns))
         first = server;
@@ -308,6 +311,7 @@
   return attempt->incarnation == server->incarnation
          && !server_leaving (server)
          && !notice_server_is_paused (server, now_ns)
+         && !home_excludes (core, request, server)
          && session_may_act (core->session)
          && !feature_has_bad_part (core, request)
          && (!request->organisation[0]
@@ -338,7 +342,7 @@
     {
       const server_t *server = g_ptr_array_index (holders, i);
       if (server_holds_model (server, model) && !server->refused
-          && !server_leaving (server)
+          && !server_leaving (server) && !home_excludes (core, request, server)
           && (!adapter
               || server_holds_adapter (server, model, request->adapter)))
         return true;
@@ -449,6 +453,7 @@
   if (!check_before_send (core, request, now_ns, effects))
     return;
   if (!server || !server_usable (server, now_ns)
+      || home_excludes (core, request, server)
       || !limit_may_call (&server->limit, LIMIT_WAIT_MAX_NS, now_ns))
     {
       request->trial = false;
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -58,7 +58,8 @@
   char *name; /* service; may be empty for engines */
   char *address;
   char *data_centre;
-  uint64_t hash; /* hash of the id, for rendezvous hashing */
+  uint64_t hash;   /* hash of the id, for rendezvous hashing */
+  uint64_t region; /* bit of its region (lib/evacuation/regions.h) */
   int64_t unlisted_ns;
   int64_t doubted_until_ns; /* the list lacks it, and it stays listed until
                                then; 0: the list has it, or it is gone */
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -16,6 +16,7 @@
 #include "demand.h"
 #include "duration.h"
 #include "evacuation/evacuation.h"
+#include "evacuation/regions.h"
 #include "fleet-load.h"
 #include "metric.h"
 #include "permit.h"
@@ -117,6 +118,10 @@
   claims_t *claims;
   backend_t *backend;
   evacuation_t *evacuation;
+  regions_t *regions;
+  GHashTable *homeless; /* set: routes without a server in their home regions,
+                           as logged since homeless_version */
+  int64_t homeless_version;
   crash_t *crash;
   demand_t *demand;
   placement_t *placement;
--- a/lib/core.c
+++ b/lib/core.c
@@ -1,5 +1,6 @@
 /* The reducer: passes each event to the modules and sets the timer.  */
 
+#include "evacuation/home.h"
 #include "notice.h"
 #include "request.h"
 
@@ -25,6 +26,9 @@
   core->claims = claims_new (own);
   core->backend = backend_new (own);
   core->evacuation = evacuation_new ();
+  core->regions = regions_new (own->regions, own->n_regions);
+  core->homeless
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   core->crash = crash_new (own);
   core->demand = demand_new (own->clock);
   core->placement
@@ -66,6 +70,8 @@
   demand_free (core->demand);
   crash_free (core->crash);
   evacuation_free (core->evacuation);
+  regions_free (core->regions);
+  g_hash_table_unref (core->homeless);
   backend_free (core->backend);
   claims_free (core->claims);
   shares_free (core->shares);
@@ -162,9 +168,11 @@
     notice_handle_peer (core, &event->peer, effects);
   permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
-  if (evacuation_step (core->evacuation, core->backend,
+  if (evacuation_step (core->evacuation, core->backend, core->regions,
                        core->options.data_centre, event, effects))
     waits_recheck_all (core);
+  if (event->type == KWF_EV_MEMBERS || event->type == KWF_EV_CONFIG)
+    home_check_routes (core, effects);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS)
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -100,6 +100,7 @@
 {
   session_member_t member;
   double score;
+  bool home; /* in a region that the organisation allows */
 } scored_member_t;
 
 static int
@@ -107,6 +108,8 @@
 {
   const scored_member_t *left = a;
   const scored_member_t *right = b;
+  if (left->home != right->home)
+    return left->home ? -1 : 1;
   return (left->score < right->score) - (left->score > right->score);
 }
 
@@ -125,13 +128,19 @@
 {
   GArray *scored = g_array_new (FALSE, TRUE, sizeof (scored_member_t));
   double sum = 0;
+  uint64_t excluded = regions_excluded_by (
+      core->regions, NULL,
+      kwf_lists_organisation (config_lists (core->config), organisation));
   session_member_t member;
   size_t at = 0;
   while (session_next_member (core->session, &at, &member))
     {
       if (!directory_includes (core, &member))
         continue;
-      scored_member_t scored_member = { .member = member };
+      scored_member_t scored_member = {
+        .member = member,
+        .home = !(regions_bit (core->regions, member.data_centre) & excluded)
+      };
       g_array_append_val (scored, scored_member);
       sum += (double)member.load;
     }
--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -95,7 +95,8 @@
 }
 
 static void
-mark_servers (const evacuation_t *evacuation, const backend_t *backend)
+mark_servers (const evacuation_t *evacuation, const backend_t *backend,
+              const regions_t *regions)
 {
   const GPtrArray *servers = backend_servers (backend);
   for (guint i = 0; i < servers->len; i++)
@@ -103,6 +104,7 @@
       server_t *server = g_ptr_array_index (servers, i);
       server->evacuated
           = evacuation_contains (evacuation, server->data_centre);
+      server->region = regions_bit (regions, server->data_centre);
     }
 }
 
@@ -128,8 +130,8 @@
 
 bool
 evacuation_step (evacuation_t *evacuation, const backend_t *backend,
-                 const char *own, const kwf_event_t *event,
-                 kwf_effects_t *effects)
+                 const regions_t *regions, const char *own,
+                 const kwf_event_t *event, kwf_effects_t *effects)
 {
   bool changed = false;
   if (event->type == KWF_EV_EVACUATIONS)
@@ -137,7 +139,7 @@
         = replace_names (evacuation, backend, &event->evacuations, effects);
   else if (event->type != KWF_EV_MEMBERS)
     return false;
-  mark_servers (evacuation, backend);
+  mark_servers (evacuation, backend, regions);
   log_unknown (evacuation, backend, own, effects);
   return changed;
 }
--- a/lib/evacuation/evacuation.h
+++ b/lib/evacuation/evacuation.h
@@ -19,6 +19,7 @@
 #include <knapweedfork/core.h>
 
 #include "../backend.h"
+#include "regions.h"
 
 typedef struct evacuation evacuation_t;
 
@@ -26,12 +27,12 @@
 void evacuation_free (evacuation_t *evacuation);
 
 /* Handle KWF_EV_EVACUATIONS, and KWF_EV_MEMBERS, which may list new servers:
-   mark the servers of BACKEND that are in an evacuated data centre.  OWN: the
-   data centre of this instance.  Return whether the set of evacuated data
-   centres has changed.  */
+   set the region of the servers of BACKEND, and whether they are in an
+   evacuated data centre.  OWN: the data centre of this instance.  Return
+   whether the set of evacuated data centres has changed.  */
 bool evacuation_step (evacuation_t *evacuation, const backend_t *backend,
-                      const char *own, const kwf_event_t *event,
-                      kwf_effects_t *effects);
+                      const regions_t *regions, const char *own,
+                      const kwf_event_t *event, kwf_effects_t *effects);
 
 bool evacuation_contains (const evacuation_t *evacuation,
                           const char *data_centre);
--- a/lib/lists-build.c
+++ b/lib/lists-build.c
@@ -19,6 +19,13 @@
   return copies;
 }
 
+/* The same for regions, whose list may be missing.  */
+static const char *const *
+copy_regions (kwf_lists_t *lists, const char *const *names, size_t n)
+{
+  return names ? copy_names (lists, names, n) : NULL;
+}
+
 bool
 lists_add_model (kwf_lists_t *lists, const kwf_model_t *item)
 {
@@ -51,6 +58,8 @@
       = copy_names (lists, item->adapters, item->n_adapters);
   organisation->services
       = copy_names (lists, item->services, item->n_services);
+  organisation->allowed_regions
+      = copy_regions (lists, item->allowed_regions, item->n_allowed_regions);
   return lists_add (lists->organisations, lists->organisation_by_name,
                     organisation->name, organisation);
 }
@@ -90,6 +99,8 @@
         = (kwf_split_t){ lists_intern_string (lists, item->splits[i].service),
                          item->splits[i].weight };
   route->splits = splits;
+  route->allowed_regions
+      = copy_regions (lists, item->allowed_regions, item->n_allowed_regions);
   route->name = copy_text (lists, item->name);
   route->host = copy_text (lists, host);
   route->prefix = copy_text (lists, item->prefix);
--- a/lib/lists.c
+++ b/lib/lists.c
@@ -199,3 +199,15 @@
 {
   return contains (organisation->services, organisation->n_services, service);
 }
+
+size_t
+kwf_lists_n_routes (const kwf_lists_t *lists)
+{
+  return lists->routes->len;
+}
+
+const kwf_route_t *
+kwf_lists_route_at (const kwf_lists_t *lists, size_t i)
+{
+  return g_ptr_array_index (lists->routes, i);
+}
--- a/lib/request.c
+++ b/lib/request.c
@@ -83,8 +83,8 @@
   size_t size = sizeof (request_t) + parts_size + text_size (event->id)
                 + text_size (event->key_digest) + text_size (organisation)
                 + text_size (event->model) + text_size (event->adapter)
-                + text_size (event->service)
-                + text_size (event->idempotency_key);
+                + text_size (event->service) + text_size (event->host)
+                + text_size (event->path) + text_size (event->idempotency_key);
   request_t *request = g_malloc (size);
   uint64_t *parts = (uint64_t *)(void *)(request + 1);
   char *end = (char *)parts + parts_size;
@@ -102,6 +102,8 @@
     .model = put_text (&end, event->model),
     .adapter = put_text (&end, event->adapter),
     .service = put_text (&end, event->service),
+    .host = put_text (&end, event->host),
+    .path = put_text (&end, event->path),
     .idempotency_key = put_text (&end, event->idempotency_key),
     .idempotent = event->idempotent,
     .stream = event->stream,
--- a/lib/request.h
+++ b/lib/request.h
@@ -36,6 +36,8 @@
   const char *model;        /* NULL for services */
   const char *adapter;      /* NULL when none */
   const char *service;      /* NULL for models */
+  const char *host;         /* ROUTED: host and prefix of its route */
+  const char *path;
   const char *idempotency_key;
   bool idempotent;
   bool stream;
--- a/lib/route.c
+++ b/lib/route.c
@@ -59,6 +59,7 @@
                    int64_t now_ns)
 {
   return server && server_usable (server, now_ns)
+         && !(server->region & query->excluded_regions)
          && (!query->model || server_holds_model (server, query->model))
          && (!query->model || !query->service
              || strcmp (server->name, query->service) == 0)
@@ -200,7 +201,8 @@
   for (guint i = 0; i < holders->len; i++)
     {
       const server_t *server = g_ptr_array_index (holders, i);
-      if (server_half_open_busy (server, now_ns) && !was_tried (query, server))
+      if (server_half_open_busy (server, now_ns) && !was_tried (query, server)
+          && !(server->region & query->excluded_regions))
         return true;
     }
   return false;
--- a/lib/route.h
+++ b/lib/route.h
@@ -21,7 +21,8 @@
   uint64_t sample_key; /* hash that differs with each request; samples two
                           servers */
   const char *data_centre;
-  server_t *const *tried; /* not to be chosen again */
+  uint64_t excluded_regions; /* in which it must not be served */
+  server_t *const *tried;    /* not to be chosen again */
   int n_tried;
   bool suspect;             /* the request is a crash suspect: only the two
                                candidates may be chosen */
--- a/lib/settings-table.h
+++ b/lib/settings-table.h
@@ -12,6 +12,10 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+#include <knapweedfork/settings.h>
+
+#include "finding.h"
+
 typedef enum
 {
   SETTING_NAME,    /* see finding_is_name */
@@ -45,4 +49,11 @@
 extern const setting_t settings_table[];
 extern const size_t n_settings;
 
+/* The table of the regions of data centres, whose keys are names of data
+   centres (settings-regions.c).  */
+#define SETTINGS_REGIONS "regions"
+void settings_read_regions (finding_source_t *source,
+                            kwf_settings_t *settings);
+void settings_free_regions (kwf_settings_t *settings);
+
 #endif
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -271,6 +271,7 @@
                               keys->len);
       g_ptr_array_free (keys, TRUE);
     }
+  g_ptr_array_add (tables, SETTINGS_REGIONS);
   finding_location_t root = { .source = reader->source,
                               .table = toml_root (reader->source->document) };
   finding_unknown_keys (&root, (const char *const *)tables->pdata,
@@ -418,6 +419,7 @@
   check_tables_and_keys (&reader);
   for (size_t i = 0; i < n_settings; i++)
     read_setting (&reader, &settings_table[i]);
+  settings_read_regions (&source, settings);
   set_default_address (&reader, "callers", settings->caller_listen,
                        &settings->caller_address);
   set_default_address (&reader, "peers", settings->peer_listen,
@@ -462,6 +464,7 @@
 {
   if (!settings)
     return;
+  settings_free_regions (settings);
   for (size_t i = 0; i < n_settings; i++)
     {
       const setting_t *setting = &settings_table[i];
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -1,11 +1,10 @@
 /* Waiting for room in the window of an engine, or until an engine has loaded
    the model (docs/design.md section 13, "Queueing at the entry").  */
 
-#include "request.h"
-
 #include <string.h>
 
 #include "error-code.h"
+#include "evacuation/home.h"
 
 #define DEFAULT_LENGTH 1024
 #define DEFAULT_ORGANISATION_LENGTH 256
@@ -204,7 +203,8 @@
   for (guint i = 0; servers && i < servers->len; i++)
     {
       const server_t *server = servers->pdata[i];
-      count.n += server_holds_model (server, request->model);
+      count.n += server_holds_model (server, request->model)
+                 && !home_excludes (core, request, server);
       count.refused += server->refused;
       count.leaving += server_leaving (server);
       count.without_adapter += request->adapter
--- a/net/instance.c
+++ b/net/instance.c
@@ -17,7 +17,6 @@
 #define GRACE_RESERVED_S 5.2
 /* Open requests are cut off this long before the end of the grace time.  */
 #define GRACE_MARGIN_S 0.3
-/* of a secret made by instance_new_secret */
 #define SECRET_BYTES 32
 
 /* When the core has ended all requests, the server may still have unsent
@@ -338,6 +337,8 @@
       .instance = settings->instance,
       .incarnation = instance->incarnation,
       .data_centre = settings->data_centre,
+      .regions = settings->regions,
+      .n_regions = settings->n_regions,
       .cores = settings->cores,
       .caller_address = instance->caller_address,
       .peer_address = instance->peer_address,
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -127,10 +127,12 @@
 }
 
 /* Start a core that serves for SERVE_MS after a stop begins and cuts what is
-   open after LIMIT_MS.  */
+   open after LIMIT_MS.  It knows the regions of N_REGIONS data centres.  */
 static void
-start (core_world_t *world, bool unchecked, int64_t serve_ms, int64_t limit_ms)
+start (core_world_t *world, bool unchecked, int64_t serve_ms, int64_t limit_ms,
+       size_t n_regions)
 {
+  static const kwf_region_t regions[] = { { "c", "north" }, { "x", "south" } };
   *world = (core_world_t){ .clock = { .clock = { &clock_ops },
                                       .now_ns = KWF_NS_PER_S } };
   world->effects = kwf_effects_new ();
@@ -138,6 +140,8 @@
       &(kwf_core_options_t){ .instance = "a",
                              .incarnation = 1,
                              .data_centre = "c",
+                             .regions = regions,
+                             .n_regions = n_regions,
                              .caller_address = "127.0.0.1:1",
                              .peer_address = "127.0.0.1:2",
                              .lease_ns = 300 * KWF_NS_PER_S,
@@ -173,14 +177,20 @@
 void
 core_world_start_tokens (core_world_t *world, bool unchecked)
 {
-  start (world, unchecked, CORE_WORLD_SERVE_MS, CORE_WORLD_STOP_MS);
+  start (world, unchecked, CORE_WORLD_SERVE_MS, CORE_WORLD_STOP_MS, 0);
 }
 
 void
 core_world_start_grace (core_world_t *world, int64_t serve_ms,
                         int64_t limit_ms)
 {
-  start (world, false, serve_ms, limit_ms);
+  start (world, false, serve_ms, limit_ms, 0);
+}
+
+void
+core_world_start_regions (core_world_t *world)
+{
+  start (world, false, CORE_WORLD_SERVE_MS, CORE_WORLD_STOP_MS, 2);
 }
 
 void
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -12,6 +12,7 @@
 #include <gsl/gsl_rng.h>
 
 #include "common-core.h"
+#include "platform/platform-internal.h"
 
 static const char *const own[] = { "c" };
 static const char *const both[] = { "c", "x" };
@@ -265,6 +266,62 @@
   g_array_free (sent.requests, TRUE);
 }
 
+/* Feed the configuration of VERSION, in which the route /read/ has the allowed
+   regions HOME, and organisation "o" "north" and "south".  */
+static void
+feed_config (core_world_t *world, int64_t version, const char *home)
+{
+  char *text = g_strdup_printf (
+      "{\"services\":[{\"name\":\"desk\"}],\"routes\":[{\"name\":\"r\","
+      "\"hostname\":\"h.example\",\"path_prefix\":\"/read/\",\"backend\":"
+      "\"desk\",\"kind\":\"idempotent\",\"allowed_regions\":%s}],"
+      "\"tenants\":[{\"name\":\"o\",\"api_keys\":[\"s\"],\"rate_per_s\":"
+      "1000,\"burst\":1000,\"allowed_regions\":[\"north\",\"south\"]}]}",
+      home);
+  static const kwf_key_grant_t key = { "k", "o" };
+  platform_config_t config;
+  assert_true (platform_config_decode (text, "p", &config));
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_CONFIG,
+                                          .config = { .version = version,
+                                                      .lists = &config.lists,
+                                                      .keys = &key,
+                                                      .n_keys = 1 } });
+  platform_config_clear (&config);
+  g_free (text);
+}
+
+/* Guards against requests that leave their home regions: by the intersection
+   of what route and organisation allow, also while the home region is
+   evacuated, after a change of the configuration at the send, and with an
+   entry that is unknown or no text.  */
+static void
+requests_stay_in_their_home_regions (void **state)
+{
+  (void)state;
+  core_world_t world;
+  core_world_start_regions (&world);
+  feed_config (&world, 2, "[\"south\",\"east\"]");
+  feed_servers (&world, 1);
+  for (kwf_handle_t i = 1; i < 20; i++)
+    assert_int_equal (sent_to (&world, i, "/read/x"), '2');
+  kwf_handle_t attempt
+      = core_world_effect (&world, KWF_FX_ATTEMPT_START)->start.attempt;
+  evacuate (&world, both + 1, 1);
+  assert_int_equal (sent_to (&world, 30, "/read/x"), 0);
+  evacuate (&world, both, 0);
+  assert_true (kwf_core_may_send (world.core, attempt));
+  assert_false (logs_event (&world, 275));
+  feed_config (&world, 3, "[\"north\"]");
+  assert_false (kwf_core_may_send (world.core, attempt));
+  assert_int_equal (sent_to (&world, 40, "/read/x"), '1');
+  feed_config (&world, 4, "[7,\"east\"]");
+  assert_true (logs_event (&world, 275));
+  assert_int_equal (sent_to (&world, 50, "/read/x"), 0);
+  feed_config (&world, 5, "[]");
+  assert_int_not_equal (sent_to (&world, 60, "/read/x"), 0);
+  core_world_stop (&world);
+}
+
 static int
 set_up (void **state)
 {
@@ -283,6 +340,7 @@
                                      set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test (requests_stay_in_their_home_regions),
     cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
   };
   return cmocka_run_group_tests_name ("evacuation", tests, NULL, NULL);
