Direct callers only to instances that were reached lately

Callers could be directed to an instance that had been killed long before: a small instance of a large fleet counted every member as reachable when it had no list of unreachable members from a hub that was younger than 3 s, as after a start or when all hubs were killed; and an instance that had stood still answered with the links from before.

With [callers] contact_ms, set where evacuation_ms is, such an instance names only itself and the members that it has a link to, for 2 s after a pause only itself. The lists serve for contact_ms instead of 3 s then.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -62,12 +62,15 @@
                        take effect; 0: 2 s */
   int64_t address_lifetime_ns; /* how long callers may use an address list;
                                   must be set */
-  int64_t default_timeout_ns;  /* timeout of requests that have none; must be
-                                  set */
-  int64_t stop_limit_ns;       /* from the stop signal until open requests are
-                                  cut; 0: no limit */
-  double retry_share;          /* limit on retries and hedges, as a share of
-                                  requests */
+  /* Callers are not directed to an instance that ended longer than this and 3
+     s ago; 0: where that is not known, they are.  */
+  int64_t contact_ns;
+  int64_t default_timeout_ns; /* timeout of requests that have none; must be
+                                 set */
+  int64_t stop_limit_ns;      /* from the stop signal until open requests are
+                                 cut; 0: no limit */
+  double retry_share;         /* limit on retries and hedges, as a share of
+                                 requests */
   /* Where set, retry_share and retry_slack bound the repeats of each service's
      requests that reach its servers in any time of this length, from all
      instances together; 0: each instance keeps to retry_share over all
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -50,6 +50,7 @@
   int64_t probe_ms;            /* [backend] probe_ms */
   int64_t connect_ms;          /* [backend] connect_ms */
   int64_t address_lifetime_ms; /* [callers] address_lifetime_ms */
+  int64_t contact_ms;          /* [callers] contact_ms; 0: off */
   int64_t default_timeout_ms;  /* [callers] default_timeout_ms */
   int64_t idle_ms;             /* [callers] idle_ms */
   int64_t max_header_bytes;    /* [callers] max_header_bytes */
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -120,7 +120,7 @@
     return false;
   if (strcmp (member->instance, core->options.instance) == 0)
     return !core->stop.stopping;
-  return session_member_live (core->session, member);
+  return session_member_reached (core->session, member);
 }
 
 static GArray *
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -127,6 +127,18 @@
          || !g_hash_table_contains (session->unreachable, instance);
 }
 
+bool
+hub_has_reached (const session_t *session, const char *instance, bool linked,
+                 bool hub)
+{
+  if (linked || session->hub || hub)
+    return linked;
+  return session->unreachable_received_ns
+         && kwf_now_ns (session->clock) - session->unreachable_received_ns
+                <= session->contact_ns
+         && !g_hash_table_contains (session->unreachable, instance);
+}
+
 void
 hub_handle_unreachable (session_t *session,
                         const kwf_unreachable_t *unreachable)
--- a/lib/hub.h
+++ b/lib/hub.h
@@ -29,6 +29,11 @@
 bool hub_is_live (const session_t *session, const char *instance, bool linked,
                   bool hub);
 
+/* The same with contact_ns: without a list that is younger than that, only
+   members with a link are live.  */
+bool hub_has_reached (const session_t *session, const char *instance,
+                      bool linked, bool hub);
+
 /* Handles a hub's list of unreachable members.  */
 void hub_handle_unreachable (session_t *session,
                              const kwf_unreachable_t *unreachable);
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -87,6 +87,9 @@
   int64_t next_unreachable_ns; /* when this hub sends its list next */
   int64_t last_unreachable_ns;
   int64_t fresh_ns;
+  int64_t contact_ns; /* see kwf_core_options_t */
+  int64_t woken_ns;   /* first step after a pause of this process that was
+                         longer than that; 0: there was none */
   int64_t lease_ns;
   int64_t renew_ns;
   const kwf_clock_t *clock;
--- a/lib/session.c
+++ b/lib/session.c
@@ -12,6 +12,10 @@
 /* Time constant of the average load in the session row.  */
 #define LOAD_AVERAGE_NS (10 * KWF_NS_PER_S)
 
+/* After a pause of this process, links to instances that ended meanwhile are
+   closed within this time: silent_ms (net/peer.h) and the next step.  */
+#define WAKE_NS (2 * KWF_NS_PER_S)
+
 session_t *
 session_new (const kwf_core_options_t *options)
 {
@@ -34,6 +38,7 @@
   session->sent_forwards
       = g_ptr_array_new_with_free_func (forwarded_renewal_free);
   session->fresh_ns = options->fresh_ns ? options->fresh_ns : SESSION_FRESH_NS;
+  session->contact_ns = options->contact_ns;
   session->cores = options->cores ? options->cores : 1;
   session->hub = true;
   session->unreachable
@@ -284,6 +289,9 @@
               kwf_effects_t *effects, session_changes_t *changes)
 {
   int64_t now_ns = kwf_now_ns (session->clock);
+  if (session->contact_ns
+      && now_ns - session->stepped_ns > session->contact_ns)
+    session->woken_ns = now_ns;
   *changes = (session_changes_t){ .revision = session->revision };
   g_array_set_size (session->changes, 0);
   bool own = handle_event (session, event, now_ns, effects, changes);
@@ -333,6 +341,21 @@
                                : !member->expired;
 }
 
+bool
+session_member_reached (const session_t *session,
+                        const session_member_t *member)
+{
+  if (!session->contact_ns || !session->push_updates
+      || strcmp (member->instance, session->instance) == 0)
+    return session_member_live (session, member);
+  int64_t now_ns = kwf_now_ns (session->clock);
+  if (now_ns - session->stepped_ns > session->contact_ns
+      || (session->woken_ns && now_ns - session->woken_ns < WAKE_NS))
+    return false;
+  return hub_has_reached (session, member->instance, member->linked,
+                          member->hub);
+}
+
 bool
 session_knows (const session_t *session, const char *instance,
                uint64_t incarnation)
--- a/lib/session.h
+++ b/lib/session.h
@@ -129,6 +129,12 @@
 bool session_member_live (const session_t *session,
                           const session_member_t *member);
 
+/* Whether MEMBER was reached, by this instance or by a hub, so lately that
+   callers may be directed to it: an instance that ended longer than contact_ns
+   and 3 s ago was not.  Without contact_ns the same as session_member_live. */
+bool session_member_reached (const session_t *session,
+                             const session_member_t *member);
+
 /* Whether the row of process INCARNATION of INSTANCE, another instance, is
    known.  */
 bool session_knows (const session_t *session, const char *instance,
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -34,6 +34,8 @@
   { "callers", "address_lifetime_ms", SETTING_INTEGER,
     FIELD (address_lifetime_ms), .unit = "ms", .default_number = 5000,
     .min = 1000, .max = 60000 },
+  { "callers", "contact_ms", SETTING_INTEGER, FIELD (contact_ms), .unit = "ms",
+    .default_number = 0, .min = 0, .max = 60000 },
   { "callers", "default_timeout_ms", SETTING_INTEGER,
     FIELD (default_timeout_ms), .unit = "ms", .default_number = 60000,
     .min = 100, .max = 3600000 },
--- a/net/instance.c
+++ b/net/instance.c
@@ -10,13 +10,9 @@
 
 #include "../lib/logging.h"
 #include "address.h"
+#include "stop-times.h"
 
-/* A stopping instance accepts no request later than this long before the end
-   of the grace time, when it is killed, and until then those that can end in
-   time (lib/stop.c).  */
-#define GRACE_RESERVED_S 5.2
-/* Open requests are cut off this long before the end of the grace time.  */
-#define GRACE_MARGIN_S 0.3
+/* of a secret made by instance_new_secret */
 #define SECRET_BYTES 32
 
 /* When the core has ended all requests, the server may still have unsent
@@ -310,25 +306,6 @@
   instance->stepping = false;
 }
 
-/* Time after SIGTERM at which open requests are cut off, early enough for the
-   end of their answers to reach the callers.  */
-static int64_t
-stop_limit_ns (const kwf_settings_t *settings)
-{
-  if (settings->grace_s > 0)
-    return (int64_t)((settings->grace_s - GRACE_MARGIN_S) * KWF_NS_PER_S);
-  return settings->stop_limit_ms * KWF_NS_PER_MS;
-}
-
-/* Time after SIGTERM during which requests are accepted; 0: as long as callers
-   may use an address that they were given before.  */
-static int64_t
-stop_serve_ns (const kwf_settings_t *settings)
-{
-  double linger_s = settings->grace_s - GRACE_RESERVED_S;
-  return linger_s > 0 ? (int64_t)(linger_s * KWF_NS_PER_S) : 0;
-}
-
 static kwf_core_t *
 new_core (const instance_t *instance)
 {
@@ -347,9 +324,10 @@
       .probe_ns = settings->probe_ms * KWF_NS_PER_MS,
       .fresh_ns = settings->fresh_ms * KWF_NS_PER_MS,
       .address_lifetime_ns = settings->address_lifetime_ms * KWF_NS_PER_MS,
+      .contact_ns = settings->contact_ms * KWF_NS_PER_MS,
       .default_timeout_ns = settings->default_timeout_ms * KWF_NS_PER_MS,
-      .stop_limit_ns = stop_limit_ns (settings),
-      .stop_serve_ns = stop_serve_ns (settings),
+      .stop_limit_ns = stop_times_limit_ns (settings),
+      .stop_serve_ns = stop_times_serve_ns (settings),
       .push_updates = instance->protocol->push_updates,
       .finish_withdrawn = strcmp (settings->withdrawn, "finish") == 0,
       .overdraft = settings->overdraft,
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -35,7 +35,8 @@
 void core_world_start (core_world_t *world);
 /* The same.  UNCHECKED: the engines do not check fencing tokens.  */
 void core_world_start_tokens (core_world_t *world, bool unchecked);
-/* The same.  Data centre "c" is in region "north", "x" in "south".  */
+/* The same.  Data centre "c" is in region "north", "x" in "south", and
+   contact_ns is 4 s.  */
 void core_world_start_regions (core_world_t *world);
 /* The same with other limits of a stop.  */
 void core_world_start_grace (core_world_t *world, int64_t serve_ms,
--- a/test/test_hub.c
+++ b/test/test_hub.c
@@ -169,6 +169,40 @@
   assert_true (addresses_of (world, 100).unreachable);
 }
 
+/* Guards against callers that are directed to a dead instance: where no hub
+   tells which instances are up, and after this process stood still.  */
+static void
+dead_instance_is_not_named (void **state)
+{
+  (void)state;
+  core_world_t world;
+  core_world_start_regions (&world);
+  join_all (&world, 2, 0.5);
+  link_hubs (&world, true);
+  assert_int_equal (addresses_of (&world, 100).all, 1 + CENTRES * 3);
+  kwf_message_t none = { .type = KWF_MSG_UNREACHABLE };
+  const kwf_event_t list
+      = { .type = KWF_EV_PEER_MESSAGE,
+          .peer = { "cl00", .incarnation = 1, .message = &none } };
+  core_world_step (&world, &list);
+  assert_true (addresses_of (&world, 100).unreachable);
+  /* All hubs are killed, then "cs10" is.  */
+  link_hubs (&world, false);
+  for (int64_t ms = 0; ms < 4100; ms += 100)
+    core_world_advance (&world, 100);
+  assert_int_equal (addresses_of (&world, 100).all, 1);
+  link_hubs (&world, true);
+  core_world_step (&world, &list);
+  assert_true (addresses_of (&world, 100).unreachable);
+  world.clock.now_ns += 5 * KWF_NS_PER_S;
+  assert_int_equal (addresses_of (&world, 100).all, 1);
+  core_world_step (&world, &list);
+  assert_int_equal (addresses_of (&world, 100).all, 1);
+  core_world_advance (&world, 2100);
+  assert_true (addresses_of (&world, 100).unreachable);
+  core_world_stop (&world);
+}
+
 /* Whether this step sends NAME a list of unreachable members with "cs10".  */
 static bool
 reports_unreachable (const core_world_t *world, const char *name)
@@ -224,6 +258,7 @@
                                      core_world_teardown),
     cmocka_unit_test_setup_teardown (addresses_are_spread, core_world_setup,
                                      core_world_teardown),
+    cmocka_unit_test (dead_instance_is_not_named),
     cmocka_unit_test_setup_teardown (hub_reports_unreachable_members,
                                      core_world_setup, core_world_teardown),
   };
