--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -62,12 +62,15 @@
                        take effect; 0: 2 s */
   int64_t address_lifetime_ns; /* how long callers may use an address list;
                                   must be set */
-  int64_t default_timeout_ns;  /* timeout of requests that have none; must be
-                                  set */
-  int64_t stop_limit_ns;       /* from the stop signal until open requests are
-                                  cut; 0: no limit */
-  double retry_share;          /* limit on retries and hedges, as a share of
-                                  requests */
+  /* Callers are not directed to an instance that ended longer than this and 3
+     s ago; 0: where that is not known, they are.  */
+  int64_t contact_ns;
+  int64_t default_timeout_ns; /* timeout of requests that have none; must be
+                                 set */
+  int64_t stop_limit_ns;      /* from the stop signal until open requests are
+                                 cut; 0: no limit */
+  double retry_share;         /* limit on retries and hedges, as a share of
+                                 requests */
   /* Where set, retry_share and retry_slack bound the repeats of each service's
      requests that reach its servers in any time of this length, from all
      instances together; 0: each instance keeps to retry_share over all
@@ -96,6 +99,8 @@
                         out have expired */
   const struct queue_ops *queue_order; /* order within a priority class; NULL:
                                           weighted fair queueing */
+  const kwf_region_t *regions;         /* of the data centres */
+  size_t n_regions;
   kwf_placement_options_t placement;
   const kwf_clock_t *clock;
   kwf_random_t *random;
@@ -119,6 +124,10 @@
    outage rule lets this instance serve now.  */
 bool kwf_core_may_send (const kwf_core_t *core, kwf_handle_t attempt);
 
+/* Whether an order may still be written to the connection that was opened for
+   it.  False if SERVER is leaving, or its data centre is evacuated.  */
+bool kwf_core_may_order (const kwf_core_t *core, const char *server);
+
 /* Whether the server that gave the answer of NOTICE is known to have named a
    limit on its requests.  */
 bool kwf_core_knows_limit (const kwf_core_t *core,
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -32,9 +32,12 @@
   char *ready_listen;          /* [callers] ready_listen, or NULL */
   char *directory_listen;      /* [callers] directory_listen, or NULL */
   char *platform;              /* [platform] address */
-  int64_t fresh_ms;            /* lower one of [platform] fresh_ms and
-                                  lists_ms */
+  int64_t fresh_ms;            /* lowest of [platform] fresh_ms, lists_ms
+                                  and, unless 0, evacuation_ms */
   int64_t lists_ms;            /* [platform] lists_ms */
+  int64_t evacuation_ms;       /* [platform] evacuation_ms; 0: off */
+  kwf_region_t *regions;       /* [regions] */
+  size_t n_regions;
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* contents of [keys] pepper_file */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
@@ -47,6 +50,7 @@
   int64_t probe_ms;            /* [backend] probe_ms */
   int64_t connect_ms;          /* [backend] connect_ms */
   int64_t address_lifetime_ms; /* [callers] address_lifetime_ms */
+  int64_t contact_ms;          /* [callers] contact_ms; 0: off */
   int64_t default_timeout_ms;  /* [callers] default_timeout_ms */
   int64_t idle_ms;             /* [callers] idle_ms */
   int64_t max_header_bytes;    /* [callers] max_header_bytes */
--- a/lib/core.c
+++ b/lib/core.c
@@ -1,5 +1,6 @@
 /* The reducer: passes each event to the modules and sets the timer.  */
 
+#include "evacuation/home.h"
 #include "notice.h"
 #include "request.h"
 
@@ -24,6 +25,10 @@
   core->shares = shares_new (own);
   core->claims = claims_new (own);
   core->backend = backend_new (own);
+  core->evacuation = evacuation_new ();
+  core->regions = regions_new (own->regions, own->n_regions);
+  core->homeless
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   core->crash = crash_new (own);
   core->demand = demand_new (own->clock);
   core->placement
@@ -64,6 +69,9 @@
   placement_free (core->placement);
   demand_free (core->demand);
   crash_free (core->crash);
+  evacuation_free (core->evacuation);
+  regions_free (core->regions);
+  g_hash_table_unref (core->homeless);
   backend_free (core->backend);
   claims_free (core->claims);
   shares_free (core->shares);
@@ -160,6 +168,11 @@
     notice_handle_peer (core, &event->peer, effects);
   permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
+  if (evacuation_step (core->evacuation, core->backend, core->regions,
+                       core->options.data_centre, event, effects))
+    waits_recheck_all (core);
+  if (event->type == KWF_EV_MEMBERS || event->type == KWF_EV_CONFIG)
+    home_check_routes (core, effects);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS)
@@ -221,6 +234,13 @@
     answer_forward_withheld (core, effects);
 }
 
+bool
+kwf_core_may_order (const kwf_core_t *core, const char *server)
+{
+  const server_t *found = backend_find (core->backend, server);
+  return found && !server_leaving (found);
+}
+
 bool
 kwf_core_knows_limit (const kwf_core_t *core, const kwf_notice_event_t *notice)
 {
--- a/net/instance.c
+++ b/net/instance.c
@@ -9,13 +9,9 @@
 #include <string.h>
 
 #include "../lib/logging.h"
+#include "address.h"
+#include "stop-times.h"
 
-/* A stopping instance accepts no request later than this long before the end
-   of the grace time, when it is killed, and until then those that can end in
-   time (lib/stop.c).  */
-#define GRACE_RESERVED_S 5.2
-/* Open requests are cut off this long before the end of the grace time.  */
-#define GRACE_MARGIN_S 0.3
 /* of a secret made by instance_new_secret */
 #define SECRET_BYTES 32
 
@@ -60,6 +56,13 @@
                  &(kwf_event_t){ .type = KWF_EV_CONFIG, .config = *config });
 }
 
+static void
+on_evacuations (void *data, const kwf_evacuations_event_t *event)
+{
+  instance_step (data, &(kwf_event_t){ .type = KWF_EV_EVACUATIONS,
+                                       .evacuations = *event });
+}
+
 static void
 on_rows (void *data, const kwf_rows_event_t *rows)
 {
@@ -114,6 +117,7 @@
 static const store_handler_t store_handler = { .reply = on_store_reply,
                                                .members = on_members,
                                                .config = on_config,
+                                               .evacuations = on_evacuations,
                                                .rows = on_rows,
                                                .max_age_ns = table_max_age_ns,
                                                .publish = on_publish,
@@ -302,35 +306,6 @@
   instance->stepping = false;
 }
 
-/* Returns ADDRESS with a port 0 replaced by PORT; release with g_free.  */
-static char *
-replace_port (const char *address, int port)
-{
-  const char *colon = strrchr (address, ':');
-  if (!colon || strcmp (colon, ":0") != 0)
-    return g_strdup (address);
-  return g_strdup_printf ("%.*s:%d", (int)(colon - address), address, port);
-}
-
-/* Time after SIGTERM at which open requests are cut off, early enough for the
-   end of their answers to reach the callers.  */
-static int64_t
-stop_limit_ns (const kwf_settings_t *settings)
-{
-  if (settings->grace_s > 0)
-    return (int64_t)((settings->grace_s - GRACE_MARGIN_S) * KWF_NS_PER_S);
-  return settings->stop_limit_ms * KWF_NS_PER_MS;
-}
-
-/* Time after SIGTERM during which requests are accepted; 0: as long as callers
-   may use an address that they were given before.  */
-static int64_t
-stop_serve_ns (const kwf_settings_t *settings)
-{
-  double linger_s = settings->grace_s - GRACE_RESERVED_S;
-  return linger_s > 0 ? (int64_t)(linger_s * KWF_NS_PER_S) : 0;
-}
-
 static kwf_core_t *
 new_core (const instance_t *instance)
 {
@@ -339,6 +314,8 @@
       .instance = settings->instance,
       .incarnation = instance->incarnation,
       .data_centre = settings->data_centre,
+      .regions = settings->regions,
+      .n_regions = settings->n_regions,
       .cores = settings->cores,
       .caller_address = instance->caller_address,
       .peer_address = instance->peer_address,
@@ -347,9 +324,10 @@
       .probe_ns = settings->probe_ms * KWF_NS_PER_MS,
       .fresh_ns = settings->fresh_ms * KWF_NS_PER_MS,
       .address_lifetime_ns = settings->address_lifetime_ms * KWF_NS_PER_MS,
+      .contact_ns = settings->contact_ms * KWF_NS_PER_MS,
       .default_timeout_ns = settings->default_timeout_ms * KWF_NS_PER_MS,
-      .stop_limit_ns = stop_limit_ns (settings),
-      .stop_serve_ns = stop_serve_ns (settings),
+      .stop_limit_ns = stop_times_limit_ns (settings),
+      .stop_serve_ns = stop_times_serve_ns (settings),
       .push_updates = instance->protocol->push_updates,
       .finish_withdrawn = strcmp (settings->withdrawn, "finish") == 0,
       .overdraft = settings->overdraft,
@@ -552,12 +530,12 @@
   instance->caller_server = start_callers (instance, error);
   if (!instance->caller_server)
     return false;
-  instance->caller_address = replace_port (
+  instance->caller_address = address_replace_port (
       settings->caller_address, server_port (instance->caller_server));
-  instance->operator_address = replace_port (
+  instance->operator_address = address_replace_port (
       settings->operator_listen, server_port (instance->operator_server));
-  instance->peer_address
-      = replace_port (settings->peer_address, peers_port (instance->peers));
+  instance->peer_address = address_replace_port (settings->peer_address,
+                                                 peers_port (instance->peers));
   return true;
 }
 
