--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -73,7 +73,9 @@
      instances together; 0: each instance keeps to retry_share over all
      services.  */
   int64_t retry_window_ns;
-  double retry_slack;        /* repeats in a window beyond the share */
+  double retry_slack; /* repeats in a window beyond the share */
+  bool keep_unsafe;   /* requests that may run once may use kept connections to
+                         servers that report their pace */
   int64_t first_token_ns[3]; /* target for the first token, for each priority
                                 class; 0: 1.3 s */
   int64_t queue_length;      /* limit on waiting requests; 0: 1024 */
--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -62,6 +62,8 @@
                                answer */
   bool repeatable;          /* may be sent again when no answer arrives */
   bool stream;              /* the answer is to be a stream of events */
+  bool keep_unsafe;         /* may go over a kept connection also if it is not
+                               repeatable */
   const char *organisation; /* "" on routes without a key */
 } kwf_attempt_start_t;
 
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -119,6 +119,8 @@
   int pace;  /* how long work takes there now, in per cent of its usual time;
                 0: not given */
   bool load_unreadable; /* a load was sent that is none */
+  int64_t kept_ns;      /* END: time for which the connection may be used for
+                           another request; 0: it is not kept */
   /* FAILED only.  */
   kwf_failure_t failure;
 } kwf_attempt_event_t;
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -61,6 +61,7 @@
   double retry_share;          /* [backend] retry_share */
   double retry_window_s;       /* [backend] retry_window_s; 0: none */
   double retry_slack;          /* [backend] retry_slack, requests */
+  char *reuse;                 /* [backend] reuse: "repeatable" or "all" */
   int64_t queue_length;        /* [queue] length */
   int64_t queue_organisation_length; /* [queue] organisation_length */
   int64_t first_token_ms[3];         /* [queue] CLASS_first_token_ms */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -379,6 +379,8 @@
     return;
   request_t *request = attempt->request;
   update_load (core, attempt, event, effects);
+  if (event->kept_ns)
+    attempt->server->kept_until_ns = now_of (core) + event->kept_ns;
   if (request->kind == KWF_REQUEST_ROUTED
       && request->state != REQUEST_STREAMING
       && handle_routed_failure (core, attempt, event, effects))
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -68,6 +68,8 @@
       (request->deadline_ns - now_ns) / KWF_NS_PER_MS,
       attempt_kind (request, hedge));
   backend_attempt_started (core->backend, server, now_ns);
+  /* The attempt takes the kept connection, if there is one.  */
+  server->kept_until_ns = 0;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
   effect->start
       = (kwf_attempt_start_t){ .request = request->handle,
@@ -80,6 +82,8 @@
                                .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
                                .stream = request->stream,
+                               .keep_unsafe
+                               = core->options.keep_unsafe && server->pace > 0,
                                .organisation = request->organisation };
 }
 
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -100,7 +100,9 @@
   int pace;        /* how long work takes there, in per cent of its usual time;
                       0: it never said */
   int64_t pace_ns; /* when it said so */
-  bool load_unreadable; /* the last load that it sent was none */
+  bool load_unreadable;  /* the last load that it sent was none */
+  int64_t kept_until_ns; /* until then, an idle kept connection to it may be
+                            used; 0: there is none */
   int open_attempts;
   int unanswered;        /* of these, attempts without any data yet */
   bool others_known;     /* whether the next two are known
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -10,6 +10,7 @@
 static const char *const tokens[] = { "checked", "unchecked", NULL };
 static const char *const withdrawal_modes[] = { "cut", "finish", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
+static const char *const reuses[] = { "repeatable", "all", NULL };
 static const char *const levels[]
     = { "debug", "info", "warning", "error", NULL };
 
@@ -99,6 +100,8 @@
     .unit = "s", .default_number = 0, .min = 0, .max = 3600 },
   { "backend", "retry_slack", SETTING_REAL, FIELD (retry_slack),
     .unit = "requests", .default_number = 0, .min = 0, .max = 1e6 },
+  { "backend", "reuse", SETTING_CHOICE, FIELD (reuse), .unit = "",
+    .default_text = "repeatable", .choices = reuses },
   { "queue", "length", SETTING_INTEGER, FIELD (queue_length), .unit = "",
     .default_number = 1024, .min = 1, .max = 65536 },
   { "queue", "organisation_length", SETTING_INTEGER,
--- a/net/client-head.c
+++ b/net/client-head.c
@@ -56,6 +56,22 @@
     head->invalid = true;
 }
 
+/* Longest idle time of a server that counts.  */
+#define MAX_IDLE_S 10
+
+/* Reads what the server says about keeping the connection.  */
+static void
+read_keeping (client_head_t *head, GString *value, const char *bytes,
+              size_t size)
+{
+  if (read_value (value, bytes, size, "Connection"))
+    head->closes |= g_ascii_strcasecmp (value->str, "close") == 0;
+  else if (read_value (value, bytes, size, "Keep-Alive")
+           && g_ascii_strncasecmp (value->str, "timeout=", 8) == 0)
+    head->idle_s
+        = CLAMP (g_ascii_strtoll (value->str + 8, NULL, 10), 0, MAX_IDLE_S);
+}
+
 /* Whether the SIZE bytes of TEXT begin with a status line, up to its
    status.  */
 static bool
@@ -115,8 +131,12 @@
   if (!is_valid_line (bytes, text_size (bytes, size), first))
     head->invalid = true;
   if (first)
-    return;
+    {
+      head->closes = g_str_has_prefix (bytes, "HTTP/1.0");
+      return;
+    }
   read_framing (head, value, bytes, size);
+  read_keeping (head, value, bytes, size);
   if (transfer->expected_name
       && read_value (value, bytes, size, transfer->expected_name))
     {
@@ -133,6 +153,14 @@
     }
 }
 
+int64_t
+client_head_kept_ns (const client_head_t *head)
+{
+  if (head->closes || !(head->chunks || *head->length))
+    return 0;
+  return head->idle_s ? head->idle_s * KWF_NS_PER_S / 2 : CLIENT_IDLE_NS;
+}
+
 static int
 transfer_status (const client_transfer_t *transfer)
 {
--- a/net/client-internal.h
+++ b/net/client-internal.h
@@ -25,6 +25,8 @@
   unsigned lines;  /* with the status line */
   char length[24]; /* Content-Length; empty: none */
   bool chunks;
+  bool closes;       /* Connection: close, or HTTP/1.0 */
+  int64_t idle_s;    /* Keep-Alive: timeout; 0: not named */
   bool has_id;       /* the expected header, with the right value */
   bool has_other_id; /* the same with another value */
   bool has_stamp;    /* the header of a success, not empty */
@@ -115,6 +117,15 @@
 void client_sockets_start (client_t *client);
 void client_sockets_stop (client_t *client);
 
+/* Shuts down the idle connections to ADDRESS that are not recent any more
+   (client_request_t.recent_connection), so that libcurl does not choose
+   one.  */
+void client_sockets_retire (client_t *client, const char *address);
+
+/* Time for which a connection stays recent after the answer that HEAD
+   begins.  */
+int64_t client_head_kept_ns (const client_head_t *head);
+
 /* Sets the callbacks of libcurl that open and close sockets.  */
 void client_sockets_attach (client_t *client, client_easy_t *easy);
 
--- a/net/client-request.c
+++ b/net/client-request.c
@@ -159,6 +159,8 @@
   curl_off_t largest = (curl_off_t)transfer->max_answer_bytes;
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, MAX (ms, 0L));
   curl_easy_setopt (curl, CURLOPT_MAXFILESIZE_LARGE, largest);
+  if (request->recent_connection)
+    client_sockets_retire (transfer->client, request->address);
   curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT,
                     request->new_connection || request->own_connection ? 1L
                                                                        : 0L);
--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -6,9 +6,11 @@
 
 #include "client-internal.h"
 
+#include <knapweedfork/clock.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <linux/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,7 +29,9 @@
   client_t *client;
   bool owned; /* opened by open_socket, to be closed by close_socket */
   bool idle;
-  client_easy_t *easy; /* of the transfer that uses it; NULL: none */
+  client_easy_t *easy;     /* of the transfer that uses it; NULL: none */
+  char address[64];        /* of the server; empty: not known */
+  int64_t recent_until_ns; /* IDLE: the connection is recent until then */
 } socket_t;
 
 static socket_t *
@@ -155,6 +159,41 @@
   return fcntl (socket->io.fd, F_GETFD) < 0;
 }
 
+static int64_t
+now_ns (void)
+{
+  return kwf_now_ns (kwf_clock_system ());
+}
+
+/* libcurl keeps the connection of SOCKET after the transfer of EASY.  */
+static void
+set_idle (socket_t *socket, const client_easy_t *easy)
+{
+  const client_transfer_t *transfer = easy ? easy->transfer : NULL;
+  socket->idle = true;
+  socket->recent_until_ns = 0;
+  if (transfer)
+    {
+      g_strlcpy (socket->address, transfer->address, sizeof socket->address);
+      socket->recent_until_ns
+          = now_ns () + client_head_kept_ns (&transfer->head);
+    }
+  watch (socket, EV_READ);
+}
+
+void
+client_sockets_retire (client_t *client, const char *address)
+{
+  int64_t now = now_ns ();
+  for (guint i = 0; i < client->sockets->len; i++)
+    {
+      socket_t *socket = g_ptr_array_index (client->sockets, i);
+      if (socket && socket->idle && socket->recent_until_ns <= now
+          && strcmp (socket->address, address) == 0)
+        shut_down_idle (socket);
+    }
+}
+
 /* libcurl's socket callback: WHAT it waits for on FD.  */
 static int
 socket_wanted (CURL *curl, curl_socket_t fd, int what, void *data, void *mine)
@@ -169,10 +208,7 @@
       if (socket && (!socket->owned || is_closed (socket)))
         remove_socket (socket);
       else if (socket)
-        {
-          socket->idle = true;
-          watch (socket, EV_READ);
-        }
+        set_idle (socket, easy);
       return 0;
     }
   if (!socket)
--- a/net/client.c
+++ b/net/client.c
@@ -466,6 +466,7 @@
     .status = (int)status,
     .content_type = type,
     .by_close = client_ends_by_close (transfer),
+    .kept_ns = client_head_kept_ns (&transfer->head),
   };
 }
 
--- a/net/client.h
+++ b/net/client.h
@@ -12,6 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <knapweedfork/clock.h>
 #include <knapweedfork/event.h>
 #include <knapweedfork/handle.h>
 #include <knapweedfork/status.h>
@@ -21,6 +22,10 @@
 
 typedef struct client client_t;
 
+/* Idle time within which a server that names none is not expected to close a
+   connection.  */
+#define CLIENT_IDLE_NS (500 * KWF_NS_PER_MS)
+
 typedef struct
 {
   unsigned connect_ms;      /* time to connect; default 1000 */
@@ -57,6 +62,8 @@
   bool by_close; /* neither a length, chunks nor the status mark the end of the
                     body, so a server that ended looks like one that was
                     done */
+  int64_t kept_ns; /* time for which a request with recent_connection may be
+                      sent on its connection; 0: it is not kept */
 } client_answer_t;
 
 typedef struct
@@ -114,6 +121,9 @@
                       the end of its connection */
   bool new_connection; /* never send it on a kept connection, which the server
                  may be closing: for requests that must not be sent twice */
+  bool recent_connection; /* send it on a kept connection only if that was idle
+                 for less than half of the time that its server named, or
+                 CLIENT_IDLE_NS: for requests that must not be sent twice */
   bool own_connection; /* send it on a new connection that is closed after the
                  answer, so that no other answer can be taken for it: for
                  requests whose answers do not say whose they are */
--- a/net/instance.c
+++ b/net/instance.c
@@ -357,6 +357,7 @@
       .retry_window_ns
       = (int64_t)(settings->retry_window_s * (double)KWF_NS_PER_S),
       .retry_slack = settings->retry_slack,
+      .keep_unsafe = strcmp (settings->reuse, "all") == 0,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
                           settings->first_token_ms[1] * KWF_NS_PER_MS,
                           settings->first_token_ms[2] * KWF_NS_PER_MS },
--- a/net/relay.c
+++ b/net/relay.c
@@ -184,7 +184,8 @@
                                 .body_size = stream ? 0 : transfer->body->len,
                                 .not_run = transfer->facts.not_run,
                                 .misplaced = transfer->facts.misplaced,
-                                .content_type = transfer->content_type };
+                                .content_type = transfer->content_type,
+                                .kept_ns = answer->kept_ns };
   transfer_finish (transfer, KWF_EV_ATTEMPT_END, event, report_event);
 }
 
@@ -230,8 +231,10 @@
     .expected_header = &expected_header,
     .success_header = instance->protocol->stamp_name,
     .allow_close_delimited = true,
-    .new_connection
-    = transfer_needs_connection (caller_request, start->repeatable),
+    .new_connection = transfer_needs_connection (
+        caller_request,
+        start->repeatable || (start->keep_unsafe && request->body_size)),
+    .recent_connection = !start->repeatable,
   };
   transfer->client_handle
       = client_start (instance->client, &out, &handler, transfer);
