Read the longest accepted pause of a route

A route of the platform's configuration has gap_aim_ms, the longest pause between the events of a stream that its callers accept. It was ignored. The choice of a server needs it, to keep long prompts away from servers whose streams they would delay beyond it.

--- a/include/knapweedfork/lists.h
+++ b/include/knapweedfork/lists.h
@@ -73,6 +73,8 @@
   int priority;         /* 0 is the highest */
   int64_t timeout_ns;   /* 0: none */
   int64_t objective_ns; /* target for the time to the first byte; 0: none */
+  int64_t gap_aim_ns;   /* longest pause between the events of a stream that
+                           callers accept; 0: not known */
 } kwf_route_t;
 
 /* What an organisation may use: its plan, narrowed by its branch.  */
