Choose servers by expected delay where they report their pace

Where servers report a pace, the choice now compares the expected time to the first event, plus what the pause costs the streams of the server. The speed of each server is taken from the gaps between events and from whole answers, with the other servers of its service as the prior. A random share of the cost, by a hash of the request and the instance, keeps instances with the same counts apart. Services whose servers never report a pace are routed as before.

--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -106,6 +106,7 @@
       = request_add (core, &routed, organisation ? organisation->name : "",
                      priority, kwf_now_ns (core->options.clock));
   request->max_attempts = route->max_attempts;
+  request->gap_aim_ns = route->gap_aim_ns;
   request->resumable = route->stream && route->resumable;
   request->duration_kind = duration_kind (route->name, service_name,
                                           request->model, request->stream);
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 
+#include "balance/observe.h"
 #include "notice.h"
 #include "error-code.h"
 #include "promise.h"
@@ -46,6 +47,7 @@
 {
   request_t *request = attempt->request;
   cancel_loser (core, attempt, effects);
+  observe_first_data (core->backend, attempt, now_ns);
   attempt->answered = true;
   attempt->answered_ns = now_ns;
   backend_attempt_answered (core->backend, attempt->server);
@@ -114,28 +116,6 @@
     add_attempt_effect (effects, KWF_FX_FORWARD, attempt);
 }
 
-static void
-update_load (kwf_core_t *core, const attempt_t *attempt,
-             const kwf_attempt_event_t *event, kwf_effects_t *effects)
-{
-  server_t *server = attempt->server;
-  if (event->has_load)
-    {
-      server_set_load (server, event->running, event->waiting, event->slots);
-      server_set_pace (server, event->pace, now_of (core));
-      server->load_unreadable = false;
-    }
-  else if (event->load_unreadable)
-    {
-      core->notices.unreadable_loads++;
-      if (!server->load_unreadable)
-        kwf_effects_log (effects, 268, KWF_LOG_WARNING, NULL,
-                         "the load that server=%s sends cannot be read",
-                         server->id);
-      server->load_unreadable = true;
-    }
-}
-
 /* ATTEMPT is over: dispatch the request again, unless its other attempt still
    runs.  */
 static void
@@ -182,7 +162,7 @@
     return;
   request_t *request = attempt->request;
   int64_t now_ns = now_of (core);
-  update_load (core, attempt, event, effects);
+  observe_load (core, attempt, event, effects);
   if (event->gap
       && delivery_action (request->delivery, DELIVERY_GAP) == DELIVER_RETRY)
     {
@@ -193,6 +173,7 @@
     }
   if (request->state != REQUEST_STREAMING)
     handle_first_data (core, attempt, now_ns, effects);
+  observe_events (attempt, event->tokens, now_ns);
   attempt->tokens = event->tokens;
   attempt->by_close = event->by_close;
   attempt->no_resume = event->no_resume;
@@ -378,7 +359,7 @@
   if (!attempt)
     return;
   request_t *request = attempt->request;
-  update_load (core, attempt, event, effects);
+  observe_load (core, attempt, event, effects);
   if (request->kind == KWF_REQUEST_ROUTED
       && request->state != REQUEST_STREAMING
       && handle_routed_failure (core, attempt, event, effects))
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 
+#include "balance/observe.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -67,6 +68,7 @@
       (now_ns - request->arrived_ns) / KWF_NS_PER_MS,
       (request->deadline_ns - now_ns) / KWF_NS_PER_MS,
       attempt_kind (request, hedge));
+  observe_start (attempt);
   backend_attempt_started (core->backend, server, now_ns);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
   effect->start
@@ -176,18 +178,22 @@
   const kwf_model_t *model = lists && request_has_model (request)
                                  ? kwf_lists_model (lists, request->model)
                                  : NULL;
-  route_query_t query = { .model = request->model,
-                          .adapter = request->adapter,
-                          .version = model ? model->version : NULL,
-                          .service = request->service,
-                          .key = request->route_key,
-                          .sample_key = request->hash,
-                          .data_centre = core->options.data_centre,
-                          .tried = tried,
-                          .n_tried = n_tried,
-                          .suspect = suspect,
-                          .needs_stream_resume = request->delivered > 0,
-                          .all_holders = request->kind == KWF_REQUEST_ROUTED };
+  route_query_t query
+      = { .model = request->model,
+          .adapter = request->adapter,
+          .version = model ? model->version : NULL,
+          .service = request->service,
+          .key = request->route_key,
+          .sample_key = request->hash,
+          .data_centre = core->options.data_centre,
+          .tried = tried,
+          .n_tried = n_tried,
+          .suspect = suspect,
+          .needs_stream_resume = request->delivered > 0,
+          .all_holders = request->kind == KWF_REQUEST_ROUTED,
+          .prompt_tokens = request->prompt_tokens + request->delivered,
+          .gap_aim_ns = request->gap_aim_ns,
+          .spread = request->hash ^ core->instance_hash };
   return policy_choose (core->policy, core->backend, &query, now_ns);
 }
 
@@ -499,6 +505,7 @@
     }
   if (attempt->late && outcome == OUTCOME_GOOD)
     outcome = OUTCOME_LATE;
+  observe_end (attempt, now_ns);
   if (!attempt->answered)
     attempt->server->unanswered--;
   backend_attempt_ended (core->backend, attempt->server, outcome, now_ns);
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -10,6 +10,7 @@
 
 #include <knapweedfork/core.h>
 
+#include "balance/speed.h"
 #include "limit.h"
 #include "window.h"
 
@@ -101,6 +102,12 @@
                       0: it never said */
   int64_t pace_ns; /* when it said so */
   bool load_unreadable; /* the last load that it sent was none */
+  speed_t speed;        /* times measured there (lib/balance/) */
+  usual_t *usual;       /* means of its service; NULL: it never reported a pace
+                         */
+  int64_t kept_until_ns;  /* until then, an idle kept connection to it may be
+                             used; 0: there is none */
+  int64_t reading_tokens; /* prompt tokens of its attempts without data */
   int open_attempts;
   int unanswered;        /* of these, attempts without any data yet */
   bool others_known;     /* whether the next two are known
--- /dev/null
+++ b/lib/balance/pace.c
@@ -0,0 +1,37 @@
+#include "pace.h"
+
+/* A spell lasts some 600 ms, so a report says little after a second.  */
+#define PACE_AGE_MAX_NS (1 * KWF_NS_PER_S)
+/* Factors beyond these are taken for these.  */
+#define PACE_MIN 0.1
+#define PACE_MAX 20.0
+
+bool
+server_reports_pace (const server_t *server)
+{
+  return server->pace > 0;
+}
+
+double
+pace_weight (const server_t *server, int64_t now_ns)
+{
+  if (!server_reports_pace (server))
+    return 0;
+  double age = (double)(now_ns - server->pace_ns) / (double)PACE_AGE_MAX_NS;
+  return CLAMP (1 - age, 0, 1);
+}
+
+double
+pace_reported (const server_t *server)
+{
+  return CLAMP (server->pace / 100.0, PACE_MIN, PACE_MAX);
+}
+
+double
+pace_factor (const server_t *server, int64_t now_ns)
+{
+  double weight = pace_weight (server, now_ns);
+  double unknown = 1 + PACE_SHARED_PART * (PACE_SHARED - 1);
+  return weight > 0 ? weight * pace_reported (server) + (1 - weight) * unknown
+                    : unknown;
+}
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -122,6 +122,8 @@
   retry_budget_t *retries;
   policy_t *policy;
   permits_t *permits;
+  GHashTable *usuals; /* service to usual_t (lib/balance/observe.h) */
+  uint64_t instance_hash;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
   durations_t *durations;
--- a/lib/core.c
+++ b/lib/core.c
@@ -5,7 +5,9 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
+#include "balance/observe.h"
 #include "error-code.h"
 
 kwf_core_t *
@@ -34,6 +36,8 @@
   core->metrics = metrics_new ();
   core->policy = policy_default ();
   core->permits = permits_new (own);
+  core->usuals = observe_new ();
+  core->instance_hash = XXH64 (own->instance, strlen (own->instance), 0);
   core->loads = own->push_updates ? fleet_load_new (own->clock) : NULL;
   core->retries = retry_budget_new (own, core->session);
   hedge_delays_init (core->hedge_delays, now_ns);
@@ -65,6 +69,7 @@
   demand_free (core->demand);
   crash_free (core->crash);
   backend_free (core->backend);
+  g_hash_table_unref (core->usuals);
   claims_free (core->claims);
   shares_free (core->shares);
   config_free (core->config);
--- a/lib/request.h
+++ b/lib/request.h
@@ -69,8 +69,9 @@
   int64_t first_data_ns;   /* when data was first forwarded; 0: never */
   int64_t last_data_ns;
   int64_t longest_gap_ns; /* longest between two parts that were forwarded */
-  int64_t wake_ns;        /* key in core->wakes: the earlier of action_ns and
-                             deadline_ns */
+  int64_t gap_aim_ns; /* longest that the route's callers accept; 0: unknown */
+  int64_t wake_ns;    /* key in core->wakes: the earlier of action_ns and
+                         deadline_ns */
   GSequenceIter *wake;
   series_t *series;
 
@@ -121,6 +122,15 @@
   bool question_broken; /* its server broke the question at an open end */
   bool cleared;         /* its answer has gone on, which clears its parts */
   bool probed_again;    /* a second load report was asked for at its end */
+  /* For lib/balance/.  */
+  int64_t read_tokens;  /* of its prompt, until its first data */
+  double read_before;   /* tokens that its server had to read when it was sent
+                         */
+  int open_before;      /* requests that its server had then */
+  int n_gaps;           /* gaps between events since one was recorded */
+  int64_t event_ns;     /* time of the last event */
+  double least_gap_ns;  /* of these gaps */
+  double second_gap_ns; /* the second smallest of them */
   int64_t silent_ns; /* from then on, its server counts as silent in a check of
                         its end */
 };
--- a/lib/route.c
+++ b/lib/route.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "balance/choose.h"
+
 /* The first candidate is taken while its load is at most this factor times
    the second's plus this many requests.  */
 #define FIRST_LOAD_FACTOR 1.25
@@ -325,7 +327,20 @@
                                      now_ns);
 }
 
-/* Choose a holder with room and a low load for its size.  */
+static server_t *
+least_delayed (const GPtrArray *servers, const route_query_t *query,
+               int64_t now_ns)
+{
+  delay_query_t delay_query = { .model = query->model,
+                                .adapter = query->adapter,
+                                .data_centre = query->data_centre,
+                                .prompt_tokens = query->prompt_tokens,
+                                .gap_aim_ns = query->gap_aim_ns };
+  return choose_by_delay (servers, &delay_query, query->spread, now_ns);
+}
+
+/* Choose a holder with room and a low load for its size or, where servers
+   report their pace, a low expected delay.  */
 static route_result_t
 choose_least (const GPtrArray *holders, const route_query_t *query,
               int64_t now_ns)
@@ -345,8 +360,11 @@
         full = server;
       shared |= server->others_known;
     }
-  result.server = shared ? least_loaded_of_sample (servers, query)
-                         : least_loaded (servers, query);
+  if (choose_by_delay_applies (servers))
+    result.server = least_delayed (servers, query, now_ns);
+  else
+    result.server = shared ? least_loaded_of_sample (servers, query)
+                           : least_loaded (servers, query);
   if (result.server)
     result.verdict = ROUTE_FOUND;
   else if (full)
--- a/lib/route.h
+++ b/lib/route.h
@@ -28,6 +28,11 @@
   bool needs_stream_resume; /* only servers that can resume a stream */
   bool all_holders;         /* choose the least loaded holder, not one of two
                                candidates */
+  /* Only with ALL_HOLDERS, where servers report their pace.  */
+  int64_t prompt_tokens; /* 0: unknown */
+  int64_t gap_aim_ns;    /* longest pause between events that callers accept;
+                            0: unknown */
+  uint64_t spread;       /* hash of the request and this instance */
 } route_query_t;
 
 typedef enum
