--- a/include/knapweedfork/lists.h
+++ b/include/knapweedfork/lists.h
@@ -86,6 +86,8 @@
   /* Regions whose servers may be sent requests; NULL: all.  */
   const char *const *allowed_regions;
   size_t n_allowed_regions;
+  int64_t gap_aim_ns; /* longest pause between the events of a stream that
+                         callers accept; 0: not known */
 } kwf_route_t;
 
 /* What an organisation may use: its plan, narrowed by its branch.  */
