Share prompt tokens, paces and speeds across the fleet

An instance sends a server a request every few seconds, so it knew neither the server's pace, which changes within a second, nor its speed. The load messages now carry the prompt tokens that are being read, the newest pace and the measured speed of each server. They are entries of their own with names that are no ids of servers, because a reader of an older build refuses a message with further fields; it passes these on and uses none.

--- a/lib/answer.c
+++ b/lib/answer.c
@@ -47,7 +47,7 @@
 {
   request_t *request = attempt->request;
   cancel_loser (core, attempt, effects);
-  observe_first_data (core->backend, attempt, now_ns);
+  observe_first_data (attempt, now_ns);
   attempt->answered = true;
   attempt->answered_ns = now_ns;
   backend_attempt_answered (core->backend, attempt->server);
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -404,15 +404,6 @@
     server->slots = slots;
 }
 
-void
-server_set_pace (server_t *server, int pace, int64_t now_ns)
-{
-  if (pace <= 0)
-    return;
-  server->pace = pace;
-  server->pace_ns = now_ns;
-}
-
 static void
 mark_process_lost (backend_t *backend, server_t *server, int64_t now_ns)
 {
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -101,24 +101,27 @@
   int pace;        /* how long work takes there, in per cent of its usual time;
                       0: it never said */
   int64_t pace_ns; /* when it said so */
+  bool pace_heard; /* it said so to another instance */
   bool load_unreadable; /* the last load that it sent was none */
   speed_t speed;        /* times measured there (lib/balance/) */
+  speed_t others_speed; /* the same of other instances (lib/fleet-load.h) */
   usual_t *usual;       /* means of its service; NULL: it never reported a pace
                          */
   int64_t kept_until_ns;  /* until then, an idle kept connection to it may be
                              used; 0: there is none */
   int64_t reading_tokens; /* prompt tokens of its attempts without data */
   int open_attempts;
-  int unanswered;        /* of these, attempts without any data yet */
-  bool others_known;     /* whether the next two are known
-                            (lib/fleet-load.h) */
-  int others_open;       /* open attempts of other instances */
-  int others_unanswered; /* of these, attempts without any data yet */
-  window_t window;       /* engines: limit of open_attempts (lib/window.h) */
-  double ahead; /* queued requests that wait for it, as counted so far by
-                   a sweep of the queue */
-  int failures; /* of attempts in a row */
-  int openings; /* of the circuit in a row, for the back-off */
+  int unanswered;                /* of these, attempts without any data yet */
+  bool others_known;             /* whether the next three are known
+                                    (lib/fleet-load.h) */
+  int others_open;               /* open attempts of other instances */
+  int others_unanswered;         /* of these, attempts without any data yet */
+  int64_t others_reading_tokens; /* prompt tokens of these */
+  window_t window; /* engines: limit of open_attempts (lib/window.h) */
+  double ahead;    /* queued requests that wait for it, as counted so far by
+                      a sweep of the queue */
+  int failures;    /* of attempts in a row */
+  int openings;    /* of the circuit in a row, for the back-off */
   int ejections;
 
   notice_t notice;
@@ -207,9 +210,6 @@
 
 /* Set the load of SERVER that came with an answer.  SLOTS 0: unchanged.  */
 void server_set_load (server_t *server, int running, int waiting, int slots);
-/* Set how long work takes at SERVER, in per cent of its usual time, as an
-   answer said at NOW_NS.  PACE 0 or less: the answer did not say it.  */
-void server_set_pace (server_t *server, int pace, int64_t now_ns);
 
 /* Handle CHANGE, from this or another instance: a model or an adapter is, or
    soon will be, present on an engine or absent.  PRESENT is sent when the
--- a/lib/balance/delay.c
+++ b/lib/balance/delay.c
@@ -22,6 +22,9 @@
 /* Added for a server that does not answer load reports: it is the last choice.
  */
 #define SILENT_NS (600 * KWF_NS_PER_S)
+/* Part of the prompt tokens of other instances that is still to be read: their
+   counts are some 200 ms old, and most prompts are read in half of that.  */
+#define OTHERS_LEFT 0.3
 /* Pauses count from this part of the accepted pause on, since the estimate is
    off by a third or so.  */
 #define PAUSE_PART 0.7
@@ -45,14 +48,19 @@
 double
 delay_reading_tokens (const server_t *server)
 {
-  return (double)server->reading_tokens
-         + server->others_unanswered * usual_of (server).prompt_tokens;
+  /* Instances of an older build send no tokens.  */
+  double others
+      = server->others_reading_tokens > 0
+            ? (double)server->others_reading_tokens
+            : server->others_unanswered * usual_of (server).prompt_tokens;
+  return (double)server->reading_tokens + OTHERS_LEFT * others;
 }
 
 double
 delay_slowness (const server_t *server)
 {
-  return speed_slowness (server->speed.sum, server->speed.weight,
+  return speed_slowness (server->speed.sum + server->others_speed.sum,
+                         server->speed.weight + server->others_speed.weight,
                          server->usual);
 }
 
--- a/lib/balance/observe.c
+++ b/lib/balance/observe.c
@@ -45,8 +45,6 @@
       server_set_load (server, event->running, event->waiting, event->slots);
       server_set_pace (server, event->pace, now_ns);
       server->load_unreadable = false;
-      if (server_reports_pace (server) && !server->usual)
-        server->usual = usual_of (core->usuals, server->name);
     }
   else if (event->load_unreadable)
     {
@@ -59,23 +57,30 @@
     }
 }
 
-/* Recomputes the mean of the servers with USUAL.  */
-static void
-update_usual (const backend_t *backend, usual_t *usual, int64_t now_ns)
+void
+observe_refresh (const backend_t *backend, GHashTable *usuals, int64_t now_ns)
 {
   const GPtrArray *servers = backend_servers (backend);
-  double sum = 0;
-  double weight = 0;
   for (guint i = 0; i < servers->len; i++)
     {
       server_t *server = servers->pdata[i];
-      if (server->usual != usual)
+      if (!server_reports_pace (server))
         continue;
+      server->usual = usual_of (usuals, server->name);
       speed_decay (&server->speed, now_ns);
-      sum += server->speed.sum;
-      weight += server->speed.weight;
+      server->usual->sum += server->speed.sum + server->others_speed.sum;
+      server->usual->weight
+          += server->speed.weight + server->others_speed.weight;
+    }
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, usuals);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      usual_t *usual = value;
+      usual->log_ns = usual->weight > 0 ? usual->sum / usual->weight : 0;
+      usual->sum = usual->weight = 0;
     }
-  usual->log_ns = weight > 0 ? sum / weight : 0;
 }
 
 static void
@@ -132,8 +137,7 @@
 }
 
 void
-observe_first_data (const backend_t *backend, attempt_t *attempt,
-                    int64_t now_ns)
+observe_first_data (attempt_t *attempt, int64_t now_ns)
 {
   server_t *server = attempt->server;
   double time_ns = (double)(now_ns - attempt->sent_ns);
@@ -147,8 +151,6 @@
                          : 1;
       add_time (server, time_ns / turns, 1, now_ns);
     }
-  if (server->usual)
-    update_usual (backend, server->usual, now_ns);
   end_reading (attempt);
   attempt->event_ns = now_ns;
 }
--- a/lib/balance/observe.h
+++ b/lib/balance/observe.h
@@ -13,6 +13,10 @@
 /* Service name to usual_t.  */
 GHashTable *observe_new (void);
 
+/* Recompute USUALS, the means of the services whose servers report a pace.  */
+void observe_refresh (const backend_t *backend, GHashTable *usuals,
+                      int64_t now_ns);
+
 /* Apply the load that came with EVENT, of ATTEMPT.  */
 void observe_load (kwf_core_t *core, const attempt_t *attempt,
                    const kwf_attempt_event_t *event, kwf_effects_t *effects);
@@ -21,8 +25,7 @@
 void observe_start (attempt_t *attempt);
 
 /* The first data of ATTEMPT arrived.  Called before its answer is counted.  */
-void observe_first_data (const backend_t *backend, attempt_t *attempt,
-                         int64_t now_ns);
+void observe_first_data (attempt_t *attempt, int64_t now_ns);
 
 /* Events of the stream of ATTEMPT arrived, EVENTS since it was sent.  */
 void observe_events (attempt_t *attempt, int64_t events, int64_t now_ns);
--- a/lib/balance/pace.c
+++ b/lib/balance/pace.c
@@ -12,6 +12,26 @@
   return server->pace > 0;
 }
 
+void
+server_set_pace (server_t *server, int pace, int64_t now_ns)
+{
+  if (pace <= 0)
+    return;
+  server->pace = pace;
+  server->pace_ns = now_ns;
+  server->pace_heard = false;
+}
+
+void
+pace_set_heard (server_t *server, int pace, int64_t then_ns)
+{
+  if (pace <= 0 || (server->pace > 0 && then_ns <= server->pace_ns))
+    return;
+  server->pace = pace;
+  server->pace_ns = then_ns;
+  server->pace_heard = true;
+}
+
 double
 pace_weight (const server_t *server, int64_t now_ns)
 {
--- a/lib/balance/pace.h
+++ b/lib/balance/pace.h
@@ -18,6 +18,13 @@
    services are chosen by expected delay.  */
 bool server_reports_pace (const server_t *server);
 
+/* SERVER said at NOW_NS how long work takes there, in per cent of its usual
+   time.  PACE 0 or less: it did not say.  */
+void server_set_pace (server_t *server, int pace, int64_t now_ns);
+
+/* The same, said to another instance at THEN_NS.  Only newer reports count. */
+void pace_set_heard (server_t *server, int pace, int64_t then_ns);
+
 /* Weight of the pace that SERVER last reported: 1 at once, falling to 0 within
    a second.  0: it is unknown.  */
 double pace_weight (const server_t *server, int64_t now_ns);
--- a/lib/balance/speed.c
+++ b/lib/balance/speed.c
@@ -65,7 +65,7 @@
 void
 usual_add (double *mean, double sample)
 {
-  if (sample > 0)
+  if (sample >= 0)
     *mean += USUAL_PART * (MIN (sample, *mean * SAMPLE_MAX) - *mean);
 }
 
--- a/lib/balance/speed.h
+++ b/lib/balance/speed.h
@@ -30,6 +30,8 @@
   double hold_ns;       /* mean time for which a request holds a slot */
   int64_t gap_aim_ns;   /* longest pause between events that callers of the
                            service last asked for; 0: not known */
+  double sum;           /* sums over its servers, while log_ns is computed */
+  double weight;
 } usual_t;
 
 /* The values of a service of which nothing is measured yet.  */
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -123,6 +123,7 @@
   policy_t *policy;
   permits_t *permits;
   GHashTable *usuals; /* service to usual_t (lib/balance/observe.h) */
+  int64_t next_usuals_ns; /* time of their next update */
   uint64_t instance_hash;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
--- a/lib/core.c
+++ b/lib/core.c
@@ -10,6 +10,10 @@
 #include "balance/observe.h"
 #include "error-code.h"
 
+/* Means of the services change slowly, but a server that reports its pace for
+   the first time is to count soon.  */
+#define USUALS_PERIOD_NS (KWF_NS_PER_S / 5)
+
 kwf_core_t *
 kwf_core_new (const kwf_core_options_t *options)
 {
@@ -199,6 +203,16 @@
   metrics_update_shortfalls (core->metrics);
 }
 
+static void
+refresh_usuals (kwf_core_t *core)
+{
+  int64_t now_ns = kwf_now_ns (core->options.clock);
+  if (now_ns < core->next_usuals_ns)
+    return;
+  core->next_usuals_ns = now_ns + USUALS_PERIOD_NS;
+  observe_refresh (core->backend, core->usuals, now_ns);
+}
+
 static void
 step_modules (kwf_core_t *core, const kwf_event_t *event,
               kwf_effects_t *effects)
@@ -216,6 +230,7 @@
   if (core->loads)
     fleet_load_step (core->loads, core->session, core->backend, event,
                      effects);
+  refresh_usuals (core);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   update_attainment (core);
--- a/lib/fleet-load.c
+++ b/lib/fleet-load.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "balance/load-entry.h"
+#include "balance/pace.h"
 #include "fanout.h"
 
 /* Interval between messages: about the time in which a prompt is processed
@@ -13,27 +15,27 @@
 #define SEND_PERIOD_MANY_NS (200 * KWF_NS_PER_MS)
 /* Counts older than this are dropped.  */
 #define MAX_AGE_NS (1 * KWF_NS_PER_S)
-
-typedef struct
-{
-  int64_t open;
-  int64_t unanswered;
-} counts_t;
+/* The speeds of the servers change slowly: every so many messages has them. */
+#define SPEED_MESSAGES 8
+/* Less is not worth an entry.  */
+#define SPEED_WEIGHT_MIN 0.5
 
 /* The last counts that one instance sent.  */
 typedef struct
 {
   kwf_load_scope_t scope;
   int64_t received_ns;
-  GHashTable *servers_counts; /* server id -> counts_t */
+  GHashTable *servers_counts; /* server id -> load_counts_t */
 } received_t;
 
 struct fleet_load
 {
   const kwf_clock_t *clock;
-  GHashTable *received; /* instance -> received_t */
-  GHashTable *sent;     /* own counts as last sent */
+  GHashTable *received;    /* instance -> received_t */
+  GHashTable *sent;        /* own counts as last sent */
+  GHashTable *sent_speeds; /* own speeds as last sent */
   int64_t next_ns;
+  unsigned n_periods;
 };
 
 static GHashTable *
@@ -58,6 +60,7 @@
   fleet_load->received
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, received_free);
   fleet_load->sent = new_servers_counts ();
+  fleet_load->sent_speeds = new_servers_counts ();
   return fleet_load;
 }
 
@@ -68,21 +71,21 @@
     return;
   g_hash_table_unref (fleet_load->received);
   g_hash_table_unref (fleet_load->sent);
+  g_hash_table_unref (fleet_load->sent_speeds);
   g_free (fleet_load);
 }
 
 static void
-add_counts (GHashTable *servers_counts, const char *server, int64_t open,
-            int64_t unanswered)
+add_counts (GHashTable *servers_counts, const char *server,
+            const load_counts_t *part, int sign)
 {
-  counts_t *counts = g_hash_table_lookup (servers_counts, server);
+  load_counts_t *counts = g_hash_table_lookup (servers_counts, server);
   if (!counts)
     {
-      counts = g_new0 (counts_t, 1);
+      counts = g_new0 (load_counts_t, 1);
       g_hash_table_insert (servers_counts, g_strdup (server), counts);
     }
-  counts->open += open;
-  counts->unanswered += unanswered;
+  load_counts_add (counts, part, sign);
 }
 
 /* Adds SIGN times SERVERS_COUNTS to SUM.  */
@@ -94,10 +97,28 @@
   gpointer value;
   g_hash_table_iter_init (&iter, servers_counts);
   while (g_hash_table_iter_next (&iter, &server, &value))
-    add_counts (sum, server, sign * ((counts_t *)value)->open,
-                sign * ((counts_t *)value)->unanswered);
+    add_counts (sum, server, value, sign);
 }
 
+/* Adds only the speeds of SERVERS_COUNTS to SUM.  */
+static void
+add_all_speeds (GHashTable *sum, GHashTable *servers_counts)
+{
+  GHashTableIter iter;
+  gpointer server;
+  gpointer value;
+  g_hash_table_iter_init (&iter, servers_counts);
+  while (g_hash_table_iter_next (&iter, &server, &value))
+    {
+      const load_counts_t *counts = value;
+      load_counts_t speed = { .speed_sum = counts->speed_sum,
+                              .speed_weight = counts->speed_weight };
+      if (counts->speed_weight > 0)
+        add_counts (sum, server, &speed, 1);
+    }
+}
+
+/* A message without speeds leaves those of INSTANCE as they were.  */
 static void
 handle_message (fleet_load_t *fleet_load, const char *instance,
                 const kwf_server_loads_t *message, int64_t now_ns)
@@ -106,9 +127,19 @@
   *received = (received_t){ .scope = message->scope,
                             .received_ns = now_ns,
                             .servers_counts = new_servers_counts () };
+  bool has_speeds = false;
   for (size_t i = 0; i < message->n_loads; i++)
-    add_counts (received->servers_counts, message->loads[i].server,
-                message->loads[i].open, message->loads[i].reading);
+    {
+      load_counts_t counts;
+      char *server = load_entry_read (&message->loads[i], &counts, now_ns);
+      add_counts (received->servers_counts, server, &counts, 1);
+      has_speeds |= counts.speed_weight > 0;
+      g_free (server);
+    }
+  const received_t *last
+      = g_hash_table_lookup (fleet_load->received, instance);
+  if (!has_speeds && last && last->scope == received->scope)
+    add_all_speeds (received->servers_counts, last->servers_counts);
   g_hash_table_replace (fleet_load->received, g_strdup (instance), received);
 }
 
@@ -139,17 +170,38 @@
     }
 }
 
+static load_counts_t
+own_counts (server_t *server, int64_t now_ns)
+{
+  speed_decay (&server->speed, now_ns);
+  load_counts_t counts = { .open = server->open_attempts,
+                           .unanswered = server->unanswered,
+                           .reading_tokens = server->reading_tokens };
+  if (server->pace > 0 && !server->pace_heard
+      && now_ns - server->pace_ns < LOAD_PACE_AGE_NS)
+    {
+      counts.pace = server->pace;
+      counts.pace_ns = server->pace_ns;
+    }
+  if (server->speed.weight >= SPEED_WEIGHT_MIN)
+    {
+      counts.speed_sum = server->speed.sum;
+      counts.speed_weight = server->speed.weight;
+    }
+  return counts;
+}
+
 static GHashTable *
-count_own (const backend_t *backend)
+count_own (const backend_t *backend, int64_t now_ns)
 {
   GHashTable *servers_counts = new_servers_counts ();
   const GPtrArray *servers = backend_servers (backend);
   for (guint i = 0; i < servers->len; i++)
     {
-      const server_t *server = servers->pdata[i];
-      if (server->open_attempts)
-        add_counts (servers_counts, server->id, server->open_attempts,
-                    server->unanswered);
+      server_t *server = servers->pdata[i];
+      load_counts_t counts = own_counts (server, now_ns);
+      if (counts.open || counts.pace || counts.speed_weight > 0)
+        add_counts (servers_counts, server->id, &counts, 1);
     }
   return servers_counts;
 }
@@ -158,6 +210,8 @@
 {
   GHashTable *servers_counts;
   kwf_load_scope_t scope;
+  bool with_speed;
+  int64_t now_ns;
   kwf_effects_t *effects;
 } sending_t;
 
@@ -168,38 +222,51 @@
   kwf_effects_t *effects = sending->effects;
   size_t n = g_hash_table_size (sending->servers_counts);
   kwf_server_load_t *list
-      = kwf_effects_alloc (effects, (n + 1) * sizeof *list);
+      = kwf_effects_alloc (effects, (n * LOAD_ENTRIES_MAX + 1) * sizeof *list);
   GHashTableIter iter;
   gpointer server;
   gpointer value;
   size_t at = 0;
   g_hash_table_iter_init (&iter, sending->servers_counts);
   while (g_hash_table_iter_next (&iter, &server, &value))
-    {
-      const counts_t *counts = value;
-      list[at++] = (kwf_server_load_t){ kwf_effects_strdup (effects, server),
-                                        counts->open, counts->unanswered };
-    }
+    at += load_entry_put (list + at, server, value, sending->with_speed,
+                          sending->now_ns, effects);
   session_send (instance, KWF_MSG_SERVER_LOADS, effects)->loads
       = (kwf_server_loads_t){ .scope = sending->scope,
                               .loads = list,
-                              .n_loads = n };
+                              .n_loads = at };
+}
+
+static void
+set_counts (server_t *server, const load_counts_t *counts, int64_t now_ns)
+{
+  server->others_open = (int)MAX (counts->open, 0);
+  server->others_unanswered = (int)MAX (counts->unanswered, 0);
+  server->others_reading_tokens = MAX (counts->reading_tokens, 0);
+  bool measured = counts->speed_weight > 0 && counts->speed_sum > 0;
+  server->others_speed = (speed_t){
+    .sum = measured ? counts->speed_sum : 0,
+    .weight = measured ? counts->speed_weight : 0,
+    .decayed_ns = now_ns,
+  };
+  if (counts->pace)
+    pace_set_heard (server, counts->pace, counts->pace_ns);
 }
 
 /* Stores the counts of the other instances at the servers.  KNOWN: some
    instance has sent counts.  */
 static void
-set_server_counts (const backend_t *backend, GHashTable *others, bool known)
+set_server_counts (const backend_t *backend, GHashTable *others, bool known,
+                   int64_t now_ns)
 {
+  static const load_counts_t none;
   const GPtrArray *servers = backend_servers (backend);
   for (guint i = 0; i < servers->len; i++)
     {
       server_t *server = servers->pdata[i];
-      const counts_t *counts = g_hash_table_lookup (others, server->id);
+      const load_counts_t *counts = g_hash_table_lookup (others, server->id);
       server->others_known = known;
-      server->others_open = counts ? (int)MAX (counts->open, 0) : 0;
-      server->others_unanswered
-          = counts ? (int)MAX (counts->unanswered, 0) : 0;
+      set_counts (server, counts ? counts : &none, now_ns);
     }
 }
 
@@ -218,49 +285,69 @@
 /* The reader or a relay: adds up the counts and sends the sums.  */
 static void
 run_relay (const fleet_load_t *fleet_load, const session_t *session,
-           const backend_t *backend, kwf_effects_t *effects)
+           const backend_t *backend, sending_t *sending)
 {
-  GHashTable *own = count_own (backend);
+  GHashTable *own = count_own (backend, sending->now_ns);
   GHashTable *centre = new_servers_counts ();
   add_received (fleet_load, KWF_LOAD_SCOPE_OWN, centre);
   GHashTable *fleet = new_servers_counts ();
   add_received (fleet_load, KWF_LOAD_SCOPE_OWN, fleet);
   add_received (fleet_load, KWF_LOAD_SCOPE_CENTRE, fleet);
-  set_server_counts (backend, fleet, true);
+  set_server_counts (backend, fleet, true, sending->now_ns);
   add_all_counts (centre, own, 1);
   add_all_counts (fleet, own, 1);
-  sending_t sending = { .servers_counts = centre,
-                        .scope = KWF_LOAD_SCOPE_CENTRE,
-                        .effects = effects };
-  fanout_other_relays (session, send_counts, &sending);
-  sending.servers_counts = fleet;
-  sending.scope = KWF_LOAD_SCOPE_FLEET;
-  fanout_local_members (session, send_counts, &sending);
+  sending->servers_counts = centre;
+  sending->scope = KWF_LOAD_SCOPE_CENTRE;
+  fanout_other_relays (session, send_counts, sending);
+  sending->servers_counts = fleet;
+  sending->scope = KWF_LOAD_SCOPE_FLEET;
+  fanout_local_members (session, send_counts, sending);
   g_hash_table_unref (own);
   g_hash_table_unref (centre);
   g_hash_table_unref (fleet);
 }
 
+/* Keeps OWN for the subtraction from the fleet's sums, which include the
+   speeds that were last sent and not those of now.  */
+static void
+keep_sent (fleet_load_t *fleet_load, GHashTable *own, bool with_speed)
+{
+  if (with_speed)
+    {
+      g_hash_table_remove_all (fleet_load->sent_speeds);
+      add_all_speeds (fleet_load->sent_speeds, own);
+    }
+  g_hash_table_unref (fleet_load->sent);
+  fleet_load->sent = own;
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, own);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((load_counts_t *)value)->speed_sum
+        = ((load_counts_t *)value)->speed_weight = 0;
+}
+
 static void
 run_leaf (fleet_load_t *fleet_load, const session_t *session,
-          const backend_t *backend, kwf_effects_t *effects)
+          const backend_t *backend, sending_t *sending)
 {
   GHashTable *others = new_servers_counts ();
   add_received (fleet_load, KWF_LOAD_SCOPE_FLEET, others);
   /* The fleet's sums include the counts that this instance sent, so these are
      subtracted.  */
   add_all_counts (others, fleet_load->sent, -1);
+  add_all_counts (others, fleet_load->sent_speeds, -1);
   set_server_counts (backend, others,
-                     has_received (fleet_load, KWF_LOAD_SCOPE_FLEET));
+                     has_received (fleet_load, KWF_LOAD_SCOPE_FLEET),
+                     sending->now_ns);
   g_hash_table_unref (others);
-  g_hash_table_unref (fleet_load->sent);
-  fleet_load->sent = count_own (backend);
-  sending_t sending = { .servers_counts = fleet_load->sent,
-                        .scope = KWF_LOAD_SCOPE_OWN,
-                        .effects = effects };
+  GHashTable *own = count_own (backend, sending->now_ns);
+  sending->servers_counts = own;
+  sending->scope = KWF_LOAD_SCOPE_OWN;
   const char *first = fanout_own_relay (session);
   if (*first)
-    send_counts (first, &sending);
+    send_counts (first, sending);
+  keep_sent (fleet_load, own, sending->with_speed);
 }
 
 static int64_t
@@ -288,10 +375,14 @@
     return;
   fleet_load->next_ns = now_ns + period_ns (session);
   drop_outdated (fleet_load, now_ns);
+  sending_t sending
+      = { .with_speed = fleet_load->n_periods++ % SPEED_MESSAGES == 0,
+          .now_ns = now_ns,
+          .effects = effects };
   if (fanout_role (session) == FANOUT_LEAF)
-    run_leaf (fleet_load, session, backend, effects);
+    run_leaf (fleet_load, session, backend, &sending);
   else
-    run_relay (fleet_load, session, backend, effects);
+    run_relay (fleet_load, session, backend, &sending);
 }
 
 int64_t
