--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -6,6 +6,7 @@
 #include "engine-control.h"
 #include "election.h"
 #include "fanout.h"
+#include "balance/capacity.h"
 #include "rebalance.h"
 
 /* Period of the placement rounds, and the least time between two rounds that
@@ -338,6 +339,7 @@
   if (evicting_for_index >= 0
       && states[evicting_for_index] == REBALANCE_ABSENT)
     states[evicting_for_index] = REBALANCE_LOADING;
+  const server_t *server = backend_find (direct->sources.backend, engine->id);
   fleet->engines[at] = (rebalance_engine_t){
     .available
     = engine_control_is_ready (engine, now_ns) && !engine->evicting_for,
@@ -345,6 +347,7 @@
     .states = states,
     .resident_for_ns = resident_for_ns,
     .local_weights = local,
+    .capacity = server ? capacity_of (server) : 1,
   };
 }
 
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -39,6 +39,7 @@
                    are at first_present[E] to first_present[E + 1] - 1 */
   int *first_present;
   int *copies;           /* resident or being loaded */
+  double *capacity;      /* of the engines with these copies, in all */
   int *resident;         /* resident */
   double *least_cost[2]; /* for each engine, the lowest cost of a single
                             eviction; [1]: in favour of a model without a
@@ -58,10 +59,19 @@
   return model->waiting || model->rate >= REQUESTED_RATE;
 }
 
+static double
+capacity_of_engine (const view_t *view, int engine)
+{
+  double capacity = view->engines[engine].capacity;
+  return capacity > 0 ? capacity : 1;
+}
+
+/* Demand for MODEL per unit of capacity of the engines with its copies.  */
 static double
 copy_demand (const view_t *view, int model)
 {
-  return view->models[model].rate / MAX (1, view->copies[model]);
+  return view->copies[model] ? view->models[model].rate / view->capacity[model]
+                             : view->models[model].rate;
 }
 
 /* Demand per copy of MODEL after one of its copies on ENGINE is evicted;
@@ -87,7 +97,10 @@
     return INFINITY;
   if (requested && view->engines[engine].resident_for_ns[model] < MIN_STAY_NS)
     return INFINITY;
-  return requested ? item->rate / (view->copies[model] - 1) : 0;
+  return requested ? item->rate
+                         / (view->capacity[model]
+                            - capacity_of_engine (view, engine))
+                   : 0;
 }
 
 /* Sum of the demand per copy of the models on ENGINE.  */
@@ -182,7 +195,8 @@
       evictions_t eviction = evaluate_evictions (view, i, model);
       if (!(eviction.cost <= bound) || isinf (eviction.cost))
         continue;
-      double load = engine_demand (view, i);
+      double load = (engine_demand (view, i) + view->mean)
+                    / capacity_of_engine (view, i);
       double cost
           = eviction.cost + (local ? 0 : STORE_LOAD_FACTOR * view->mean);
       if (found >= 0
@@ -227,7 +241,8 @@
   view->present = (int *)(void *)g_array_free (present, FALSE);
 }
 
-/* Count the copies of each model, and compute the mean demand per copy.  */
+/* Count the copies of each model and their capacity, and compute the mean
+   demand per unit of it.  */
 static void
 count_copies_and_mean (view_t *view)
 {
@@ -238,17 +253,19 @@
         int k = view->present[at];
         rebalance_state_t state = state_of (view, i, k);
         view->resident[k] += state == REBALANCE_RESIDENT;
-        view->copies[k]
-            += state == REBALANCE_RESIDENT || state == REBALANCE_LOADING;
+        if (state != REBALANCE_RESIDENT && state != REBALANCE_LOADING)
+          continue;
+        view->copies[k]++;
+        view->capacity[k] += capacity_of_engine (view, i);
       }
   double rate = 0;
-  int copies = 0;
+  double capacity = 0;
   for (int k = 0; k < view->n_models; k++)
     {
       rate += view->models[k].rate;
-      copies += view->copies[k];
+      capacity += view->capacity[k];
     }
-  view->mean = rate / MAX (1, copies);
+  view->mean = rate / (capacity > 0 ? capacity : 1);
 }
 
 /* Compute the cost of the cheapest single eviction on each engine.  With it
@@ -320,6 +337,7 @@
                   .n_models = n_models,
                   .n_engines = n_engines,
                   .copies = g_new0 (int, n_models + 1),
+                  .capacity = g_new0 (double, n_models + 1),
                   .resident = g_new0 (int, n_models + 1) };
   bool *skipped = g_new0 (bool, n_models + 1);
   list_present (&view);
@@ -346,6 +364,7 @@
   g_free (view.least_cost[1]);
   g_free (view.first_present);
   g_free (view.copies);
+  g_free (view.capacity);
   g_free (view.resident);
   return step;
 }
--- a/lib/rebalance.h
+++ b/lib/rebalance.h
@@ -35,6 +35,8 @@
   const int64_t *resident_for_ns;
   const bool *local_weights; /* the model can be loaded without the weight
                                 store; NULL: none can */
+  double capacity; /* demand that it bears, relative to the other engines; 0:
+                      1 */
 } rebalance_engine_t;
 
 typedef enum
