Show evacuations to operators, and describe them

The status page lists the evacuated data centres, the metrics count them, their servers and the attempts that still run there, so that an operator sees when a data centre is empty.

--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "../metric.h"
+
 struct evacuation
 {
   GHashTable *data_centres;   /* set of names */
@@ -143,3 +145,34 @@
   log_unknown (evacuation, backend, own, effects);
   return changed;
 }
+
+json_t *
+evacuation_json (const evacuation_t *evacuation)
+{
+  json_t *array = json_array ();
+  GHashTableIter iter;
+  gpointer name;
+  g_hash_table_iter_init (&iter, evacuation->data_centres);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    json_array_append_new (array, json_string (name));
+  return array;
+}
+
+void
+evacuation_write_metrics (const evacuation_t *evacuation,
+                          const backend_t *backend, GString *out)
+{
+  const GPtrArray *servers = backend_servers (backend);
+  int n = 0;
+  int n_open = 0;
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const server_t *server = g_ptr_array_index (servers, i);
+      n += server->listed && server->evacuated;
+      n_open += server->evacuated ? server->open_attempts : 0;
+    }
+  metric_write_value (out, "kwf_evacuated_data_centres", "gauge",
+                      g_hash_table_size (evacuation->data_centres));
+  metric_write_value (out, "kwf_evacuated_servers", "gauge", n);
+  metric_write_value (out, "kwf_evacuated_open_attempts", "gauge", n_open);
+}
--- a/lib/evacuation/evacuation.h
+++ b/lib/evacuation/evacuation.h
@@ -14,6 +14,7 @@
 #define KNAPWEEDFORK_EVACUATION_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdbool.h>
 
 #include <knapweedfork/core.h>
@@ -37,4 +38,9 @@
 bool evacuation_contains (const evacuation_t *evacuation,
                           const char *data_centre);
 
+/* Names of the evacuated data centres, for the status page.  */
+json_t *evacuation_json (const evacuation_t *evacuation);
+void evacuation_write_metrics (const evacuation_t *evacuation,
+                               const backend_t *backend, GString *out);
+
 #endif
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -219,6 +219,8 @@
           "retry_budget", retry_budget_least (core->retries), "crash",
           "suspects", (json_int_t)suspects, "quarantined",
           (json_int_t)quarantined));
+  json_object_set_new (object, "evacuated",
+                       evacuation_json (core->evacuation));
   json_object_set_new (object, "queue", queue_json (core));
   json_object_set_new (object, "members", members_json (core));
   json_object_set_new (object, "servers", servers_json (core, now_ns));
@@ -244,6 +246,9 @@
   metric_write_value (out, "kwf_configuration_version", "gauge",
                       (double)config_version (core->config));
   notices_write_metrics (core, out);
+  evacuation_write_metrics (core->evacuation, core->backend, out);
+  metric_write_value (out, "kwf_routes_without_home", "gauge",
+                      g_hash_table_size (core->homeless));
   metric_write_value (out, "kwf_attempts_total", "counter",
                       (double)core->n_attempts);
   metric_write_value (out, "kwf_retries_total", "counter",
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -83,6 +83,13 @@
   core_world_t *world = *state;
   evacuate (world, own, 1);
   assert_true (logs_event (world, 270));
+  core_world_step (
+      world,
+      &(kwf_event_t){ .type = KWF_EV_OPERATOR,
+                      .operator_ = { .command = KWF_OPERATOR_STATUS } });
+  const char *status
+      = core_world_effect (world, KWF_FX_OPERATOR_REPLY)->operator_reply.body;
+  assert_non_null (strstr (status, "\"state\": \"evacuated\""));
   for (kwf_handle_t i = 1; i < 40; i++)
     assert_int_equal (sent_to (world, i, "/read/x"), '2');
   feed_servers (world, 11);
