List instances without a configuration again

A caller that asked for /v1/instances before the first configuration ended the instance: the organisation was looked up in lists that did not exist (test/scenarios/no_configuration.scn).

--- a/lib/directory.c
+++ b/lib/directory.c
@@ -128,9 +128,10 @@
 {
   GArray *scored = g_array_new (FALSE, TRUE, sizeof (scored_member_t));
   double sum = 0;
+  const kwf_lists_t *lists = config_lists (core->config);
   uint64_t excluded = regions_excluded_by (
       core->regions, NULL,
-      kwf_lists_organisation (config_lists (core->config), organisation));
+      lists ? kwf_lists_organisation (lists, organisation) : NULL);
   session_member_t member;
   size_t at = 0;
   while (session_next_member (core->session, &at, &member))
