Load a model where the requests that wait for it may be served

Requests with home regions waited in vain for a model that only servers of other regions held: the placement counted these copies, so it ordered none.

The demand now carries the regions in which the most urgent waiting request must not be served. The leader does not count copies there, and chooses an engine elsewhere. Without regions the choice is the same as before.

--- a/lib/demand.c
+++ b/lib/demand.c
@@ -27,6 +27,7 @@
   int priority;
   double waiting;      /* tokens of the waiting requests */
   int64_t deadline_ns; /* latest deadline of the waiting requests */
+  uint64_t excluded;
 } item_t;
 
 typedef struct
@@ -141,6 +142,20 @@
   item->deadline_ns = deadline_ns;
 }
 
+void
+demand_set_excluded (demand_t *demand, const char *model, const char *adapter,
+                     uint64_t excluded)
+{
+  char *name = item_key (model, adapter);
+  item_t *item = g_hash_table_lookup (demand->own, name);
+  if (item && item->excluded != excluded)
+    {
+      item->excluded = excluded;
+      invalidate_sums (demand);
+    }
+  g_free (name);
+}
+
 void
 demand_clear_waiting (demand_t *demand, const char *model, const char *adapter)
 {
@@ -166,6 +181,7 @@
   int64_t now_ns = kwf_now_ns (demand->clock);
   json_t *rates = json_object ();
   json_t *wanted = json_object ();
+  json_t *excluded = json_object ();
   GHashTableIter iter;
   gpointer name;
   gpointer value;
@@ -187,8 +203,14 @@
             json_pack ("[i,f,I]", item->priority, item->waiting,
                        (json_int_t)(item->deadline_ns - now_ns)
                            / KWF_NS_PER_MS));
+      if (item->deadline_ns > now_ns && item->excluded)
+        json_object_set_new (excluded, name,
+                             json_integer ((json_int_t)item->excluded));
     }
   json_t *object = json_pack ("{s:o,s:o}", "demand", rates, "wanted", wanted);
+  if (json_object_size (excluded))
+    json_object_set (object, "excluded", excluded);
+  json_decref (excluded);
   char *text = json_dumps (object, JSON_COMPACT | JSON_SORT_KEYS);
   char *copy = g_strdup (text);
   free (text);
@@ -217,6 +239,8 @@
         int64_t left_ms = json_integer_value (json_array_get (wait, 2));
         left_ms = CLAMP (left_ms, 0, INT64_C (86400000));
         item->deadline_ns = now_ns + left_ms * KWF_NS_PER_MS;
+        item->excluded = (uint64_t)json_integer_value (
+            json_object_get (json_object_get (object, "excluded"), name));
       }
     g_hash_table_insert (items, g_strdup (name), item);
   }
@@ -265,6 +289,8 @@
   if (item->deadline_ns <= now_ns)
     return;
   demand_wait_t *wait = &sum->wait;
+  if (!wait->waiting || item->priority < wait->priority)
+    wait->excluded = item->excluded;
   wait->priority
       = wait->waiting ? MIN (wait->priority, item->priority) : item->priority;
   wait->waiting = true;
--- a/lib/demand.h
+++ b/lib/demand.h
@@ -24,6 +24,8 @@
   int priority;        /* of the most urgent request; 0 is the highest */
   double tokens;       /* of all waiting requests */
   int64_t deadline_ns; /* deadline of the last request */
+  uint64_t excluded;   /* regions in which the most urgent one must not be
+                          served (lib/evacuation/regions.h) */
 } demand_wait_t;
 
 demand_t *demand_new (const kwf_clock_t *clock);
@@ -40,6 +42,11 @@
                          const char *adapter, int priority, double tokens,
                          int64_t deadline_ns);
 
+/* Set the regions in which the requests of the last such call must not be
+   served.  */
+void demand_set_excluded (demand_t *demand, const char *model,
+                          const char *adapter, uint64_t excluded);
+
 /* Record that no request waits on this instance any more.  */
 void demand_clear_waiting (demand_t *demand, const char *model,
                            const char *adapter);
@@ -49,8 +56,8 @@
 void demand_apply_row (demand_t *demand, const char *instance,
                        const char *value);
 
-/* Return the members "demand" and "wanted" of this instance's session row as a
-   JSON object.  Free it with g_free.  */
+/* Return the members "demand", "wanted" and "excluded" of this instance's
+   session row as a JSON object.  Free it with g_free.  */
 char *demand_to_json (demand_t *demand);
 
 /* Return whether, since the last call of this function, a request began to
--- a/lib/engine-control.h
+++ b/lib/engine-control.h
@@ -54,6 +54,7 @@
   GHashTable *models;        /* name -> engine_model_t */
   GHashTable *local_weights; /* names of models loadable without the weight
                                 store */
+  uint64_t region;           /* bit of its region */
   bool usable; /* listed and not leaving, and its address did not refuse the
                   last connection */
   bool scarce; /* it names a limit so low that it counts as no copy of its
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -6,6 +6,7 @@
 #include "engine-control.h"
 #include "election.h"
 #include "fanout.h"
+#include "placement-copies.h"
 #include "rebalance.h"
 
 /* Period of the placement rounds, and the least time between two rounds that
@@ -151,6 +152,7 @@
           continue;
         }
       engine->usable = !server_leaving (server) && !server->refused;
+      engine->region = server->region;
       engine->scarce = limit_is_scarce (&server->limit, server->slots);
       engine->not_before_ns
           = MAX (engine->not_before_ns, server->notice.pause_until_ns);
@@ -341,6 +343,7 @@
   fleet->engines[at] = (rebalance_engine_t){
     .available
     = engine_control_is_ready (engine, now_ns) && !engine->evicting_for,
+    .region = engine->region,
     .free_mb = free_mb_of (direct, service, engine, now_ns),
     .states = states,
     .resident_for_ns = resident_for_ns,
@@ -385,6 +388,7 @@
         .rate = demand_rate (demand, model->name, NULL),
         .waiting = wait.waiting,
         .priority = wait.priority,
+        .excluded = wait.excluded,
         .idle_ns = idle_ns (direct, model->name, now_ns)
       };
     }
@@ -611,6 +615,8 @@
   int copies;
   double rate;
   bool scarce; /* all copies of the model are on engines with a scarce limit */
+  uint64_t excluded; /* regions in which the requests that wait for it must not
+                        be served */
 } adapter_t;
 
 /* Number of copies that an adapter should have: its share of the model's
@@ -688,6 +694,7 @@
       server_t *server = backend_find (direct->sources.backend, engine->id);
       if (!model_state || model_state->state != ENGINE_MODEL_RESIDENT
           || engine->scarce != adapter->scarce || !server
+          || engine->region & adapter->excluded
           || !engine_control_is_ready (engine, now_ns)
           || g_hash_table_contains (model_state->adapters, adapter->adapter))
         continue;
@@ -732,68 +739,6 @@
   return true;
 }
 
-/* The resident copies of a model on usable engines.  */
-typedef struct
-{
-  GPtrArray *list; /* of engine_model_t */
-  bool scarce;     /* all of them are on engines with a scarce limit */
-} copies_t;
-
-static void
-copies_free (void *data)
-{
-  copies_t *copies = data;
-  g_ptr_array_unref (copies->list);
-  g_free (copies);
-}
-
-/* A copy on an engine with a scarce limit counts only if there is no other. */
-static void
-add_copy (GHashTable *table, const char *model, engine_model_t *model_state,
-          bool scarce)
-{
-  copies_t *copies = g_hash_table_lookup (table, model);
-  if (!copies)
-    {
-      copies = g_new0 (copies_t, 1);
-      copies->list = g_ptr_array_new ();
-      copies->scarce = scarce;
-      g_hash_table_insert (table, (gpointer)model, copies);
-    }
-  if (copies->scarce && !scarce)
-    g_ptr_array_set_size (copies->list, 0);
-  else if (scarce && !copies->scarce)
-    return;
-  copies->scarce = scarce;
-  g_ptr_array_add (copies->list, model_state);
-}
-
-/* Find the resident copies on usable engines: those that are not leaving and
-   whose address did not refuse the last connection.  Returns a table from a
-   model name to copies_t.  */
-static GHashTable *
-find_resident_copies (const placement_direct_t *direct)
-{
-  GHashTable *copies
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, copies_free);
-  GHashTableIter iter;
-  gpointer value;
-  g_hash_table_iter_init (&iter, direct->engines);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const engine_control_t *engine = value;
-      GHashTableIter models;
-      gpointer name;
-      gpointer model_state;
-      g_hash_table_iter_init (&models, engine->models);
-      while (engine->usable
-             && g_hash_table_iter_next (&models, &name, &model_state))
-        if (((engine_model_t *)model_state)->state == ENGINE_MODEL_RESIDENT)
-          add_copy (copies, name, model_state, engine->scarce);
-    }
-  return copies;
-}
-
 /* Return the number of orders sent.  */
 static int
 place_adapters_of (placement_direct_t *direct, const kwf_service_t *service,
@@ -808,12 +753,14 @@
               .adapter = model->adapters[i],
               .rate = demand_rate (direct->sources.demand, model->name,
                                    model->adapters[i]),
-              .scarce = resident_copies->scarce };
-      const GPtrArray *list = resident_copies->list;
-      for (guint k = 0; k < list->len; k++)
-        adapter.copies += g_hash_table_contains (
-            ((engine_model_t *)list->pdata[k])->adapters, adapter.adapter);
-      if (adapter.copies < copies_wanted (direct, &adapter, (int)list->len))
+              .scarce = resident_copies->scarce,
+              .excluded = demand_waiting (direct->sources.demand, model->name,
+                                          model->adapters[i])
+                              .excluded };
+      adapter.copies = copies_with_adapter (resident_copies, adapter.adapter,
+                                            adapter.excluded);
+      if (adapter.copies
+          < copies_wanted (direct, &adapter, (int)resident_copies->n))
         orders += place_adapter (direct, service, &adapter, context);
     }
   return orders;
@@ -824,7 +771,7 @@
                 const engine_control_context_t *context)
 {
   const kwf_lists_t *lists = config_lists (direct->sources.config);
-  GHashTable *copies_by_model = find_resident_copies (direct);
+  GHashTable *copies_by_model = copies_find (direct->engines);
   size_t n = kwf_lists_n_models (lists);
   int orders = 0;
   /* The next round continues after the last model of this one.  */
--- a/lib/rebalance.c
+++ b/lib/rebalance.c
@@ -40,6 +40,8 @@
   int *first_present;
   int *copies;           /* resident or being loaded */
   int *resident;         /* resident */
+  int *home_copies;      /* copies in regions that the model's most urgent
+                            waiting request allows */
   double *least_cost[2]; /* for each engine, the lowest cost of a single
                             eviction; [1]: in favour of a model without a
                             copy */
@@ -52,6 +54,14 @@
   return (rebalance_state_t)view->engines[engine].states[model];
 }
 
+/* Whether a copy of MODEL on ENGINE is of no use to the requests that wait for
+   it.  */
+static bool
+is_excluded (const view_t *view, int engine, int model)
+{
+  return view->engines[engine].region & view->models[model].excluded;
+}
+
 static bool
 is_requested (const rebalance_model_t *model)
 {
@@ -116,7 +126,7 @@
 static evictions_t
 evaluate_evictions (const view_t *view, int engine, int model)
 {
-  bool for_missing_model = !view->copies[model];
+  bool for_missing_model = !view->home_copies[model];
   evictions_t eviction = { .first_model = -1 };
   int64_t free_mb = view->engines[engine].free_mb;
   int begin = view->first_present[engine];
@@ -163,14 +173,15 @@
 find_engine (const view_t *view, int model, double bound, bool may_load,
              evictions_t *best)
 {
-  bool for_missing_model = !view->copies[model];
+  bool for_missing_model = !view->home_copies[model];
   int found = -1;
   double found_load = 0;
   double found_cost = 0;
   for (int i = 0; i < view->n_engines; i++)
     {
       if (!view->engines[i].available
-          || state_of (view, i, model) != REBALANCE_ABSENT)
+          || state_of (view, i, model) != REBALANCE_ABSENT
+          || is_excluded (view, i, model))
         continue;
       bool local = view->engines[i].local_weights
                    && view->engines[i].local_weights[model];
@@ -238,8 +249,9 @@
         int k = view->present[at];
         rebalance_state_t state = state_of (view, i, k);
         view->resident[k] += state == REBALANCE_RESIDENT;
-        view->copies[k]
-            += state == REBALANCE_RESIDENT || state == REBALANCE_LOADING;
+        bool copy = state == REBALANCE_RESIDENT || state == REBALANCE_LOADING;
+        view->copies[k] += copy;
+        view->home_copies[k] += copy && !is_excluded (view, i, k);
       }
   double rate = 0;
   int copies = 0;
@@ -275,7 +287,8 @@
     }
 }
 
-/* Find the most urgent requested model without a copy; -1: none.  */
+/* Find the most urgent requested model without a copy that may serve it; -1:
+   none.  */
 static int
 find_missing (const view_t *view, const bool *skipped)
 {
@@ -283,7 +296,7 @@
   for (int i = 0; i < view->n_models; i++)
     {
       const rebalance_model_t *model = &view->models[i];
-      if (skipped[i] || view->copies[i] || !is_requested (model))
+      if (skipped[i] || view->home_copies[i] || !is_requested (model))
         continue;
       const rebalance_model_t *other = best < 0 ? NULL : &view->models[best];
       if (!other || (model->waiting && !other->waiting)
@@ -320,7 +333,8 @@
                   .n_models = n_models,
                   .n_engines = n_engines,
                   .copies = g_new0 (int, n_models + 1),
-                  .resident = g_new0 (int, n_models + 1) };
+                  .resident = g_new0 (int, n_models + 1),
+                  .home_copies = g_new0 (int, n_models + 1) };
   bool *skipped = g_new0 (bool, n_models + 1);
   list_present (&view);
   count_copies_and_mean (&view);
@@ -347,5 +361,6 @@
   g_free (view.first_present);
   g_free (view.copies);
   g_free (view.resident);
+  g_free (view.home_copies);
   return step;
 }
--- a/lib/rebalance.h
+++ b/lib/rebalance.h
@@ -17,16 +17,18 @@
 {
   const char *name;
   int64_t mb;
-  double rate;     /* demand in tokens per second over the fleet */
-  bool waiting;    /* requests wait for a copy */
-  int priority;    /* of the most urgent of these requests */
-  int64_t idle_ns; /* time since the last request, as far as known */
+  double rate;       /* demand in tokens per second over the fleet */
+  bool waiting;      /* requests wait for a copy */
+  int priority;      /* of the most urgent of these requests */
+  uint64_t excluded; /* regions in which it must not be served */
+  int64_t idle_ns;   /* time since the last request, as far as known */
 } rebalance_model_t;
 
 typedef struct
 {
   bool available;  /* accepts an order for a model now, and no room is being
                       made on it for a model */
+  uint64_t region; /* bit of its region; 0: there are no regions */
   int64_t free_mb; /* neither in use nor needed by a load in progress */
   /* For each model, its state on this engine, and how long it has been
      resident; in state REBALANCE_LOADING, the time since its load was
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -322,6 +322,7 @@
       = model_demand->n ? MIN (model_demand->priority, request->priority)
                         : request->priority;
   model_demand->n++;
+  model_demand->request = request;
   model_demand->tokens += request->charged;
   model_demand->deadline_ns
       = MAX (model_demand->deadline_ns, request->deadline_ns);
@@ -341,6 +342,8 @@
                         model_demand.deadline_ns);
   else
     demand_clear_waiting (core->demand, request->model, request->adapter);
+  demand_set_excluded (core->demand, request->model, request->adapter,
+                       home_excluded (core, model_demand.request));
 }
 
 void
@@ -417,8 +420,6 @@
   check_expected_start (core, request, count.ahead, now_ns, effects);
 }
 
-/* Dispatching again.  */
-
 void
 waits_recheck_server (kwf_core_t *core, server_t *server)
 {
@@ -442,7 +443,6 @@
   return waits_for (request_of (item), data);
 }
 
-/* Send the requests that wait for SERVER while its window has room.  */
 static void
 dispatch_waiting (kwf_core_t *core, server_t *server, kwf_effects_t *effects)
 {
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -273,18 +273,27 @@
   g_array_free (sent.requests, TRUE);
 }
 
-/* Feed the configuration of VERSION, in which the route /read/ has the allowed
+/* Feed the configuration of VERSION, in which the routes have the allowed
    regions HOME, and organisation "o" "north" and "south".  */
 static void
 feed_config (core_world_t *world, int64_t version, const char *home)
 {
+  static const char *const route
+      = "{\"name\":\"%s\",\"hostname\":\"h.example\",\"path_prefix\":\"/%s/\","
+        "\"backend\":\"%s\",\"kind\":\"idempotent\",\"timeout_ms\":9000,"
+        "\"allowed_regions\":%s}";
+  char *read = g_strdup_printf (route, "r", "read", "desk", home);
+  char *draft = g_strdup_printf (route, "d", "draft", "models", home);
   char *text = g_strdup_printf (
-      "{\"services\":[{\"name\":\"desk\"}],\"routes\":[{\"name\":\"r\","
-      "\"hostname\":\"h.example\",\"path_prefix\":\"/read/\",\"backend\":"
-      "\"desk\",\"kind\":\"idempotent\",\"allowed_regions\":%s}],"
-      "\"tenants\":[{\"name\":\"o\",\"api_keys\":[\"s\"],\"rate_per_s\":"
-      "1000,\"burst\":1000,\"allowed_regions\":[\"north\",\"south\"]}]}",
-      home);
+      "{\"services\":[{\"name\":\"desk\"},{\"name\":\"models\",\"engine\":{"
+      "\"weights_mb\":200000,\"loads_per_s\":2,\"adapter_slots\":8,"
+      "\"models\":[{\"name\":\"m\",\"weights_mb\":70000,\"load_s\":3}]}}],"
+      "\"routes\":[%s,%s],\"tenants\":[{\"name\":\"o\",\"api_keys\":[\"s\"],"
+      "\"rate_per_s\":1000,\"burst\":1000,\"allowed_regions\":[\"north\","
+      "\"south\"]}]}",
+      read, draft);
+  g_free (read);
+  g_free (draft);
   static const kwf_key_grant_t key = { "k", "o" };
   platform_config_t config;
   assert_true (platform_config_decode (text, "p", &config));
@@ -329,6 +338,34 @@
   core_world_stop (&world);
 }
 
+/* Guards against requests that wait in vain for a copy in their home region,
+   since another region has one.  */
+static void
+model_is_loaded_in_the_home_region (void **state)
+{
+  (void)state;
+  sent_t sent
+      = { .attempts = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t)),
+          .requests = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t)) };
+  core_world_t world;
+  core_world_start_regions (&world);
+  feed_config (&world, 2, "[\"south\"]");
+  feed_servers (&world, 1);
+  for (kwf_handle_t i = 1; i < 40 && !sent.n_orders; i++)
+    {
+      assert_int_equal (sent_to (&world, i, "/draft/x"), 0);
+      for (char asked; (asked = take_sent (&world, 1, &sent));)
+        report_of (&world, asked);
+      core_world_advance (&world, 50);
+      for (char asked; (asked = take_sent (&world, 1, &sent));)
+        report_of (&world, asked);
+    }
+  assert_int_equal (sent.n_orders, 1);
+  core_world_stop (&world);
+  g_array_free (sent.attempts, TRUE);
+  g_array_free (sent.requests, TRUE);
+}
+
 static int
 set_up (void **state)
 {
@@ -348,6 +385,7 @@
     cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test (requests_stay_in_their_home_regions),
+    cmocka_unit_test (model_is_loaded_in_the_home_region),
     cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
   };
   return cmocka_run_group_tests_name ("evacuation", tests, NULL, NULL);
