--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -56,29 +56,46 @@
   return n;
 }
 
-/* Log the names of BEFORE that AFTER lacks, with MESSAGE; return whether there
-   are any.  */
+/* Calls FN for each name of NAMES that OTHERS lacks; returns whether there are
+   any.  */
 static bool
-log_difference (const backend_t *backend, GHashTable *before,
-                GHashTable *after, int number, const char *message,
-                kwf_effects_t *effects)
+each_difference (GHashTable *names, GHashTable *others,
+                 void (*fn) (const char *name, int n_servers,
+                             kwf_effects_t *effects),
+                 const backend_t *backend, kwf_effects_t *effects)
 {
   bool any = false;
   GHashTableIter iter;
   gpointer name;
-  g_hash_table_iter_init (&iter, before);
+  g_hash_table_iter_init (&iter, names);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     {
-      if (g_hash_table_contains (after, name))
+      if (g_hash_table_contains (others, name))
         continue;
       any = true;
-      kwf_effects_log (effects, number, KWF_LOG_WARNING, NULL,
-                       "data centre %s %s; servers=%d", (const char *)name,
-                       message, count_servers (backend, name));
+      fn (name, count_servers (backend, name), effects);
     }
   return any;
 }
 
+static void
+log_begin (const char *name, int n_servers, kwf_effects_t *effects)
+{
+  kwf_effects_log (effects, 270, KWF_LOG_WARNING, NULL,
+                   "data centre %s is evacuated: its %d servers get no new "
+                   "request and no order",
+                   name, n_servers);
+}
+
+static void
+log_end (const char *name, int n_servers, kwf_effects_t *effects)
+{
+  kwf_effects_log (effects, 271, KWF_LOG_WARNING, NULL,
+                   "data centre %s is no longer evacuated: its %d servers are "
+                   "used again",
+                   name, n_servers);
+}
+
 static bool
 replace_names (evacuation_t *evacuation, const backend_t *backend,
                const kwf_evacuations_event_t *event, kwf_effects_t *effects)
@@ -86,11 +103,10 @@
   GHashTable *names = new_set ();
   for (size_t i = 0; i < event->n; i++)
     g_hash_table_add (names, g_strdup (event->data_centres[i]));
-  bool begins = log_difference (backend, names, evacuation->data_centres, 270,
-                                "is evacuated: its servers get no new request",
-                                effects);
-  bool ends = log_difference (backend, evacuation->data_centres, names, 271,
-                              "is in service again", effects);
+  bool begins = each_difference (names, evacuation->data_centres, log_begin,
+                                 backend, effects);
+  bool ends = each_difference (evacuation->data_centres, names, log_end,
+                               backend, effects);
   g_hash_table_unref (evacuation->data_centres);
   evacuation->data_centres = names;
   return begins || ends;
