Keep the home regions of a request between choices of a server

Each holder of a model asked for the regions anew, which looks up the route and the organisation. They are kept for the version of the lists now.

The check of orders at the send covers evacuated data centres only, so that deployments without evacuations send orders as before.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -125,7 +125,7 @@
 bool kwf_core_may_send (const kwf_core_t *core, kwf_handle_t attempt);
 
 /* Whether an order may still be written to the connection that was opened for
-   it.  False if SERVER is leaving, or its data centre is evacuated.  */
+   it.  False if the data centre of SERVER is evacuated.  */
 bool kwf_core_may_order (const kwf_core_t *core, const char *server);
 
 /* Whether the server that gave the answer of NOTICE is known to have named a
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -364,6 +364,7 @@
 attempt_dispatch (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
+  home_refresh (core, request);
   if (!check_before_send (core, request, now_ns, effects)
       || feature_refuse_bad_part (core, request, effects))
     return;
--- a/lib/core.c
+++ b/lib/core.c
@@ -238,7 +238,7 @@
 kwf_core_may_order (const kwf_core_t *core, const char *server)
 {
   const server_t *found = backend_find (core->backend, server);
-  return found && !server_leaving (found);
+  return !found || !found->evacuated;
 }
 
 bool
--- a/lib/evacuation/home.c
+++ b/lib/evacuation/home.c
@@ -6,13 +6,23 @@
 home_excluded (const kwf_core_t *core, const request_t *request)
 {
   const kwf_lists_t *lists = config_lists (core->config);
-  if (request->kind != KWF_REQUEST_ROUTED || !lists)
+  if (request->kind != KWF_REQUEST_ROUTED || !lists
+      || !core->options.n_regions)
     return 0;
+  if (request->excluded_version == core->config_version)
+    return request->excluded_regions;
   return regions_excluded_by (
       core->regions, kwf_lists_route (lists, request->host, request->path),
       kwf_lists_organisation (lists, request->organisation));
 }
 
+void
+home_refresh (const kwf_core_t *core, request_t *request)
+{
+  request->excluded_regions = home_excluded (core, request);
+  request->excluded_version = core->config_version;
+}
+
 bool
 home_excludes (const kwf_core_t *core, const request_t *request,
                const server_t *server)
--- a/lib/evacuation/home.h
+++ b/lib/evacuation/home.h
@@ -6,8 +6,11 @@
 
 #include "../request.h"
 
-/* The regions in which REQUEST must not be served, by the lists in force.  */
+/* The regions in which REQUEST must not be served, by the lists in force.
+   home_refresh keeps them in REQUEST, since a search for servers asks for each
+   one.  */
 uint64_t home_excluded (const kwf_core_t *core, const request_t *request);
+void home_refresh (const kwf_core_t *core, request_t *request);
 
 /* Whether REQUEST must not be sent to SERVER.  */
 bool home_excludes (const kwf_core_t *core, const request_t *request,
--- a/lib/request.h
+++ b/lib/request.h
@@ -38,6 +38,8 @@
   const char *service;      /* NULL for models */
   const char *host;         /* ROUTED: host and prefix of its route */
   const char *path;
+  uint64_t excluded_regions; /* by the lists of EXCLUDED_VERSION */
+  int64_t excluded_version;  /* -1: not known yet */
   const char *idempotency_key;
   bool idempotent;
   bool stream;
