Prefer servers with a kept connection by the cost of a new one

Each request to a model server opened a connection: 78 instances that choose among 30 servers do not come back to one within its idle time. A server with an idle kept connection of this instance is now always among the servers that are compared, and the others cost 20 ms more. The HTTP client does not say yet how long its connections may be used; until it does, nothing changes.

--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -64,25 +64,31 @@
   return true;
 }
 
-/* A sample of SERVERS with their costs.  Silent servers are in it only if all
-   are silent.  */
+/* A sample of SERVERS with their costs.  Servers with a kept connection are in
+   it in addition, so that an instance uses few connections.  Silent servers
+   are in it only if all are silent.  */
 static GArray *
 take_sample (const GPtrArray *servers, const delay_query_t *query,
              uint64_t spread, int64_t now_ns)
 {
   bool all_silent = are_all_silent (servers);
+  guint n_kept = 0;
   GArray *sample
       = g_array_sized_new (FALSE, FALSE, sizeof (candidate_t), servers->len);
   for (guint i = 0; i < servers->len; i++)
     {
+      server_t *server = servers->pdata[i];
+      if (!all_silent && server_silent (server))
+        continue;
+      bool kept = now_ns < server->kept_until_ns;
+      n_kept += kept;
       candidate_t candidate
-          = { .server = servers->pdata[i],
-              .rank = hash_of (servers->pdata[i], spread, 0) };
-      if (all_silent || !server_silent (candidate.server))
-        g_array_append_val (sample, candidate);
+          = { .server = server,
+              .rank = kept ? UINT64_MAX : hash_of (server, spread, 0) };
+      g_array_append_val (sample, candidate);
     }
   g_array_sort (sample, compare_ranks);
-  guint n = MAX (sample->len / SAMPLE_ONE_IN, SAMPLE_MIN);
+  guint n = n_kept + MAX (sample->len / SAMPLE_ONE_IN, SAMPLE_MIN);
   g_array_set_size (sample, MIN (n, sample->len));
   for (guint i = 0; i < sample->len; i++)
     {
--- a/lib/balance/delay.c
+++ b/lib/balance/delay.c
@@ -15,10 +15,9 @@
 #define ADAPTER_LOAD_NS (300 * KWF_NS_PER_MS)
 /* Round trip to another data centre.  */
 #define OTHER_CENTRE_NS (5 * KWF_NS_PER_MS)
-/* A new connection: two round trips, and work at the server.  With kept
-   connections at a few servers, near-equal ones are chosen again, while one
-   more prompt at a server outweighs it.  */
-#define CONNECT_COST_NS (8 * KWF_NS_PER_MS)
+/* A new connection: two round trips, and work at the server.  It is less than
+   the time to read a short prompt, so that load outweighs it.  */
+#define CONNECT_COST_NS (20 * KWF_NS_PER_MS)
 /* Added for a server that does not answer load reports: it is the last choice.
  */
 #define SILENT_NS (600 * KWF_NS_PER_S)
--- a/lib/balance/load-entry.c
+++ b/lib/balance/load-entry.c
@@ -101,7 +101,7 @@
                  int64_t now_ns)
 {
   size_t size = strlen (entry->server);
-  char last = size ? entry->server[size - 1] : '\0';
+  int last = size ? (unsigned char)entry->server[size - 1] : 0;
   *counts = (load_counts_t){ 0 };
   if (last == READING_SUFFIX)
     read_reading (entry, counts, now_ns);
--- a/lib/fleet-load.c
+++ b/lib/fleet-load.c
@@ -174,10 +174,11 @@
 own_counts (server_t *server, int64_t now_ns)
 {
   speed_decay (&server->speed, now_ns);
-  load_counts_t counts = { .open = server->open_attempts,
-                           .unanswered = server->unanswered,
-                           .reading_tokens = server->reading_tokens };
-  if (server->pace > 0 && !server->pace_heard
+  load_counts_t counts
+      = { .open = server->open_attempts, .unanswered = server->unanswered };
+  if (server_reports_pace (server))
+    counts.reading_tokens = server->reading_tokens;
+  if (server_reports_pace (server) && !server->pace_heard
       && now_ns - server->pace_ns < LOAD_PACE_AGE_NS)
     {
       counts.pace = server->pace;
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -13,7 +13,7 @@
 #include <cmocka.h>
 
 #include "common-core.h"
-#include "lib/balance/delay.h"
+#include "lib/balance/choose.h"
 #include "lib/balance/load-entry.h"
 #include "lib/balance/observe.h"
 #include "lib/balance/pace.h"
@@ -487,6 +487,34 @@
                > 4 * (late.pause_ns - 300 * MS));
 }
 
+/* Guards against an instance that opens a connection to another server for
+   each request although its kept ones lead to servers as good.  */
+static void
+kept_connections_are_chosen (void **state)
+{
+  (void)state;
+  usual_t usual;
+  server_t servers[12];
+  GPtrArray *array = g_ptr_array_new ();
+  for (guint i = 0; i < G_N_ELEMENTS (servers); i++)
+    {
+      servers[i] = engine (&usual);
+      servers[i].hash = i;
+      servers[i].pace = 100;
+      g_ptr_array_add (array, &servers[i]);
+    }
+  servers[3].kept_until_ns = 10 * MS;
+  int n_kept = 0;
+  for (uint64_t spread = 0; spread < 200; spread++)
+    n_kept += choose_by_delay (array, &long_prompt, spread, MS) == &servers[3];
+  assert_in_range (n_kept, 60, 199);
+  servers[3].reading_tokens = 4000;
+  for (uint64_t spread = 0; spread < 200; spread++)
+    n_kept -= choose_by_delay (array, &long_prompt, spread, MS) == &servers[3];
+  assert_true (n_kept >= 55);
+  g_ptr_array_free (array, TRUE);
+}
+
 int
 main (void)
 {
@@ -494,6 +522,7 @@
     cmocka_unit_test (fewer_streams_are_late_than_with_counts),
     cmocka_unit_test (unknown_pace_is_not_a_fast_one),
     cmocka_unit_test (prompts_outweigh_connections),
+    cmocka_unit_test (kept_connections_are_chosen),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
