Show the choice by expected delay in log, metrics and status

An operator could not see that servers are chosen by delay, which of them are slow, or that no server can read a prompt without a long pause of its streams.

--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -4,6 +4,7 @@
 #include "request.h"
 
 #include "balance/observe.h"
+#include "balance/report.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -68,6 +69,7 @@
       (now_ns - request->arrived_ns) / KWF_NS_PER_MS,
       (request->deadline_ns - now_ns) / KWF_NS_PER_MS,
       attempt_kind (request, hedge));
+  report_choice (core, attempt, effects);
   observe_start (attempt);
   backend_attempt_started (core->backend, server, now_ns);
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -90,6 +90,16 @@
   int64_t outcomes_ns; /* time up to which both are decayed */
   int64_t ejected_until_ns;
 
+  int64_t pace_ns;      /* when it last said its pace */
+  speed_t speed;        /* times measured there (lib/balance/) */
+  speed_t others_speed; /* the same of other instances (lib/fleet-load.h) */
+  usual_t *usual; /* means of its service; NULL: no server of it ever reported
+                     a pace */
+  int64_t kept_until_ns;  /* until then, an idle kept connection to it may be
+                             used; 0: there is none */
+  int64_t reading_tokens; /* prompt tokens of its attempts without data */
+  int64_t others_reading_tokens; /* the same of other instances */
+
   kwf_member_kind_t kind;
   circuit_t circuit;
   int missed_reports; /* load reports in a row that did not arrive */
@@ -98,36 +108,28 @@
   int waiting;
   int sent; /* requests sent by this instance since its load was last known */
   int sent_at_probe;
-  int pace;        /* how long work takes there, in per cent of its usual time;
-                      0: it never said */
-  int64_t pace_ns; /* when it said so */
-  bool pace_heard; /* it said so to another instance */
-  bool load_unreadable; /* the last load that it sent was none */
-  speed_t speed;        /* times measured there (lib/balance/) */
-  speed_t others_speed; /* the same of other instances (lib/fleet-load.h) */
-  usual_t *usual;       /* means of its service; NULL: it never reported a pace
-                         */
-  int64_t kept_until_ns;  /* until then, an idle kept connection to it may be
-                             used; 0: there is none */
-  int64_t reading_tokens; /* prompt tokens of its attempts without data */
+  int pace; /* how long work takes there, in per cent of its usual time;
+               0: it never said */
   int open_attempts;
-  int unanswered;                /* of these, attempts without any data yet */
-  bool others_known;             /* whether the next three are known
-                                    (lib/fleet-load.h) */
-  int others_open;               /* open attempts of other instances */
-  int others_unanswered;         /* of these, attempts without any data yet */
-  int64_t others_reading_tokens; /* prompt tokens of these */
-  window_t window; /* engines: limit of open_attempts (lib/window.h) */
-  double ahead;    /* queued requests that wait for it, as counted so far by
-                      a sweep of the queue */
-  int failures;    /* of attempts in a row */
-  int openings;    /* of the circuit in a row, for the back-off */
+  int unanswered;        /* of these, attempts without any data yet */
+  bool others_known;     /* whether the next two are known
+                            (lib/fleet-load.h) */
+  int others_open;       /* open attempts of other instances */
+  int others_unanswered; /* of these, attempts without any data yet */
+  window_t window;       /* engines: limit of open_attempts (lib/window.h) */
+  double ahead; /* queued requests that wait for it, as counted so far by
+                   a sweep of the queue */
+  int failures; /* of attempts in a row */
+  int openings; /* of the circuit in a row, for the back-off */
   int ejections;
 
   notice_t notice;
   limit_t limit;
-  bool listed;  /* in the latest membership list, or doubted */
-  bool present; /* in the latest membership list */
+  bool load_unreadable; /* the last load that it sent was none */
+  bool pace_heard;      /* the last pace was said to another instance */
+  bool is_slow;         /* the log has it as slow */
+  bool listed;          /* in the latest membership list, or doubted */
+  bool present;         /* in the latest membership list */
   bool member_leaving;
   bool report_leaving;
   bool reported; /* a load report or a description of it has arrived */
--- a/lib/balance/observe.c
+++ b/lib/balance/observe.c
@@ -64,9 +64,11 @@
   for (guint i = 0; i < servers->len; i++)
     {
       server_t *server = servers->pdata[i];
-      if (!server_reports_pace (server))
+      server->usual = server_reports_pace (server)
+                          ? usual_of (usuals, server->name)
+                          : g_hash_table_lookup (usuals, server->name);
+      if (!server->usual)
         continue;
-      server->usual = usual_of (usuals, server->name);
       speed_decay (&server->speed, now_ns);
       server->usual->sum += server->speed.sum + server->others_speed.sum;
       server->usual->weight
--- a/lib/balance/speed.h
+++ b/lib/balance/speed.h
@@ -8,6 +8,7 @@
 #ifndef KNAPWEEDFORK_SPEED_H
 #define KNAPWEEDFORK_SPEED_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Times measured at one server, as if its pace had been 100.  For model
@@ -32,6 +33,7 @@
                            service last asked for; 0: not known */
   double sum;           /* sums over its servers, while log_ns is computed */
   double weight;
+  bool announced; /* the log has it */
 } usual_t;
 
 /* The values of a service of which nothing is measured yet.  */
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -78,6 +78,15 @@
   uint64_t unreadable_loads; /* loads that cannot be read */
 } notice_counts_t;
 
+/* Counts of the choice by expected delay (lib/balance/report.h).  */
+typedef struct
+{
+  uint64_t n_by_delay;    /* requests sent to servers that report their pace */
+  uint64_t n_long_pauses; /* of these, with a pause expected above the route's
+                             bound */
+  int64_t next_pause_log_ns;
+} balance_counts_t;
+
 /* Waiting requests, and the state of shedding and preemption.  */
 typedef struct
 {
@@ -122,7 +131,7 @@
   retry_budget_t *retries;
   policy_t *policy;
   permits_t *permits;
-  GHashTable *usuals; /* service to usual_t (lib/balance/observe.h) */
+  GHashTable *usuals;     /* service to usual_t (lib/balance/observe.h) */
   int64_t next_usuals_ns; /* time of their next update */
   uint64_t instance_hash;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
@@ -145,6 +154,7 @@
   int64_t last_tick_ns;       /* time of the last KWF_EV_TICK */
   stop_t stop;
   notice_counts_t notices;
+  balance_counts_t balance;
 
   uint64_t n_attempts;
   uint64_t n_retries;
--- a/lib/core.c
+++ b/lib/core.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "balance/observe.h"
+#include "balance/report.h"
 #include "error-code.h"
 
 /* Means of the services change slowly, but a server that reports its pace for
@@ -204,13 +205,14 @@
 }
 
 static void
-refresh_usuals (kwf_core_t *core)
+refresh_usuals (kwf_core_t *core, kwf_effects_t *effects)
 {
   int64_t now_ns = kwf_now_ns (core->options.clock);
   if (now_ns < core->next_usuals_ns)
     return;
   core->next_usuals_ns = now_ns + USUALS_PERIOD_NS;
   observe_refresh (core->backend, core->usuals, now_ns);
+  report_slow_servers (core, effects);
 }
 
 static void
@@ -230,7 +232,7 @@
   if (core->loads)
     fleet_load_step (core->loads, core->session, core->backend, event,
                      effects);
-  refresh_usuals (core);
+  refresh_usuals (core, effects);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   update_attainment (core);
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "balance/report.h"
 #include "error-code.h"
 
 static const char *
@@ -89,6 +90,9 @@
                                     "owner", permits_owner (session, server),
                                     "permits", server->limit.n_permits,
                                     "waiting", server->limit.n_waiting));
+  json_t *delay = report_server_json (server, now_ns);
+  if (delay)
+    json_object_set_new (object, "delay", delay);
   return object;
 }
 
@@ -244,6 +248,7 @@
   metric_write_value (out, "kwf_configuration_version", "gauge",
                       (double)config_version (core->config));
   notices_write_metrics (core, out);
+  report_write_metrics (core, out);
   metric_write_value (out, "kwf_attempts_total", "counter",
                       (double)core->n_attempts);
   metric_write_value (out, "kwf_retries_total", "counter",
