Take the median of three gaps between events as a sample of the speed

The first event of a stream counted as a gap of 0, so that every fourth sample was the smallest of three gaps, and speeds were learnt slowly.

--- a/lib/balance/observe.c
+++ b/lib/balance/observe.c
@@ -5,12 +5,9 @@
 #include "delay.h"
 #include "pace.h"
 
-/* Number of gaps of which one is recorded.  It is the second smallest: the
-   larger ones may contain a prompt, and the smallest may follow an event that
-   was delayed on its way.  */
-#define GAPS 4
-/* Weight of a gap, relative to that of a whole answer.  */
-#define GAP_WEIGHT 0.5
+/* Number of gaps of which the median is recorded: the largest may contain a
+   prompt, and the smallest may follow an event that was delayed on its way.  */
+#define GAPS 3
 /* A time is taken for at most this many times the usual one, so that a server
    that stalled once does not count as slow for minutes.  */
 #define TIME_MAX 4.0
@@ -161,8 +158,9 @@
 observe_events (attempt_t *attempt, int64_t events, int64_t now_ns)
 {
   server_t *server = attempt->server;
+  /* The first events have no gap before them.  */
   if (!server->usual || !is_engine (server) || !attempt->answered
-      || events <= attempt->tokens)
+      || events <= attempt->tokens || now_ns <= attempt->event_ns)
     return;
   double gap_ns = (double)(now_ns - attempt->event_ns)
                   / (double)(events - attempt->tokens);
@@ -178,7 +176,7 @@
   if (++attempt->n_gaps < GAPS)
     return;
   attempt->n_gaps = 0;
-  add_time (server, attempt->second_gap_ns, GAP_WEIGHT, now_ns);
+  add_time (server, attempt->second_gap_ns, 1, now_ns);
 }
 
 void
