--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -5,6 +5,7 @@
 
 #include "balance/observe.h"
 #include "evacuation/home.h"
+#include "balance/report.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -69,6 +70,7 @@
       (now_ns - request->arrived_ns) / KWF_NS_PER_MS,
       (request->deadline_ns - now_ns) / KWF_NS_PER_MS,
       attempt_kind (request, hedge));
+  report_choice (core, attempt, effects);
   observe_start (attempt);
   backend_attempt_started (core->backend, server, now_ns);
   /* The attempt takes the kept connection, if there is one.  */
