Admit requests by forecast where servers report their pace

Callers saw requests that began after their target or ended at their deadline, and requests that waited 2 s for a copy that never came: each of 78 instances sees four requests a second, so its windows and queues know little of the servers.

[queue] admission = "predicted" decides from the fleet's counts and the servers' reports when a request would begin. One that would be late is refused at once, with a turn at which there will be room. Patient requests and those of callers that were refused before leave a reserve of places to urgent ones, for a bounded time.

test_events also reads the sources in directories below lib/, where these events are; without that it took them for missing.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -80,6 +80,8 @@
   int64_t queue_organisation_length; /* limit for each organisation; 0: 256 */
   double preempt_share;              /* limit on preemptions, as a share of
                                         requests */
+  bool predict_admission; /* admit the requests of services whose servers
+                             report their pace by forecast */
   /* The platform sends changes of the membership, the configuration and the
      backend servers as events, so the core does not poll for them.  This also
      selects how shares are held, how instances exchange server loads, when a
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -37,6 +37,7 @@
   int64_t lists_ms;            /* [platform] lists_ms */
   char *protocol;              /* [platform] protocol: "table" or "rows" */
   char *key_pepper;            /* contents of [keys] pepper_file */
+  char *admission;             /* [queue] admission: "window" or "predicted" */
   char *withdrawn;             /* [keys] withdrawn: "cut" or "finish" */
   char *tls_certificate;       /* path in [callers] tls_certificate, or NULL */
   char *tls_key;               /* path in [callers] tls_key, or NULL */
--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "admission/admission.h"
 #include "error-code.h"
 
 /* Find the organisation of the key of EVENT; false: EVENT was refused.  */
@@ -105,6 +106,7 @@
   request_t *request
       = request_add (core, &routed, organisation ? organisation->name : "",
                      priority, kwf_now_ns (core->options.clock));
+  admission_set_route (request, route, event->timeout_ns);
   request->max_attempts = route->max_attempts;
   request->resumable = route->stream && route->resumable;
   request->duration_kind = duration_kind (route->name, service_name,
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 
+#include "admission/admission.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -58,6 +59,7 @@
   request->n_arrived++;
   request->n_ran++;
   core->n_attempts++;
+  int priority = admission_attempt_started (core, attempt);
   kwf_effects_log (
       effects, 222, KWF_LOG_INFO, request->id,
       "sent to server=%s attempt=%d/%d load=%d+%d/%d sent_since=%d "
@@ -76,7 +78,7 @@
                                .address = server->address,
                                .deadline_ns = request->deadline_ns,
                                .resume_from = attempt->resume_from,
-                               .priority = request->priority,
+                               .priority = priority,
                                .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
                                .stream = request->stream,
@@ -408,7 +410,7 @@
     refuse_unrouted (core, request, suspect, route.verdict, effects);
   else if (suspect)
     request_trial (core, request, route.server, now_ns, effects);
-  else
+  else if (admission_check (core, request, route.server, effects))
     send_to_server (core, request, route.server, effects);
 }
 
@@ -501,6 +503,7 @@
     outcome = OUTCOME_LATE;
   if (!attempt->answered)
     attempt->server->unanswered--;
+  admission_attempt_ended (core, attempt, now_ns);
   backend_attempt_ended (core->backend, attempt->server, outcome, now_ns);
   waits_recheck_server (core, attempt->server);
   kwf_slots_remove (core->attempts, attempt->handle);
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -64,6 +64,7 @@
   SHED_FULL,         /* too many requests wait */
   SHED_NO_COPY,      /* no engine will hold its model or adapter in time */
   SHED_LIMIT,        /* the limits of the servers leave no room in time */
+  SHED_FORECAST,     /* lib/admission: it would not begin in time */
   SHED_DISPLACED,    /* a request that goes first took its place in the
                         queue */
   N_SHED_REASONS
@@ -107,6 +108,9 @@
   uint64_t n_cut;     /* requests that were open at the limit */
 } stop_t;
 
+/* State of admission by forecast (lib/admission/admission.h).  */
+typedef struct admission admission_t;
+
 struct kwf_core
 {
   kwf_core_options_t options;
@@ -126,6 +130,7 @@
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
   durations_t *durations;
   wait_queue_t waits;
+  admission_t *admission;
 
   GHashTable *requests;  /* handle to request_t */
   kwf_slots_t *attempts; /* attempt_t */
--- a/lib/core.c
+++ b/lib/core.c
@@ -1,5 +1,6 @@
 /* The reducer: passes each event to the modules and sets the timer.  */
 
+#include "admission/admission.h"
 #include "notice.h"
 #include "request.h"
 
@@ -39,6 +40,7 @@
   hedge_delays_init (core->hedge_delays, now_ns);
   core->durations = durations_new ();
   waits_init (core, now_ns);
+  core->admission = admission_new ();
   core->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->attempts = kwf_slots_new (sizeof (attempt_t));
@@ -52,6 +54,7 @@
   if (!core)
     return;
   queue_clear (&core->waits.queue);
+  admission_free (core->admission);
   g_sequence_free (core->wakes);
   kwf_slots_free (core->attempts);
   g_hash_table_unref (core->requests);
--- a/lib/request.h
+++ b/lib/request.h
@@ -94,6 +94,14 @@
      after a dispatch.  */
   const server_t *awaited[2];
   int64_t preempted_ns; /* when it was last preempted; 0: never */
+
+  /* lib/admission.  */
+  int64_t target_ns; /* for the time to the first event; 0: none */
+  bool patient;      /* it may wait for urgent requests */
+  bool returning;    /* its caller was refused before */
+  bool counted;      /* among the requests of its service */
+  bool held;         /* queued until urgent requests leave places free */
+  bool turn_came;    /* it was held for so long that it counts as urgent */
 } request_t;
 
 struct attempt
@@ -116,6 +124,7 @@
   bool late;        /* its first data came far later than that of other
                        servers */
   bool answered;    /* data arrived */
+  bool had_place;   /* its server had a free place when it was sent */
   int64_t answered_ns;  /* when the first of it did */
   bool server_lives;    /* its server answered after an open end */
   bool question_broken; /* its server broke the question at an open end */
@@ -222,6 +231,9 @@
 /* Queue REQUEST until what ROUTE lacks is there, or shed it.  */
 void wait_enter (kwf_core_t *core, request_t *request,
                  const route_result_t *route, kwf_effects_t *effects);
+/* Refuse REQUEST, which did not run, and count CAUSE.  */
+void wait_shed (kwf_core_t *core, request_t *request, shed_reason_t cause,
+                int64_t retry_after_ns, kwf_effects_t *effects);
 /* Remove REQUEST from the queue, if it is there.  SERVED: it is sent now.  */
 void wait_remove_request (kwf_core_t *core, request_t *request, bool served);
 void waits_init (kwf_core_t *core, int64_t now_ns);
@@ -238,12 +250,14 @@
    gone; shed those that would start too late, or preempt streams for them.  */
 void waits_tick (kwf_core_t *core, int64_t now_ns, kwf_effects_t *effects);
 int64_t waits_next_tick_ns (const kwf_core_t *core);
+/* admission/feedback.c */
 /* Adjust the window of the engine: the first token of ATTEMPT arrived.  */
 void wait_first_token (kwf_core_t *core, const attempt_t *attempt,
                        int64_t now_ns);
 /* Shrink the window of the engine, which answered ATTEMPT that it is busy.  */
 void wait_shrink_window (kwf_core_t *core, const attempt_t *attempt,
                          int64_t now_ns);
+/* wait.c */
 void waits_write_metrics (const kwf_core_t *core, GString *out);
 
 /* preempt.c */
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -10,6 +10,7 @@
 static const char *const tokens[] = { "checked", "unchecked", NULL };
 static const char *const withdrawal_modes[] = { "cut", "finish", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
+static const char *const admissions[] = { "window", "predicted", NULL };
 static const char *const levels[]
     = { "debug", "info", "warning", "error", NULL };
 
@@ -115,6 +116,8 @@
     .min = 10, .max = 600000 },
   { "queue", "preempt_share", SETTING_REAL, FIELD (preempt_share), .unit = "",
     .default_number = 0.05, .min = 0, .max = 0.1 },
+  { "queue", "admission", SETTING_CHOICE, FIELD (admission), .unit = "",
+    .default_text = "window", .choices = admissions },
   { "placement", "mode", SETTING_CHOICE, FIELD (placement_mode), .unit = "",
     .default_text = "dynamic", .choices = modes },
   { "placement", "weight", SETTING_CHOICE, FIELD (placement_weight),
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -1,5 +1,6 @@
 /* State of this instance as JSON, and its metrics.  */
 
+#include "admission/admission.h"
 #include "notice.h"
 #include "request.h"
 
@@ -220,6 +221,7 @@
           "suspects", (json_int_t)suspects, "quarantined",
           (json_int_t)quarantined));
   json_object_set_new (object, "queue", queue_json (core));
+  json_object_set_new (object, "admission", admission_json (core));
   json_object_set_new (object, "members", members_json (core));
   json_object_set_new (object, "servers", servers_json (core, now_ns));
   json_object_set_new (object, "placement", placement_json (core->placement));
@@ -264,6 +266,7 @@
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
   waits_write_metrics (core, out);
+  admission_write_metrics (core->admission, out);
   placement_write_metrics (core->placement, out);
   metric_write_value (out, "kwf_crash_suspects", "gauge", (double)suspects);
   metric_write_value (out, "kwf_crash_quarantined", "gauge",
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "admission/admission.h"
 #include "error-code.h"
 
 #define DEFAULT_LENGTH 1024
@@ -28,15 +29,14 @@
 /* An announced load is expected for this many times its usual duration, as
    many loads at once take longer.  */
 #define LOAD_WAIT_FACTOR 2
-/* Weight of a new sample in the mean time to the first token.  */
-#define MEAN_WEIGHT 0.0625
 #define RETRY_MIN_NS (100 * KWF_NS_PER_MS)
 #define RETRY_MAX_NS (60 * KWF_NS_PER_S)
 
 static const char *const causes[N_SHED_REASONS] = {
-  [SHED_DEADLINE] = "deadline", [SHED_ORGANISATION] = "organisation_full",
-  [SHED_FULL] = "full",         [SHED_NO_COPY] = "no_copy",
-  [SHED_LIMIT] = "limit",       [SHED_DISPLACED] = "pushed_out"
+  [SHED_DEADLINE] = "deadline",   [SHED_ORGANISATION] = "organisation_full",
+  [SHED_FULL] = "full",           [SHED_NO_COPY] = "no_copy",
+  [SHED_LIMIT] = "limit",         [SHED_FORECAST] = "forecast",
+  [SHED_DISPLACED] = "pushed_out"
 };
 
 void
@@ -61,6 +61,7 @@
         [SHED_FULL] = "too many requests wait for this model",
         [SHED_NO_COPY] = "no server has this model in time",
         [SHED_LIMIT] = "the servers take no more requests now",
+        [SHED_FORECAST] = "the servers could not answer in time",
         [SHED_DISPLACED] = "too many requests wait for this model" };
 
 static request_t *
@@ -157,9 +158,9 @@
 
 /* Shedding.  */
 
-static void
-shed (kwf_core_t *core, request_t *request, shed_reason_t cause,
-      int64_t retry_after_ns, kwf_effects_t *effects)
+void
+wait_shed (kwf_core_t *core, request_t *request, shed_reason_t cause,
+           int64_t retry_after_ns, kwf_effects_t *effects)
 {
   wait_queue_t *waits = &core->waits;
   int64_t now_ns = kwf_now_ns (core->options.clock);
@@ -233,11 +234,18 @@
                  && now_ns - announced_ns < LOAD_WAIT_FACTOR * model->load_ns;
   int64_t left_ns = MAX (loading ? announced_ns + model->load_ns - now_ns : 0,
                          RETRY_MIN_NS);
+  int64_t retry_ns = adapter ? ADAPTER_RETRY_NS : model->load_ns;
+  if (admission_applies (core, request))
+    {
+      admission_load_t load = { loading, left_ns, retry_ns };
+      admission_check_copy (core, request, &load, effects);
+      return;
+    }
   if (loading ? now_ns + left_ns <= request->deadline_ns
               : now_ns - request->arrived_ns < MODEL_WAIT_NS)
     return;
-  int64_t retry_ns = adapter ? ADAPTER_RETRY_NS : model->load_ns;
-  shed (core, request, SHED_NO_COPY, loading ? left_ns : retry_ns, effects);
+  wait_shed (core, request, SHED_NO_COPY, loading ? left_ns : retry_ns,
+             effects);
 }
 
 /* Shed REQUEST, which waits for a permit for SERVER behind AHEAD others, when
@@ -250,10 +258,10 @@
   int64_t most_ns = patience_ns (core, request, now_ns);
   if (request->n_ran || (most_ns && start_in_ns <= most_ns))
     return;
-  shed (core, request, SHED_LIMIT,
-        limit_retry_after_ns (&server->limit, request->priority,
-                              permits_n_live (core->permits), now_ns),
-        effects);
+  wait_shed (core, request, SHED_LIMIT,
+             limit_retry_after_ns (&server->limit, request->priority,
+                                   permits_n_live (core->permits), now_ns),
+             effects);
 }
 
 /* Check whether REQUEST, which waits behind AHEAD others, can start in time.
@@ -269,12 +277,15 @@
       check_model_wait (core, request, now_ns, effects);
       return;
     }
-  server_t *limited = awaited_limited (core, request, now_ns);
+  server_t *limited
+      = request->held ? NULL : awaited_limited (core, request, now_ns);
   if (limited)
     {
       check_permit_wait (core, request, limited, ahead, now_ns, effects);
       return;
     }
+  if (request->held || !admission_check_waiting (core, request, effects))
+    return;
   int64_t start_in_ns = start_after_ns (request, ahead);
   int64_t latest_start_in_ns
       = request->deadline_ns - now_ns - first_token_ns (core);
@@ -287,8 +298,8 @@
       && preempt_for (core, request, effects))
     attempt_dispatch (core, request, effects);
   else if (late && start_in_ns && !request->n_ran)
-    shed (core, request, SHED_DEADLINE, start_in_ns - latest_start_in_ns,
-          effects);
+    wait_shed (core, request, SHED_DEADLINE, start_in_ns - latest_start_in_ns,
+               effects);
 }
 
 static double
@@ -360,7 +371,7 @@
 {
   wait_queue_t *waits = &core->waits;
   request->queue_item.organisation = request->organisation;
-  request->queue_item.priority = request->priority;
+  request->queue_item.priority = admission_lane (request);
   request->queue_item.tokens = request->charged;
   request->queue_item.weight = weight_of (core, request);
   request->queue_item.resumed = request->n_ran > 0;
@@ -368,16 +379,17 @@
   switch (queue_add (&waits->queue, &request->queue_item, &displaced))
     {
     case QUEUE_ORGANISATION_FULL:
-      shed (core, request, SHED_ORGANISATION, KWF_NS_PER_S, effects);
+      wait_shed (core, request, SHED_ORGANISATION, KWF_NS_PER_S, effects);
       return false;
     case QUEUE_FULL:
-      shed (core, request, SHED_FULL, KWF_NS_PER_S, effects);
+      wait_shed (core, request, SHED_FULL, KWF_NS_PER_S, effects);
       return false;
     case QUEUE_ADDED:
       break;
     }
   if (displaced)
-    shed (core, request_of (displaced), SHED_DISPLACED, KWF_NS_PER_S, effects);
+    wait_shed (core, request_of (displaced), SHED_DISPLACED, KWF_NS_PER_S,
+               effects);
   if (waits->next_sweep_ns <= now_ns)
     waits->next_sweep_ns = now_ns + SWEEP_PERIOD_NS;
   return true;
@@ -436,10 +448,12 @@
     waits_recheck_server (core, g_ptr_array_index (servers, i));
 }
 
+/* Held requests are tried by the sweep.  */
 static bool
 waits_for_server (queue_item_t *item, void *data)
 {
-  return waits_for (request_of (item), data);
+  const request_t *request = request_of (item);
+  return !request->held && waits_for (request, data);
 }
 
 /* Send the requests that wait for SERVER while its window has room.  */
@@ -585,45 +599,6 @@
   return core->waits.queue.length ? core->waits.next_sweep_ns : INT64_MAX;
 }
 
-/* Windows.  */
-
-void
-wait_first_token (kwf_core_t *core, const attempt_t *attempt, int64_t now_ns)
-{
-  const request_t *request = attempt->request;
-  server_t *server = attempt->server;
-  int64_t time_ns = now_ns - attempt->sent_ns;
-  if (request->stream)
-    {
-      double time_s = (double)time_ns / (double)KWF_NS_PER_S;
-      double mean_s = core->waits.first_token_s;
-      core->waits.first_token_s
-          = mean_s > 0 ? mean_s + (time_s - mean_s) * MEAN_WEIGHT : time_s;
-    }
-  else if (server->waiting > 0)
-    return;
-  else
-    /* A whole answer does not show when its first token was made, but nothing
-       waits at the engine.  */
-    time_ns = 0;
-  int priority = CLAMP (request->priority, 0, QUEUE_LANES - 1);
-  if (window_record_first_token (
-          &server->window, time_ns, core->options.first_token_ns[priority],
-          server->open_attempts, server->waiting, now_ns))
-    waits_recheck_server (core, server);
-}
-
-void
-wait_shrink_window (kwf_core_t *core, const attempt_t *attempt, int64_t now_ns)
-{
-  (void)core;
-  server_t *server = attempt->server;
-  /* No first token arrived.  A target of 0 makes any delay too long, and the
-     added 1 ns keeps the delay above 0.  */
-  window_record_first_token (&server->window, now_ns - attempt->sent_ns + 1, 0,
-                             server->open_attempts, server->waiting, now_ns);
-}
-
 void
 waits_write_metrics (const kwf_core_t *core, GString *out)
 {
--- a/net/instance.c
+++ b/net/instance.c
@@ -354,8 +354,7 @@
       .finish_withdrawn = strcmp (settings->withdrawn, "finish") == 0,
       .overdraft = settings->overdraft,
       .retry_share = settings->retry_share,
-      .retry_window_ns
-      = (int64_t)(settings->retry_window_s * (double)KWF_NS_PER_S),
+      .retry_window_ns = (int64_t)(settings->retry_window_s * KWF_NS_PER_S),
       .retry_slack = settings->retry_slack,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
                           settings->first_token_ms[1] * KWF_NS_PER_MS,
@@ -363,6 +362,7 @@
       .queue_length = settings->queue_length,
       .queue_organisation_length = settings->queue_organisation_length,
       .preempt_share = settings->preempt_share,
+      .predict_admission = strcmp (settings->admission, "predicted") == 0,
       .placement = {
         .dynamic = strcmp (settings->placement_mode, "dynamic") == 0,
         .worst_served
--- a/test/common-core.c
+++ b/test/common-core.c
@@ -126,33 +126,41 @@
                                                     .message = &message } });
 }
 
-/* Start a core that serves for SERVE_MS after a stop begins and cuts what is
-   open after LIMIT_MS.  */
+/* How a core is started.  */
+typedef struct
+{
+  bool unchecked;   /* engines do not check fencing tokens */
+  bool predicted;   /* requests are admitted by forecast */
+  int64_t serve_ms; /* it serves for this time after a stop begins, */
+  int64_t limit_ms; /* and cuts what is open after this one */
+} start_t;
+
 static void
-start (core_world_t *world, bool unchecked, int64_t serve_ms, int64_t limit_ms)
+start (core_world_t *world, const start_t *how)
 {
   *world = (core_world_t){ .clock = { .clock = { &clock_ops },
                                       .now_ns = KWF_NS_PER_S } };
   world->effects = kwf_effects_new ();
-  world->core = kwf_core_new (
-      &(kwf_core_options_t){ .instance = "a",
-                             .incarnation = 1,
-                             .data_centre = "c",
-                             .caller_address = "127.0.0.1:1",
-                             .peer_address = "127.0.0.1:2",
-                             .lease_ns = 300 * KWF_NS_PER_S,
-                             .renew_ns = 100 * KWF_NS_PER_S,
-                             .address_lifetime_ns = KWF_NS_PER_S,
-                             .default_timeout_ns = 60 * KWF_NS_PER_S,
-                             .retry_share = 0.2,
-                             .push_updates = true,
-                             .stop_serve_ns = serve_ms * KWF_NS_PER_MS,
-                             .stop_limit_ns = limit_ms * KWF_NS_PER_MS,
-                             .placement = { .dynamic = true,
-                                            .lease_ns = 2 * KWF_NS_PER_S,
-                                            .fencing_unchecked = unchecked },
-                             .clock = &world->clock.clock,
-                             .random = &fixed_random });
+  world->core = kwf_core_new (&(kwf_core_options_t){
+      .instance = "a",
+      .incarnation = 1,
+      .data_centre = "c",
+      .caller_address = "127.0.0.1:1",
+      .peer_address = "127.0.0.1:2",
+      .lease_ns = 300 * KWF_NS_PER_S,
+      .renew_ns = 100 * KWF_NS_PER_S,
+      .address_lifetime_ns = KWF_NS_PER_S,
+      .default_timeout_ns = 60 * KWF_NS_PER_S,
+      .retry_share = 0.2,
+      .push_updates = true,
+      .predict_admission = how->predicted,
+      .stop_serve_ns = how->serve_ms * KWF_NS_PER_MS,
+      .stop_limit_ns = how->limit_ms * KWF_NS_PER_MS,
+      .placement = { .dynamic = true,
+                     .lease_ns = 2 * KWF_NS_PER_S,
+                     .fencing_unchecked = how->unchecked },
+      .clock = &world->clock.clock,
+      .random = &fixed_random });
   core_world_step (
       world, &(kwf_event_t){ .type = KWF_EV_PEER_UP,
                              .peer = { .instance = "b", .incarnation = 1 } });
@@ -173,14 +181,24 @@
 void
 core_world_start_tokens (core_world_t *world, bool unchecked)
 {
-  start (world, unchecked, CORE_WORLD_SERVE_MS, CORE_WORLD_STOP_MS);
+  start (world, &(start_t){ .unchecked = unchecked,
+                            .serve_ms = CORE_WORLD_SERVE_MS,
+                            .limit_ms = CORE_WORLD_STOP_MS });
+}
+
+void
+core_world_start_admission (core_world_t *world, bool predicted)
+{
+  start (world, &(start_t){ .predicted = predicted,
+                            .serve_ms = CORE_WORLD_SERVE_MS,
+                            .limit_ms = CORE_WORLD_STOP_MS });
 }
 
 void
 core_world_start_grace (core_world_t *world, int64_t serve_ms,
                         int64_t limit_ms)
 {
-  start (world, false, serve_ms, limit_ms);
+  start (world, &(start_t){ .serve_ms = serve_ms, .limit_ms = limit_ms });
 }
 
 void
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -35,6 +35,8 @@
 void core_world_start (core_world_t *world);
 /* The same.  UNCHECKED: the engines do not check fencing tokens.  */
 void core_world_start_tokens (core_world_t *world, bool unchecked);
+/* The same.  PREDICTED: requests are admitted by forecast.  */
+void core_world_start_admission (core_world_t *world, bool predicted);
 /* The same with other limits of a stop.  */
 void core_world_start_grace (core_world_t *world, int64_t serve_ms,
                              int64_t limit_ms);
--- a/test/test_events.c
+++ b/test/test_events.c
@@ -53,25 +53,32 @@
   g_free (text);
 }
 
+/* Adds the numbers of the sources in PATH and the directories below it.  */
+static void
+add_directory (GHashTable *numbers, const char *path)
+{
+  GDir *directory = g_dir_open (path, 0, NULL);
+  const char *name;
+  while (directory && (name = g_dir_read_name (directory)))
+    {
+      char *inner = g_build_filename (path, name, NULL);
+      if (g_file_test (inner, G_FILE_TEST_IS_DIR))
+        add_directory (numbers, inner);
+      else if (g_str_has_suffix (name, ".c"))
+        add_calls (numbers, inner);
+      g_free (inner);
+    }
+  if (directory)
+    g_dir_close (directory);
+}
+
 /* Numbers of all log events in the code.  */
 static GHashTable *
 numbers_in_code (void)
 {
   GHashTable *numbers = g_hash_table_new (g_direct_hash, g_direct_equal);
   for (size_t i = 0; i < G_N_ELEMENTS (directories); i++)
-    {
-      GDir *directory = g_dir_open (directories[i], 0, NULL);
-      const char *name;
-      while (directory && (name = g_dir_read_name (directory)))
-        {
-          char *path = g_build_filename (directories[i], name, NULL);
-          if (g_str_has_suffix (name, ".c"))
-            add_calls (numbers, path);
-          g_free (path);
-        }
-      if (directory)
-        g_dir_close (directory);
-    }
+    add_directory (numbers, directories[i]);
   return numbers;
 }
 
