Tell callers that no server took a time that they honour

A caller whose request found the queues of all servers full was told 1 s, and one that met a pause up to 5 s more than the pause: beyond a third of what it has left, a caller does not come back. Where requests are admitted by forecast, such callers get the next turn, and the spread after a pause is cut to that time.

An old report of a full server no longer refuses requests while the fleet's counts are missing, and a stopping instance holds no request.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -3,11 +3,13 @@
 #include <string.h>
 
 #include "history.h"
-#include "retry.h"
+#include "state.h"
 
 /* A report of the load is newer than what the fleet's counts say, while it is
    younger than their period.  */
 #define REPORT_NEWER_NS (200 * KWF_NS_PER_MS)
+/* Without the fleet's counts, a report counts for this time.  */
+#define REPORT_MAX_AGE_NS (1 * KWF_NS_PER_S)
 /* Weight of a new sample in the mean times of a service.  */
 #define MEAN_WEIGHT 0.0625
 /* Requests are counted over about this time, to know the share of urgent
@@ -22,46 +24,6 @@
 /* The demand of a caller that was refused for want of a copy stands until this
    long after it is to come back.  */
 #define DEMAND_AFTER_NS (1 * KWF_NS_PER_S)
-#define N_CLASSES 2
-
-static const char *const classes[N_CLASSES] = { "urgent", "patient" };
-
-typedef enum
-{
-  OUTCOME_STARTED,
-  OUTCOME_HELD,
-  OUTCOME_TURN, /* held until its turn counted as urgent */
-  OUTCOME_REFUSED_LATE,
-  OUTCOME_REFUSED_CUT,
-  OUTCOME_REFUSED_NO_COPY,
-  N_OUTCOMES
-} admission_outcome_t;
-
-static const char *const outcomes[N_OUTCOMES]
-    = { "started",      "held",        "turn",
-        "refused_late", "refused_cut", "refused_no_copy" };
-
-typedef struct
-{
-  bool reported;      /* its servers report their pace */
-  int64_t checked_ns; /* when that was looked up */
-  double run_s;       /* mean time of a request at a server; 0: not known */
-  double read_s;      /* part of it until the first event */
-  double urgent;      /* requests lately, decayed */
-  double all;
-  int64_t counted_ns;
-  admission_turns_t turns;
-} service_t;
-
-struct admission
-{
-  GHashTable *histories; /* server id to admission_history_t */
-  int64_t next_sample_ns;
-  GHashTable *services; /* name to service_t */
-  uint64_t counts[N_OUTCOMES][N_CLASSES];
-  double held_s; /* time for which requests were held */
-};
-
 admission_t *
 admission_new (void)
 {
@@ -81,13 +43,14 @@
   g_free (admission);
 }
 
-static service_t *
+static admission_service_t *
 service_of (admission_t *admission, const char *name)
 {
-  service_t *service = g_hash_table_lookup (admission->services, name);
+  admission_service_t *service
+      = g_hash_table_lookup (admission->services, name);
   if (!service)
     {
-      service = g_new0 (service_t, 1);
+      service = g_new0 (admission_service_t, 1);
       service->checked_ns = -REPORTS_CHECK_NS;
       g_hash_table_insert (admission->services, g_strdup (name), service);
     }
@@ -117,7 +80,8 @@
       || !request->service)
     return false;
   int64_t now_ns = kwf_now_ns (core->options.clock);
-  service_t *service = service_of (core->admission, request->service);
+  admission_service_t *service
+      = service_of (core->admission, request->service);
   if (now_ns - service->checked_ns >= REPORTS_CHECK_NS)
     {
       service->checked_ns = now_ns;
@@ -150,14 +114,9 @@
   core->admission->counts[outcome][class_of (request)]++;
 }
 
-static double
-urgent_share (const service_t *service)
-{
-  return service->all > 0 ? service->urgent / service->all : 0;
-}
-
 static void
-count_request (service_t *service, const request_t *request, int64_t now_ns)
+count_request (admission_service_t *service, const request_t *request,
+               int64_t now_ns)
 {
   double passed_s
       = (double)(now_ns - service->counted_ns) / (double)KWF_NS_PER_S;
@@ -177,13 +136,18 @@
   return (int64_t)(seconds * (double)KWF_NS_PER_S);
 }
 
+/* Requests that are open at SERVER.  Without a recent report or the fleet's
+   counts only those of this instance are known: an old report of a full server
+   would refuse requests for which there is room.  */
 static int
 open_at (const server_t *server, int64_t now_ns)
 {
-  bool newer = server->pace_ns && now_ns - server->pace_ns < REPORT_NEWER_NS;
-  return server->others_known && !newer
-             ? server->others_open + server->open_attempts
-             : server_load (server);
+  int64_t age_ns = server->pace_ns ? now_ns - server->pace_ns : INT64_MAX;
+  if (age_ns < REPORT_NEWER_NS
+      || (!server->others_known && age_ns < REPORT_MAX_AGE_NS))
+    return server_load (server);
+  return (server->others_known ? server->others_open : 0)
+         + server->open_attempts;
 }
 
 static bool
@@ -232,8 +196,8 @@
 }
 
 static admission_holder_t
-holder_at (kwf_core_t *core, const service_t *service, const server_t *server,
-           int64_t now_ns)
+holder_at (kwf_core_t *core, const admission_service_t *service,
+           const server_t *server, int64_t now_ns)
 {
   const admission_history_t *history = history_of (core->admission, server);
   return (admission_holder_t){
@@ -247,7 +211,7 @@
 
 static admission_forecast_t
 forecast_for (kwf_core_t *core, const request_t *request,
-              const service_t *service, int64_t now_ns)
+              const admission_service_t *service, int64_t now_ns)
 {
   const GPtrArray *servers
       = request->model
@@ -272,7 +236,8 @@
 static admission_query_t
 query_for (kwf_core_t *core, const request_t *request, int64_t now_ns)
 {
-  const service_t *service = service_of (core->admission, request->service);
+  const admission_service_t *service
+      = service_of (core->admission, request->service);
   admission_query_t query = {
     .patient = request->patient,
     .returning = request->returning,
@@ -287,15 +252,16 @@
      priority may.  */
   if (query.patient && !query.target_ns)
     query.target_ns = core->options.first_token_ns[QUEUE_LANES - 1];
-  query.reserve
-      = admission_reserve (query.forecast.slots, urgent_share (service));
+  query.reserve = admission_reserve (query.forecast.slots,
+                                     admission_urgent_share (service));
   return query;
 }
 
 /* Refusals.  */
 
 static double
-places_per_s (kwf_core_t *core, const char *name, const service_t *service)
+places_per_s (kwf_core_t *core, const char *name,
+              const admission_service_t *service)
 {
   const GPtrArray *servers = backend_servers_of_service (core->backend, name);
   double slots = 0;
@@ -310,7 +276,8 @@
 retry_after_ns (kwf_core_t *core, const request_t *request, int64_t room_in_ns,
                 int64_t now_ns)
 {
-  service_t *service = service_of (core->admission, request->service);
+  admission_service_t *service
+      = service_of (core->admission, request->service);
   uint64_t seed[2] = { request->hash, g_str_hash (core->options.instance) };
   uint32_t drawn = (uint32_t)((seed[0] ^ seed[1] * 0x9E3779B97F4A7C15U) >> 32);
   return admission_retry_ns (
@@ -325,6 +292,30 @@
       now_ns);
 }
 
+int64_t
+admission_retry_ms (kwf_core_t *core, const request_t *request,
+                    int64_t otherwise_ms)
+{
+  if (request->n_ran || !admission_applies (core, request))
+    return otherwise_ms;
+  int64_t now_ns = kwf_now_ns (core->options.clock);
+  admission_forecast_t forecast = forecast_for (
+      core, request, service_of (core->admission, request->service), now_ns);
+  return retry_after_ns (core, request, forecast.start_ns, now_ns)
+         / KWF_NS_PER_MS;
+}
+
+int64_t
+admission_return_ns (kwf_core_t *core, const request_t *request,
+                     int64_t return_ns, int64_t soonest_ns)
+{
+  if (!admission_applies (core, request))
+    return return_ns;
+  int64_t left_ns = request->deadline_ns - kwf_now_ns (core->options.clock);
+  int64_t latest_ns = admission_latest_return_ns (left_ns);
+  return MIN (return_ns, MAX (latest_ns, soonest_ns));
+}
+
 static void
 refuse (kwf_core_t *core, request_t *request, const admission_query_t *query,
         const admission_decision_t *decision, kwf_effects_t *effects)
@@ -342,7 +333,8 @@
       " returning=%d free=%d/%d retry_ms=%" G_GINT64_FORMAT,
       late ? "late" : "cut", request->organisation,
       request->model ? request->model : request->service,
-      classes[class_of (request)], query->forecast.start_ns / KWF_NS_PER_MS,
+      request->patient ? "patient" : "urgent",
+      query->forecast.start_ns / KWF_NS_PER_MS,
       query->target_ns / KWF_NS_PER_MS, query->left_ns / KWF_NS_PER_MS,
       query->waited_ns / KWF_NS_PER_MS, request->returning,
       query->forecast.free, query->forecast.slots, retry_ns / KWF_NS_PER_MS);
@@ -439,6 +431,9 @@
   request->counted = true;
   admission_query_t query = query_for (core, request, now_ns);
   admission_decision_t decision = admission_decide (&query);
+  /* A stopping instance has no time to hold a request.  */
+  if (decision.verdict == ADMISSION_HOLD && core->stop.stopping)
+    decision.verdict = ADMISSION_START;
   if (decision.verdict == ADMISSION_HOLD)
     {
       hold (core, request, server, &query, effects);
@@ -509,60 +504,9 @@
   if (!attempt->had_place || !attempt->ended || attempt->failed
       || attempt->resume_from || !attempt->request->service)
     return;
-  service_t *service = service_of (core->admission, attempt->request->service);
+  admission_service_t *service
+      = service_of (core->admission, attempt->request->service);
   add_sample (&service->run_s, now_ns - attempt->sent_ns);
   int64_t first_ns = attempt->answered ? attempt->answered_ns : now_ns;
   add_sample (&service->read_s, first_ns - attempt->sent_ns);
 }
-
-/* Metrics.  */
-
-void
-admission_write_metrics (const admission_t *admission, GString *out)
-{
-  g_string_append (out, "# TYPE kwf_admissions_total counter\n");
-  for (int i = 0; i < N_OUTCOMES; i++)
-    for (int j = 0; j < N_CLASSES; j++)
-      g_string_append_printf (out,
-                              "kwf_admissions_total{outcome=\"%s\",class=\"%"
-                              "s\"} %" G_GUINT64_FORMAT "\n",
-                              outcomes[i], classes[j],
-                              admission->counts[i][j]);
-  metric_write_value (out, "kwf_admission_held_seconds_total", "counter",
-                      admission->held_s);
-}
-
-json_t *
-admission_json (const kwf_core_t *core)
-{
-  const admission_t *admission = core->admission;
-  json_t *object = json_object ();
-  json_object_set_new (object, "predicted",
-                       json_boolean (core->options.predict_admission));
-  for (int i = 0; i < N_OUTCOMES; i++)
-    {
-      json_t *counts = json_object ();
-      for (int j = 0; j < N_CLASSES; j++)
-        json_object_set_new (
-            counts, classes[j],
-            json_integer ((json_int_t)admission->counts[i][j]));
-      json_object_set_new (object, outcomes[i], counts);
-    }
-  json_t *services = json_object ();
-  GHashTableIter iter;
-  gpointer name;
-  gpointer value;
-  g_hash_table_iter_init (&iter, admission->services);
-  while (g_hash_table_iter_next (&iter, &name, &value))
-    {
-      const service_t *service = value;
-      json_object_set_new (services, name,
-                           json_pack ("{s:b,s:f,s:f,s:f}", "reports_pace",
-                                      (int)service->reported, "run_ms",
-                                      service->run_s * 1000, "first_ms",
-                                      service->read_s * 1000, "urgent_share",
-                                      urgent_share (service)));
-    }
-  json_object_set_new (object, "services", services);
-  return object;
-}
--- a/lib/admission/admission.h
+++ b/lib/admission/admission.h
@@ -46,6 +46,17 @@
    called after fleet_load_step, whose timer has the same period.  */
 void admission_tick (kwf_core_t *core, int64_t now_ns);
 
+/* Time after which the caller of REQUEST, which no server took, is to come
+   back; OTHERWISE_MS where requests are not admitted by forecast.  */
+int64_t admission_retry_ms (kwf_core_t *core, const request_t *request,
+                            int64_t otherwise_ms);
+
+/* The same for a caller that is to come back after RETURN_NS, of which only
+   SOONEST_NS are needed and the rest spreads the callers: it is cut to what
+   callers honour.  */
+int64_t admission_return_ns (kwf_core_t *core, const request_t *request,
+                             int64_t return_ns, int64_t soonest_ns);
+
 /* Lane of the queue in which REQUEST waits.  */
 int admission_lane (const request_t *request);
 
--- a/lib/admission/retry.c
+++ b/lib/admission/retry.c
@@ -20,6 +20,12 @@
   return value_ns < min_ns ? min_ns : value_ns > max_ns ? max_ns : value_ns;
 }
 
+int64_t
+admission_latest_return_ns (int64_t left_ns)
+{
+  return clamp_ns (left_ns / LEFT_PART, RETRY_MIN_NS, INT64_MAX);
+}
+
 int64_t
 admission_retry_ns (admission_turns_t *turns,
                     const admission_refusal_t *refusal, int64_t now_ns)
@@ -38,7 +44,6 @@
   *next_ns = clamp_ns (turn_ns + spacing_ns, 0, now_ns + TURNS_MAX_NS);
   int64_t retry_ns
       = turn_ns - now_ns + (int64_t)((double)spacing_ns * refusal->jitter);
-  int64_t most_ns = refusal->left_ns / LEFT_PART;
   return clamp_ns (retry_ns, RETRY_MIN_NS,
-                   most_ns > RETRY_MIN_NS ? most_ns : RETRY_MIN_NS);
+                   admission_latest_return_ns (refusal->left_ns));
 }
--- a/lib/admission/retry.h
+++ b/lib/admission/retry.h
@@ -28,6 +28,9 @@
   int64_t left_ns;     /* time that the caller has left */
 } admission_refusal_t;
 
+/* The latest time after which a caller that has LEFT_NS comes back at all.  */
+int64_t admission_latest_return_ns (int64_t left_ns);
+
 /* Time from NOW_NS after which the caller of REFUSAL is to come back.  Takes
    the next turn of TURNS.  */
 int64_t admission_retry_ns (admission_turns_t *turns,
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -227,11 +227,14 @@
       int64_t now_ns = kwf_now_ns (core->options.clock);
       int64_t after_ns
           = notice_retry_after_ns (paused, request->priority, now_ns);
+      after_ns = admission_return_ns (core, request, after_ns,
+                                      paused->notice.pause_until_ns - now_ns);
       request_fail (core, request, CODE_OVERLOADED, after_ns / KWF_NS_PER_MS,
                     "the servers that could run the request asked for a pause",
                     effects);
       return;
     }
+  int64_t retry_ms = admission_retry_ms (core, request, 1000);
   if (request_has_begun (request))
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
                   "the stream broke and no server can resume it", effects);
@@ -241,13 +244,13 @@
                   "candidate is not available",
                   effects);
   else if (request->last_code != CODE_OK)
-    request_fail (core, request, request->last_code, 1000,
+    request_fail (core, request, request->last_code, retry_ms,
                   "no other server could answer", effects);
   else if (verdict == ROUTE_NONE && request_has_model (request))
-    request_fail (core, request, CODE_MODEL_NOT_RESIDENT, 1000,
+    request_fail (core, request, CODE_MODEL_NOT_RESIDENT, retry_ms,
                   "no server holds the model now", effects);
   else
-    request_fail (core, request, CODE_NO_SERVER, 1000,
+    request_fail (core, request, CODE_NO_SERVER, retry_ms,
                   "no server can take the request now", effects);
 }
 
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -9,8 +9,6 @@
 #include <cmocka.h>
 
 #include "common-core.h"
-#include "lib/admission/decide.h"
-#include "lib/admission/retry.h"
 #include "lib/lists-build.h"
 
 #define MS KWF_NS_PER_MS
@@ -77,6 +75,9 @@
   GArray *runs[N_SERVERS]; /* of run_t, in the order of arrival */
   GArray *calls;
   int64_t now_ms;
+  int pace;   /* that the servers report; 0: none */
+  int n_lost; /* callers that do not come back, since the time that they were
+                 told is too late */
 } replay_t;
 
 static void
@@ -164,7 +165,7 @@
                                      .running = running,
                                      .waiting = (int)runs->len - running,
                                      .slots = SLOTS,
-                                     .pace = 100 } });
+                                     .pace = replay->pace } });
 }
 
 static void
@@ -198,6 +199,7 @@
       = call->sent_ms + kinds[call->kind].timeout_ns / MS - replay->now_ms;
   bool honoured
       = reply->retry_after_ms >= 0 && reply->retry_after_ms <= left_ms / 3;
+  replay->n_lost += !honoured;
   if (call->n_tries == 1 && honoured)
     call->again_ms = replay->now_ms + reply->retry_after_ms;
 }
@@ -226,8 +228,7 @@
 {
   call_t *call = &g_array_index (replay->calls, call_t, index);
   call->again_ms = 0;
-  call->core = (call->core + 5 * call->n_tries) % N_CORES;
-  call->n_tries++;
+  call->core = (call->core + 5 * call->n_tries++) % N_CORES;
   const kwf_route_t *kind = &kinds[call->kind];
   int64_t left_ns = kind->timeout_ns - (replay->now_ms - call->sent_ms) * MS;
   kwf_handle_t handle = (kwf_handle_t)index * 4 + (kwf_handle_t)call->n_tries;
@@ -309,8 +310,8 @@
 {
   int n[N_KINDS];
   int in_time[N_KINDS];
-  int late[N_KINDS];
   int refused_twice;
+  int n_lost;
   int64_t slowest_start_ms; /* of a patient call, from its first try */
   double value;             /* of what was asked for */
 } result_t;
@@ -318,7 +319,7 @@
 static result_t
 judge (const replay_t *replay, const char *name)
 {
-  result_t result = { 0 };
+  result_t result = { .n_lost = replay->n_lost };
   double most = 0;
   for (guint i = 0; i < replay->calls->len; i++)
     {
@@ -327,7 +328,6 @@
       bool in_time = first_ms <= kinds[call->kind].objective_ns / MS;
       result.n[call->kind]++;
       result.in_time[call->kind] += call->ended && in_time;
-      result.late[call->kind] += call->ended && !in_time;
       result.refused_twice += call->n_refused > 1;
       most += values[call->kind][0];
       result.value += call->ended ? values[call->kind][!in_time] : 0;
@@ -336,21 +336,22 @@
                                        call->ended ? first_ms : INT64_MAX);
     }
   result.value /= most;
-  print_message ("%s: value %.3f, urgent %d/%d in time and %d late, patient "
-                 "%d/%d and %d, refused twice %d, slowest patient %lld ms\n",
-                 name, result.value, result.in_time[URGENT], result.n[URGENT],
-                 result.late[URGENT], result.in_time[PATIENT],
-                 result.n[PATIENT], result.late[PATIENT], result.refused_twice,
-                 (long long)result.slowest_start_ms);
+  print_message (
+      "%s: value %.3f, in time: urgent %d/%d, patient %d/%d, slowest "
+      "patient %lld ms\n",
+      name, result.value, result.in_time[URGENT], result.n[URGENT],
+      result.in_time[PATIENT], result.n[PATIENT],
+      (long long)result.slowest_start_ms);
   return result;
 }
 
 /* 5 s in which FACTOR times as much work arrives as there are places for,
    between 10 s and 50 s with half of that.  */
 static result_t
-replay_overload (bool predicted, double factor, uint32_t seed)
+replay_overload (bool predicted, int pace, double factor, uint32_t seed)
 {
-  replay_t replay = { .calls = g_array_new (FALSE, FALSE, sizeof (call_t)) };
+  replay_t replay
+      = { .pace = pace, .calls = g_array_new (FALSE, FALSE, sizeof (call_t)) };
   for (int i = 0; i < N_CORES; i++)
     start_core (&replay.cores[i], predicted);
   for (int i = 0; i < N_SERVERS; i++)
@@ -403,6 +404,7 @@
   for (int i = 0; i < N_KINDS; i++)
     sum->in_time[i] += result->in_time[i];
   sum->refused_twice += result->refused_twice;
+  sum->n_lost += result->n_lost;
   sum->slowest_start_ms
       = MAX (sum->slowest_start_ms, result->slowest_start_ms);
   sum->value += result->value;
@@ -422,19 +424,30 @@
       result_t after = { 0 };
       for (uint32_t seed = 1; seed <= 4; seed++)
         {
-          result_t result = replay_overload (false, factors[i], seed);
+          result_t result = replay_overload (false, 100, factors[i], seed);
           add_result (&before, &result);
-          result = replay_overload (true, factors[i], seed);
+          result = replay_overload (true, 100, factors[i], seed);
           add_result (&after, &result);
         }
       assert_true (after.value > before.value);
       assert_true (after.in_time[URGENT] > before.in_time[URGENT]);
       assert_int_equal (after.refused_twice, 0);
+      assert_int_equal (after.n_lost, 0);
       assert_in_range (after.slowest_start_ms, 0,
                        kinds[PATIENT].objective_ns / MS);
     }
 }
 
+/* Guards against a change for services whose servers report no pace.  */
+static void
+servers_without_a_pace_are_used_as_before (void **state)
+{
+  (void)state;
+  result_t before = replay_overload (false, 0, 2, 1);
+  result_t after = replay_overload (true, 0, 2, 1);
+  assert_memory_equal (&before, &after, sizeof before);
+}
+
 /* A core whose servers report their pace.  */
 static void
 start_reporting (core_world_t *world)
@@ -508,81 +521,12 @@
   core_world_stop (&world);
 }
 
-/* Guards against callers that come back together, out of order, or after the
-   time in which they come back at all.  */
-static void
-callers_come_back_in_order_and_spread (void **state)
-{
-  (void)state;
-  admission_turns_t turns = { 0 };
-  int64_t last_ns = 0;
-  int64_t now_ns = KWF_NS_PER_S;
-  for (int i = 0; i < 6; i++)
-    {
-      admission_refusal_t refusal = { .room_in_ns = 200 * MS,
-                                      .places_per_s = 16,
-                                      .n_instances = 2,
-                                      .left_ns = 15000 * MS };
-      int64_t retry_ns = admission_retry_ns (&turns, &refusal, now_ns);
-      assert_true (retry_ns >= last_ns + 400 * MS || i == 0);
-      last_ns = retry_ns;
-      refusal.patient = true;
-      assert_true (admission_retry_ns (&turns, &refusal, now_ns) > retry_ns);
-      refusal.left_ns = 600 * MS;
-      assert_in_range (admission_retry_ns (&turns, &refusal, now_ns), 100 * MS,
-                       200 * MS);
-    }
-}
-
-/* Guards against a forecast that takes a request for late while a place is
-   free or nothing is known, and against one that holds it for ever.  */
-static void
-decisions_follow_the_forecast (void **state)
-{
-  (void)state;
-  const admission_holder_t full
-      = { .slots = 16, .open = 20, .open_before = 16, .slowdown = 1 };
-  const admission_holder_t holders[] = { full, { 16, 14, 14, 1 } };
-  admission_query_t query = { .target_ns = 500 * MS,
-                              .left_ns = 15000 * MS,
-                              .run_ns = 2000 * MS,
-                              .read_ns = 100 * MS };
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_START);
-  query.forecast = admission_forecast (holders, 2, query.run_ns);
-  assert_int_equal (query.forecast.free, 2);
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_START);
-  /* The fifth place to come free, one each 125 ms.  */
-  query.forecast = admission_forecast (holders, 1, query.run_ns);
-  assert_int_equal (query.forecast.start_ns, 625 * MS);
-  admission_decision_t decision = admission_decide (&query);
-  assert_int_equal (decision.verdict, ADMISSION_LATE);
-  assert_int_equal (decision.room_in_ns, 225 * MS);
-  query.returning = true;
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_HOLD);
-  query.left_ns = 5900 * MS;
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_START);
-  query.left_ns = 2500 * MS;
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_CUT);
-  query = (admission_query_t){ .patient = true,
-                               .target_ns = 20000 * MS,
-                               .left_ns = 30000 * MS,
-                               .run_ns = 2000 * MS,
-                               .reserve = admission_reserve (16, 0.8),
-                               .forecast = query.forecast };
-  assert_int_equal (query.reserve, 4);
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_HOLD);
-  query.waited_ns = 15000 * MS;
-  query.left_ns = 15000 * MS;
-  assert_int_equal (admission_decide (&query).verdict, ADMISSION_START);
-}
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (decisions_follow_the_forecast),
-    cmocka_unit_test (callers_come_back_in_order_and_spread),
     cmocka_unit_test (request_waits_only_for_an_announced_copy),
+    cmocka_unit_test (servers_without_a_pace_are_used_as_before),
     cmocka_unit_test (urgent_work_finds_room_in_an_overload),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
