Admission: a caller that returns within its target is treated as urgent

A caller that came back after a refusal was held behind the reserve although its first event could still be in time. The time since it first sent its request now counts towards the target: as long as the forecast is within it, the request starts at once.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -97,9 +97,9 @@
   request->target_ns = route->objective_ns;
   request->patient = admission_is_patient (
       route->objective_ns, MAX (route->priority, request->priority));
-  request->returning
-      = caller_timeout_ns > 0 && route->timeout_ns > 0
-        && route->timeout_ns - caller_timeout_ns > RETURNED_AFTER_NS;
+  int64_t spent_ns
+      = caller_timeout_ns > 0 ? route->timeout_ns - caller_timeout_ns : 0;
+  request->spent_ns = spent_ns > RETURNED_AFTER_NS ? spent_ns : 0;
 }
 
 static int
@@ -240,7 +240,7 @@
       = service_of (core->admission, request->service);
   admission_query_t query = {
     .patient = request->patient,
-    .returning = request->returning,
+    .spent_ns = request->spent_ns,
     .target_ns = request->target_ns,
     .waited_ns = now_ns - request->arrived_ns,
     .left_ns = request->deadline_ns - now_ns,
@@ -330,13 +330,13 @@
       "refused by forecast: cause=%s organisation=%s target=%s class=%s "
       "start_ms=%" G_GINT64_FORMAT " aim_ms=%" G_GINT64_FORMAT
       " left_ms=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT
-      " returning=%d free=%d/%d retry_ms=%" G_GINT64_FORMAT,
+      " spent_ms=%" G_GINT64_FORMAT " free=%d/%d retry_ms=%" G_GINT64_FORMAT,
       late ? "late" : "cut", request->organisation,
       request->model ? request->model : request->service,
       request->patient ? "patient" : "urgent",
       query->forecast.start_ns / KWF_NS_PER_MS,
       query->target_ns / KWF_NS_PER_MS, query->left_ns / KWF_NS_PER_MS,
-      query->waited_ns / KWF_NS_PER_MS, request->returning,
+      query->waited_ns / KWF_NS_PER_MS, query->spent_ns / KWF_NS_PER_MS,
       query->forecast.free, query->forecast.slots, retry_ns / KWF_NS_PER_MS);
   wait_shed (core, request, SHED_FORECAST, retry_ns, effects);
 }
--- a/lib/admission/decide.c
+++ b/lib/admission/decide.c
@@ -31,21 +31,32 @@
 {
   int64_t hold_ns
       = query->waited_ns + query->left_ns - HOLD_RUNS * query->run_ns;
-  int64_t by_target_ns = (int64_t)((double)query->target_ns * HOLD_SHARE);
+  int64_t by_target_ns
+      = (int64_t)((double)query->target_ns * HOLD_SHARE) - query->spent_ns;
   if (query->patient && by_target_ns < hold_ns)
     hold_ns = by_target_ns;
   return hold_ns > 0 ? hold_ns : 0;
 }
 
-/* Whether the request of QUERY leaves the free places to others.  The answer
-   for a returning caller is late, so it is not to make others late, but it
-   goes before patient requests.  */
+/* Time in which the request of QUERY has to begin so that its first event is
+   in time.  */
+static int64_t
+in_time_ns (const admission_query_t *query)
+{
+  return query->target_ns > 0 ? query->target_ns - query->spent_ns
+                                    - query->waited_ns - query->read_ns
+                              : INT64_MAX;
+}
+
+/* Whether the request of QUERY leaves the free places to others.  A late
+   answer for a caller that returned is not to make others late, but it goes
+   before patient requests.  */
 static bool
 gives_way (const admission_query_t *query)
 {
   if (query->patient)
     return query->forecast.free <= query->reserve;
-  return query->returning
+  return query->spent_ns > 0 && query->forecast.start_ns > in_time_ns (query)
          && query->forecast.free <= query->reserve / RETURNING_PART;
 }
 
@@ -68,14 +79,11 @@
     decision.verdict = ADMISSION_CUT;
   /* A caller that was refused before, or was held, would get less from another
      refusal than from a late answer.  */
-  if (!query->patient && !query->returning && query->target_ns > 0)
+  if (!query->patient && !query->spent_ns && in_time_ns (query) < latest_ns)
     {
-      int64_t in_time_ns
-          = query->target_ns - query->waited_ns - query->read_ns;
-      if (in_time_ns < latest_ns)
-        latest_ns = in_time_ns;
+      latest_ns = in_time_ns (query);
       if (decision.verdict == ADMISSION_START
-          && forecast->start_ns > in_time_ns)
+          && forecast->start_ns > latest_ns)
         decision.verdict = ADMISSION_LATE;
     }
   if (decision.verdict != ADMISSION_START)
--- a/lib/admission/decide.h
+++ b/lib/admission/decide.h
@@ -22,7 +22,8 @@
 typedef struct
 {
   bool patient;
-  bool returning;    /* its caller was refused before */
+  int64_t spent_ns;  /* since its caller first sent it, if it returns after a
+                        refusal; 0: it does not */
   int64_t target_ns; /* for the time to the first event; 0: none */
   int64_t waited_ns; /* since it arrived */
   int64_t left_ns;   /* until its deadline */
--- a/lib/request.h
+++ b/lib/request.h
@@ -97,8 +97,9 @@
 
   /* lib/admission.  */
   int64_t target_ns; /* for the time to the first event; 0: none */
+  int64_t spent_ns;  /* since its caller first sent it, if that was refused; 0:
+                        it was not */
   bool patient;      /* it may wait for urgent requests */
-  bool returning;    /* its caller was refused before */
   bool counted;      /* among the requests of its service */
   bool held;         /* queued until urgent requests leave places free */
   bool turn_came;    /* it was held for so long that it counts as urgent */
--- a/test/test_admission_forecast.c
+++ b/test/test_admission_forecast.c
@@ -62,7 +62,7 @@
   admission_decision_t decision = admission_decide (&query);
   assert_int_equal (decision.verdict, ADMISSION_LATE);
   assert_int_equal (decision.room_in_ns, 225 * MS);
-  query.returning = true;
+  query.spent_ns = 200 * MS;
   assert_int_equal (admission_decide (&query).verdict, ADMISSION_HOLD);
   query.left_ns = 5900 * MS;
   assert_int_equal (admission_decide (&query).verdict, ADMISSION_START);
