--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -6,6 +6,7 @@
 #include "balance/observe.h"
 #include "evacuation/home.h"
 #include "balance/report.h"
+#include "admission/admission.h"
 #include "notice.h"
 #include "error-code.h"
 
@@ -61,6 +62,7 @@
   request->n_arrived++;
   request->n_ran++;
   core->n_attempts++;
+  int priority = admission_attempt_started (core, attempt);
   kwf_effects_log (
       effects, 222, KWF_LOG_INFO, request->id,
       "sent to server=%s attempt=%d/%d load=%d+%d/%d sent_since=%d "
@@ -83,7 +85,7 @@
                                .address = server->address,
                                .deadline_ns = request->deadline_ns,
                                .resume_from = attempt->resume_from,
-                               .priority = request->priority,
+                               .priority = priority,
                                .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
                                .stream = request->stream,
@@ -239,11 +241,14 @@
       int64_t now_ns = kwf_now_ns (core->options.clock);
       int64_t after_ns
           = notice_retry_after_ns (paused, request->priority, now_ns);
+      after_ns = admission_return_ns (core, request, after_ns,
+                                      paused->notice.pause_until_ns - now_ns);
       request_fail (core, request, CODE_OVERLOADED, after_ns / KWF_NS_PER_MS,
                     "the servers that could run the request asked for a pause",
                     effects);
       return;
     }
+  int64_t retry_ms = admission_retry_ms (core, request, 1000);
   if (request_has_begun (request))
     request_fail (core, request, CODE_STREAM_BROKEN, -1,
                   "the stream broke and no server can resume it", effects);
@@ -253,13 +258,13 @@
                   "candidate is not available",
                   effects);
   else if (request->last_code != CODE_OK)
-    request_fail (core, request, request->last_code, 1000,
+    request_fail (core, request, request->last_code, retry_ms,
                   "no other server could answer", effects);
   else if (verdict == ROUTE_NONE && request_has_model (request))
-    request_fail (core, request, CODE_MODEL_NOT_RESIDENT, 1000,
+    request_fail (core, request, CODE_MODEL_NOT_RESIDENT, retry_ms,
                   "no server holds the model now", effects);
   else
-    request_fail (core, request, CODE_NO_SERVER, 1000,
+    request_fail (core, request, CODE_NO_SERVER, retry_ms,
                   "no server can take the request now", effects);
 }
 
@@ -424,7 +429,7 @@
     refuse_unrouted (core, request, suspect, route.verdict, effects);
   else if (suspect)
     request_trial (core, request, route.server, now_ns, effects);
-  else
+  else if (admission_check (core, request, route.server, effects))
     send_to_server (core, request, route.server, effects);
 }
 
@@ -519,6 +524,7 @@
   observe_end (attempt, now_ns);
   if (!attempt->answered)
     attempt->server->unanswered--;
+  admission_attempt_ended (core, attempt, now_ns);
   backend_attempt_ended (core->backend, attempt->server, outcome, now_ns);
   waits_recheck_server (core, attempt->server);
   kwf_slots_remove (core->attempts, attempt->handle);
--- a/lib/core.c
+++ b/lib/core.c
@@ -1,6 +1,7 @@
 /* The reducer: passes each event to the modules and sets the timer.  */
 
 #include "evacuation/home.h"
+#include "admission/admission.h"
 #include "notice.h"
 #include "request.h"
 
@@ -53,6 +54,7 @@
   hedge_delays_init (core->hedge_delays, now_ns);
   core->durations = durations_new ();
   waits_init (core, now_ns);
+  core->admission = admission_new ();
   core->requests
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->attempts = kwf_slots_new (sizeof (attempt_t));
@@ -66,6 +68,7 @@
   if (!core)
     return;
   queue_clear (&core->waits.queue);
+  admission_free (core->admission);
   g_sequence_free (core->wakes);
   kwf_slots_free (core->attempts);
   g_hash_table_unref (core->requests);
@@ -250,6 +253,7 @@
     waits_recheck_all (core);
   update_attainment (core);
   int64_t now_ns = kwf_now_ns (core->options.clock);
+  admission_tick (core, now_ns);
   requests_tick (core, now_ns, effects);
   waits_tick (core, now_ns, effects);
   if (core->n_withheld && session_may_act (core->session))
--- a/test/common-core.h
+++ b/test/common-core.h
@@ -38,6 +38,8 @@
 /* The same.  Data centre "c" is in region "north", "x" in "south", and
    contact_ns is 4 s.  */
 void core_world_start_regions (core_world_t *world);
+/* The same.  PREDICTED: requests are admitted by forecast.  */
+void core_world_start_admission (core_world_t *world, bool predicted);
 /* The same with other limits of a stop.  */
 void core_world_start_grace (core_world_t *world, int64_t serve_ms,
                              int64_t limit_ms);
