Keep the rate of cold servers over the whole fleet

A server that has just started or becomes cold again got the load of a warm one, from instances that learn of it at different times, and crashed.

A cold server is now one with a limit of cold_per_s, granted by the owner of its limit, from the first sight of its process; one whose age is not known is taken for cold, also by an instance that stood still or lost its links. A new owner waits until the permits of the former one are over. Services without cold_per_s are served as before.

--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -114,7 +114,8 @@
 
 /* Whether the request of ATTEMPT may still be written to the connection that
    was opened for it.  False if the attempt has ended; if the backend server
-   has restarted since the attempt was started, or is leaving or paused now; if
+   has restarted since the attempt was started, or is leaving or paused now, or
+   may be cold and the attempt was started more than a second ago; if
    the key is withdrawn or suspended now; or if neither a valid lease nor the
    outage rule lets this instance serve now.  */
 bool kwf_core_may_send (const kwf_core_t *core, kwf_handle_t attempt);
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -130,6 +130,14 @@
   KWF_MEMBER_ENTRY
 } kwf_member_kind_t;
 
+/* What was said about a backend server being cold (lib/pace/cold.h).  */
+typedef enum
+{
+  KWF_COLD_NOT_TOLD,
+  KWF_COLD_TOLD,      /* for how much longer; 0: it is not cold */
+  KWF_COLD_UNREADABLE /* the value is invalid */
+} kwf_cold_word_t;
+
 typedef struct
 {
   const char *name;
@@ -149,8 +157,10 @@
   /* What the list says about the server itself; valid only if DESCRIBED.  */
   bool described;
   int slots;        /* requests that the server runs at once; 0: unknown */
+  kwf_cold_word_t cold;
   int64_t revision; /* higher at each change of the list entry */
   uint64_t incarnation;
+  int64_t cold_left_ns; /* valid with KWF_COLD_TOLD */
   const kwf_resident_t *models;
   size_t n_models;
   /* Models that the engine can load without the weight store.  */
@@ -299,6 +309,8 @@
   kwf_limit_header_t limit;
   double limit_per_s; /* valid with KWF_LIMIT_NAMED: requests a second from all
                          instances together */
+  kwf_cold_word_t cold;
+  int64_t cold_left_ns; /* valid with KWF_COLD_TOLD */
 } kwf_notice_event_t;
 
 typedef struct
--- a/include/knapweedfork/lists.h
+++ b/include/knapweedfork/lists.h
@@ -40,6 +40,9 @@
   const char *name;
   bool open; /* requests need no key */
   bool once; /* requests other than GET and HEAD need an Idempotency-Key */
+  double cold_per_s;     /* requests a second that a server handles while it is
+                            cold; 0: its servers are never cold */
+  int64_t cold_start_ns; /* how long a server is cold after a start */
   /* Only if ENGINE, that is, if the service consists of model engines; the
      values hold for each engine.  */
   bool engine;
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -200,8 +200,14 @@
   bool named;
   double rate_per_s;
   bool forwarded; /* the sender received it from another instance */
+  /* How much longer the server is cold; 0: the sender does not say, and the
+     message is one of before there were cold servers.  */
+  int64_t cold_ns;
 } kwf_server_limit_t;
 
+/* As COLD_NS of a grant: the server is not cold as far as the sender knows. */
+#define KWF_COLD_DENIED (-1)
+
 typedef struct
 {
   kwf_server_limit_t limit;
@@ -223,6 +229,7 @@
   int64_t spacing_ns; /* between two permits */
   int64_t free_ns;    /* start of the first slot that is left, after the
                          question */
+  int64_t cold_ns;    /* as in kwf_server_limit_t, or KWF_COLD_DENIED */
 } kwf_permit_grant_t;
 
 typedef struct
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -308,6 +308,7 @@
   return attempt->incarnation == server->incarnation
          && !server_leaving (server)
          && !notice_server_is_paused (server, now_ns)
+         && cold_may_send (&server->limit.cold, attempt->sent_ns, now_ns)
          && session_may_act (core->session)
          && !feature_has_bad_part (core, request)
          && (!request->organisation[0]
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -17,6 +17,7 @@
 #include "duration.h"
 #include "fleet-load.h"
 #include "metric.h"
+#include "pacing.h"
 #include "permit.h"
 #include "placement.h"
 #include "policy.h"
@@ -122,6 +123,7 @@
   retry_budget_t *retries;
   policy_t *policy;
   permits_t *permits;
+  pacing_t pacing;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
   durations_t *durations;
--- a/lib/core.c
+++ b/lib/core.c
@@ -160,6 +160,7 @@
     notice_handle_peer (core, &event->peer, effects);
   permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
+  pacing_step (core, event, effects);
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS)
@@ -318,6 +319,7 @@
 kwf_core_step (kwf_core_t *core, const kwf_event_t *event,
                kwf_effects_t *effects)
 {
+  pacing_begin_step (core, effects);
   switch (event->type)
     {
     case KWF_EV_ATTEMPT_DATA:
@@ -335,6 +337,7 @@
       break;
     case KWF_EV_NOTICE:
       handle_limit (core, &event->notice, effects);
+      pacing_handle_notice (core, &event->notice, effects);
       notice_handle_event (core, &event->notice, effects);
       step_modules (core, event, effects);
       break;
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -168,6 +168,8 @@
       next.named_ns = limit->named_ns;
       next.slot_ns = limit->slot_ns;
     }
+  next.cold = limit->cold;
+  cold_restart (&next.cold);
   *limit = next;
 }
 
@@ -181,31 +183,49 @@
 limit_in_force (const limit_t *limit, int64_t now_ns)
 {
   return limit->named
-         || (limit->ended_ns && now_ns - limit->ended_ns < LIMIT_RETURN_NS);
+         || (limit->ended_ns && now_ns - limit->ended_ns < LIMIT_RETURN_NS)
+         || cold_state (&limit->cold, now_ns) != COLD_OVER;
 }
 
-double
-limit_rate (const limit_t *limit, int64_t now_ns)
+/* The rate that the server named, or the growing one after its end.  */
+static double
+named_rate (const limit_t *limit, int64_t now_ns)
 {
   if (limit->named)
     return MAX (limit->rate_per_s, LIMIT_MIN_PER_S);
+  if (!limit->ended_ns)
+    return LIMIT_MAX_PER_S;
   double doublings
       = (double)(now_ns - limit->ended_ns) / (double)RETURN_DOUBLE_NS;
   return MIN (MAX (limit->rate_per_s, 1) * exp2 (doublings), LIMIT_MAX_PER_S);
 }
 
+double
+limit_rate (const limit_t *limit, int64_t now_ns)
+{
+  double cold_per_s = MAX (cold_rate (&limit->cold, now_ns), LIMIT_MIN_PER_S);
+  return MIN (named_rate (limit, now_ns), cold_per_s);
+}
+
 bool
-limit_is_scarce (const limit_t *limit, int slots)
+limit_is_scarce (const limit_t *limit, int slots, int64_t now_ns)
 {
-  return limit->named && limit->rate_per_s * SCARCE_FILL_S < slots;
+  return (limit->named && limit->rate_per_s * SCARCE_FILL_S < slots)
+         || cold_is_scarce (&limit->cold, now_ns);
 }
 
 /* The holder.  */
 
+static int64_t
+permit_ns (const limit_t *limit, int64_t now_ns)
+{
+  return cold_stands (&limit->cold, now_ns) ? COLD_PERMIT_NS : LIMIT_PERMIT_NS;
+}
+
 static bool
-has_ended (int64_t start_ns, int64_t now_ns)
+has_ended (const limit_t *limit, int64_t start_ns, int64_t now_ns)
 {
-  return now_ns - start_ns > LIMIT_PERMIT_NS;
+  return now_ns - start_ns > permit_ns (limit, now_ns);
 }
 
 static void
@@ -220,7 +240,7 @@
 return_ended (limit_t *limit, int64_t now_ns)
 {
   int n = 0;
-  while (n < limit->n_permits && has_ended (limit->permits[n], now_ns))
+  while (n < limit->n_permits && has_ended (limit, limit->permits[n], now_ns))
     n++;
   drop_permits (limit, 0, n);
   limit->n_unspent += n;
@@ -303,7 +323,8 @@
   for (int i = 0; i < n; i++)
     {
       int64_t at_ns = asked_ns + MAX (start_ns + i * spacing_ns, 0);
-      if (limit->n_permits == LIMIT_PERMITS_MAX || has_ended (at_ns, now_ns))
+      if (limit->n_permits == LIMIT_PERMITS_MAX
+          || has_ended (limit, at_ns, now_ns))
         {
           limit->n_unspent++;
           continue;
@@ -340,38 +361,47 @@
 /* When the next permit may be taken without the owner; INT64_MAX: the owner
    decides.  */
 static int64_t
-self_slot_ns (const limit_t *limit, int n_instances, int64_t now_ns)
+self_slot_ns (const limit_t *limit, const limit_sharers_t *sharers,
+              int64_t now_ns)
 {
-  if (limit->named || !limit->unanswered_ns
+  cold_state_t cold = cold_state (&limit->cold, now_ns);
+  if (limit->named || cold == COLD_ANNOUNCED || !limit->unanswered_ns
       || limit->n_waiting <= limit->n_permits)
     return INT64_MAX;
-  int64_t spacing_ns = (int64_t)((double)KWF_NS_PER_S * n_instances
-                                 / limit_rate (limit, now_ns));
-  return MAX (limit->unanswered_ns + ASK_TIMEOUT_NS,
-              limit->self_ns + spacing_ns);
+  bool may_be_cold = cold == COLD_ASSUMED;
+  int n = may_be_cold ? sharers->n_members : sharers->n_live;
+  double spacing_ns = (double)KWF_NS_PER_S * n / limit_rate (limit, now_ns);
+  int64_t first_ns = limit->unanswered_ns + ASK_TIMEOUT_NS;
+  /* The first permits of many instances without an owner are spread over the
+     time in which each gets one.  */
+  if (may_be_cold)
+    first_ns += (int64_t)(sharers->phase * spacing_ns);
+  return MAX (first_ns, limit->self_ns + (int64_t)spacing_ns);
 }
 
 void
-limit_return_alone (limit_t *limit, int n_instances, int64_t now_ns)
+limit_take_alone (limit_t *limit, const limit_sharers_t *sharers,
+                  int64_t now_ns)
 {
-  if (now_ns < self_slot_ns (limit, n_instances, now_ns))
+  if (now_ns < self_slot_ns (limit, sharers, now_ns))
     return;
   limit->self_ns = now_ns;
   limit_take_permits (limit, 1, now_ns, 0, 0, now_ns);
 }
 
 int64_t
-limit_next_ns (const limit_t *limit, int n_instances, int64_t now_ns)
+limit_next_ns (const limit_t *limit, const limit_sharers_t *sharers,
+               int64_t now_ns)
 {
   int64_t next_ns = INT64_MAX;
   if (limit->n_permits && limit->permits[0] > now_ns)
     next_ns = limit->permits[0];
   else if (limit->n_permits)
-    next_ns = limit->permits[0] + LIMIT_PERMIT_NS + 1;
+    next_ns = limit->permits[0] + permit_ns (limit, now_ns) + 1;
   if (limit->n_waiting > limit->n_permits || limit->wished)
     next_ns = MIN (next_ns, limit->asked_ns ? limit->asked_ns + ASK_TIMEOUT_NS
                                             : limit->next_ask_ns);
-  return MIN (next_ns, self_slot_ns (limit, n_instances, now_ns));
+  return MIN (next_ns, self_slot_ns (limit, sharers, now_ns));
 }
 
 /* The owner.  */
@@ -397,7 +427,8 @@
 limit_hold_grants (limit_t *limit, int64_t span_ns, int64_t now_ns)
 {
   limit->slot_ns = MAX (limit->slot_ns, now_ns - span_ns);
-  limit->hold_ns = now_ns + HOLD_NS;
+  limit->hold_ns
+      = now_ns + (cold_stands (&limit->cold, now_ns) ? COLD_HOLD_NS : HOLD_NS);
   limit->granted_ns = now_ns;
 }
 
@@ -412,6 +443,8 @@
       return grant;
     }
   drop_passed_slots (limit, grant.spacing_ns, now_ns);
+  if (cold_stands (&limit->cold, now_ns))
+    patience_ns = MIN (patience_ns, COLD_HORIZON_NS);
   grant.start_ns = limit->slot_ns - now_ns;
   while (grant.n < n && limit->slot_ns <= now_ns + patience_ns)
     {
@@ -430,13 +463,18 @@
   int64_t slot_interval_ns = interval_ns (limit, share, now_ns);
   if (now_ns >= limit->hold_ns)
     drop_passed_slots (limit, slot_interval_ns, now_ns);
+  int64_t most_ns
+      = cold_stands (&limit->cold, now_ns) ? COLD_CHARGE_NS : CHARGE_MAX_NS;
   limit->slot_ns
-      = MAX (limit->slot_ns, MIN (limit->slot_ns + n * slot_interval_ns,
-                                  now_ns + CHARGE_MAX_NS));
+      = MAX (limit->slot_ns,
+             MIN (limit->slot_ns + n * slot_interval_ns, now_ns + most_ns));
 }
 
 void
 limit_refund (limit_t *limit, int n, double share, int64_t now_ns)
 {
-  limit->slot_ns -= n * interval_ns (limit, share, now_ns);
+  /* A slot that is granted again could be spent beside those after it, and the
+     rate at a cold server is judged over a second.  */
+  if (!cold_stands (&limit->cold, now_ns))
+    limit->slot_ns -= n * interval_ns (limit, share, now_ns);
 }
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -8,6 +8,8 @@
    the limit whoever holds them.  A permit ends by its holder's clock; one that
    was not spent goes back to the owner.
 
+   A cold server (lib/pace/cold.h) is one with a limit that it does not name.
+
    What is known of a limit has a version, which is higher at each change that
    any instance learns from an answer.  News of a lower version are old,
    however late they arrive.
@@ -23,6 +25,8 @@
 #include <knapweedfork/clock.h>
 #include <knapweedfork/event.h>
 
+#include "pace/cold.h"
+
 /* Higher limits are cut to this.  */
 #define LIMIT_MAX_PER_S 1e6
 /* A server that takes none, or nearly none, is still tried at this rate: only
@@ -58,6 +62,8 @@
   int64_t alone_ns; /* when an answer named it here before any news: versions
                        of others may be higher and older; 0: none */
 
+  cold_t cold;
+
   /* Calls of this instance, whether or not there is a limit.  */
   int calls[LIMIT_COUNTERS]; /* the newest first */
   int64_t counted_ns;        /* start of the newest counter */
@@ -118,13 +124,13 @@
 void limit_end (limit_t *limit, int64_t now_ns);
 
 /* Whether calls need a permit: the limit stands, or ended within
-   LIMIT_RETURN_NS.  */
+   LIMIT_RETURN_NS, or the server is cold.  */
 bool limit_in_force (const limit_t *limit, int64_t now_ns);
 /* Permits a second at NOW_NS.  */
 double limit_rate (const limit_t *limit, int64_t now_ns);
 /* Whether the limit is too low for a server that runs SLOTS requests at once
-   to count as a copy of its models.  */
-bool limit_is_scarce (const limit_t *limit, int slots);
+   to count as a copy of its models, or the server stays cold for long.  */
+bool limit_is_scarce (const limit_t *limit, int slots, int64_t now_ns);
 
 /* The holder.  */
 
@@ -153,12 +159,23 @@
    when N_INSTANCES share the limit.  */
 int64_t limit_retry_after_ns (limit_t *limit, int priority, int n_instances,
                               int64_t now_ns);
-/* The limit has ended and its owner does not answer: take a permit without it,
-   at this instance's part of the rate, so that what waits is not sent all at
-   once when the limit is dropped.  N_INSTANCES share the rate.  */
-void limit_return_alone (limit_t *limit, int n_instances, int64_t now_ns);
+/* The instances that share a rate without an owner.  */
+typedef struct
+{
+  int n_live;    /* as far as this instance can see */
+  int n_members; /* of the fleet */
+  double phase;  /* 0 to 1, drawn for each instance and server */
+} limit_sharers_t;
+
+/* The owner does not answer, and the limit has ended, or is that of a server
+   that may be cold: take a permit without it, at this instance's part of the
+   rate.  After an end what waits is thus not sent all at once when the limit
+   is dropped; an instance without contact goes on.  */
+void limit_take_alone (limit_t *limit, const limit_sharers_t *sharers,
+                       int64_t now_ns);
 /* When the permits next need attention.  */
-int64_t limit_next_ns (const limit_t *limit, int n_instances, int64_t now_ns);
+int64_t limit_next_ns (const limit_t *limit, const limit_sharers_t *sharers,
+                       int64_t now_ns);
 
 /* The owner.  SHARE: part of the limit that it may grant.  */
 
--- a/lib/permit.c
+++ b/lib/permit.c
@@ -34,6 +34,7 @@
   int64_t view_ns;
   double share; /* live members among all */
   int n_live;
+  int n_members;
   int64_t run_ns;
   int64_t next_ns;
   int64_t next_number;
@@ -55,6 +56,7 @@
   permits->view_changed = true;
   permits->share = 1;
   permits->n_live = 1;
+  permits->n_members = 1;
   permits->next_ns = INT64_MAX;
   return permits;
 }
@@ -70,32 +72,6 @@
 
 /* The owner.  */
 
-static bool
-may_own (const session_t *session, const session_member_t *member)
-{
-  return member->hub && !member->leaving
-         && session_member_live (session, member);
-}
-
-const char *
-permits_owner (const session_t *session, const server_t *server)
-{
-  const char *owner = "";
-  uint64_t best_rank = 0;
-  session_member_t member;
-  size_t at = 0;
-  while (session_next_member (session, &at, &member))
-    {
-      uint64_t rank
-          = XXH64 (member.instance, strlen (member.instance), server->hash);
-      if (!may_own (session, &member) || (*owner && rank <= best_rank))
-        continue;
-      owner = member.instance;
-      best_rank = rank;
-    }
-  return owner;
-}
-
 static bool
 owns (const permits_t *permits, const session_t *session,
       const server_t *server)
@@ -118,6 +94,7 @@
       permits->n_live += session_member_live (session, &member);
     }
   permits->n_live = MAX (permits->n_live, 1);
+  permits->n_members = MAX (n, 1);
   permits->share = n ? MIN ((double)permits->n_live / n, 1) : 1;
   permits->view_changed = false;
   permits->view_ns = now_ns;
@@ -125,31 +102,24 @@
 
 /* What is known of limits.  */
 
-static kwf_server_limit_t
-describe_limit (const server_t *server, kwf_effects_t *effects)
-{
-  return (kwf_server_limit_t){ .server
-                               = kwf_effects_strdup (effects, server->id),
-                               .incarnation = server->incarnation,
-                               .version = server->limit.version,
-                               .named = server->limit.named,
-                               .rate_per_s = server->limit.rate_per_s };
-}
-
-static void
-tell_peers (const session_t *session, const server_t *server,
-            kwf_effects_t *effects)
+void
+permits_tell_peers (const permits_t *permits, const session_t *session,
+                    const server_t *server, kwf_effects_t *effects)
 {
-  kwf_message_t message = { .type = KWF_MSG_SERVER_LIMIT,
-                            .server_limit = describe_limit (server, effects) };
+  int64_t now_ns = kwf_now_ns (permits->clock);
+  kwf_message_t message
+      = { .type = KWF_MSG_SERVER_LIMIT,
+          .server_limit = permits_describe (server, now_ns, effects) };
   fanout_send_decision (session, &message, effects);
 }
 
 /* The limit that stands for SERVER, in requests a second; INFINITY: none.  */
 static double
-standing_limit (const server_t *server)
+standing_limit (const server_t *server, int64_t now_ns)
 {
-  return server->limit.named ? server->limit.rate_per_s : INFINITY;
+  const limit_t *limit = &server->limit;
+  double named_per_s = limit->named ? limit->rate_per_s : INFINITY;
+  return MIN (named_per_s, cold_rate (&limit->cold, now_ns));
 }
 
 /* CHANGE of SERVER's limit was learnt FROM an answer or an instance.
@@ -196,14 +166,14 @@
                          server->id);
       limit->unreadable = true;
     }
-  double before_per_s = standing_limit (server);
+  double before_per_s = standing_limit (server, now_ns);
   limit_change_t change = limit_handle_answer (limit, event, asked_ns, now_ns);
   if (change == LIMIT_UNCHANGED)
     return;
   permits->limits += change == LIMIT_SET;
   handle_change (permits, server, change, before_per_s, kinds[event->kind],
                  now_ns, effects);
-  tell_peers (session, server, effects);
+  permits_tell_peers (permits, session, server, effects);
 }
 
 /* Apply what instance FROM knows; NULL: the server is not known, or is another
@@ -215,16 +185,19 @@
 {
   int64_t now_ns = kwf_now_ns (permits->clock);
   server_t *server = backend_find (backend, news->server);
+  /* What is cold may be a new process that the list does not show yet.  */
+  if (server && news->incarnation >= server->incarnation && news->cold_ns > 0)
+    cold_handle_news (&server->limit.cold, news->cold_ns, now_ns);
   if (!server || server->incarnation != news->incarnation)
     return NULL;
-  double before_per_s = standing_limit (server);
+  double before_per_s = standing_limit (server, now_ns);
   limit_change_t change = limit_handle_news (
       &server->limit, news->version, news->named, news->rate_per_s, now_ns);
   if (change != LIMIT_UNCHANGED)
     handle_change (permits, server, change, before_per_s, from, now_ns,
                    effects);
   if (change != LIMIT_UNCHANGED && server->limit.version > news->version)
-    tell_peers (session, server, effects);
+    permits_tell_peers (permits, session, server, effects);
   return server;
 }
 
@@ -256,9 +229,9 @@
   if (!session_next_member (session, &at, &self) || !self.hub)
     return;
   for (guint i = 0; i < servers->len; i++)
-    if (limit_in_force (&((server_t *)servers->pdata[i])->limit, now_ns))
+    if (permits_is_told (servers->pdata[i], now_ns))
       session_send (instance, KWF_MSG_SERVER_LIMIT, effects)->server_limit
-          = describe_limit (servers->pdata[i], effects);
+          = permits_describe (servers->pdata[i], now_ns, effects);
 }
 
 /* Questions and grants.  */
@@ -311,6 +284,10 @@
       return;
     }
   limit->unanswered_ns = 0;
+  if (grant->cold_ns > 0)
+    cold_handle_news (&limit->cold, grant->cold_ns, now_ns);
+  else if (grant->cold_ns == KWF_COLD_DENIED)
+    cold_handle_denial (&limit->cold);
   permits->taken += (uint64_t)n;
   limit_take_permits (limit, n, limit->asked_ns, grant->start_ns,
                       MAX (grant->spacing_ns, 0), now_ns);
@@ -337,15 +314,18 @@
     return;
   if (server->limit.version > ask->limit.version)
     session_send (peer->instance, KWF_MSG_SERVER_LIMIT, effects)->server_limit
-        = describe_limit (server, effects);
-  if (!limit_in_force (&server->limit, now_ns))
+        = permits_describe (server, now_ns, effects);
+  bool in_force = limit_in_force (&server->limit, now_ns);
+  /* An asker that does not know whether the server is cold is told.  */
+  if (!in_force && server->limit.cold.per_s <= 0)
     return;
   kwf_permit_grant_t grant
       = { .number = ask->number, .free_ns = ASK_AGAIN_MIN_NS };
-  if (owns (permits, session, server))
+  if (in_force && owns (permits, session, server))
     grant = answer_ask (permits, server, ask, now_ns);
   if (ask->n <= 0)
     return;
+  grant.cold_ns = permits_describe_cold (server, now_ns);
   grant.server = kwf_effects_strdup (effects, server->id);
   grant.incarnation = server->incarnation;
   session_send (peer->instance, KWF_MSG_PERMIT_GRANT, effects)->permit_grant
@@ -419,6 +399,13 @@
   return permits->active;
 }
 
+void
+permits_attend (permits_t *permits, int64_t now_ns)
+{
+  permits->active = true;
+  permits->next_ns = MIN (permits->next_ns, now_ns);
+}
+
 static void
 ask_owner (permits_t *permits, const session_t *session, server_t *server,
            int n, int64_t patience_ns, int64_t now_ns, kwf_effects_t *effects)
@@ -432,7 +419,7 @@
       limit->next_ask_ns = now_ns + ASK_AGAIN_MIN_NS;
       return;
     }
-  kwf_permit_ask_t ask = { .limit = describe_limit (server, effects),
+  kwf_permit_ask_t ask = { .limit = permits_describe (server, now_ns, effects),
                            .number = n ? ++permits->next_number : 0,
                            .n = n,
                            .patience_ns = patience_ns,
@@ -458,6 +445,16 @@
     take_grant (permits, server, &grant, now_ns);
 }
 
+static limit_sharers_t
+describe_sharers (const permits_t *permits, const server_t *server)
+{
+  uint64_t draw
+      = XXH64 (permits->instance, strlen (permits->instance), server->hash);
+  return (limit_sharers_t){ .n_live = permits->n_live,
+                            .n_members = permits->n_members,
+                            .phase = (double)draw / (double)UINT64_MAX };
+}
+
 static void
 run_server (permits_t *permits, const session_t *session, server_t *server,
             int64_t now_ns, permits_result_t *result, kwf_effects_t *effects)
@@ -469,13 +466,14 @@
   bool waits = n && limit->n_waiting;
   if (n || limit->n_unspent || limit->n_unpermitted)
     ask_owner (permits, session, server, n, patience_ns, now_ns, effects);
-  limit_return_alone (limit, permits->n_live, now_ns);
+  limit_sharers_t sharers = describe_sharers (permits, server);
+  limit_take_alone (limit, &sharers, now_ns);
   server->recheck
       |= limit->n_waiting && limit->n_permits && limit->permits[0] <= now_ns;
   result->usable |= server->recheck;
   result->denied |= waits && !limit->asked_ns;
   permits->next_ns
-      = MIN (permits->next_ns, limit_next_ns (limit, permits->n_live, now_ns));
+      = MIN (permits->next_ns, limit_next_ns (limit, &sharers, now_ns));
 }
 
 static void
@@ -513,7 +511,7 @@
   limit_end (limit, now_ns);
   handle_change (permits, server, LIMIT_ENDED, 0, "no answer for long", now_ns,
                  effects);
-  tell_peers (session, server, effects);
+  permits_tell_peers (permits, session, server, effects);
 }
 
 permits_result_t
--- a/lib/permit.h
+++ b/lib/permit.h
@@ -37,6 +37,11 @@
 
 /* Whether any server's limit is in force here.  */
 bool permits_active (const permits_t *permits);
+/* A limit has come into force that no answer named.  */
+void permits_attend (permits_t *permits, int64_t now_ns);
+/* Tell all others what is known of SERVER's limit.  */
+void permits_tell_peers (const permits_t *permits, const session_t *session,
+                         const server_t *server, kwf_effects_t *effects);
 
 typedef struct
 {
@@ -58,6 +63,15 @@
 /* The owner of SERVER's limit in this instance's view; "": none.  */
 const char *permits_owner (const session_t *session, const server_t *server);
 
+/* What other instances are told of SERVER's limit.  */
+kwf_server_limit_t permits_describe (const server_t *server, int64_t now_ns,
+                                     kwf_effects_t *effects);
+/* How much longer SERVER is cold; KWF_COLD_DENIED: it is not; 0: that is not
+   known.  */
+int64_t permits_describe_cold (const server_t *server, int64_t now_ns);
+/* Whether there is a limit that an answer or an entry told of.  */
+bool permits_is_told (const server_t *server, int64_t now_ns);
+
 /* Append counters in the Prometheus text format.  */
 void permits_write_metrics (const permits_t *permits, GString *out);
 
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -137,9 +137,9 @@
 static void
 update_usable_engines (const placement_direct_t *direct)
 {
+  int64_t now_ns = kwf_now_ns (direct->clock);
   GHashTableIter iter;
-  gpointer id;
-  gpointer value;
+  gpointer id, value;
   g_hash_table_iter_init (&iter, direct->engines);
   while (g_hash_table_iter_next (&iter, &id, &value))
     {
@@ -151,7 +151,7 @@
           continue;
         }
       engine->usable = !server_leaving (server) && !server->refused;
-      engine->scarce = limit_is_scarce (&server->limit, server->slots);
+      engine->scarce = limit_is_scarce (&server->limit, server->slots, now_ns);
       engine->not_before_ns
           = MAX (engine->not_before_ns, server->notice.pause_until_ns);
     }
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -263,6 +263,7 @@
                       (double)core->stop.n_cut);
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
+  pacing_write_metrics (core, out);
   waits_write_metrics (core, out);
   placement_write_metrics (core->placement, out);
   metric_write_value (out, "kwf_crash_suspects", "gauge", (double)suspects);
--- a/net/wire.c
+++ b/net/wire.c
@@ -130,6 +130,12 @@
          && reader->items.ptr[reader->next].type == type;
 }
 
+bool
+wire_has_more (const wire_reader_t *reader)
+{
+  return !reader->failed && reader->next < reader->items.size;
+}
+
 int64_t
 wire_get_int (wire_reader_t *reader)
 {
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -139,7 +139,10 @@
   const kwf_split_t quiet = { "quiet", 1 };
   static const char *const prefixes[] = { "/0/", "/1/", "/2/" };
   kwf_lists_t *lists = lists_new ();
-  lists_add_service (lists, &(kwf_service_t){ .name = "desk" });
+  lists_add_service (
+      lists, &(kwf_service_t){ .name = "desk",
+                               .cold_per_s = fleet->cold_per_s,
+                               .cold_start_ns = fleet->cold_start_ns });
   lists_add_organisation (lists, &(kwf_organisation_t){ .name = "o",
                                                         .plan = "",
                                                         .branch = "",
@@ -200,6 +203,8 @@
                                    .described = true,
                                    .revision = server->revision,
                                    .incarnation = server->incarnation,
+                                   .cold = server->cold,
+                                   .cold_left_ns = server->cold_left_ns,
                                    .slots = 64 };
       if (server->engine)
         members[i].models = core_fleet_residents (fleet, server->engine,
@@ -438,12 +443,17 @@
 }
 
 /* The list tells all instances what an engine holds now.  */
-static void
-change_entry (core_fleet_t *fleet, core_fleet_server_t *server)
+void
+core_fleet_change_entry (core_fleet_t *fleet, core_fleet_server_t *server)
 {
   server->revision += fleet->n_servers;
   for (int i = 0; i < fleet->n_instances; i++)
-    add_task (fleet, TASK_MEMBERS, FEED_NS, &fleet->instances[i]);
+    {
+      uint64_t spread_ns = (uint64_t)fleet->feed_spread_ns;
+      int64_t more_ns
+          = spread_ns ? (int64_t)core_fleet_random (fleet, spread_ns) : 0;
+      add_task (fleet, TASK_MEMBERS, FEED_NS + more_ns, &fleet->instances[i]);
+    }
 }
 
 static int
@@ -455,7 +465,7 @@
     add_task (fleet, TASK_LOADED, 5 * KWF_NS_PER_S, NULL)->server
         = (int)(server - fleet->servers);
   else if (order->adapter < 0)
-    change_entry (fleet, server);
+    core_fleet_change_entry (fleet, server);
   return status;
 }
 
@@ -1051,6 +1061,8 @@
   instance->disturbed_ns = fleet->now_ns;
   if (cut)
     add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
+  else if (fleet->cold_per_s > 0)
+    add_task (fleet, TASK_MEMBERS, LINK_RETRY_NS + FEED_NS, instance);
 }
 
 void
@@ -1113,38 +1125,6 @@
           (size_t)fleet->n_instances * sizeof *server->told_ns);
 }
 
-int
-core_fleet_count (const core_fleet_t *fleet, int server, int64_t from_ns,
-                  int64_t until_ns)
-{
-  const GArray *arrivals = fleet->servers[server].arrivals;
-  int n = 0;
-  for (guint i = 0; i < arrivals->len; i++)
-    {
-      int64_t at_ns = g_array_index (arrivals, core_fleet_arrival_t, i).at_ns;
-      n += at_ns >= from_ns && at_ns < until_ns;
-    }
-  return n;
-}
-
-double
-core_fleet_served (const core_fleet_t *fleet, int64_t from_ns,
-                   int64_t until_ns)
-{
-  int n = 0;
-  int n_served = 0;
-  for (guint i = 0; i < fleet->requests->len; i++)
-    {
-      const core_fleet_request_t *request
-          = &g_array_index (fleet->requests, core_fleet_request_t, i);
-      if (request->sent_ns < from_ns || request->sent_ns >= until_ns)
-        continue;
-      n++;
-      n_served += request->ended && request->status == 200;
-    }
-  return n ? (double)n_served / n : 0;
-}
-
 /* Tasks.  */
 
 static void
@@ -1181,7 +1161,8 @@
       feed_first_state (to);
       break;
     case TASK_MEMBERS:
-      feed_members (to);
+      if (!to->cut || fleet->cold_per_s <= 0)
+        feed_members (to);
       break;
     case TASK_MESSAGE:
       deliver_message (fleet, task);
@@ -1214,7 +1195,7 @@
   else if (task->type == TASK_LOADED)
     {
       if (core_fleet_finish_load (fleet, &fleet->servers[task->server]))
-        change_entry (fleet, &fleet->servers[task->server]);
+        core_fleet_change_entry (fleet, &fleet->servers[task->server]);
     }
   else if (to->alive && to->incarnation == task->incarnation)
     {
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -88,6 +88,8 @@
   int64_t most_ns;   /* end of that window */
   int n_excessive;   /* windows with more than the rule allows */
   int64_t back_ns;   /* when a process is there again after a crash */
+  kwf_cold_word_t cold; /* what its entry says */
+  int64_t cold_left_ns;
 } core_fleet_server_t;
 
 typedef struct
@@ -144,7 +146,12 @@
   void *data;
   int n_instances;
   int n_servers;
-  int n_models; /* 0: the servers are no engines */
+  int n_models;      /* 0: the servers are no engines */
+  double cold_per_s; /* of the service "desk"; set before the first run.  Where
+                        it is above 0, an instance that is cut off reads no
+                        list */
+  int64_t cold_start_ns;
+  int64_t feed_spread_ns; /* instances read a changed entry within this time */
   bool store_down;
   bool deaf; /* what the servers name is not passed to the cores */
   bool verbose;
@@ -202,6 +209,15 @@
 int core_fleet_count (const core_fleet_t *fleet, int server, int64_t from_ns,
                       int64_t until_ns);
 
+/* Most requests that arrived at SERVER in any second from FROM_NS on, before
+   UNTIL_NS.  */
+int core_fleet_most_in_second (const core_fleet_t *fleet, int server,
+                               int64_t from_ns, int64_t until_ns);
+
+/* The entry of SERVER changed: all instances read the list.  */
+void core_fleet_change_entry (core_fleet_t *fleet,
+                              core_fleet_server_t *server);
+
 /* What the rule allows in a window: one and a half times LIMIT, and five.  */
 double core_fleet_allowed (double limit);
 
