Show cold servers on the status page and in the pages for operators

An operator could not tell a server that is held back because it is cold from one that names a limit.

--- a/lib/server.c
+++ b/lib/server.c
@@ -110,6 +110,8 @@
     return "open";
   if (server->circuit == CIRCUIT_OPEN)
     return "half_open";
+  if (cold_stands (&server->limit.cold, now_ns))
+    return "cold";
   if (limit_in_force (&server->limit, now_ns))
     return "limited";
   if (server_silent (server))
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -46,6 +46,15 @@
   return array;
 }
 
+/* How much longer a server that is known to be cold is cold.  */
+static json_int_t
+cold_left_ms (const limit_t *limit, int64_t now_ns)
+{
+  return cold_state (&limit->cold, now_ns) == COLD_ANNOUNCED
+             ? (limit->cold.until_ns - now_ns) / KWF_NS_PER_MS
+             : 0;
+}
+
 static json_t *
 server_json (const session_t *session, const server_t *server, int64_t now_ns)
 {
@@ -82,13 +91,16 @@
                    / KWF_NS_PER_MS),
       "models", models);
   if (limit_in_force (&server->limit, now_ns))
-    json_object_set_new (object, "limit",
-                         json_pack ("{s:f,s:b,s:s,s:i,s:i}", "per_s",
-                                    limit_rate (&server->limit, now_ns),
-                                    "ended", (int)!server->limit.named,
-                                    "owner", permits_owner (session, server),
-                                    "permits", server->limit.n_permits,
-                                    "waiting", server->limit.n_waiting));
+    json_object_set_new (
+        object, "limit",
+        json_pack ("{s:f,s:b,s:I,s:s,s:i,s:i}", "per_s",
+                   limit_rate (&server->limit, now_ns), "ended",
+                   (int)(!server->limit.named
+                         && !cold_stands (&server->limit.cold, now_ns)),
+                   "cold_left_ms", cold_left_ms (&server->limit, now_ns),
+                   "owner", permits_owner (session, server), "permits",
+                   server->limit.n_permits, "waiting",
+                   server->limit.n_waiting));
   return object;
 }
 
