--- a/include/knapweedfork/core.h
+++ b/include/knapweedfork/core.h
@@ -66,8 +66,10 @@
                                   set */
   int64_t stop_limit_ns;       /* from the stop signal until open requests are
                                   cut; 0: no limit */
-  double retry_share;          /* limit on retries and hedges, as a share of
-                                  requests */
+  bool start_measured; /* a backend server that has just started gets a rate
+                          that grows with its answers */
+  double retry_share;  /* limit on retries and hedges, as a share of
+                          requests */
   /* Where set, retry_share and retry_slack bound the repeats of each service's
      requests that reach its servers in any time of this length, from all
      instances together; 0: each instance keeps to retry_share over all
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -156,7 +156,7 @@
   bool leaving;
   /* What the list says about the server itself; valid only if DESCRIBED.  */
   bool described;
-  int slots;        /* requests that the server runs at once; 0: unknown */
+  int slots; /* requests that the server runs at once; 0: unknown */
   kwf_cold_word_t cold;
   int64_t revision; /* higher at each change of the list entry */
   uint64_t incarnation;
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -216,6 +216,9 @@
   int64_t patience_ns;   /* no permit is wanted that starts later */
   int64_t n_unspent;     /* permits that come back */
   int64_t n_unpermitted; /* calls that the sender made without a permit */
+  int64_t answer_ns;     /* time to the first data of the sender's last answer
+                            of a server that has just started; 0: none */
+  int64_t answer_kind;   /* of that answer (lib/pace/ramp.h) */
 } kwf_permit_ask_t;
 
 typedef struct
@@ -230,6 +233,7 @@
   int64_t free_ns;    /* start of the first slot that is left, after the
                          question */
   int64_t cold_ns;    /* as in kwf_server_limit_t, or KWF_COLD_DENIED */
+  int64_t started;    /* 1: the ramp-up of the server is over; 0: not said */
 } kwf_permit_grant_t;
 
 typedef struct
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -60,6 +60,7 @@
   double overdraft;            /* [limits] overdraft, tokens */
   double retry_share;          /* [backend] retry_share */
   double retry_window_s;       /* [backend] retry_window_s; 0: none */
+  char *start_pace;            /* [backend] start_pace: "none" or "measured" */
   double retry_slack;          /* [backend] retry_slack, requests */
   int64_t queue_length;        /* [queue] length */
   int64_t queue_organisation_length; /* [queue] organisation_length */
--- a/lib/answer.c
+++ b/lib/answer.c
@@ -48,7 +48,7 @@
   cancel_loser (core, attempt, effects);
   attempt->answered = true;
   attempt->answered_ns = now_ns;
-  backend_attempt_answered (core->backend, attempt->server);
+  pacing_attempt_answered (core, attempt, now_ns);
   if (request_has_model (request))
     wait_first_token (core, attempt, now_ns);
   attempt->late = outlier_record_latency (
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -170,6 +170,7 @@
     }
   next.cold = limit->cold;
   cold_restart (&next.cold);
+  next.ramp.started = true;
   *limit = next;
 }
 
@@ -184,7 +185,8 @@
 {
   return limit->named
          || (limit->ended_ns && now_ns - limit->ended_ns < LIMIT_RETURN_NS)
-         || cold_state (&limit->cold, now_ns) != COLD_OVER;
+         || cold_state (&limit->cold, now_ns) != COLD_OVER
+         || ramp_stands (&limit->ramp, now_ns);
 }
 
 /* The rate that the server named, or the growing one after its end.  */
@@ -204,7 +206,8 @@
 limit_rate (const limit_t *limit, int64_t now_ns)
 {
   double cold_per_s = MAX (cold_rate (&limit->cold, now_ns), LIMIT_MIN_PER_S);
-  return MIN (named_rate (limit, now_ns), cold_per_s);
+  double started_per_s = ramp_rate (&limit->ramp, now_ns);
+  return MIN (named_rate (limit, now_ns), MIN (cold_per_s, started_per_s));
 }
 
 bool
@@ -445,6 +448,8 @@
   drop_passed_slots (limit, grant.spacing_ns, now_ns);
   if (cold_stands (&limit->cold, now_ns))
     patience_ns = MIN (patience_ns, COLD_HORIZON_NS);
+  if (ramp_stands (&limit->ramp, now_ns))
+    patience_ns = MIN (patience_ns, RAMP_HORIZON_NS);
   grant.start_ns = limit->slot_ns - now_ns;
   while (grant.n < n && limit->slot_ns <= now_ns + patience_ns)
     {
@@ -454,6 +459,7 @@
   grant.free_ns = MAX (limit->slot_ns - now_ns, 0);
   if (grant.n)
     limit->granted_ns = now_ns;
+  ramp_count_grant (&limit->ramp, n, grant.n, now_ns);
   return grant;
 }
 
--- a/lib/limit.h
+++ b/lib/limit.h
@@ -8,7 +8,8 @@
    the limit whoever holds them.  A permit ends by its holder's clock; one that
    was not spent goes back to the owner.
 
-   A cold server (lib/pace/cold.h) is one with a limit that it does not name.
+   A cold server (lib/pace/cold.h), or one that has just started
+   (lib/pace/ramp.h), is one with a limit that it does not name.
 
    What is known of a limit has a version, which is higher at each change that
    any instance learns from an answer.  News of a lower version are old,
@@ -26,6 +27,7 @@
 #include <knapweedfork/event.h>
 
 #include "pace/cold.h"
+#include "pace/ramp.h"
 
 /* Higher limits are cut to this.  */
 #define LIMIT_MAX_PER_S 1e6
@@ -63,6 +65,7 @@
                        of others may be higher and older; 0: none */
 
   cold_t cold;
+  ramp_t ramp;
 
   /* Calls of this instance, whether or not there is a limit.  */
   int calls[LIMIT_COUNTERS]; /* the newest first */
@@ -124,7 +127,7 @@
 void limit_end (limit_t *limit, int64_t now_ns);
 
 /* Whether calls need a permit: the limit stands, or ended within
-   LIMIT_RETURN_NS, or the server is cold.  */
+   LIMIT_RETURN_NS, or the server is cold or has just started.  */
 bool limit_in_force (const limit_t *limit, int64_t now_ns);
 /* Permits a second at NOW_NS.  */
 double limit_rate (const limit_t *limit, int64_t now_ns);
--- a/lib/pacing.c
+++ b/lib/pacing.c
@@ -56,6 +56,8 @@
 {
   pacing_t *pacing = &core->pacing;
   pacing->check_ns = now_ns;
+  if (!pacing->has_cold)
+    return;
   if (!has_contact (core))
     {
       pacing->contact_ns = 0;
@@ -79,7 +81,7 @@
   int64_t passed_ns = now_ns - pacing->step_ns;
   bool stood_still = pacing->step_ns && passed_ns > PACING_GAP_NS;
   pacing->step_ns = now_ns;
-  if (pacing->active && stood_still)
+  if (pacing->has_cold && stood_still)
     begin_doubts (core, "this instance stood still", now_ns, effects);
 }
 
@@ -153,15 +155,16 @@
   const kwf_lists_t *lists = config_lists (core->config);
   const GPtrArray *servers = backend_servers (core->backend);
   core->pacing.generation = config_generation (core->config);
-  core->pacing.active = false;
+  core->pacing.has_cold = false;
   for (guint i = 0; lists && i < servers->len; i++)
     {
       server_t *server = servers->pdata[i];
       const kwf_service_t *service = kwf_lists_service (lists, server->name);
       server->limit.cold.per_s = service ? service->cold_per_s : 0;
       server->limit.cold.start_ns = service ? service->cold_start_ns : 0;
-      core->pacing.active |= server->limit.cold.per_s > 0;
+      core->pacing.has_cold |= server->limit.cold.per_s > 0;
     }
+  core->pacing.active = core->pacing.has_cold || core->options.start_measured;
 }
 
 static void
@@ -184,6 +187,53 @@
                      "server=%s is not cold any more", server->id);
 }
 
+/* Begins and ends the ramp-up of SERVER.  */
+static void
+update_ramp (kwf_core_t *core, server_t *server, int64_t now_ns,
+             kwf_effects_t *effects)
+{
+  ramp_t *ramp = &server->limit.ramp;
+  if (!core->options.start_measured)
+    return;
+  if (!ramp->begun_ns)
+    {
+      bool starts = ramp->started || core->pacing.listed;
+      ramp_begin (ramp, now_ns);
+      ramp->over = !starts;
+    }
+  bool stands = ramp_stands (ramp, now_ns);
+  if (stands == ramp->handled)
+    return;
+  ramp->handled = stands;
+  if (!stands)
+    {
+      kwf_effects_log (effects, 286, KWF_LOG_INFO, NULL,
+                       "server=%s has started: its rate is not bounded any "
+                       "more",
+                       server->id);
+      waits_recheck_all (core);
+      return;
+    }
+  core->pacing.n_started++;
+  limit_begin (&server->limit, now_ns);
+  permits_attend (core->permits, now_ns);
+  kwf_effects_log (effects, 285, KWF_LOG_INFO, NULL,
+                   "server=%s starts: it gets %g requests a second, and more "
+                   "as its answers allow",
+                   server->id, ramp->per_s);
+}
+
+void
+pacing_attempt_answered (kwf_core_t *core, const attempt_t *attempt,
+                         int64_t now_ns)
+{
+  ramp_t *ramp = &attempt->server->limit.ramp;
+  backend_attempt_answered (core->backend, attempt->server);
+  if (ramp_stands (ramp, now_ns))
+    ramp_record (ramp, attempt->request->prompt_tokens,
+                 now_ns - attempt->sent_ns);
+}
+
 /* Begins and ends the limits of cold servers.  */
 static void
 update_limits (kwf_core_t *core, int64_t now_ns, kwf_effects_t *effects)
@@ -194,6 +244,7 @@
     {
       server_t *server = servers->pdata[i];
       cold_t *cold = &server->limit.cold;
+      update_ramp (core, server, now_ns, effects);
       cold_see (cold, now_ns);
       cold_state_t before = cold->handled;
       cold_state_t state = cold_state (cold, now_ns);
@@ -231,6 +282,7 @@
   if (event->type == KWF_EV_PEER_DOWN || now_ns - pacing->check_ns >= CHECK_NS)
     check_contact (core, now_ns, effects);
   update_limits (core, now_ns, effects);
+  core->pacing.listed |= event->type == KWF_EV_MEMBERS;
 }
 
 void
@@ -251,7 +303,9 @@
       "# TYPE kwf_cold_total counter\n"
       "kwf_cold_total{kind=\"announced\"} %" G_GUINT64_FORMAT "\n"
       "kwf_cold_total{kind=\"unreadable\"} %" G_GUINT64_FORMAT "\n"
-      "kwf_cold_total{kind=\"doubts\"} %" G_GUINT64_FORMAT "\n",
+      "kwf_cold_total{kind=\"doubts\"} %" G_GUINT64_FORMAT "\n"
+      "# TYPE kwf_server_starts_total counter\n"
+      "kwf_server_starts_total %" G_GUINT64_FORMAT "\n",
       n_of_state[COLD_ANNOUNCED], n_of_state[COLD_ASSUMED], pacing->n_cold,
-      pacing->n_unreadable, pacing->n_doubts);
+      pacing->n_unreadable, pacing->n_doubts, pacing->n_started);
 }
--- a/lib/pacing.h
+++ b/lib/pacing.h
@@ -5,7 +5,11 @@
    An instance that stood still, or has no link to any other member, cannot
    know which servers became cold meanwhile.  Until it has been in contact for
    PACING_CONTACT_NS, each server of a service with cold servers needs permits
-   here, unless the limit's owner or the server says that it is not cold.  */
+   here, unless the limit's owner or the server says that it is not cold.
+
+   Where the settings ask for it, a server that takes the place of another
+   process, or was listed later than the others, gets a rate that grows with
+   its answers (lib/pace/ramp.h).  */
 
 #ifndef KNAPWEEDFORK_PACING_H
 #define KNAPWEEDFORK_PACING_H
@@ -26,7 +30,10 @@
 
 typedef struct
 {
-  bool active; /* some service has cold servers */
+  bool active;   /* some service has cold servers, or servers that start get a
+                    growing rate */
+  bool has_cold; /* some service has cold servers */
+  bool listed;   /* a list was read before */
   bool was_in_contact;
   bool doubts;         /* what is known of servers may be out of date */
   int64_t step_ns;     /* last event; 0: there was none */
@@ -38,6 +45,7 @@
   uint64_t n_cold;     /* times that a server was announced as cold */
   uint64_t n_unreadable;
   uint64_t n_doubts;
+  uint64_t n_started; /* ramp-ups that began */
 } pacing_t;
 
 /* An event has come: has this instance stood still?  Called before the event
--- a/lib/permit.c
+++ b/lib/permit.c
@@ -247,6 +247,8 @@
   if (ask->n_unpermitted > 0)
     limit_charge (limit, (int)MIN (ask->n_unpermitted, G_MAXINT),
                   permits->share, now_ns);
+  ramp_handle_sample (&limit->ramp,
+                      &(ramp_sample_t){ ask->answer_kind, ask->answer_ns });
   int n = (int)CLAMP (ask->n, 0, LIMIT_PERMITS_MAX);
   limit_grant_t grant
       = limit_grant (limit, n, CLAMP (ask->patience_ns, 0, LIMIT_WAIT_MAX_NS),
@@ -288,6 +290,7 @@
     cold_handle_news (&limit->cold, grant->cold_ns, now_ns);
   else if (grant->cold_ns == KWF_COLD_DENIED)
     cold_handle_denial (&limit->cold);
+  limit->ramp.over |= grant->started == 1;
   permits->taken += (uint64_t)n;
   limit_take_permits (limit, n, limit->asked_ns, grant->start_ns,
                       MAX (grant->spacing_ns, 0), now_ns);
@@ -316,8 +319,10 @@
     session_send (peer->instance, KWF_MSG_SERVER_LIMIT, effects)->server_limit
         = permits_describe (server, now_ns, effects);
   bool in_force = limit_in_force (&server->limit, now_ns);
-  /* An asker that does not know whether the server is cold is told.  */
-  if (!in_force && server->limit.cold.per_s <= 0)
+  /* An asker that does not know whether the server is cold, or still starts,
+     is told.  */
+  const ramp_t *ramp = &server->limit.ramp;
+  if (!in_force && server->limit.cold.per_s <= 0 && !ramp->begun_ns)
     return;
   kwf_permit_grant_t grant
       = { .number = ask->number, .free_ns = ASK_AGAIN_MIN_NS };
@@ -326,6 +331,7 @@
   if (ask->n <= 0)
     return;
   grant.cold_ns = permits_describe_cold (server, now_ns);
+  grant.started = ramp->begun_ns && !ramp_stands (ramp, now_ns);
   grant.server = kwf_effects_strdup (effects, server->id);
   grant.incarnation = server->incarnation;
   session_send (peer->instance, KWF_MSG_PERMIT_GRANT, effects)->permit_grant
@@ -424,7 +430,10 @@
                            .n = n,
                            .patience_ns = patience_ns,
                            .n_unspent = limit->n_unspent,
-                           .n_unpermitted = limit->n_unpermitted };
+                           .n_unpermitted = limit->n_unpermitted,
+                           .answer_ns = limit->ramp.sample.time_ns,
+                           .answer_kind = limit->ramp.sample.kind };
+  limit->ramp.sample = (ramp_sample_t){ 0 };
   permits->returned += (uint64_t)limit->n_unspent;
   permits->unpermitted += (uint64_t)limit->n_unpermitted;
   limit->n_unspent = 0;
--- a/lib/request.h
+++ b/lib/request.h
@@ -239,6 +239,10 @@
 void waits_tick (kwf_core_t *core, int64_t now_ns, kwf_effects_t *effects);
 int64_t waits_next_tick_ns (const kwf_core_t *core);
 /* Adjust the window of the engine: the first token of ATTEMPT arrived.  */
+/* The first data of ATTEMPT arrived.  */
+void pacing_attempt_answered (kwf_core_t *core, const attempt_t *attempt,
+                              int64_t now_ns);
+
 void wait_first_token (kwf_core_t *core, const attempt_t *attempt,
                        int64_t now_ns);
 /* Shrink the window of the engine, which answered ATTEMPT that it is busy.  */
--- a/lib/server.c
+++ b/lib/server.c
@@ -112,6 +112,8 @@
     return "half_open";
   if (cold_stands (&server->limit.cold, now_ns))
     return "cold";
+  if (!server->limit.named && ramp_stands (&server->limit.ramp, now_ns))
+    return "starting";
   if (limit_in_force (&server->limit, now_ns))
     return "limited";
   if (server_silent (server))
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -9,6 +9,7 @@
 static const char *const weights[] = { "worst_served", "attainment", NULL };
 static const char *const tokens[] = { "checked", "unchecked", NULL };
 static const char *const withdrawal_modes[] = { "cut", "finish", NULL };
+static const char *const start_paces[] = { "none", "measured", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
 static const char *const levels[]
     = { "debug", "info", "warning", "error", NULL };
@@ -99,6 +100,8 @@
     .unit = "s", .default_number = 0, .min = 0, .max = 3600 },
   { "backend", "retry_slack", SETTING_REAL, FIELD (retry_slack),
     .unit = "requests", .default_number = 0, .min = 0, .max = 1e6 },
+  { "backend", "start_pace", SETTING_CHOICE, FIELD (start_pace), .unit = "",
+    .default_text = "none", .choices = start_paces },
   { "queue", "length", SETTING_INTEGER, FIELD (queue_length), .unit = "",
     .default_number = 1024, .min = 1, .max = 65536 },
   { "queue", "organisation_length", SETTING_INTEGER,
--- a/net/instance.c
+++ b/net/instance.c
@@ -97,8 +97,7 @@
 publish_to (const char *instance, void *data)
 {
   const publish_t *publish = data;
-  /* An instance without a link, or whose link is full, polls the platform
-     itself.  */
+  /* An instance without a link, or with a full one, polls the platform.  */
   (void)peers_send (publish->instance->peers, instance, &publish->message);
 }
 
@@ -357,6 +356,7 @@
       .retry_window_ns
       = (int64_t)(settings->retry_window_s * (double)KWF_NS_PER_S),
       .retry_slack = settings->retry_slack,
+      .start_measured = strcmp (settings->start_pace, "measured") == 0,
       .first_token_ns = { settings->first_token_ms[0] * KWF_NS_PER_MS,
                           settings->first_token_ms[1] * KWF_NS_PER_MS,
                           settings->first_token_ms[2] * KWF_NS_PER_MS },
--- a/net/message.c
+++ b/net/message.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "message-optional.h"
 #include "wire.h"
 
 static void
@@ -222,21 +223,6 @@
   wire_put_bool (writer, limit->forwarded);
 }
 
-/* Optional last field of the messages on limits: instances that know of no
-   cold server neither send nor expect it.  */
-static void
-put_cold (wire_writer_t *writer, int64_t cold_ns)
-{
-  if (cold_ns)
-    wire_put_int (writer, cold_ns);
-}
-
-static int64_t
-read_cold (wire_reader_t *reader)
-{
-  return wire_has_more (reader) ? wire_get_int (reader) : 0;
-}
-
 static void
 read_server_limit (wire_reader_t *reader, kwf_server_limit_t *limit)
 {
@@ -294,23 +280,6 @@
   grant->free_ns = wire_get_int (reader);
 }
 
-/* Number of the optional fields that MESSAGE has.  */
-static int
-optional_count (const kwf_message_t *message)
-{
-  switch (message->type)
-    {
-    case KWF_MSG_SERVER_LIMIT:
-      return message->server_limit.cold_ns != 0;
-    case KWF_MSG_PERMIT_ASK:
-      return message->permit_ask.limit.cold_ns != 0;
-    case KWF_MSG_PERMIT_GRANT:
-      return message->permit_grant.cold_ns != 0;
-    default:
-      return 0;
-    }
-}
-
 /* Number of fields of a message type, without the optional ones; -1: unknown
    type.  */
 static int
@@ -437,15 +406,12 @@
       break;
     case KWF_MSG_SERVER_LIMIT:
       put_server_limit (writer, &message->server_limit);
-      put_cold (writer, message->server_limit.cold_ns);
       break;
     case KWF_MSG_PERMIT_ASK:
       put_permit_ask (writer, &message->permit_ask);
-      put_cold (writer, message->permit_ask.limit.cold_ns);
       break;
     case KWF_MSG_PERMIT_GRANT:
       put_permit_grant (writer, &message->permit_grant);
-      put_cold (writer, message->permit_grant.cold_ns);
       break;
     }
 }
@@ -531,15 +497,12 @@
       break;
     case KWF_MSG_SERVER_LIMIT:
       read_server_limit (reader, &message->server_limit);
-      message->server_limit.cold_ns = read_cold (reader);
       break;
     case KWF_MSG_PERMIT_ASK:
       read_permit_ask (reader, &message->permit_ask);
-      message->permit_ask.limit.cold_ns = read_cold (reader);
       break;
     case KWF_MSG_PERMIT_GRANT:
       read_permit_grant (reader, &message->permit_grant);
-      message->permit_grant.cold_ns = read_cold (reader);
       break;
     }
 }
@@ -552,9 +515,12 @@
   wire_writer_t writer;
   if (fields < 0)
     return KWF_INVALID;
-  fields += optional_count (message);
-  wire_begin (&writer, out, message->type, (size_t)fields);
+  int64_t optional[MESSAGE_OPTIONAL];
+  size_t n_optional = message_collect_optional (message, optional);
+  wire_begin (&writer, out, message->type, (size_t)fields + n_optional);
   put_fields (&writer, message);
+  for (size_t i = 0; i < n_optional; i++)
+    wire_put_int (&writer, optional[i]);
   kwf_status_t status = KWF_OK;
   if (writer.failed)
     status = KWF_INVALID;
@@ -583,6 +549,7 @@
     }
   message->type = (kwf_message_type_t)type;
   read_fields (&reader, message);
+  message_read_optional (&reader, message);
   if (wire_close (&reader))
     return KWF_OK;
   return kwf_fail (error, KWF_INVALID, "read message", NULL,
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -1004,6 +1004,7 @@
                              .retry_window_ns = 10 * KWF_NS_PER_S,
                              .retry_slack = 56,
                              .push_updates = true,
+                             .start_measured = fleet->start_measured,
                              .overdraft = 1000,
                              .placement = { .dynamic = fleet->n_models > 0,
                                             .lease_ns = 3 * KWF_NS_PER_S },
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -151,6 +151,7 @@
                         it is above 0, an instance that is cut off reads no
                         list */
   int64_t cold_start_ns;
+  bool start_measured;    /* of the instances that start from now on */
   int64_t feed_spread_ns; /* instances read a changed entry within this time */
   bool store_down;
   bool deaf; /* what the servers name is not passed to the cores */
