--- a/lib/pacing.c
+++ b/lib/pacing.c
@@ -41,8 +41,16 @@
 begin_doubts (kwf_core_t *core, const char *why, int64_t now_ns,
               kwf_effects_t *effects)
 {
+  const GPtrArray *servers = backend_servers (core->backend);
   core->pacing.contact_ns = 0;
   set_doubted (core, true);
+  /* Another instance may be the owner of these limits by now.  */
+  for (guint i = 0; i < servers->len; i++)
+    {
+      limit_t *limit = &((server_t *)servers->pdata[i])->limit;
+      if (cold_stands (&limit->cold, now_ns))
+        limit_hold_grants (limit, 0, now_ns);
+    }
   core->pacing.n_doubts++;
   permits_attend (core->permits, now_ns);
   kwf_effects_log (effects, 283, KWF_LOG_INFO, NULL,
