--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -200,8 +200,14 @@
   bool named;
   double rate_per_s;
   bool forwarded; /* the sender received it from another instance */
+  /* How much longer the server is cold; 0: the sender does not say, and the
+     message is one of before there were cold servers.  */
+  int64_t cold_ns;
 } kwf_server_limit_t;
 
+/* As COLD_NS of a grant: the server is not cold as far as the sender knows. */
+#define KWF_COLD_DENIED (-1)
+
 typedef struct
 {
   kwf_server_limit_t limit;
@@ -210,6 +216,9 @@
   int64_t patience_ns;   /* no permit is wanted that starts later */
   int64_t n_unspent;     /* permits that come back */
   int64_t n_unpermitted; /* calls that the sender made without a permit */
+  int64_t answer_ns;     /* time to the first data of the sender's last answer
+                            of a server that has just started; 0: none */
+  int64_t answer_kind;   /* of that answer (lib/pace/ramp.h) */
 } kwf_permit_ask_t;
 
 typedef struct
@@ -223,6 +232,8 @@
   int64_t spacing_ns; /* between two permits */
   int64_t free_ns;    /* start of the first slot that is left, after the
                          question */
+  int64_t cold_ns;    /* as in kwf_server_limit_t, or KWF_COLD_DENIED */
+  int64_t started;    /* 1: the ramp-up of the server is over; 0: not said */
 } kwf_permit_grant_t;
 
 typedef struct
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -19,6 +19,7 @@
 #include "evacuation/regions.h"
 #include "fleet-load.h"
 #include "metric.h"
+#include "pacing.h"
 #include "permit.h"
 #include "placement.h"
 #include "policy.h"
@@ -145,6 +146,7 @@
   GHashTable *usuals;     /* service to usual_t (lib/balance/observe.h) */
   int64_t next_usuals_ns; /* time of their next update */
   uint64_t instance_hash;
+  pacing_t pacing;
   fleet_load_t *loads; /* NULL: engines report their load themselves */
   hedge_delay_t hedge_delays[N_HEDGE_DELAYS];
   durations_t *durations;
--- a/lib/core.c
+++ b/lib/core.c
@@ -181,6 +181,7 @@
     notice_handle_peer (core, &event->peer, effects);
   permits_step (core->permits, core->session, core->backend, event, effects);
   backend_step (core->backend, event, effects, &report);
+  pacing_step (core, event, effects);
   if (evacuation_step (core->evacuation, core->backend, core->regions,
                        core->options.data_centre, event, effects))
     waits_recheck_all (core);
@@ -364,6 +365,7 @@
 kwf_core_step (kwf_core_t *core, const kwf_event_t *event,
                kwf_effects_t *effects)
 {
+  pacing_begin_step (core, effects);
   switch (event->type)
     {
     case KWF_EV_ATTEMPT_DATA:
@@ -381,6 +383,7 @@
       break;
     case KWF_EV_NOTICE:
       handle_limit (core, &event->notice, effects);
+      pacing_handle_notice (core, &event->notice, effects);
       notice_handle_event (core, &event->notice, effects);
       step_modules (core, event, effects);
       break;
--- a/lib/settings-table.c
+++ b/lib/settings-table.c
@@ -9,6 +9,7 @@
 static const char *const weights[] = { "worst_served", "attainment", NULL };
 static const char *const tokens[] = { "checked", "unchecked", NULL };
 static const char *const withdrawal_modes[] = { "cut", "finish", NULL };
+static const char *const start_paces[] = { "none", "measured", NULL };
 static const char *const protocols[] = { "table", "rows", NULL };
 static const char *const reuses[] = { "repeatable", "all", NULL };
 static const char *const admissions[] = { "window", "predicted", NULL };
@@ -107,6 +108,8 @@
     .unit = "requests", .default_number = 0, .min = 0, .max = 1e6 },
   { "backend", "reuse", SETTING_CHOICE, FIELD (reuse), .unit = "",
     .default_text = "repeatable", .choices = reuses },
+  { "backend", "start_pace", SETTING_CHOICE, FIELD (start_pace), .unit = "",
+    .default_text = "none", .choices = start_paces },
   { "queue", "length", SETTING_INTEGER, FIELD (queue_length), .unit = "",
     .default_number = 1024, .min = 1, .max = 65536 },
   { "queue", "organisation_length", SETTING_INTEGER,
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -48,6 +48,15 @@
   return array;
 }
 
+/* How much longer a server that is known to be cold is cold.  */
+static json_int_t
+cold_left_ms (const limit_t *limit, int64_t now_ns)
+{
+  return cold_state (&limit->cold, now_ns) == COLD_ANNOUNCED
+             ? (limit->cold.until_ns - now_ns) / KWF_NS_PER_MS
+             : 0;
+}
+
 static json_t *
 server_json (const session_t *session, const server_t *server, int64_t now_ns)
 {
@@ -84,13 +93,16 @@
                    / KWF_NS_PER_MS),
       "models", models);
   if (limit_in_force (&server->limit, now_ns))
-    json_object_set_new (object, "limit",
-                         json_pack ("{s:f,s:b,s:s,s:i,s:i}", "per_s",
-                                    limit_rate (&server->limit, now_ns),
-                                    "ended", (int)!server->limit.named,
-                                    "owner", permits_owner (session, server),
-                                    "permits", server->limit.n_permits,
-                                    "waiting", server->limit.n_waiting));
+    json_object_set_new (
+        object, "limit",
+        json_pack ("{s:f,s:b,s:I,s:s,s:i,s:i}", "per_s",
+                   limit_rate (&server->limit, now_ns), "ended",
+                   (int)(!server->limit.named
+                         && !cold_stands (&server->limit.cold, now_ns)),
+                   "cold_left_ms", cold_left_ms (&server->limit, now_ns),
+                   "owner", permits_owner (session, server), "permits",
+                   server->limit.n_permits, "waiting",
+                   server->limit.n_waiting));
   json_t *delay = report_server_json (server, now_ns);
   if (delay)
     json_object_set_new (object, "delay", delay);
@@ -275,6 +287,7 @@
                       (double)core->stop.n_cut);
   retry_budget_write_metrics (core->retries, out);
   permits_write_metrics (core->permits, out);
+  pacing_write_metrics (core, out);
   waits_write_metrics (core, out);
   admission_write_metrics (core->admission, out);
   placement_write_metrics (core->placement, out);
--- a/net/message.c
+++ b/net/message.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "message-optional.h"
 #include "wire.h"
 
 static void
@@ -279,7 +280,8 @@
   grant->free_ns = wire_get_int (reader);
 }
 
-/* Number of fields of a message type; -1: unknown type.  */
+/* Number of fields of a message type, without the optional ones; -1: unknown
+   type.  */
 static int
 field_count (int64_t type)
 {
@@ -513,8 +515,12 @@
   wire_writer_t writer;
   if (fields < 0)
     return KWF_INVALID;
-  wire_begin (&writer, out, message->type, (size_t)fields);
+  int64_t optional[MESSAGE_OPTIONAL];
+  size_t n_optional = message_collect_optional (message, optional);
+  wire_begin (&writer, out, message->type, (size_t)fields + n_optional);
   put_fields (&writer, message);
+  for (size_t i = 0; i < n_optional; i++)
+    wire_put_int (&writer, optional[i]);
   kwf_status_t status = KWF_OK;
   if (writer.failed)
     status = KWF_INVALID;
@@ -543,6 +549,7 @@
     }
   message->type = (kwf_message_type_t)type;
   read_fields (&reader, message);
+  message_read_optional (&reader, message);
   if (wire_close (&reader))
     return KWF_OK;
   return kwf_fail (error, KWF_INVALID, "read message", NULL,
