--- a/lib/backend.h
+++ b/lib/backend.h
@@ -112,8 +112,6 @@
                0: it never said */
   int open_attempts;
   int unanswered;        /* of these, attempts without any data yet */
-  bool others_known;     /* whether the next two are known
-                            (lib/fleet-load.h) */
   int others_open;       /* open attempts of other instances */
   int others_unanswered; /* of these, attempts without any data yet */
   window_t window;       /* engines: limit of open_attempts (lib/window.h) */
@@ -126,6 +124,8 @@
   notice_t notice;
   limit_t limit;
   bool load_unreadable; /* the last load that it sent was none */
+  bool others_known;    /* whether others_open and others_unanswered are known
+                           (lib/fleet-load.h) */
   bool pace_heard;      /* the last pace was said to another instance */
   bool is_slow;         /* the log has it as slow */
   bool listed;          /* in the latest membership list, or doubted */
--- a/lib/balance/observe.c
+++ b/lib/balance/observe.c
@@ -6,7 +6,7 @@
 #include "pace.h"
 
 /* Number of gaps of which the median is recorded: the largest may contain a
-   prompt, and the smallest may follow an event that was delayed on its way.  */
+   prompt, and the smallest may follow an event that was delayed on its way. */
 #define GAPS 3
 /* A time is taken for at most this many times the usual one, so that a server
    that stalled once does not count as slow for minutes.  */
