--- a/lib/backend.h
+++ b/lib/backend.h
@@ -114,10 +114,10 @@
   int unanswered;        /* of these, attempts without any data yet */
   int others_open;       /* open attempts of other instances */
   int others_unanswered; /* of these, attempts without any data yet */
+  int failures;          /* of attempts in a row */
   window_t window;       /* engines: limit of open_attempts (lib/window.h) */
   double ahead; /* queued requests that wait for it, as counted so far by
                    a sweep of the queue */
-  int failures; /* of attempts in a row */
   int openings; /* of the circuit in a row, for the back-off */
   int ejections;
 
