--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -17,6 +17,7 @@
 #include "lib/balance/load-entry.h"
 #include "lib/balance/observe.h"
 #include "lib/balance/pace.h"
+#include "net/message.h"
 
 #define N_INSTANCES 78
 #define N_SERVERS 30
@@ -485,6 +486,19 @@
   kwf_server_load_t list[LOAD_ENTRIES_MAX];
   size_t n = load_entry_put (list, "s1", &counts, true, 900 * MS, effects);
   assert_int_equal (n, 3);
+  kwf_message_t message
+      = { .type = KWF_MSG_SERVER_LOADS,
+          .loads
+          = { .scope = KWF_LOAD_SCOPE_OWN, .loads = list, .n_loads = n } };
+  GByteArray *bytes = g_byte_array_new ();
+  msgpack_zone zone;
+  msgpack_zone_init (&zone, 4096);
+  assert_int_equal (message_encode (bytes, &message), KWF_OK);
+  assert_int_equal (
+      message_decode (&message, bytes->data, bytes->len, &zone, NULL), KWF_OK);
+  assert_string_equal (message.loads.loads[2].server, list[2].server);
+  msgpack_zone_destroy (&zone);
+  g_byte_array_free (bytes, TRUE);
   assert_string_equal (list[0].server, "s1");
   assert_true (list[0].open == 3 && list[0].reading == 1);
   load_counts_t sum = { 0 };
