--- a/lib/backend.h
+++ b/lib/backend.h
@@ -113,20 +113,20 @@
                0: it never said */
   int open_attempts;
   int unanswered;        /* of these, attempts without any data yet */
-  bool others_known;     /* whether the next two are known
-                            (lib/fleet-load.h) */
   int others_open;       /* open attempts of other instances */
   int others_unanswered; /* of these, attempts without any data yet */
+  int failures;          /* of attempts in a row */
   window_t window;       /* engines: limit of open_attempts (lib/window.h) */
   double ahead; /* queued requests that wait for it, as counted so far by
                    a sweep of the queue */
-  int failures; /* of attempts in a row */
   int openings; /* of the circuit in a row, for the back-off */
   int ejections;
 
   notice_t notice;
   limit_t limit;
   bool load_unreadable; /* the last load that it sent was none */
+  bool others_known;    /* whether others_open and others_unanswered are known
+                           (lib/fleet-load.h) */
   bool pace_heard;      /* the last pace was said to another instance */
   bool is_slow;         /* the log has it as slow */
   bool listed;          /* in the latest membership list, or doubted */
