Measure servers where the configuration has background work

Deployments whose callers compete, but whose servers do not report a pace, got neither the choice by expected delay nor admission by forecast.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "../balance/contention.h"
 #include "history.h"
 #include "state.h"
 
@@ -57,18 +58,12 @@
   return service;
 }
 
-static bool
-reports_pace (const server_t *server)
-{
-  return server->pace > 0;
-}
-
 static bool
 is_reported (backend_t *backend, const char *name)
 {
   const GPtrArray *servers = backend_servers_of_service (backend, name);
   for (guint i = 0; servers && i < servers->len; i++)
-    if (reports_pace (servers->pdata[i]))
+    if (server_is_measured (servers->pdata[i]))
       return true;
   return false;
 }
@@ -189,7 +184,7 @@
   for (guint i = 0; i < servers->len; i++)
     {
       const server_t *server = servers->pdata[i];
-      if (reports_pace (server))
+      if (server_is_measured (server))
         admission_history_add (history_of (admission, server),
                                open_at (server, now_ns));
     }
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -3,6 +3,7 @@
 
 #include "request.h"
 
+#include "balance/contention.h"
 #include "balance/observe.h"
 #include "evacuation/home.h"
 #include "balance/report.h"
@@ -89,8 +90,8 @@
                                .resumes = request_has_begun (request),
                                .repeatable = request->idempotent,
                                .stream = request->stream,
-                               .keep_unsafe
-                               = core->options.keep_unsafe && server->pace > 0,
+                               .keep_unsafe = core->options.keep_unsafe
+                                              && server_is_measured (server),
                                .organisation = request->organisation };
 }
 
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -128,6 +128,8 @@
   bool others_known;    /* whether others_open and others_unanswered are known
                            (lib/fleet-load.h) */
   bool pace_heard;      /* the last pace was said to another instance */
+  bool contended;       /* its deployment has background work
+                           (lib/balance/contention.h) */
   bool is_slow;         /* the log has it as slow */
   bool listed;          /* in the latest membership list, or doubted */
   bool present;         /* in the latest membership list */
--- a/lib/balance/capacity.c
+++ b/lib/balance/capacity.c
@@ -1,6 +1,7 @@
 #include "capacity.h"
 
 #include "delay.h"
+#include "contention.h"
 #include "pace.h"
 
 /* Bounds of a capacity, so that a wrong measurement does not empty a server or
@@ -21,7 +22,7 @@
 double
 capacity_of (const server_t *server)
 {
-  if (!server_reports_pace (server) || !server->usual)
+  if (!server_is_measured (server) || !server->usual)
     return 1;
   double aim_ns
       = (double)(server->usual->gap_aim_ns > 0 ? server->usual->gap_aim_ns
--- a/lib/balance/choose.c
+++ b/lib/balance/choose.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <xxhash.h>
 
+#include "contention.h"
 #include "pace.h"
 
 /* Delays that differ by less than about this part of the least one count as
@@ -17,7 +18,7 @@
 choose_by_delay_applies (const GPtrArray *servers)
 {
   for (guint i = 0; i < servers->len; i++)
-    if (server_reports_pace (servers->pdata[i]))
+    if (server_is_measured (servers->pdata[i]))
       return true;
   return false;
 }
--- a/lib/balance/delay.c
+++ b/lib/balance/delay.c
@@ -112,6 +112,8 @@
 expected_late_cost_ns (const server_t *server, double pause_ns, double aim_ns,
                        int64_t now_ns)
 {
+  if (!pace_is_expected (server))
+    return late_cost_ns (server, pause_ns, aim_ns);
   double known = pace_weight (server, now_ns);
   double reported
       = late_cost_ns (server, pause_ns * pace_reported (server), aim_ns);
--- a/lib/balance/observe.c
+++ b/lib/balance/observe.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "delay.h"
+#include "contention.h"
 #include "pace.h"
 
 /* Number of gaps of which the median is recorded: the largest may contain a
@@ -61,11 +62,12 @@
   for (guint i = 0; i < servers->len; i++)
     {
       server_t *server = servers->pdata[i];
-      server->usual = server_reports_pace (server)
+      server->usual = server_is_measured (server)
                           ? usual_of (usuals, server->name)
                           : g_hash_table_lookup (usuals, server->name);
       if (!server->usual)
         continue;
+      server->usual->paced |= server_reports_pace (server);
       speed_decay (&server->speed, now_ns);
       server->usual->sum += server->speed.sum + server->others_speed.sum;
       server->usual->weight
--- a/lib/balance/pace.c
+++ b/lib/balance/pace.c
@@ -47,9 +47,17 @@
   return CLAMP (server->pace / 100.0, PACE_MIN, PACE_MAX);
 }
 
+bool
+pace_is_expected (const server_t *server)
+{
+  return !server->contended || !server->usual || server->usual->paced;
+}
+
 double
 pace_factor (const server_t *server, int64_t now_ns)
 {
+  if (!pace_is_expected (server))
+    return 1;
   double weight = pace_weight (server, now_ns);
   double unknown = 1 + PACE_SHARED_PART * (PACE_SHARED - 1);
   return weight > 0 ? weight * pace_reported (server) + (1 - weight) * unknown
--- a/lib/balance/pace.h
+++ b/lib/balance/pace.h
@@ -25,6 +25,10 @@
 /* The same, said to another instance at THEN_NS.  Only newer reports count. */
 void pace_set_heard (server_t *server, int pace, int64_t then_ns);
 
+/* Whether SERVER may be slower than usual without saying so: servers of its
+   service report their pace, or it is not known whether they do.  */
+bool pace_is_expected (const server_t *server);
+
 /* Weight of the pace that SERVER last reported: 1 at once, falling to 0 within
    a second.  0: it is unknown.  */
 double pace_weight (const server_t *server, int64_t now_ns);
@@ -33,7 +37,8 @@
 double pace_reported (const server_t *server);
 
 /* Expected factor of the usual time at NOW_NS.  With an unknown pace it is
-   that of a server that may be in such a spell, so above 1.  */
+   that of a server that may be in such a spell, so above 1; it is 1 where no
+   server reports a pace.  */
 double pace_factor (const server_t *server, int64_t now_ns);
 
 #endif
--- a/lib/balance/speed.h
+++ b/lib/balance/speed.h
@@ -8,6 +8,7 @@
 #ifndef KNAPWEEDFORK_SPEED_H
 #define KNAPWEEDFORK_SPEED_H
 
+#include <stdbool.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -31,6 +32,7 @@
   double hold_ns;       /* mean time for which a request holds a slot */
   int64_t gap_aim_ns;   /* longest pause between events that callers of the
                            service last asked for; 0: not known */
+  bool paced;           /* one of its servers reported a pace */
   double sum;           /* sums over its servers, while log_ns is computed */
   double weight;
   bool announced; /* the log has it */
--- a/lib/core.c
+++ b/lib/core.c
@@ -2,6 +2,7 @@
 
 #include "evacuation/home.h"
 #include "admission/admission.h"
+#include "balance/contention.h"
 #include "notice.h"
 #include "request.h"
 
@@ -186,7 +187,10 @@
                        core->options.data_centre, event, effects))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS || event->type == KWF_EV_CONFIG)
-    home_check_routes (core, effects);
+    {
+      home_check_routes (core, effects);
+      contention_mark (core->backend, config_lists (core->config));
+    }
   if (backend_consume_residency_change (core->backend))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS)
--- a/lib/fleet-load.c
+++ b/lib/fleet-load.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "balance/load-entry.h"
+#include "balance/contention.h"
 #include "balance/pace.h"
 #include "fanout.h"
 
@@ -176,7 +177,7 @@
   speed_decay (&server->speed, now_ns);
   load_counts_t counts
       = { .open = server->open_attempts, .unanswered = server->unanswered };
-  if (server_reports_pace (server))
+  if (server_is_measured (server))
     counts.reading_tokens = server->reading_tokens;
   if (server_reports_pace (server) && !server->pace_heard
       && now_ns - server->pace_ns < LOAD_PACE_AGE_NS)
