Wait for the hubs before the first share epoch

Cause: an instance that had read only some members for 1.2 s took them all for hubs and wrote the first epoch, so small instances without links to all others held shares.

--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -13,6 +13,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "hub.h"
 #include "op.h"
 #include "share-state.h"
 
@@ -480,6 +481,16 @@
   next_epoch_free (&next);
 }
 
+/* Whether the first epoch has to wait, because the hubs are not known yet: if
+   the members were read twice with 1.2 s or more between, it would name the
+   instances that the first read happened to show.  */
+static bool
+waits_for_hubs (const shares_t *shares)
+{
+  return shares->steady && !shares->epoch && shares->session
+         && hub_is_starting (shares->session);
+}
+
 /* Whether this instance could write an epoch now.  */
 static bool
 may_write (const shares_t *shares)
@@ -488,7 +499,8 @@
       = !shares->steady || session_is_hub (shares->session, shares->instance);
   return holds && !shares->op && (shares->settled || !shares->epoch)
          && session_revision (shares->session)
-         && session_state (shares->session) == SESSION_VALID;
+         && session_state (shares->session) == SESSION_VALID
+         && !waits_for_hubs (shares);
 }
 
 void
@@ -501,7 +513,8 @@
     shares->rank = own_rank (shares);
   if (shares->epoch && !shares->settled && fresh)
     check_settled (shares, effects);
-  bool due = fresh || (shares->needs_epoch && !shares->need_ns)
+  bool due = fresh
+             || ((shares->needs_epoch || !shares->epoch) && !shares->need_ns)
              || (shares->need_ns && now_ns >= write_at_ns (shares));
   if (due && may_write (shares))
     plan_epoch (shares, now_ns, effects);
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -71,10 +71,8 @@
   return list;
 }
 
-/* Whether the fleet is starting and may turn out to be large, because every
-   known member has just started.  Links wait meanwhile.  */
-static bool
-is_starting (const session_t *session)
+bool
+hub_is_starting (const session_t *session)
 {
   if (!session->push_updates || session->large
       || session_age_ns (session) > STARTUP_NS)
@@ -105,14 +103,14 @@
       centre = candidate->data_centre;
       *candidate->hub = !session->large || rank < HUBS_PER_CENTRE;
     }
-  session->links_deferred |= is_starting (session);
+  session->links_deferred |= hub_is_starting (session);
   g_array_free (list, TRUE);
 }
 
 bool
 hub_wants_link (const session_t *session, const member_t *member)
 {
-  return (session->hub || member->hub) && !is_starting (session);
+  return (session->hub || member->hub) && !hub_is_starting (session);
 }
 
 bool
@@ -186,7 +184,7 @@
 void
 hub_run (session_t *session, int64_t now_ns, kwf_effects_t *effects)
 {
-  if (session->links_deferred && !is_starting (session))
+  if (session->links_deferred && !hub_is_starting (session))
     {
       session->links_deferred = false;
       member_open_links (session, effects);
--- a/lib/hub.h
+++ b/lib/hub.h
@@ -19,6 +19,11 @@
 /* Chooses the hubs anew, after rows of members have changed.  */
 void hub_select (session_t *session);
 
+/* Whether the fleet is starting and may turn out to be large, because every
+   known member has just started.  Links and the first share epoch wait
+   meanwhile.  */
+bool hub_is_starting (const session_t *session);
+
 /* Whether this instance opens a link to MEMBER.  */
 bool hub_wants_link (const session_t *session, const member_t *member);
 
