--- a/lib/admission/decide.c
+++ b/lib/admission/decide.c
@@ -23,7 +23,8 @@
 bool
 admission_is_patient (int64_t target_ns, int priority)
 {
-  return target_ns >= PATIENT_TARGET_NS || priority >= PATIENT_PRIORITY;
+  return target_ns > 0 ? target_ns >= PATIENT_TARGET_NS
+                       : priority >= PATIENT_PRIORITY;
 }
 
 int64_t
--- a/lib/balance/contention.c
+++ b/lib/balance/contention.c
@@ -30,7 +30,10 @@
   bool configured = contention_configured (lists);
   const GPtrArray *servers = backend_servers (backend);
   for (guint i = 0; i < servers->len; i++)
-    ((server_t *)servers->pdata[i])->contended = configured;
+    {
+      server_t *server = servers->pdata[i];
+      server->contended = configured && server->kind == KWF_MEMBER_ENGINE;
+    }
 }
 
 bool
--- a/lib/balance/contention.h
+++ b/lib/balance/contention.h
@@ -2,7 +2,7 @@
 
    Load pattern: a deployment has background work, whose streams may begin many
    seconds after they were asked for, beside streams that callers wait for.
-   Its servers are chosen by expected delay and its requests admitted by
+   Its engines are chosen by expected delay and its requests admitted by
    forecast, also where servers do not report their pace.  The configuration
    alone tells: a stream route with a long target and a low priority.  */
 
