--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -200,8 +200,7 @@
   bool named;
   double rate_per_s;
   bool forwarded; /* the sender received it from another instance */
-  /* How much longer the server is cold; 0: the sender does not say, and the
-     message is one of before there were cold servers.  */
+  /* How much longer the server is cold; 0: the sender does not say.  */
   int64_t cold_ns;
 } kwf_server_limit_t;
 
