--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -30,6 +30,7 @@
 {
   int grace_s;         /* 0: none */
   int memory_mb;       /* of the instance; 0: not told */
+  const char *callers; /* further lines of [callers]; NULL: none */
   const char *retries; /* limits for repeats, lines of the settings; NULL: the
                           default of these tests */
 } test_daemon_options_t;
