Bound the memory that is held for all callers together

Callers who sent bodies of a permitted size and stopped short of their end, or did not read their answers, made an instance use 147 to 253 MB where it had 64 MB (test_intake), and a process ended for lack of memory. The limits of one body and of the number of connections bounded only their product.

lib/intake is one account for connections, heads, arriving bodies, bodies kept for a retry with their copy, and unread answers. When it is full, connections without progress are ended first, then the largest arriving bodies; a quarter is kept for small requests. A request that is refused while its body arrives is answered on the connection itself (408 or 503, not run), since libmicrohttpd takes no answer then. Buffers of bodies grow with what arrives, a body over the limit is dropped at once instead of at its end, and large blocks return to the system when they are freed. Near max_connections the connection with the least progress makes way, and connections of callers leave files for servers and other instances.

The listeners moved from net/instance.c to net/instance-listen.c.

--- a/cmd/knapweedforkd.c
+++ b/cmd/knapweedforkd.c
@@ -3,6 +3,7 @@
 #include <argp.h>
 #include <curl/curl.h>
 #include <ev.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdbool.h>
@@ -107,6 +108,12 @@
     on_interrupt (loop, watcher, events);
 }
 
+/* Blocks of at least this size are mapped on their own, so that the memory of
+   large bodies returns to the system as soon as they are freed.  Otherwise
+   glibc raises the bound to the largest block that was ever freed, and large
+   blocks leave holes in the heap.  */
+#define MAPPED_BYTES (128 << 10)
+
 /* Interval of checks for a changed settings file.  The file can change without
    a signal, and one stat call each second has no measurable cost.  */
 #define CHECK_INTERVAL_S 1.0
@@ -268,6 +275,7 @@
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &options);
   signal (SIGPIPE, SIG_IGN);
+  mallopt (M_MMAP_THRESHOLD, MAPPED_BYTES);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     {
       fprintf (stderr, "knapweedforkd: cannot set up the libraries\n");
--- a/include/knapweedfork/settings.h
+++ b/include/knapweedfork/settings.h
@@ -53,6 +53,8 @@
   int64_t max_body_bytes;      /* [callers] max_body_bytes */
   int64_t max_answer_bytes;    /* [backend] max_answer_bytes */
   int64_t memory_mb;           /* [instance] memory_mb; 0: not told */
+  int64_t intake_mb;           /* [callers] intake_mb; 0: from memory_mb */
+  int64_t min_bytes_per_s;     /* [callers] min_bytes_per_s */
   int64_t max_connections;     /* [callers] max_connections */
   int64_t max_pending_bytes;   /* [callers] max_pending_bytes */
   int64_t stop_limit_ms;       /* [callers] stop_limit_ms; 0: none */
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -43,6 +43,7 @@
   server_t *operator_server;
   server_t *ready_server;     /* NULL: no such listener */
   server_t *directory_server; /* NULL: no such listener */
+  intake_t *intake;           /* what is held for their callers */
   client_t *client;
   client_t *control; /* calls to the platform and to model engines */
   store_t *store;
--- a/net/instance.c
+++ b/net/instance.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../lib/logging.h"
+#include "instance-listen.h"
 
 /* A stopping instance accepts no request later than this long before the end
    of the grace time, when it is killed, and until then those that can end in
@@ -380,97 +381,6 @@
   });
 }
 
-/* PEM texts of a certificate and its key.  */
-typedef struct
-{
-  char *certificate;
-  char *key;
-} pem_t;
-
-static void
-pem_clear (pem_t *pem)
-{
-  g_free (pem->certificate);
-  if (pem->key)
-    sodium_memzero (pem->key, strlen (pem->key));
-  g_free (pem->key);
-}
-
-/* Reads both files.  CERTIFICATE NULL: there is nothing to read.  */
-static bool
-pem_read (pem_t *pem, const char *certificate, const char *key,
-          kwf_error_t *error)
-{
-  *pem = (pem_t){ 0 };
-  if (!certificate
-      || (g_file_get_contents (certificate, &pem->certificate, NULL, NULL)
-          && g_file_get_contents (key, &pem->key, NULL, NULL)))
-    return true;
-  kwf_fail (error, KWF_NOT_FOUND, "read TLS files",
-            pem->certificate ? key : certificate, "cannot read the file");
-  pem_clear (pem);
-  return false;
-}
-
-static server_t *
-start_callers (instance_t *instance, kwf_error_t *error)
-{
-  const kwf_settings_t *settings = instance->settings;
-  pem_t pem;
-  if (!pem_read (&pem, settings->tls_certificate, settings->tls_key, error))
-    return NULL;
-  server_t *server = server_start (
-      instance->loop,
-      &(server_options_t){
-          .address = settings->caller_listen,
-          .max_header_bytes = (size_t)settings->max_header_bytes,
-          .max_body_bytes = (size_t)settings->max_body_bytes,
-          .idle_s = (unsigned)((settings->idle_ms + 999) / 1000),
-          .max_connections = (unsigned)settings->max_connections,
-          .max_pending_bytes = (size_t)settings->max_pending_bytes,
-          .tls_certificate = pem.certificate,
-          .tls_key = pem.key,
-      },
-      instance->protocol->callers, instance, error);
-  pem_clear (&pem);
-  return server;
-}
-
-static server_t *
-start_operators (instance_t *instance, kwf_error_t *error)
-{
-  const kwf_settings_t *settings = instance->settings;
-  pem_t pem;
-  if (!pem_read (&pem, settings->operator_certificate, settings->operator_key,
-                 error))
-    return NULL;
-  server_t *server = server_start (
-      instance->loop,
-      &(server_options_t){ .address = settings->operator_listen,
-                           .tls_certificate = pem.certificate,
-                           .tls_key = pem.key },
-      &operator_handler, instance, error);
-  pem_clear (&pem);
-  return server;
-}
-
-static bool
-reload_certificate (server_t *server, const char *certificate, const char *key,
-                    kwf_error_t *error)
-{
-  pem_t pem;
-  if (!certificate)
-    return true;
-  if (!pem_read (&pem, certificate, key, error))
-    return false;
-  bool good = server_set_certificate (server, pem.certificate, pem.key, error)
-              == KWF_OK;
-  if (!good)
-    g_strlcpy (error->peer, certificate, sizeof error->peer);
-  pem_clear (&pem);
-  return good;
-}
-
 bool
 instance_reload (instance_t *instance, const kwf_settings_t *settings,
                  kwf_error_t *error)
@@ -480,12 +390,11 @@
   instance->newest_settings = settings;
   return (!settings->fleet_secret
           || peers_set_secrets (instance->peers, secrets, error) == KWF_OK)
-         && reload_certificate (instance->caller_server,
-                                settings->tls_certificate, settings->tls_key,
-                                error)
-         && reload_certificate (instance->operator_server,
-                                settings->operator_certificate,
-                                settings->operator_key, error);
+         && listen_reload (instance->caller_server, settings->tls_certificate,
+                           settings->tls_key, error)
+         && listen_reload (instance->operator_server,
+                           settings->operator_certificate,
+                           settings->operator_key, error);
 }
 
 char *
@@ -497,28 +406,6 @@
   return g_strdup (sodium_bin2hex (text, sizeof text, bytes, sizeof bytes));
 }
 
-/* Starts the listener *SERVER at ADDRESS, with the default time-outs and
-   without TLS.  Does nothing when HANDLER or ADDRESS is NULL.  */
-static bool
-open_small_listener (instance_t *instance, server_t **server,
-                     const char *address, const server_handler_t *handler,
-                     kwf_error_t *error)
-{
-  if (!handler || !address)
-    return true;
-  const kwf_settings_t *settings = instance->settings;
-  *server = server_start (
-      instance->loop,
-      &(server_options_t){
-          .address = address,
-          .max_header_bytes = (size_t)settings->max_header_bytes,
-          .max_body_bytes = (size_t)settings->max_body_bytes,
-          .max_connections = (unsigned)settings->max_connections,
-      },
-      handler, instance, error);
-  return *server != NULL;
-}
-
 /* Opens the listeners.  The callers' port is last, so that no request arrives
    before its effects can be carried out.  */
 static bool
@@ -539,17 +426,16 @@
   g_free (random_secret);
   if (!instance->peers)
     return false;
-  instance->operator_server = start_operators (instance, error);
+  instance->operator_server = listen_operators (instance, error);
   if (!instance->operator_server)
     return false;
-  if (!open_small_listener (instance, &instance->ready_server,
-                            settings->ready_listen, instance->protocol->ready,
-                            error)
-      || !open_small_listener (instance, &instance->directory_server,
-                               settings->directory_listen,
-                               instance->protocol->directory, error))
+  if (!listen_small (instance, &instance->ready_server, settings->ready_listen,
+                     instance->protocol->ready, error)
+      || !listen_small (instance, &instance->directory_server,
+                        settings->directory_listen,
+                        instance->protocol->directory, error))
     return false;
-  instance->caller_server = start_callers (instance, error);
+  instance->caller_server = listen_callers (instance, error);
   if (!instance->caller_server)
     return false;
   instance->caller_address = replace_port (
@@ -575,6 +461,7 @@
   instance->incarnation = (uint64_t)kwf_wall_ms (kwf_clock_system ());
   instance->tick_at_ns = INT64_MAX;
   instance->effects = kwf_effects_new ();
+  instance->intake = listen_account (settings);
   instance->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal,
                                               NULL, caller_request_free);
   instance->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal,
@@ -631,6 +518,7 @@
   server_stop (instance->operator_server);
   server_stop (instance->ready_server);
   server_stop (instance->directory_server);
+  intake_free (instance->intake);
   if (instance->peers)
     peers_stop (instance->peers);
   instance->store->ops->free (instance->store);
--- a/net/operator.c
+++ b/net/operator.c
@@ -235,6 +235,7 @@
   g_string_append (text, "# TYPE kwf_answers_ended_by_close_total counter\n");
   write_by_close (text, "requests", instance->client);
   write_by_close (text, "control", instance->control);
+  server_intake_write_metrics (text, instance->intake);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
   reply_text (instance, handle, 200, "text/plain; version=0.0.4", text->str);
--- a/net/server-answer.c
+++ b/net/server-answer.c
@@ -1,6 +1,6 @@
 /* Answers of the HTTP server: whole, or streamed in parts.  */
 
-#include "server-internal.h"
+#include "server-intake.h"
 
 #include <glib.h>
 #include <string.h>
@@ -115,56 +115,16 @@
   server_resume (request);
 }
 
-void
-server_reply (server_t *server, kwf_handle_t handle, int status,
-              const char *content_type, const header_t *headers,
-              size_t n_headers, const void *body, size_t body_size)
-{
-  server_request_state_t *request
-      = find_unanswered (server, handle, "an answer");
-  if (!request)
-    return;
-  /* libmicrohttpd copies the bytes; its parameter lacks const.  */
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      body_size, (void *)body, MHD_RESPMEM_MUST_COPY);
-  if (!response)
-    {
-      server_abort (server, handle);
-      return;
-    }
-  add_headers (server, response, content_type, headers, n_headers);
-  request->answered = true;
-  set_response (request, status, response);
-}
-
-struct MHD_Response *
-server_refusal (const char *code, const char *message)
-{
-  char *text = g_strdup_printf ("{\"error\":{\"code\":\"%s\",\"message\":"
-                                "\"%s\",\"type\":\"invalid_request_error\","
-                                "\"run\":\"no\"}}",
-                                code, message);
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), text, MHD_RESPMEM_MUST_COPY);
-  g_free (text);
-  if (response)
-    {
-      MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
-                               "application/json");
-      /* The request may be refused before its body was read.  The bytes that
-         follow on the connection may then belong to this request, not to a
-         new one, so the connection must be closed.  */
-      MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-    }
-  return response;
-}
-
 static void
-reset_pending (pending_t *pending)
+reset_pending (server_request_state_t *request)
 {
+  pending_t *pending = &request->pending;
   pending->start = pending->end = 0;
+  if (!request->answered)
+    server_set_stage (request->connection, INTAKE_HELD);
   if (pending->capacity <= KEPT_PENDING_BYTES)
     return;
+  server_release (request->connection, pending->capacity);
   g_free (pending->bytes);
   pending->bytes = NULL;
   pending->capacity = 0;
@@ -186,8 +146,9 @@
       size_t n = MIN (unread, size);
       memcpy (buffer, pending->bytes + pending->start, n);
       pending->start += n;
+      server_progress (request->connection, n);
       if (n == unread)
-        reset_pending (pending);
+        reset_pending (request);
       return (ssize_t)n;
     }
   if (request->aborted)
@@ -199,6 +160,105 @@
   return 0;
 }
 
+/* False: there is no memory for them, and the answer must be broken off.  */
+static bool
+append (server_request_state_t *request, const void *bytes, size_t size)
+{
+  pending_t *pending = &request->pending;
+  size_t unread = pending->end - pending->start;
+  if (pending->end + size > pending->capacity)
+    {
+      if (pending->start)
+        memmove (pending->bytes, pending->bytes + pending->start, unread);
+      pending->start = 0;
+      pending->end = unread;
+      if (unread + size > pending->capacity)
+        {
+          size_t capacity = MAX (unread + size, pending->capacity * 2);
+          capacity = MAX (capacity, 512);
+          if (!server_hold (request->connection, capacity - pending->capacity))
+            return false;
+          pending->capacity = capacity;
+          pending->bytes = g_realloc (pending->bytes, pending->capacity);
+        }
+    }
+  memcpy (pending->bytes + pending->end, bytes, size);
+  pending->end += size;
+  if (!unread)
+    server_set_stage (request->connection, INTAKE_ANSWER);
+  return true;
+}
+
+/* Whole answers of more than a block are passed on like streams, so that
+   their progress is known and they can be broken off.  */
+static struct MHD_Response *
+whole_response (server_request_state_t *request, const void *body,
+                size_t body_size)
+{
+  server_release (request->connection, request->copy_bytes);
+  request->copy_bytes = 0;
+  if (body_size > BLOCK_SIZE && request->server->options.intake)
+    return server_hold (request->connection, BLOCK_SIZE)
+                   && append (request, body, body_size)
+               ? MHD_create_response_from_callback (
+                   body_size, BLOCK_SIZE, read_pending, request, NULL)
+               : NULL;
+  /* libmicrohttpd copies the bytes; its parameter lacks const.  */
+  return server_hold (request->connection, body_size)
+             ? MHD_create_response_from_buffer (body_size, (void *)body,
+                                                MHD_RESPMEM_MUST_COPY)
+             : NULL;
+}
+
+void
+server_reply (server_t *server, kwf_handle_t handle, int status,
+              const char *content_type, const header_t *headers,
+              size_t n_headers, const void *body, size_t body_size)
+{
+  server_request_state_t *request
+      = find_unanswered (server, handle, "an answer");
+  if (!request)
+    return;
+  struct MHD_Response *response = whole_response (request, body, body_size);
+  if (!response)
+    {
+      server_abort (server, handle);
+      return;
+    }
+  add_headers (server, response, content_type, headers, n_headers);
+  request->answered = true;
+  server_set_stage (request->connection, INTAKE_ANSWER);
+  set_response (request, status, response);
+}
+
+char *
+server_refusal_body (const char *code, const char *message)
+{
+  return g_strdup_printf ("{\"error\":{\"code\":\"%s\",\"message\":"
+                          "\"%s\",\"type\":\"invalid_request_error\","
+                          "\"run\":\"no\"}}",
+                          code, message);
+}
+
+struct MHD_Response *
+server_refusal (const char *code, const char *message)
+{
+  char *text = server_refusal_body (code, message);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), text, MHD_RESPMEM_MUST_COPY);
+  g_free (text);
+  if (response)
+    {
+      MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                               "application/json");
+      /* The request may be refused before its body was read.  The bytes that
+         follow on the connection may then belong to this request, not to a
+         new one, so the connection must be closed.  */
+      MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+  return response;
+}
+
 void
 server_begin (server_t *server, kwf_handle_t handle, int status,
               const char *content_type, const header_t *headers,
@@ -208,8 +268,11 @@
       = find_unanswered (server, handle, "the begin of an answer");
   if (!request)
     return;
-  struct MHD_Response *response = MHD_create_response_from_callback (
-      MHD_SIZE_UNKNOWN, BLOCK_SIZE, read_pending, request, NULL);
+  struct MHD_Response *response
+      = server_hold (request->connection, BLOCK_SIZE)
+            ? MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_SIZE,
+                                                 read_pending, request, NULL)
+            : NULL;
   if (!response)
     {
       server_abort (server, handle);
@@ -226,27 +289,6 @@
   set_response (request, status, response);
 }
 
-static void
-append (pending_t *pending, const void *bytes, size_t size)
-{
-  size_t unread = pending->end - pending->start;
-  if (pending->end + size > pending->capacity)
-    {
-      if (pending->start)
-        memmove (pending->bytes, pending->bytes + pending->start, unread);
-      pending->start = 0;
-      pending->end = unread;
-      if (unread + size > pending->capacity)
-        {
-          pending->capacity = MAX (unread + size, pending->capacity * 2);
-          pending->capacity = MAX (pending->capacity, 512);
-          pending->bytes = g_realloc (pending->bytes, pending->capacity);
-        }
-    }
-  memcpy (pending->bytes + pending->end, bytes, size);
-  pending->end += size;
-}
-
 void
 server_write (server_t *server, kwf_handle_t handle, const void *bytes,
               size_t size)
@@ -270,8 +312,10 @@
       server_reset_connection (request);
       return;
     }
-  append (pending, bytes, size);
-  server_resume (request);
+  if (append (request, bytes, size))
+    server_resume (request);
+  else
+    server_reset_connection (request);
 }
 
 void
@@ -282,6 +326,7 @@
   if (!request || !request->streaming)
     return;
   request->answered = true;
+  server_set_stage (request->connection, INTAKE_ANSWER);
   server_resume (request);
 }
 
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -38,7 +38,10 @@
   char *body;
   size_t body_size;
   size_t body_capacity;
-  size_t body_excess; /* bytes over the limit, discarded */
+  size_t body_limit;  /* no more is expected: what was announced or is allowed
+                       */
+  size_t body_excess; /* bytes over the limit or refused, discarded */
+  size_t copy_bytes;  /* held for the copy that is sent to a server */
   pending_t pending;
   bool handler_called; /* the handler's request() was called */
   bool answered;       /* server_reply, server_end or server_abort was called;
@@ -60,6 +63,13 @@
   server_request_state_t *request;
   struct MHD_Connection *mhd;
   int fd;
+  intake_entry_t entry;
+  intake_cause_t refused_for;
+  bool refused; /* for memory, before the handler was called, or its
+                   answer is broken off */
+  bool refusal_sent;
+  bool ending;         /* server_end_refused has begun to close it */
+  int64_t close_at_ns; /* ending: when it is closed at the latest */
   bool hung_up;
   int64_t since_ns; /* when it was opened, the last request line was read or
                        the last answer ended */
@@ -77,6 +87,10 @@
   kwf_slots_t *requests; /* of server_request_state_t */
   server_connection_t *connections;
   size_t n_open;
+  size_t n_connections;
+  size_t n_to_end;   /* connections refused since server_end_refused */
+  size_t n_unlogged; /* refused since the last line of the log */
+  int64_t log_at_ns; /* no line before that */
   int port;
   int hangup_fd; /* epoll set that reports connections that callers closed */
   bool run_pending; /* MHD_run is due before the loop waits */
@@ -88,6 +102,7 @@
   ev_timer timeout;
   ev_timer read_check; /* closes connections whose request arrives too
                           slowly */
+  ev_timer linger;     /* active while refused connections are open */
   ev_prepare prepare;
   ev_idle idle; /* active while run_pending, so that the loop does not wait */
 };
@@ -117,6 +132,8 @@
 /* Makes the error response to a request that is refused before the handler is
    called.  NULL: out of memory.  */
 struct MHD_Response *server_refusal (const char *code, const char *message);
+/* Its body; release with g_free.  */
+char *server_refusal_body (const char *code, const char *message);
 
 /* Calls the handler's gone(), at most once, when the caller closed before the
    answer was complete.  */
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -1,6 +1,6 @@
 /* Reads and checks requests for the HTTP server, and queues their answers.  */
 
-#include "server-internal.h"
+#include "server-intake.h"
 
 #include <glib.h>
 #include <string.h>
@@ -8,6 +8,10 @@
 
 #include <knapweedfork/clock.h>
 
+/* Bounds of the steps in which the buffer of a body grows.  */
+#define BODY_STEP_MIN ((size_t)1 << 10)
+#define BODY_STEP_MAX ((size_t)256 << 10)
+
 void
 server_report_gone (server_request_state_t *request)
 {
@@ -45,6 +49,7 @@
   request->public.remote = connection->remote;
   connection->request = request;
   connection->since_ns = kwf_now_ns (kwf_clock_system ());
+  server_set_stage (connection, INTAKE_HEAD);
   return request;
 }
 
@@ -53,6 +58,7 @@
 {
   request->connection->request = NULL;
   request->connection->since_ns = kwf_now_ns (kwf_clock_system ());
+  server_set_stage (request->connection, INTAKE_IDLE);
   if (request->response)
     MHD_destroy_response (request->response);
   g_free (request->target);
@@ -221,46 +227,75 @@
   MHD_get_connection_values (request->mhd, MHD_HEADER_KIND, add_header, &list);
   public->headers = list.headers;
   public->n_headers = list.n;
+  server_set_stage (request->connection, INTAKE_BODY);
   const char *length = server_header (public, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  size_t limit = request->server->options.max_body_bytes;
+  request->body_limit = limit;
   if (!length)
     return MHD_YES;
-  size_t limit = request->server->options.max_body_bytes;
   guint64 size = g_ascii_strtoull (length, NULL, 10);
   bool waits = server_header (public, MHD_HTTP_HEADER_EXPECT);
   if (size > limit && (waits || size > 2 * limit))
     return refuse_body (request);
-  if (size && size <= limit)
-    {
-      request->body_capacity = (size_t)size + 1;
-      request->body = g_malloc (request->body_capacity);
-    }
+  if (size <= limit)
+    request->body_limit = (size_t)size;
   return MHD_YES;
 }
 
+/* Grows the body's buffer to at least NEEDED bytes, never to what was only
+   announced.  Small steps for large bodies cost little: the kernel moves the
+   pages of blocks of this size instead of copying them.  */
+static bool
+grow_body (server_request_state_t *request, size_t needed)
+{
+  size_t more = CLAMP (request->body_capacity, BODY_STEP_MIN, BODY_STEP_MAX);
+  size_t capacity
+      = MIN (request->body_capacity + more, request->body_limit + 1);
+  capacity = MAX (capacity, needed);
+  if (!server_hold (request->connection, capacity - request->body_capacity))
+    return false;
+  request->body = g_realloc (request->body, capacity);
+  request->body_capacity = capacity;
+  return true;
+}
+
 static enum MHD_Result
 read_body (server_request_state_t *request, const char *bytes, size_t size)
 {
   size_t limit = request->server->options.max_body_bytes;
-  if (request->body_excess || size > limit - request->body_size)
-    {
-      request->body_excess += size;
-      return request->body_excess <= limit ? MHD_YES : MHD_NO;
-    }
-  size_t needed = request->body_size + size + 1;
-  if (needed > request->body_capacity)
+  bool refused = server_is_refused (request->connection);
+  if (!refused && !request->body_excess && size > limit - request->body_size)
+    server_free_body (request);
+  else if (!refused && !request->body_excess)
     {
-      request->body_capacity = MAX (needed, request->body_capacity * 2);
-      request->body = g_realloc (request->body, request->body_capacity);
+      server_progress (request->connection, size);
+      size_t needed = request->body_size + size + 1;
+      if (needed <= request->body_capacity || grow_body (request, needed))
+        {
+          memcpy (request->body + request->body_size, bytes, size);
+          request->body_size += size;
+          return MHD_YES;
+        }
     }
-  memcpy (request->body + request->body_size, bytes, size);
-  request->body_size += size;
-  return MHD_YES;
+  request->body_excess += size;
+  return request->body_excess <= limit ? MHD_YES : MHD_NO;
+}
+
+/* The request is kept for retries while its copy is sent to a server.  */
+static bool
+hold_copy (server_request_state_t *request)
+{
+  if (!server_hold (request->connection, request->body_size))
+    return false;
+  request->copy_bytes = request->body_size;
+  return true;
 }
 
 static void
 call_handler (server_request_state_t *request)
 {
   server_t *server = request->server;
+  server_set_stage (request->connection, INTAKE_HELD);
   if (request->body)
     request->body[request->body_size] = '\0';
   request->public.body = request->body ? request->body : "";
@@ -285,6 +320,8 @@
     return MHD_NO;
   if (!request->public.method)
     {
+      if (server_is_refused (request->connection))
+        return server_answer_refused (request);
       request->no_chunks = strcmp (version, MHD_HTTP_VERSION_1_1) != 0;
       return start_body (request, method, url);
     }
@@ -294,16 +331,22 @@
       *upload_size = 0;
       return read_body (request, upload, size);
     }
+  if (!request->handler_called && server_is_refused (request->connection))
+    return server_answer_refused (request);
   if (request->body_excess)
     return refuse_body (request);
   if (!request->handler_called)
     {
       if (request->connection->hung_up)
         return MHD_NO;
+      if (!hold_copy (request))
+        return server_answer_refused (request);
       call_handler (request);
     }
   if (request->response)
     {
+      if (request->answered)
+        server_free_body (request);
       struct MHD_Response *response = request->response;
       request->response = NULL;
       /* Without a reset, a stream that is broken off looks complete.  */
--- a/net/server.c
+++ b/net/server.c
@@ -1,6 +1,6 @@
 /* Listener, connections and event loop of the HTTP server.  */
 
-#include "server-internal.h"
+#include "server-intake.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -116,6 +116,7 @@
   struct epoll_event event
       = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = connection };
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, connection->fd, &event);
+  server_intake_open (connection);
   *context = connection;
 }
 
@@ -130,6 +131,7 @@
         server->n_open--;
       server_free_request (connection->request);
     }
+  server_intake_close (connection);
   if (connection->next)
     connection->next->previous = connection->previous;
   if (connection->previous)
@@ -158,6 +160,7 @@
   ev_idle_stop (server->loop, &server->idle);
   tls_set_current (server->tls);
   MHD_run (server->daemon);
+  server_end_refused (server);
   MHD_UNSIGNED_LONG_LONG timeout_ms;
   if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
     ev_timer_stop (server->loop, &server->timeout);
@@ -368,6 +371,7 @@
   ev_io_start (loop, &server->mhd_io);
   ev_io_start (loop, &server->hangup_io);
   ev_timer_start (loop, &server->read_check);
+  server_intake_start (server);
   ev_prepare_start (loop, &server->prepare);
 }
 
@@ -466,6 +470,7 @@
   ev_io_stop (server->loop, &server->hangup_io);
   ev_timer_stop (server->loop, &server->timeout);
   ev_timer_stop (server->loop, &server->read_check);
+  server_intake_stop (server);
   ev_prepare_stop (server->loop, &server->prepare);
   ev_idle_stop (server->loop, &server->idle);
   close (server->hangup_fd);
--- a/net/server.h
+++ b/net/server.h
@@ -10,6 +10,7 @@
 #define KNAPWEEDFORK_NET_SERVER_H
 
 #include <ev.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -17,6 +18,8 @@
 #include <knapweedfork/handle.h>
 #include <knapweedfork/status.h>
 
+#include "../lib/intake/intake.h"
+
 typedef struct server server_t;
 
 typedef struct
@@ -36,8 +39,18 @@
                                   connection is reset; default 1 MiB */
   const char *tls_certificate; /* PEM text; NULL: no TLS */
   const char *tls_key;         /* PEM text */
+  intake_t *intake;            /* account of memory, shared by servers, made
+                                  by server_intake_new; NULL: none.  It must
+                                  outlive the server.  */
 } server_options_t;
 
+/* The account of memory for servers.  When it is full, requests that arrive
+   without progress are answered with 408, and the largest with 503, before
+   their handler is called, and connections whose callers do not read are
+   reset.  Release it with intake_free.  */
+intake_t *server_intake_new (const intake_limits_t *limits);
+void server_intake_write_metrics (GString *out, const intake_t *intake);
+
 typedef struct
 {
   const char *name;
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -55,6 +55,11 @@
   if (peers)
     g_strlcpy (daemon->peers, peers + strlen ("peers on "),
                sizeof daemon->peers);
+  const char *operators = strstr (daemon->process.address, "operators on ");
+  if (operators)
+    g_strlcpy (daemon->operators, operators + strlen ("operators on "),
+               sizeof daemon->operators);
+  daemon->operators[strcspn (daemon->operators, ",")] = '\0';
   daemon->process.address[strcspn (daemon->process.address, ",")] = '\0';
 }
 
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -16,7 +16,8 @@
   struct ev_loop *loop;
   fake_store_t *store;
   process_t process;
-  char peers[32]; /* address for links of other instances */
+  char operators[32]; /* address for operators */
+  char peers[32];     /* address for links of other instances */
   char *directory;
   char *settings;
 } test_daemon_t;
--- a/test/test_intake.c
+++ b/test/test_intake.c
@@ -13,14 +13,17 @@
 #include <string.h>
 
 #include "common-daemon.h"
+#include "common-http.h"
 #include "common-listener.h"
 #include "intake-crowd.h"
 
 enum
 {
-  MEMORY_MB = 64, /* of the instance */
+  MEMORY_MB = 64,                  /* of the instance */
+  ACCOUNT_BYTES = MEMORY_MB << 18, /* a quarter, by default */
   BODY_BYTES = 1 << 20,
   CHUNK_BYTES = 1 << 16,
+  SMALL_CHUNKS_BYTES = BODY_BYTES / 13 * 13,
   CONNECTIONS = 300,
   /* The smallest instance of docs/hard-load.md and the default limit.  */
   SMALL_MB = 120,
@@ -32,7 +35,8 @@
   LIMIT_S = 30
 };
 
-/* The sanitizer keeps freed memory, which hides what the daemon holds.  */
+/* The sanitizer keeps freed memory, which hides what the daemon holds.  There
+   only the daemon's own account of it is compared.  */
 #ifdef __SANITIZE_ADDRESS__
 #define IS_SANITIZED true
 #else
@@ -157,6 +161,19 @@
   return mb;
 }
 
+/* The value of metric NAME.  */
+static double
+metric (const fixture_t *fixture, const char *name)
+{
+  http_answer_t answer = http_call ("GET", fixture->daemon.operators,
+                                    "/metrics", NULL, NULL, 5000);
+  const char *line = answer.body ? strstr (answer.body, name) : NULL;
+  assert_non_null (line);
+  double value = g_ascii_strtod (line + strlen (name), NULL);
+  http_free (&answer);
+  return value;
+}
+
 static int
 open_fds (const fixture_t *fixture)
 {
@@ -193,6 +210,7 @@
   assert_true (served);
   assert_true (fds < FDS);
   assert_true (mb < MEMORY_MB || IS_SANITIZED);
+  assert_true (metric (fixture, "\nkwf_intake_peak_bytes ") <= ACCOUNT_BYTES);
 }
 
 /* Guards against memory for announced bodies that may never be served.  */
@@ -204,7 +222,7 @@
                               .head = HEAD ("/sound/x") "Content-Length: "
                                                         "104857600\r\n",
                               .unit = X256,
-                              .size = 20 * BODY_BYTES,
+                              .size = (size_t)20 * BODY_BYTES,
                               .piece = 65536 });
 }
 
@@ -216,7 +234,7 @@
              &(crowd_kind_t){ .n_callers = CALLERS,
                               .head = CHUNKED,
                               .unit = "100\r\n" X256 "\r\n",
-                              .size = 20 * BODY_BYTES,
+                              .size = (size_t)20 * BODY_BYTES,
                               .piece = 65536 });
 }
 
@@ -271,7 +289,7 @@
              &(crowd_kind_t){ .n_callers = CALLERS,
                               .head = CHUNKED,
                               .unit = "8\r\nxxxxxxxx\r\n",
-                              .size = BODY_BYTES / 13 * 13,
+                              .size = SMALL_CHUNKS_BYTES,
                               .piece = 65536,
                               .end = "0\r\n\r\n" });
 }
