--- a/test/intake-crowd.h
+++ b/test/intake-crowd.h
@@ -18,14 +18,15 @@
 typedef struct
 {
   int n_callers;
-  const char *head; /* request line and headers, without X-Request-Id and the
-                       empty line; NULL: nothing is sent */
-  const char *unit; /* the body is this again and again */
-  size_t size;      /* bytes of the body that are sent */
-  size_t piece;     /* bytes sent at once */
-  const char *end;  /* sent after the body by every eighth caller; the others
-                       stay open without it; NULL: none */
-  bool reads_bytes; /* it reads the answer one byte at a time; else nothing */
+  const char *head;  /* request line and headers, without X-Request-Id and the
+                        empty line; NULL: nothing is sent */
+  const char *unit;  /* the body is this again and again */
+  size_t size;       /* bytes of the body that are sent */
+  size_t piece;      /* bytes sent at once */
+  const char *end;   /* sent after the body by every eighth caller; the others
+                        stay open without it; NULL: none */
+  bool to_operators; /* connects to their port */
+  bool reads_bytes;  /* it reads the answer one byte at a time; else nothing */
 } crowd_kind_t;
 
 typedef struct
--- a/test/test_intake.c
+++ b/test/test_intake.c
@@ -31,6 +31,10 @@
   CALLERS = 200,
   FDS = CONNECTIONS + 100, /* for callers, servers, links and the store */
   ANSWER_BYTES = 2 << 20,
+  EVENTS = 2000,
+  EVENT_BYTES = 11 + 6 + 256 + 2, /* of "id: 000001", "data: " and the ends */
+  HEAD_BYTES = 15000,             /* under max_header_bytes */
+  ORDINARY_BYTES = 256 << 10,     /* of a few open connections */
   SENDING_S = 20,
   LIMIT_S = 30
 };
@@ -49,6 +53,9 @@
   "POST " path " HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Ms: 20000\r\n"
 #define CHUNKED HEAD ("/sound/x") "Transfer-Encoding: chunked\r\n"
 
+static const char unfinished[]
+    = "GET /sound/x HTTP/1.1\r\nHost: h.example\r\nX-A: ";
+
 typedef struct
 {
   struct ev_loop *loop;
@@ -65,6 +72,20 @@
   int length = id ? (int)strcspn (id + 16, "\r") : 0;
   const char *body
       = strstr (request, " /sound/long ") ? fixture->long_answer : "ok";
+  if (strstr (request, " /sound/never "))
+    return;
+  if (strstr (request, " /stream/"))
+    {
+      connection_print (connection,
+                        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                        "X-Request-Id: %.*s\r\nX-Server-Stamp: s\r\n"
+                        "Content-Type: text/event-stream\r\n\r\n",
+                        length, id ? id + 16 : "");
+      for (int i = 1; i <= EVENTS; i++)
+        connection_print (connection, "%x\r\nid: %06d\ndata: " X256 "\n\n\r\n",
+                          EVENT_BYTES, i);
+      return;
+    }
   connection_print (connection,
                     "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
                     "X-Request-Id: %.*s\r\nX-Server-Stamp: s\r\n\r\n%s",
@@ -111,7 +132,10 @@
       &fixture->daemon, fixture->loop,
       "{\"name\":\"s\",\"hostname\":\"h.example\",\"path_prefix\":\"/sound/\","
       "\"backend\":\"desk\",\"kind\":\"idempotent\",\"max_attempts\":2,"
-      "\"timeout_ms\":20000}",
+      "\"timeout_ms\":20000},"
+      "{\"name\":\"t\",\"hostname\":\"h.example\",\"path_prefix\":"
+      "\"/stream/\",\"backend\":\"desk\",\"kind\":\"stream\","
+      "\"max_attempts\":1,\"timeout_ms\":20000}",
       &(test_daemon_options_t){ .memory_mb = memory_mb, .callers = callers });
   g_free (callers);
   test_daemon_add_server (&fixture->daemon, "sound", fixture->server->address);
@@ -194,7 +218,9 @@
 {
   fixture_t *fixture = *state;
   crowd_t *crowd = g_new (crowd_t, 1);
-  crowd_start (crowd, kind, fixture->daemon.process.address);
+  crowd_start (crowd, kind,
+               kind->to_operators ? fixture->daemon.operators
+                                  : fixture->daemon.process.address);
   for (int i = 0; i < SENDING_S * 10 && atomic_load (&crowd->busy); i++)
     run_for (fixture->loop, 0.1);
   run_for (fixture->loop, 1);
@@ -307,6 +333,79 @@
                               .reads_bytes = true });
 }
 
+/* The same for streams, whose events go on while nothing is read.  */
+static void
+slow_readers_of_streams (void **state)
+{
+  withstand (state, "streams read in single bytes",
+             &(crowd_kind_t){ .n_callers = CALLERS,
+                              .head = HEAD ("/stream/x") "Content-Length: "
+                                                         "0\r\n",
+                              .unit = "",
+                              .reads_bytes = true });
+}
+
+/* Guards against memory that grows with heads that do not end, and with
+   requests that follow one another while no answer is read.  */
+static void
+heads (void **state)
+{
+  char *head = g_strnfill (HEAD_BYTES, 'x');
+  memcpy (head, unfinished, sizeof unfinished - 1);
+  withstand (state, "heads without an end",
+             &(crowd_kind_t){ .n_callers = CALLERS,
+                              .unit = head,
+                              .size = HEAD_BYTES,
+                              .piece = 4096 });
+  g_free (head);
+  withstand (state, "pipelined requests",
+             &(crowd_kind_t){ .n_callers = CALLERS,
+                              .unit = "GET /none HTTP/1.1\r\nHost: h.example"
+                                      "\r\nX-Request-Id: p\r\n\r\n",
+                              .size = BODY_BYTES,
+                              .piece = 65536 });
+}
+
+/* Guards against another port whose callers are not in the account.  */
+static void
+operators_port (void **state)
+{
+  withstand (state, "the port for operators",
+             &(crowd_kind_t){ .n_callers = CALLERS / 4,
+                              .head = CHUNKED,
+                              .unit = "100\r\n" X256 "\r\n",
+                              .size = BODY_BYTES,
+                              .piece = 65536,
+                              .to_operators = true });
+}
+
+/* Guards against what requests leave behind whose callers close.  */
+static void
+cancelled_requests (void **state)
+{
+  static const crowd_kind_t kind
+      = { .n_callers = CALLERS,
+          .head = HEAD ("/sound/never") "Content-Length: 16384\r\n",
+          .unit = X256,
+          .size = 16384,
+          .piece = 16384 };
+  fixture_t *fixture = *state;
+  crowd_t *crowd = g_new (crowd_t, 1);
+  for (int i = 0; i < 5; i++)
+    {
+      crowd_start (crowd, &kind, fixture->daemon.process.address);
+      run_for (fixture->loop, 1);
+      crowd_stop (crowd);
+    }
+  g_free (crowd);
+  withstand (state, "cancelled requests", &large);
+  for (int i = 0; i < LIMIT_S * 10
+                  && metric (fixture, "\nkwf_intake_bytes ") > ORDINARY_BYTES;
+       i++)
+    run_for (fixture->loop, 0.1);
+  assert_true (metric (fixture, "\nkwf_intake_bytes ") <= ORDINARY_BYTES);
+}
+
 /* Guards against an account that has no room for one body at the limit, and
    against one that is not returned.  */
 static void
@@ -343,6 +442,11 @@
     cmocka_unit_test_setup_teardown (large_chunks, set_up, tear_down),
     cmocka_unit_test_setup_teardown (small_chunks, set_up, tear_down),
     cmocka_unit_test_setup_teardown (slow_readers, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (slow_readers_of_streams, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (heads, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (operators_port, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (cancelled_requests, set_up, tear_down),
     cmocka_unit_test_setup_teardown (body_at_the_limit, set_up_small,
                                      tear_down),
   };
