Free TLS connections whose handshake is left open

Until the first request line such connections have no time-out in libmicrohttpd; the server shuts them down after idle_ms, so that the handshake fails, which frees them.

The charge of a connection itself is small whatever its size, so that the reserve takes TLS connections as well.

--- a/lib/intake/intake.c
+++ b/lib/intake/intake.c
@@ -67,7 +67,7 @@
 static size_t
 request_bytes (const intake_entry_t *entry)
 {
-  return entry->held - entry->base;
+  return entry->held > entry->base ? entry->held - entry->base : 0;
 }
 
 static bool
@@ -75,7 +75,7 @@
       size_t margin)
 {
   size_t limit = intake->limits.total_bytes;
-  if (request_bytes (entry) + bytes > INTAKE_SMALL_BYTES)
+  if (entry->held + bytes > entry->base + INTAKE_SMALL_BYTES)
     limit -= limit / INTAKE_RESERVE_PART;
   else
     limit += intake->closing_bytes;
@@ -179,7 +179,8 @@
             int64_t now_ns)
 {
   entry->stage = INTAKE_IDLE;
-  entry->held = entry->base = 0;
+  entry->held = 0;
+  entry->base = base;
   entry->closing = false;
   entry->due_ns = now_ns + INTAKE_STALL_NS;
   entry->previous = NULL;
@@ -188,10 +189,7 @@
     entry->next->previous = entry;
   intake->entries = entry;
   intake->counts.entries++;
-  if (!intake_charge (intake, entry, base, now_ns))
-    return false;
-  entry->base = base;
-  return true;
+  return intake_charge (intake, entry, base, now_ns);
 }
 
 void
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -70,6 +70,7 @@
   bool refusal_sent;
   bool ending;         /* server_end_refused has begun to close it */
   int64_t close_at_ns; /* ending: when it is closed at the latest */
+  bool before_request; /* TLS: no request line was read on it */
   bool hung_up;
   int64_t since_ns; /* when it was opened, the last request line was read or
                        the last answer ended */
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -48,6 +48,12 @@
   request->public.query = query ? query : "";
   request->public.remote = connection->remote;
   connection->request = request;
+  if (connection->before_request)
+    {
+      connection->before_request = false;
+      MHD_set_connection_option (mhd, MHD_CONNECTION_OPTION_TIMEOUT,
+                                 server->options.idle_s);
+    }
   connection->since_ns = kwf_now_ns (kwf_clock_system ());
   server_set_stage (connection, INTAKE_HEAD);
   return request;
--- a/net/server.c
+++ b/net/server.c
@@ -49,6 +49,11 @@
 server_shutdown_connection (server_connection_t *connection)
 {
   shutdown (connection->fd, SHUT_RDWR);
+  if (connection->before_request)
+    {
+      server_schedule_run (connection->server);
+      return;
+    }
   MHD_set_connection_option (connection->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
                              1U);
   server_schedule_run (connection->server);
@@ -116,6 +121,12 @@
   struct epoll_event event
       = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = connection };
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, connection->fd, &event);
+  /* libmicrohttpd 0.9.75 never frees a connection whose time-out ends during
+     the TLS handshake.  on_read_check ends it instead, so that the handshake
+     fails, which frees it.  */
+  connection->before_request = server->tls;
+  if (server->tls)
+    MHD_set_connection_option (mhd, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
   server_intake_open (connection);
   *context = connection;
 }
@@ -236,7 +247,8 @@
 /* libmicrohttpd's time-out starts anew with each byte.  This closes
    connections on which the next request line, or the rest of a request after
    it, has not been read for more than twice idle_s, so that callers that send
-   a byte now and then cannot hold connections.  */
+   a byte now and then cannot hold connections.  Until the first request of a
+   TLS connection, libmicrohttpd has no time-out, and idle_s is the limit.  */
 static void
 on_read_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -246,7 +258,7 @@
   int64_t limit_ns = 2 * KWF_NS_PER_S * server->options.idle_s;
   int64_t earliest_ns = now_ns () - limit_ns;
   for (server_connection_t *c = server->connections; c; c = c->next)
-    if (c->since_ns < earliest_ns
+    if (c->since_ns < earliest_ns + (c->before_request ? limit_ns / 2 : 0)
         && !(c->request && c->request->handler_called))
       server_shutdown_connection (c);
 }
--- a/test/test_intake.c
+++ b/test/test_intake.c
@@ -12,6 +12,9 @@
 #include <signal.h>
 #include <string.h>
 
+#include <glib/gstdio.h>
+
+#include "common-certificate.h"
 #include "common-daemon.h"
 #include "common-http.h"
 #include "common-listener.h"
@@ -35,6 +38,7 @@
   EVENT_BYTES = 11 + 6 + 256 + 2, /* of "id: 000001", "data: " and the ends */
   HEAD_BYTES = 15000,             /* under max_header_bytes */
   ORDINARY_BYTES = 256 << 10,     /* of a few open connections */
+  FEW_FDS = 10,                   /* of links and calls to the store */
   SENDING_S = 20,
   LIMIT_S = 30
 };
@@ -119,15 +123,17 @@
   return false;
 }
 
-static void
-start (void **state, int memory_mb, int body_bytes)
+/* MORE: further lines of [callers].  */
+static fixture_t *
+start (int memory_mb, int body_bytes, const char *more)
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
   fixture->long_answer = g_strnfill (ANSWER_BYTES, 'x');
   fixture->server = listener_start (fixture->loop, serve, fixture);
-  char *callers = g_strdup_printf (
-      "max_body_bytes = %d\nmax_connections = %d\n", body_bytes, CONNECTIONS);
+  char *callers
+      = g_strdup_printf ("max_body_bytes = %d\nmax_connections = %d\n%s",
+                         body_bytes, CONNECTIONS, more);
   test_daemon_start_with (
       &fixture->daemon, fixture->loop,
       "{\"name\":\"s\",\"hostname\":\"h.example\",\"path_prefix\":\"/sound/\","
@@ -139,21 +145,24 @@
       &(test_daemon_options_t){ .memory_mb = memory_mb, .callers = callers });
   g_free (callers);
   test_daemon_add_server (&fixture->daemon, "sound", fixture->server->address);
-  assert_true (serves (fixture));
-  *state = fixture;
+  return fixture;
 }
 
 static int
 set_up (void **state)
 {
-  start (state, MEMORY_MB, BODY_BYTES);
+  fixture_t *fixture = start (MEMORY_MB, BODY_BYTES, "");
+  assert_true (serves (fixture));
+  *state = fixture;
   return 0;
 }
 
 static int
 set_up_small (void **state)
 {
-  start (state, SMALL_MB, SMALL_BODY_BYTES);
+  fixture_t *fixture = start (SMALL_MB, SMALL_BODY_BYTES, "");
+  assert_true (serves (fixture));
+  *state = fixture;
   return 0;
 }
 
@@ -406,6 +415,68 @@
   assert_true (metric (fixture, "\nkwf_intake_bytes ") <= ORDINARY_BYTES);
 }
 
+static char *
+write_file (const char *directory, const char *name, char *text)
+{
+  char *path = g_build_filename (directory, name, NULL);
+  assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  return path;
+}
+
+/* Guards against TLS handshakes that are left open and whose connections are
+   never closed: libmicrohttpd does not free them after its time-out.  */
+static void
+open_handshakes (void **state)
+{
+  (void)state;
+  char *directory = g_dir_make_tmp ("kwf-intake-XXXXXX", NULL);
+  char *certificate;
+  char *key;
+  assert_true (certificate_make (&certificate, &key));
+  certificate = write_file (directory, "c.pem", certificate);
+  key = write_file (directory, "k.pem", key);
+  char *more = g_strdup_printf ("idle_ms = 1000\ntls_certificate = \"%s\"\n"
+                                "tls_key = \"%s\"\n",
+                                certificate, key);
+  fixture_t *fixture = start (MEMORY_MB, BODY_BYTES, more);
+  int before = open_fds (fixture);
+  crowd_t *crowd = g_new (crowd_t, 1);
+  crowd_start (crowd,
+               &(crowd_kind_t){ .n_callers = CALLERS,
+                                .unit = "\x16\x03\x01",
+                                .size = 3,
+                                .piece = 3 },
+               fixture->daemon.process.address);
+  run_for (fixture->loop, 0.5);
+  int most = open_fds (fixture);
+  int now = most;
+  for (int i = 0; i < LIMIT_S * 10 && now > before + FEW_FDS; i++)
+    {
+      run_for (fixture->loop, 0.1);
+      now = open_fds (fixture);
+    }
+  crowd_stop (crowd);
+  g_free (crowd);
+  print_message ("handshakes: %d, then %d descriptors\n", most, now);
+  assert_true (most < FDS && now <= before + FEW_FDS);
+  assert_true (peak_mb (fixture) < MEMORY_MB || IS_SANITIZED);
+  char *url = g_strconcat ("https://", fixture->daemon.process.address, NULL);
+  static const char *const headers[] = { "X-Request-Id: t", NULL };
+  http_answer_t answer = http_call ("GET", url, "/none", headers, NULL, 5000);
+  assert_true (answer.status > 0);
+  http_free (&answer);
+  tear_down ((void **)&fixture);
+  g_unlink (certificate);
+  g_unlink (key);
+  g_rmdir (directory);
+  g_free (url);
+  g_free (more);
+  g_free (key);
+  g_free (certificate);
+  g_free (directory);
+}
+
 /* Guards against an account that has no room for one body at the limit, and
    against one that is not returned.  */
 static void
@@ -447,6 +518,7 @@
     cmocka_unit_test_setup_teardown (heads, set_up, tear_down),
     cmocka_unit_test_setup_teardown (operators_port, set_up, tear_down),
     cmocka_unit_test_setup_teardown (cancelled_requests, set_up, tear_down),
+    cmocka_unit_test (open_handshakes),
     cmocka_unit_test_setup_teardown (body_at_the_limit, set_up_small,
                                      tear_down),
   };
