Refuse completions whose JSON needs more memory than the instance has

A completion of 4 MiB of empty objects made an instance use 336 MB, of empty lists 205 MB, before its key was checked: jansson allocates 41 to 229 bytes for each value. The tree's size is now estimated from the text first, and a body beyond one and a half times the account (intake_mb) is answered 413, not run (19 MB with memory_mb 120). A list of tokens of 4 MiB is still read there (47 MB), and without memory_mb no body of 4 MiB reaches the bound.

--- a/net/caller.c
+++ b/net/caller.c
@@ -9,6 +9,7 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#include "../lib/intake/json-tree.h"
 #include "../lib/key.h"
 
 #define MAX_TIMEOUT_MS INT64_C (86400000) /* one day */
@@ -257,6 +258,17 @@
   caller_request_free (caller_request);
 }
 
+/* Whether the body may be read as a tree, which is freed before the next one
+   is read.  With the account and the program, half as much again as the
+   account stays within the memory of an instance, and lists of tokens of 4 MiB
+   within 120 MB.  */
+static bool
+tree_fits (const instance_t *instance, const server_request_t *request)
+{
+  return json_tree_bytes (request->body, request->body_size)
+         <= intake_limit_bytes (instance->intake) / 2 * 3;
+}
+
 static void
 handle_completion (instance_t *instance, caller_request_t *caller_request,
                    const server_request_t *request, const char *key)
@@ -269,6 +281,12 @@
                        "the body contains a key");
       return;
     }
+  if (!tree_fits (instance, request))
+    {
+      refuse_and_free (instance, caller_request, 413, "body_too_complex",
+                       "the body has too many values");
+      return;
+    }
   if (completion_parse (request->body, request->body_size, chat,
                         &caller_request->completion, &error)
       != KWF_OK)
--- a/test/test_intake_account.c
+++ b/test/test_intake_account.c
@@ -4,12 +4,14 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <cmocka.h>
 
 #include <glib.h>
 #include <knapweedfork/clock.h>
 
 #include "lib/intake/intake.h"
+#include "lib/intake/json-tree.h"
 
 enum
 {
@@ -207,6 +209,33 @@
   assert_int_equal (intake_default_bytes (120, 64 << 20), 256 << 20);
 }
 
+/* Guards against bodies whose values need far more memory than their text, and
+   against the refusal of ordinary ones.  */
+static void
+trees_are_estimated (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *unit;
+    size_t least;
+    size_t most;
+  } cases[] = { { "{},", 320 << 20, 500 << 20 },
+                { "[],", 190 << 20, 300 << 20 },
+                { "1,", 80 << 20, 150 << 20 },
+                { "12345,", 30 << 20, (size_t)TOTAL / 2 * 3 },
+                { "\"{[,\\\"{[,:\"", BODY, BODY } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *text = g_string_new (NULL);
+      while (text->len + strlen (cases[i].unit) <= BODY)
+        g_string_append (text, cases[i].unit);
+      size_t bytes = json_tree_bytes (text->str, text->len);
+      assert_in_range (bytes, cases[i].least - 16, cases[i].most);
+      g_string_free (text, TRUE);
+    }
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -219,6 +248,7 @@
     TEST (the_largest_goes_next),
     TEST (idle_connections_make_room),
     TEST (the_default_has_room_for_bodies),
+    TEST (trees_are_estimated),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
