--- a/net/server.c
+++ b/net/server.c
@@ -1,6 +1,6 @@
 /* Listener, connections and event loop of the HTTP server.  */
 
-#include "server-internal.h"
+#include "server-intake.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -49,6 +49,11 @@
 server_shutdown_connection (server_connection_t *connection)
 {
   shutdown (connection->fd, SHUT_RDWR);
+  if (connection->before_request)
+    {
+      server_schedule_run (connection->server);
+      return;
+    }
   MHD_set_connection_option (connection->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
                              1U);
   server_schedule_run (connection->server);
@@ -116,6 +121,13 @@
   struct epoll_event event
       = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = connection };
   epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, connection->fd, &event);
+  /* libmicrohttpd 0.9.75 never frees a connection whose time-out ends during
+     the TLS handshake.  on_read_check ends it instead, so that the handshake
+     fails, which frees it.  */
+  connection->before_request = server->tls;
+  if (server->tls)
+    MHD_set_connection_option (mhd, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+  server_intake_open (connection);
   *context = connection;
 }
 
@@ -130,6 +142,7 @@
         server->n_open--;
       server_free_request (connection->request);
     }
+  server_intake_close (connection);
   if (connection->next)
     connection->next->previous = connection->previous;
   if (connection->previous)
@@ -158,6 +171,7 @@
   ev_idle_stop (server->loop, &server->idle);
   tls_set_current (server->tls);
   MHD_run (server->daemon);
+  server_end_refused (server);
   MHD_UNSIGNED_LONG_LONG timeout_ms;
   if (MHD_get_timeout (server->daemon, &timeout_ms) != MHD_YES)
     ev_timer_stop (server->loop, &server->timeout);
@@ -233,7 +247,8 @@
 /* libmicrohttpd's time-out starts anew with each byte.  This closes
    connections on which the next request line, or the rest of a request after
    it, has not been read for more than twice idle_s, so that callers that send
-   a byte now and then cannot hold connections.  */
+   a byte now and then cannot hold connections.  Until the first request of a
+   TLS connection, libmicrohttpd has no time-out, and idle_s is the limit.  */
 static void
 on_read_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -243,7 +258,7 @@
   int64_t limit_ns = 2 * KWF_NS_PER_S * server->options.idle_s;
   int64_t earliest_ns = now_ns () - limit_ns;
   for (server_connection_t *c = server->connections; c; c = c->next)
-    if (c->since_ns < earliest_ns
+    if (c->since_ns < earliest_ns + (c->before_request ? limit_ns / 2 : 0)
         && !(c->request && c->request->handler_called))
       server_shutdown_connection (c);
 }
@@ -368,6 +383,7 @@
   ev_io_start (loop, &server->mhd_io);
   ev_io_start (loop, &server->hangup_io);
   ev_timer_start (loop, &server->read_check);
+  server_intake_start (server);
   ev_prepare_start (loop, &server->prepare);
 }
 
@@ -466,6 +482,7 @@
   ev_io_stop (server->loop, &server->hangup_io);
   ev_timer_stop (server->loop, &server->timeout);
   ev_timer_stop (server->loop, &server->read_check);
+  server_intake_stop (server);
   ev_prepare_stop (server->loop, &server->prepare);
   ev_idle_stop (server->loop, &server->idle);
   close (server->hangup_fd);
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -16,7 +16,8 @@
   struct ev_loop *loop;
   fake_store_t *store;
   process_t process;
-  char peers[32]; /* address for links of other instances */
+  char operators[32]; /* address for operators */
+  char peers[32];     /* address for links of other instances */
   char *directory;
   char *settings;
 } test_daemon_t;
@@ -30,6 +31,7 @@
 {
   int grace_s;         /* 0: none */
   int memory_mb;       /* of the instance; 0: not told */
+  const char *callers; /* further lines of [callers]; NULL: none */
   const char *retries; /* limits for repeats, lines of the settings; NULL: the
                           default of these tests */
 } test_daemon_options_t;
