Test the sum of admitted tokens with faults on the simulated fleet

The observer's bucket from which all admitted requests are taken must never be below 0 while instances are killed, paused and cut off, alone or all at once, and while the store is away.

--- a/test/test_rates.c
+++ b/test/test_rates.c
@@ -200,11 +200,109 @@
     }
 }
 
+static void
+kill_and_start (fleet_sim_t *sim, int from, int to, int64_t down_ms)
+{
+  for (int i = from; i < to; i++)
+    fleet_sim_crash (sim, i);
+  fleet_sim_run (sim, sim->now_ns + down_ms * FLEET_SIM_MS);
+  for (int i = from; i < to; i++)
+    fleet_sim_start (sim, i);
+}
+
+/* One fault at random, of those that end at once or with a later one.  */
+static void
+cause_fault (fleet_sim_t *sim)
+{
+  int n = sim->n_instances;
+  int a = (int)fleet_sim_random_below (sim, (uint64_t)n);
+  int b = (int)fleet_sim_random_below (sim, (uint64_t)n);
+  fleet_sim_instance_t *instance = &sim->instances[a];
+  switch (fleet_sim_random_below (sim, 7))
+    {
+    case 0:
+      fleet_sim_crash (sim, a);
+      break;
+    case 1:
+      if (!instance->alive)
+        fleet_sim_start (sim, a);
+      break;
+    case 2:
+      fleet_sim_pause (sim, a);
+      break;
+    case 3:
+      for (int i = 0; i < n; i++)
+        fleet_sim_resume (sim, i);
+      break;
+    case 4:
+      fleet_sim_set_cut (sim, a, b, !sim->cut[a][b]);
+      break;
+    case 5:
+      sim->outage = !sim->outage;
+      break;
+    default:
+      instance->apart = !instance->apart;
+      break;
+    }
+}
+
+/* Guards against tokens that count twice after their owner or their receiver
+   was killed, paused or cut off, and after an outage of the store.  */
+static void
+sum_is_exact_with_faults (void **state)
+{
+  (void)state;
+  for (uint64_t seed = 1; seed <= 24; seed++)
+    {
+      /* A small burst and more demand than the rate: every token is used.  */
+      load_t load = { 32507, 26000, 1.6, -1 };
+      fleet_sim_t *sim = start (seed, 12 + 18 * (int)(seed % 2), load, 400);
+      count.until_ns = sim->now_ns + 40 * FLEET_SIM_S;
+      fleet_sim_schedule_call (sim, sim->now_ns, -1, 1);
+      while (sim->now_ns < count.until_ns)
+        {
+          fleet_sim_run (sim, sim->now_ns
+                                  + (int64_t)fleet_sim_random_below (
+                                      sim, 800 * FLEET_SIM_MS));
+          cause_fault (sim);
+          if (fleet_sim_random_below (sim, 30) == 0)
+            kill_and_start (sim, 0, sim->n_instances, 500);
+        }
+      if (count.least < -1e-3)
+        fail_msg ("seed %d: %.1f tokens too many", (int)seed, -count.least);
+      fleet_sim_free (sim);
+    }
+}
+
+/* Guards against an organisation that has no tokens for seconds after all
+   instances were killed at once.  They are back after 500 ms.  */
+static void
+restart_of_all_instances (void **state)
+{
+  (void)state;
+  load_t load = { 32507, 117024, 0.8, -1 };
+  fleet_sim_t *sim = start (3, 78, load, 400);
+  count.until_ns = sim->now_ns + 7 * FLEET_SIM_S;
+  fleet_sim_schedule_call (sim, sim->now_ns, -1, 1);
+  fleet_sim_run (sim, sim->now_ns + 3 * FLEET_SIM_S);
+  print_count ("before a restart of all");
+  kill_and_start (sim, 0, 78, 500);
+  for (int i = 0; i < 7; i++)
+    {
+      fleet_sim_run (sim, sim->now_ns + FLEET_SIM_S / 2);
+      print_count ("after a restart of all");
+    }
+  assert_true (count.least >= -1e-3);
+  fleet_sim_free (sim);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (calm_fleet_refuses_one_in_100_at_most),
+    cmocka_unit_test (sum_is_exact_with_faults),
+    cmocka_unit_test (restart_of_all_instances),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
