Save tokens for the next process, and grant an overdraft once

After all instances were killed at once, requests within the rate were refused for seconds: a restarted owner kept its share but began without tokens, because it did not know how many its predecessor had spent.

An owner now names in the row shares-saved/INSTANCE the tokens below which its level does not fall before it has written a row with fewer. Its successor takes them over, in the same epoch only.

An owner without the tokens of its predecessor now begins with the overdraft that this one may have spent.

--- a/lib/bucket.c
+++ b/lib/bucket.c
@@ -92,6 +92,7 @@
     bucket->old_cap
         = fmax (bucket->old_cap - bucket->reserved / bucket->limit_burst, 0);
   bucket->reserved = 0;
+  bucket->floor = 0;
   bucket->bounded = true;
   bucket->rate = share;
   bucket->cap = share;
@@ -144,7 +145,7 @@
   double cap = bucket_cap (bucket);
   if (rate <= 0 || cap <= 0)
     return part;
-  double keep = reserved + bucket->demand * KEPT_DEMAND_S;
+  double keep = reserved + bucket->demand * KEPT_DEMAND_S + bucket->floor;
   if (request->ahead)
     keep = fmax (keep, cap / 2);
   part.level
--- a/lib/bucket.h
+++ b/lib/bucket.h
@@ -23,6 +23,7 @@
   double level;      /* tokens */
   double reserved;   /* part of the cap, in tokens, that is set aside for
                         tokens sent to other instances and not confirmed */
+  double floor;      /* tokens that stay: they are saved for a new process */
   int64_t filled_ns; /* leased time up to which tokens have accrued */
   double room;       /* tokens that may be held above the cap, because requests
                         wait for them */
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -133,6 +133,17 @@
   bucket->filled_ns = shares->valid_ns;
 }
 
+/* The process that owned the share of ACCOUNT before may have spent its part
+   of the overdraft, so this one begins with that debt.  */
+static void
+assume_debt (const shares_t *shares, account_t *account)
+{
+  if (!shares->steady || account->share <= 0)
+    return;
+  double debt = shares->fleet_overdraft / MAX (account->share_owners->len, 1);
+  account->bucket.level = MIN (account->bucket.level, -debt);
+}
+
 /* Decide whether the bucket of a new account starts full.  It may if no
    instance can have used the account under an earlier epoch: in the first
    epoch, or if the lists that brought the account are newer than the
@@ -147,12 +158,15 @@
       && holder_find (shares->holders, shares->instance, shares->incarnation)
       && (shares->epoch == 1 || shares->list_version > shares->row_version))
     account->bucket.level = bucket_cap (&account->bucket);
+  else
+    assume_debt (shares, account);
 }
 
 static void
 enter_epoch (shares_t *shares, int64_t epoch, kwf_effects_t *effects)
 {
   bool follows = epoch == shares->epoch + 1;
+  bool first = !shares->epoch;
   bool member = shares_holder_of (shares, shares->holders, shares->instance,
                                   shares->incarnation);
   shares->old_share = follows ? shares->share : 0;
@@ -190,7 +204,12 @@
       if (shares->settled)
         bucket_drop_old_epoch (&account->bucket);
       if (epoch > 1)
-        account->fresh = false;
+        {
+          account->fresh = false;
+          if (first || account->old_share <= 0)
+            assume_debt (shares, account);
+        }
+      account->floor = account->floor_sent = 0;
       account->round = 0;
       g_ptr_array_set_size (account->asked, 0);
       account->ask_backoff_until_ns = 0;
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -43,7 +43,7 @@
 #define SHARE_RETRY_AFTER_MAX_NS (5 * KWF_NS_PER_S)
 
 /* Tokens by which sums of grants may be too small because of rounding.  A
-   charge that exceeds them leaves a debt of as much, so they do not add up.  */
+   charge that exceeds them leaves a debt of as much, so they do not add up. */
 #define SHARE_ROUNDING 1e-6
 
 /* The numbers of share requests begin here if their sender reads the level of
@@ -95,8 +95,13 @@
   double received;  /* tokens that the round has brought */
   GPtrArray *asked; /* instances whose grant has not arrived */
   /* Where shares are steady (rates/collect.h).  */
-  GPtrArray *parcels;  /* granted tokens that are not spent yet */
-  GPtrArray *levels;   /* what the owners told of their tokens */
+  GPtrArray *parcels; /* granted tokens that are not spent yet */
+  GPtrArray *levels;  /* what the owners told of their tokens */
+  /* Tokens saved for the next process (rates/save.h).  */
+  double floor;      /* in the row */
+  double floor_sent; /* in the open write of the row */
+  bool pressed;      /* a request needs some of them */
+  bool taken_over;
   bool silent;         /* owners did not answer the last round */
   int64_t next_ask_ns; /* the next round, when tokens have accrued; 0: none
                           is planned */
@@ -155,6 +160,14 @@
   kwf_handle_t op;
   uint64_t next_op;
 
+  struct json_t *saved;  /* row that the predecessor saved; NULL: none */
+  int64_t saved_version; /* of the row */
+  bool saves;            /* this process has written it */
+  bool save_failed;      /* the last write was not committed */
+  kwf_handle_t save_op;  /* open write; 0: none */
+  int64_t saved_ns;      /* when it was sent */
+  int64_t next_save_ns;
+
   bool was_valid;
   int64_t stepped_ns;
   int64_t valid_ns; /* time with a valid lease so far */
@@ -192,7 +205,7 @@
                             const char *instance, uint64_t incarnation);
 
 /* Tokens that ACCOUNT may owe at this instance after a charge: its part of
-   fleet_overdraft.  */
+   fleet_overdraft.  Negative: so many have to stay, as they are saved.  */
 double shares_own_overdraft (const shares_t *shares, const account_t *account);
 
 /* share-owners.c: finds the owners of ACCOUNT in the present epoch and the
--- a/lib/share.c
+++ b/lib/share.c
@@ -1,8 +1,10 @@
 #include "share-state.h"
 
+#include <jansson.h>
 #include <math.h>
 
 #include "rates/collect.h"
+#include "rates/save.h"
 
 static void
 free_account (void *data)
@@ -46,6 +48,7 @@
   if (!shares)
     return;
   g_free (shares->instance);
+  json_decref (shares->saved);
   g_ptr_array_free (shares->holders, TRUE);
   g_ptr_array_free (shares->previous, TRUE);
   g_ptr_array_free (shares->former, TRUE);
@@ -87,6 +90,8 @@
 {
   const GPtrArray *owners
       = shares->steady ? account->share_owners : shares->holders;
+  if (account->bucket.floor > 0)
+    return -account->bucket.floor;
   return account->share > 0 && owners->len
              ? shares->fleet_overdraft / owners->len
              : 0;
@@ -331,6 +336,8 @@
     case KWF_EV_STORE_REPLY:
       if (event->store.op == shares->op)
         epoch_handle_reply (shares, &event->store.reply, now_ns);
+      if (event->store.op == shares->save_op)
+        save_handle_reply (shares, &event->store.reply, now_ns);
       break;
     case KWF_EV_PEER_UP:
       transfer_peer_down (shares, event->peer.instance);
@@ -357,6 +364,7 @@
       if (g_str_has_prefix (row->key, "list/"))
         shares->list_version = MAX (shares->list_version, row->version);
       epoch_apply_row (shares, row, effects);
+      save_apply_row (shares, row);
     }
 }
 
@@ -371,6 +379,7 @@
   handle_event (shares, event, now_ns, effects);
   epoch_run (shares, changes->fresh, now_ns, effects);
   transfer_expire_grants (shares, now_ns, effects);
+  save_run (shares, now_ns, effects);
   for (guint i = shares->busy->len; i-- > 0;)
     {
       account_t *account = g_ptr_array_index (shares->busy, i);
@@ -414,7 +423,7 @@
   bucket_t *bucket = &account->bucket;
   bucket_fill (bucket, shares->valid_ns);
   double allowance = shares_own_overdraft (shares, account);
-  if (tokens > bucket->limit_burst + allowance)
+  if (tokens > bucket->limit_burst + fmax (allowance, 0))
     return result;
   bucket_update_demand (bucket, tokens, now_ns);
   if (!account->waiters->len && tokens <= bucket->level + allowance)
@@ -430,6 +439,7 @@
           = fair_retry_after_ms (shares, account, tokens, now_ns);
       return result;
     }
+  save_release (shares, account);
   waiter_t waiter = { request, tokens, now_ns };
   g_array_append_val (account->waiters, waiter);
   mark_busy (shares, account);
@@ -521,6 +531,7 @@
 {
   int64_t deadline
       = MIN (epoch_next_tick_ns (shares), transfer_next_tick_ns (shares));
+  deadline = MIN (deadline, save_next_tick_ns (shares));
   for (guint i = 0; i < shares->busy->len; i++)
     {
       const account_t *account = g_ptr_array_index (shares->busy, i);
--- a/lib/transfer.c
+++ b/lib/transfer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "rates/collect.h"
+#include "rates/save.h"
 #include "share-state.h"
 
 void
@@ -114,6 +115,10 @@
                            shares->share);
       left = bucket_could_grant (&account->bucket, waiting_tokens (account))
              - part.level;
+      if (!share_request->ahead && part.level < wanted.tokens)
+        save_release (shares, account);
+      if (!save_can_release (shares))
+        left -= account->bucket.floor;
     }
   if (part.rate > 0 || part.cap > 0 || part.level > 0)
     {
