Give up the shares of an instance that stops

The shares of instances that were replaced by others of new names counted until their lease of 300 s was over, and nothing was served for so long. A stopping instance now uses its shares no more once another member can own them, and says so in its session row. The next epoch leaves it out at once, and it is no hub any more.

--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -115,9 +115,12 @@
       return;
     }
   share_owners_find (shares, account);
-  if (!shares_holder_of (shares, shares->previous, shares->instance,
-                         shares->incarnation))
+  if (shares->gave_up
+      || !shares_holder_of (shares, shares->previous, shares->instance,
+                            shares->incarnation))
     account->old_share = 0;
+  if (shares->gave_up)
+    account->share = 0;
 }
 
 void
@@ -170,7 +173,7 @@
   bool member = shares_holder_of (shares, shares->holders, shares->instance,
                                   shares->incarnation);
   shares->old_share = follows ? shares->share : 0;
-  shares->share = member ? 1.0 / shares->holders->len : 0;
+  shares->share = member && !shares->gave_up ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
   shares->settled = epoch == 1;
   shares->needs_epoch = false;
@@ -327,6 +330,22 @@
   bool needed;
 } next_epoch_t;
 
+/* Whether the process of HOLDER gave up its share for good; *VERSION: of the
+   row that says so.  */
+static bool
+gave_up (const shares_t *shares, const holder_t *holder, int64_t *version)
+{
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  while (shares->steady && session_next_member (shares->session, &at, &member))
+    if (strcmp (member.instance, holder->instance) == 0)
+      {
+        *version = member.version;
+        return member.epoch_left >= SESSION_LEFT_ALL_EPOCHS;
+      }
+  return false;
+}
+
 static void
 add_present_members (const shares_t *shares, next_epoch_t *next,
                      kwf_effects_t *effects)
@@ -336,8 +355,9 @@
       const holder_t *holder = shares->holders->pdata[i];
       int64_t version;
       bool gone = next->conditions->len < MAX_CONDITIONS
-                  && session_may_reclaim (shares->session)
-                  && is_gone (shares, holder, &version);
+                  && (gave_up (shares, holder, &version)
+                      || (session_may_reclaim (shares->session)
+                          && is_gone (shares, holder, &version)));
       if (!gone)
         {
           add_holder (next->holders, holder->instance, holder->incarnation);
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -36,6 +36,7 @@
   const char *instance;
   const char *data_centre;
   double cores;
+  int64_t epoch_left;
   bool *hub;
 } candidate_t;
 
@@ -57,13 +58,14 @@
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (candidate_t));
   candidate_t own = { session->instance, session->data_centre, session->cores,
-                      &session->hub };
+                      session->epoch_left, &session->hub };
   g_array_append_val (list, own);
   for (guint i = 0; i < session->members->len; i++)
     {
       member_t *member = session->members->pdata[i];
-      candidate_t candidate = { member->instance, member->data_centre,
-                                member->cores, &member->hub };
+      candidate_t candidate
+          = { member->instance, member->data_centre, member->cores,
+              member->epoch_left, &member->hub };
       member->hub = false;
       if (member->version && !member->expired)
         g_array_append_val (list, candidate);
@@ -100,10 +102,13 @@
   for (guint i = 0; i < list->len; i++)
     {
       const candidate_t *candidate = &g_array_index (list, candidate_t, i);
-      rank = i && g_strcmp0 (centre, candidate->data_centre) == 0 ? rank + 1
-                                                                  : 0;
+      if (!i || g_strcmp0 (centre, candidate->data_centre) != 0)
+        rank = 0;
       centre = candidate->data_centre;
-      *candidate->hub = !session->large || rank < HUBS_PER_CENTRE;
+      /* A process that gave up its shares will exit soon.  */
+      bool stays = candidate->epoch_left < SESSION_LEFT_ALL_EPOCHS;
+      *candidate->hub = !session->large || (stays && rank < HUBS_PER_CENTRE);
+      rank += stays;
     }
   session->links_deferred |= is_starting (session);
   g_array_free (list, TRUE);
--- a/lib/rates/choose.c
+++ b/lib/rates/choose.c
@@ -14,7 +14,7 @@
    one owner asked, 8 owners of a burst of one second of the rate lost most of
    the burst.  */
 #define SMALL_PART (1.0 / 8)
-#define MOST_OWNERS 4
+#define MOST_OWNERS 8
 
 /* Part of an owner's level that is varied at random, so that instances with
    the same knowledge do not all choose the same owners.  */
--- a/lib/rates/collect.c
+++ b/lib/rates/collect.c
@@ -335,7 +335,7 @@
   double missing = missing_tokens (shares, account, true);
   bool possible = true;
   account->next_ask_ns = 0;
-  if (total.recent && total.level < missing)
+  if (owners->len && total.recent && total.level < missing)
     {
       int64_t wait_ns = accrual_ns (account, &total, missing, now_ns);
       possible = wait_ns != INT64_MAX;
@@ -353,8 +353,9 @@
         want_another (owners, need);
       account->silent = false;
       send_requests (shares, account, owners, now_ns, effects);
-      /* Nothing is sent if all is there or no owner is linked.  */
-      possible = account->asked->len || bucket_rate (&account->bucket) > 0;
+      /* Without another owner a request is refused at once, unless saved
+         tokens are being released.  */
+      possible = account->asked->len || account->bucket.floor > 0;
       if (!account->asked->len)
         account->next_ask_ns = now_ns + ASK_AGAIN_MIN_NS;
     }
--- a/lib/rates/save.c
+++ b/lib/rates/save.c
@@ -180,7 +180,10 @@
 void
 save_run (shares_t *shares, int64_t now_ns, kwf_effects_t *effects)
 {
-  if (!shares->steady || shares->share <= 0 || !shares->row_version)
+  /* An instance that is alone refuses at once what its bucket does not cover,
+     so nothing could be released in time.  */
+  if (!shares->steady || shares->share <= 0 || !shares->row_version
+      || shares->holders->len < 2)
     return;
   if (!shares->saves)
     take_over_all (shares);
@@ -247,7 +250,7 @@
 save_next_tick_ns (const shares_t *shares)
 {
   if (!shares->steady || shares->share <= 0 || !shares->row_version
-      || shares->save_op || !shares->session
+      || shares->holders->len < 2 || shares->save_op || !shares->session
       || !session_may_act (shares->session))
     return INT64_MAX;
   return shares->next_save_ns;
--- a/lib/session.c
+++ b/lib/session.c
@@ -450,6 +450,7 @@
     .fresh = session->answered_ns - member->changed_ns < session->lease_ns,
     .hub = member->hub,
     .load = member->load,
+    .version = member->version,
   };
 }
 
--- a/lib/session.h
+++ b/lib/session.h
@@ -49,11 +49,16 @@
   const char *caller_address;
   const char *peer_address;
   const char *data_centre;
-  bool fresh;   /* its last renewal was seen within one lease */
-  bool hub;     /* has links to all instances (lib/hub.h) */
-  int64_t load; /* open requests, averaged over about 10 s */
+  bool fresh;      /* its last renewal was seen within one lease */
+  bool hub;        /* has links to all instances (lib/hub.h) */
+  int64_t load;    /* open requests, averaged over about 10 s */
+  int64_t version; /* of its row; 0 for this instance */
 } session_member_t;
 
+/* Value of epoch_left of a process that is stopping and has given up its
+   shares for good (lib/rates/give-up.c).  Greater than every epoch.  */
+#define SESSION_LEFT_ALL_EPOCHS (INT64_MAX / 2 + 1)
+
 session_t *session_new (const kwf_core_options_t *options);
 void session_free (session_t *session);
 
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -168,6 +168,7 @@
   int64_t saved_ns;      /* when it was sent */
   int64_t next_save_ns;
 
+  bool gave_up; /* this process is stopping and has no share any more */
   bool was_valid;
   int64_t stepped_ns;
   int64_t valid_ns; /* time with a valid lease so far */
--- a/lib/share.c
+++ b/lib/share.c
@@ -4,6 +4,7 @@
 #include <math.h>
 
 #include "rates/collect.h"
+#include "rates/give-up.h"
 #include "rates/save.h"
 
 static void
@@ -379,6 +380,7 @@
   handle_event (shares, event, now_ns, effects);
   epoch_run (shares, changes->fresh, now_ns, effects);
   transfer_expire_grants (shares, now_ns, effects);
+  give_up_run (shares, changes->fresh, effects);
   save_run (shares, now_ns, effects);
   for (guint i = shares->busy->len; i-- > 0;)
     {
