Count refusals for the rate by cause, and spread retries over all members

Callers that were told to retry came back at as many times the rate as there are members for each hub, because each instance divided the rate by the number of hubs. Each member now tells times at its part of the rate.

New counters: kwf_rate_refused_total by cause (scarce, late, unlinked), kwf_rate_waits_total and kwf_rate_wait_seconds_total.

--- a/lib/rates/collect.c
+++ b/lib/rates/collect.c
@@ -335,6 +335,7 @@
   double missing = missing_tokens (shares, account, true);
   bool possible = true;
   account->next_ask_ns = 0;
+  account->unlinked = !owners->len;
   if (owners->len && total.recent && total.level < missing)
     {
       int64_t wait_ns = accrual_ns (account, &total, missing, now_ns);
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -102,6 +102,7 @@
   double floor_sent; /* in the open write of the row */
   bool pressed;      /* a request needs some of them */
   bool taken_over;
+  bool unlinked;       /* no owner could be asked */
   bool silent;         /* owners did not answer the last round */
   int64_t next_ask_ns; /* the next round, when tokens have accrued; 0: none
                           is planned */
@@ -124,6 +125,16 @@
   double tokens;
 } pending_grant_t;
 
+/* What became of requests whose tokens were not here (rates/count.c).  */
+typedef struct
+{
+  uint64_t granted;   /* after they waited */
+  int64_t granted_ns; /* sum of their waits */
+  uint64_t scarce;    /* refused: all owners together lacked the tokens */
+  uint64_t late;      /* refused: the tokens did not come in time */
+  uint64_t unlinked;  /* refused: no owner could be asked */
+} share_counts_t;
+
 struct shares
 {
   char *instance;
@@ -160,6 +171,8 @@
   kwf_handle_t op;
   uint64_t next_op;
 
+  share_counts_t counts;
+  guint n_members;       /* live members, this instance included */
   struct json_t *saved;  /* row that the predecessor saved; NULL: none */
   int64_t saved_version; /* of the row */
   bool saves;            /* this process has written it */
--- a/lib/share.c
+++ b/lib/share.c
@@ -183,7 +183,9 @@
   int64_t least_ms = retry_after_ms (account, tokens);
   if (least_ms < 0 || !shares->steady || !shares->holders->len)
     return least_ms;
-  double rate = account->bucket.limit_rate / shares->holders->len;
+  /* Callers return to any member, also to those that hold no shares.  */
+  double rate = account->bucket.limit_rate
+                / MAX (shares->n_members, shares->holders->len);
   double passed_s = (double)(now_ns - account->deferred_ns) / KWF_NS_PER_S;
   double most = rate * (double)SHARE_RETRY_AFTER_MAX_NS / KWF_NS_PER_S;
   account->deferred_tokens
@@ -219,6 +221,9 @@
                               + SHARE_ROUNDING)
         return;
       collect_spend (account, waiter.tokens, effects);
+      shares->counts.granted++;
+      shares->counts.granted_ns
+          += kwf_now_ns (shares->clock) - waiter.since_ns;
       add_result (shares, &waiter, SHARE_GRANTED, 0);
       g_array_remove_index (account->waiters, 0);
     }
@@ -229,11 +234,18 @@
 refuse_waiters (shares_t *shares, account_t *account, int64_t before_ns,
                 int64_t now_ns)
 {
+  share_counts_t *counts = &shares->counts;
   while (account->waiters->len)
     {
       waiter_t waiter = g_array_index (account->waiters, waiter_t, 0);
       if (waiter.since_ns > before_ns)
         return;
+      if (now_ns - waiter.since_ns >= SHARE_WAIT_NS)
+        counts->late++;
+      else if (account->unlinked)
+        counts->unlinked++;
+      else
+        counts->scarce++;
       add_result (
           shares, &waiter, SHARE_REFUSED,
           fair_retry_after_ms (shares, account, waiter.tokens, now_ns));
@@ -369,6 +381,17 @@
     }
 }
 
+static guint
+count_members (const session_t *session)
+{
+  guint n = 0;
+  session_member_t member;
+  size_t at = 0;
+  while (session_next_member (session, &at, &member))
+    n += !member.expired && !member.leaving;
+  return n;
+}
+
 void
 shares_step (shares_t *shares, session_t *session, const kwf_event_t *event,
              const session_changes_t *changes, kwf_effects_t *effects)
@@ -377,6 +400,8 @@
   shares->session = session;
   advance_accrual (shares, now_ns);
   apply_changes (shares, changes, effects);
+  if (changes->fresh)
+    shares->n_members = count_members (session);
   handle_event (shares, event, now_ns, effects);
   epoch_run (shares, changes->fresh, now_ns, effects);
   transfer_expire_grants (shares, now_ns, effects);
@@ -458,6 +483,8 @@
     {
       account->round = 0;
       g_array_remove_index (account->waiters, account->waiters->len - 1);
+      *(account->unlinked ? &shares->counts.unlinked : &shares->counts.scarce)
+          += 1;
       result.retry_after_ms
           = fair_retry_after_ms (shares, account, tokens, now_ns);
       return result;
--- a/lib/share.h
+++ b/lib/share.h
@@ -7,6 +7,7 @@
 #ifndef KNAPWEEDFORK_SHARE_H
 #define KNAPWEEDFORK_SHARE_H
 
+#include <glib.h>
 #include <stdbool.h>
 
 #include <knapweedfork/core.h>
@@ -77,6 +78,10 @@
    would refuse requests that are within the rate.  */
 bool shares_ready (const shares_t *shares);
 
+/* Appends counters of the requests that waited for tokens or were refused, in
+   the Prometheus text format (rates/count.c).  */
+void shares_write_metrics (const shares_t *shares, GString *out);
+
 int64_t shares_next_tick_ns (const shares_t *shares);
 
 #endif
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -237,6 +237,7 @@
   size_t quarantined;
   crash_counts (core->crash, &suspects, &quarantined);
   metrics_write (core->metrics, out);
+  shares_write_metrics (core->shares, out);
   metric_write_value (out, "kwf_open_requests", "gauge",
                       g_hash_table_size (core->requests));
   metric_write_value (out, "kwf_may_act", "gauge",
