--- a/lib/bucket.c
+++ b/lib/bucket.c
@@ -92,6 +92,7 @@
     bucket->old_cap
         = fmax (bucket->old_cap - bucket->reserved / bucket->limit_burst, 0);
   bucket->reserved = 0;
+  bucket->floor = 0;
   bucket->bounded = true;
   bucket->rate = share;
   bucket->cap = share;
@@ -118,6 +119,13 @@
   return bucket->demand;
 }
 
+double
+bucket_could_grant (const bucket_t *bucket, double reserved)
+{
+  double keep = reserved + bucket->demand * KEPT_DEMAND_S;
+  return fmax (bucket->level - keep, 0);
+}
+
 /* Part of the rate, in tokens a second, that is not needed here.  */
 static double
 spare_rate (const bucket_t *bucket, double equal)
@@ -137,7 +145,7 @@
   double cap = bucket_cap (bucket);
   if (rate <= 0 || cap <= 0)
     return part;
-  double keep = reserved + bucket->demand * KEPT_DEMAND_S;
+  double keep = reserved + bucket->demand * KEPT_DEMAND_S + bucket->floor;
   if (request->ahead)
     keep = fmax (keep, cap / 2);
   part.level
@@ -182,6 +190,14 @@
   bucket->reserved = fmax (bucket->reserved - tokens, 0);
 }
 
+void
+bucket_return (bucket_t *bucket, double tokens, int64_t leased_time_ns)
+{
+  bucket_fill (bucket, leased_time_ns);
+  bucket->level += fmax (tokens, 0);
+  cut_level (bucket);
+}
+
 void
 bucket_add (bucket_t *bucket, const bucket_part_t *part)
 {
--- a/lib/epoch.c
+++ b/lib/epoch.c
@@ -116,9 +116,12 @@
       return;
     }
   share_owners_find (shares, account);
-  if (!shares_holder_of (shares, shares->previous, shares->instance,
-                         shares->incarnation))
+  if (shares->gave_up
+      || !shares_holder_of (shares, shares->previous, shares->instance,
+                            shares->incarnation))
     account->old_share = 0;
+  if (shares->gave_up)
+    account->share = 0;
 }
 
 void
@@ -134,6 +137,17 @@
   bucket->filled_ns = shares->valid_ns;
 }
 
+/* The process that owned the share of ACCOUNT before may have spent its part
+   of the overdraft, so this one begins with that debt.  */
+static void
+assume_debt (const shares_t *shares, account_t *account)
+{
+  if (!shares->steady || account->share <= 0)
+    return;
+  double debt = shares->fleet_overdraft / MAX (account->share_owners->len, 1);
+  account->bucket.level = MIN (account->bucket.level, -debt);
+}
+
 /* Decide whether the bucket of a new account starts full.  It may if no
    instance can have used the account under an earlier epoch: in the first
    epoch, or if the lists that brought the account are newer than the
@@ -148,21 +162,27 @@
       && holder_find (shares->holders, shares->instance, shares->incarnation)
       && (shares->epoch == 1 || shares->list_version > shares->row_version))
     account->bucket.level = bucket_cap (&account->bucket);
+  else
+    assume_debt (shares, account);
 }
 
 static void
 enter_epoch (shares_t *shares, int64_t epoch, kwf_effects_t *effects)
 {
   bool follows = epoch == shares->epoch + 1;
+  bool first = !shares->epoch;
   bool member = shares_holder_of (shares, shares->holders, shares->instance,
                                   shares->incarnation);
   shares->old_share = follows ? shares->share : 0;
-  shares->share = member ? 1.0 / shares->holders->len : 0;
+  shares->share = member && !shares->gave_up ? 1.0 / shares->holders->len : 0;
   shares->epoch = epoch;
   shares->settled = epoch == 1;
   shares->needs_epoch = false;
   shares->need_ns = 0;
-  g_ptr_array_set_size (shares->pending_grants, 0);
+  /* Where shares are steady, tokens that were granted in the epoch before may
+     still be spent.  */
+  if (!shares->steady)
+    g_ptr_array_set_size (shares->pending_grants, 0);
   GHashTableIter iter;
   void *value;
   g_hash_table_iter_init (&iter, shares->accounts);
@@ -182,13 +202,19 @@
         }
       else if (!follows)
         account->bucket.rate = account->bucket.cap = 0;
+      double reserved = shares->steady ? account->bucket.reserved : 0;
       bucket_enter_epoch (&account->bucket, account->share);
+      account->bucket.reserved = reserved;
       if (shares->settled)
         bucket_drop_old_epoch (&account->bucket);
       if (epoch > 1)
-        account->fresh = false;
+        {
+          account->fresh = false;
+          if (first || account->old_share <= 0)
+            assume_debt (shares, account);
+        }
+      account->floor = account->floor_sent = 0;
       account->round = 0;
-      account->first = false;
       g_ptr_array_set_size (account->asked, 0);
       account->ask_backoff_until_ns = 0;
     }
@@ -305,6 +331,22 @@
   bool needed;
 } next_epoch_t;
 
+/* Whether the process of HOLDER gave up its share for good; *VERSION: of the
+   row that says so.  */
+static bool
+gave_up (const shares_t *shares, const holder_t *holder, int64_t *version)
+{
+  session_member_t member;
+  size_t at = SESSION_OTHERS;
+  while (shares->steady && session_next_member (shares->session, &at, &member))
+    if (strcmp (member.instance, holder->instance) == 0)
+      {
+        *version = member.version;
+        return member.epoch_left >= SESSION_LEFT_ALL_EPOCHS;
+      }
+  return false;
+}
+
 static void
 add_present_members (const shares_t *shares, next_epoch_t *next,
                      kwf_effects_t *effects)
@@ -314,8 +356,9 @@
       const holder_t *holder = shares->holders->pdata[i];
       int64_t version;
       bool gone = next->conditions->len < MAX_CONDITIONS
-                  && session_may_reclaim (shares->session)
-                  && is_gone (shares, holder, &version);
+                  && (gave_up (shares, holder, &version)
+                      || (session_may_reclaim (shares->session)
+                          && is_gone (shares, holder, &version)));
       if (!gone)
         {
           add_holder (next->holders, holder->instance, holder->incarnation);
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -42,6 +42,16 @@
    s.  */
 #define SHARE_RETRY_AFTER_MAX_NS (5 * KWF_NS_PER_S)
 
+/* Tokens by which sums of grants may be too small because of rounding.  A
+   charge that exceeds them leaves a debt of as much, so they do not add up. */
+#define SHARE_ROUNDING 1e-6
+
+/* The numbers of share requests begin here if their sender reads the level of
+   the owner in the grant and may send tokens back with the ack.  Builds that
+   do not know these fields refuse a message that has them, and they count from
+   0.  */
+#define SHARE_NUMBER_LEVELS (INT64_C (1) << 40)
+
 /* A grant that is not confirmed within this time counts as lost, and a new
    epoch is needed unless shares are steady.  If its receiver died, a new
    epoch without the receiver begins sooner than that.  A shorter time could
@@ -82,9 +92,20 @@
   GArray *waiters;
   int64_t round; /* number of the open round of share requests; 0: none */
   int64_t round_ns;
-  bool first;       /* only one owner was asked in this round so far */
   double received;  /* tokens that the round has brought */
   GPtrArray *asked; /* instances whose grant has not arrived */
+  /* Where shares are steady (rates/collect.h).  */
+  GPtrArray *parcels; /* granted tokens that are not spent yet */
+  GPtrArray *levels;  /* what the owners told of their tokens */
+  /* Tokens saved for the next process (rates/save.h).  */
+  double floor;      /* in the row */
+  double floor_sent; /* in the open write of the row */
+  bool pressed;      /* a request needs some of them */
+  bool taken_over;
+  bool unlinked;       /* no owner could be asked */
+  bool silent;         /* owners did not answer the last round */
+  int64_t next_ask_ns; /* the next round, when tokens have accrued; 0: none
+                          is planned */
   int64_t ask_backoff_until_ns;
   int64_t next_prefetch_ns;
   /* Tokens of requests that were refused and are to be retried.  They decrease
@@ -101,8 +122,19 @@
   int64_t sent_ns;
   account_t *account;
   double reserved; /* part of the sender's cap that is kept free until then */
+  double tokens;
 } pending_grant_t;
 
+/* What became of requests whose tokens were not here (rates/count.c).  */
+typedef struct
+{
+  uint64_t granted;   /* after they waited */
+  int64_t granted_ns; /* sum of their waits */
+  uint64_t scarce;    /* refused: all owners together lacked the tokens */
+  uint64_t late;      /* refused: the tokens did not come in time */
+  uint64_t unlinked;  /* refused: no owner could be asked */
+} share_counts_t;
+
 struct shares
 {
   char *instance;
@@ -139,6 +171,17 @@
   kwf_handle_t op;
   uint64_t next_op;
 
+  share_counts_t counts;
+  guint n_members;       /* live members, this instance included */
+  struct json_t *saved;  /* row that the predecessor saved; NULL: none */
+  int64_t saved_version; /* of the row */
+  bool saves;            /* this process has written it */
+  bool save_failed;      /* the last write was not committed */
+  kwf_handle_t save_op;  /* open write; 0: none */
+  int64_t saved_ns;      /* when it was sent */
+  int64_t next_save_ns;
+
+  bool gave_up; /* this process is stopping and has no share any more */
   bool was_valid;
   int64_t stepped_ns;
   int64_t valid_ns; /* time with a valid lease so far */
@@ -176,17 +219,13 @@
                             const char *instance, uint64_t incarnation);
 
 /* Tokens that ACCOUNT may owe at this instance after a charge: its part of
-   fleet_overdraft.  */
+   fleet_overdraft.  Negative: so many have to stay, as they are saved.  */
 double shares_own_overdraft (const shares_t *shares, const account_t *account);
 
 /* share-owners.c: finds the owners of ACCOUNT in the present epoch and the
    previous one, and sets this instance's share and old_share.  */
 void share_owners_find (const shares_t *shares, account_t *account);
 bool share_owners_contain (const account_t *account, const char *instance);
-/* The owner that gets the first share request: a linked one, by turns,
-   preferably in this data centre.  NULL: there is none.  */
-const char *share_owners_first (const shares_t *shares,
-                                const account_t *account);
 
 /* Epochs (epoch.c).  */
 void epoch_apply_row (shares_t *shares, const kwf_row_t *row,
@@ -210,11 +249,6 @@
    need or, if none waits, for those that the demand will need soon.  */
 void transfer_ask (shares_t *shares, account_t *account, int64_t now_ns,
                    kwf_effects_t *effects);
-/* The owner of the first share request had too few tokens or did not answer:
-   starts another round, with share requests to all linked owners (that one
-   included).  */
-void transfer_ask_all_owners (shares_t *shares, account_t *account,
-                              kwf_effects_t *effects);
 void transfer_handle_request (shares_t *shares, const kwf_peer_event_t *event,
                               int64_t now_ns, kwf_effects_t *effects);
 void transfer_handle_grant (shares_t *shares, const kwf_peer_event_t *event,
--- a/lib/share.c
+++ b/lib/share.c
@@ -1,7 +1,12 @@
 #include "share-state.h"
 
+#include <jansson.h>
 #include <math.h>
 
+#include "rates/collect.h"
+#include "rates/give-up.h"
+#include "rates/save.h"
+
 static void
 free_account (void *data)
 {
@@ -9,6 +14,8 @@
   g_free (account->name);
   g_array_free (account->waiters, TRUE);
   g_ptr_array_free (account->asked, TRUE);
+  g_ptr_array_free (account->parcels, TRUE);
+  g_ptr_array_free (account->levels, TRUE);
   g_ptr_array_free (account->share_owners, TRUE);
   g_free (account);
 }
@@ -21,6 +28,7 @@
   shares->incarnation = options->incarnation;
   shares->clock = options->clock;
   shares->steady = options->push_updates;
+  shares->next_number = shares->steady ? SHARE_NUMBER_LEVELS : 0;
   shares->fleet_overdraft = options->overdraft;
   shares->holders = g_ptr_array_new_with_free_func (holder_free);
   shares->previous = g_ptr_array_new_with_free_func (holder_free);
@@ -41,6 +49,7 @@
   if (!shares)
     return;
   g_free (shares->instance);
+  json_decref (shares->saved);
   g_ptr_array_free (shares->holders, TRUE);
   g_ptr_array_free (shares->previous, TRUE);
   g_ptr_array_free (shares->former, TRUE);
@@ -82,6 +91,8 @@
 {
   const GPtrArray *owners
       = shares->steady ? account->share_owners : shares->holders;
+  if (account->bucket.floor > 0)
+    return -account->bucket.floor;
   return account->share > 0 && owners->len
              ? shares->fleet_overdraft / owners->len
              : 0;
@@ -97,6 +108,8 @@
   account->waiters = g_array_new (FALSE, TRUE, sizeof (waiter_t));
   account->asked = g_ptr_array_new_with_free_func (g_free);
   account->share_owners = g_ptr_array_new_with_free_func (g_free);
+  account->parcels = g_ptr_array_new_with_free_func (parcel_free);
+  account->levels = g_ptr_array_new_with_free_func (owner_level_free);
   g_hash_table_insert (shares->accounts, account->name, account);
   mark_busy (shares, account);
   epoch_init_account (shares, account);
@@ -170,7 +183,9 @@
   int64_t least_ms = retry_after_ms (account, tokens);
   if (least_ms < 0 || !shares->steady || !shares->holders->len)
     return least_ms;
-  double rate = account->bucket.limit_rate / shares->holders->len;
+  /* Callers return to any member, also to those that hold no shares.  */
+  double rate = account->bucket.limit_rate
+                / MAX (shares->n_members, shares->holders->len);
   double passed_s = (double)(now_ns - account->deferred_ns) / KWF_NS_PER_S;
   double most = rate * (double)SHARE_RETRY_AFTER_MAX_NS / KWF_NS_PER_S;
   account->deferred_tokens
@@ -195,16 +210,20 @@
 }
 
 static void
-grant_waiters (shares_t *shares, account_t *account)
+grant_waiters (shares_t *shares, account_t *account, kwf_effects_t *effects)
 {
   bucket_fill (&account->bucket, shares->valid_ns);
   while (account->waiters->len)
     {
       waiter_t waiter = g_array_index (account->waiters, waiter_t, 0);
-      if (waiter.tokens
-          > account->bucket.level + shares_own_overdraft (shares, account))
+      if (waiter.tokens > account->bucket.level + collect_held (account)
+                              + shares_own_overdraft (shares, account)
+                              + SHARE_ROUNDING)
         return;
-      account->bucket.level -= waiter.tokens;
+      collect_spend (account, waiter.tokens, effects);
+      shares->counts.granted++;
+      shares->counts.granted_ns
+          += kwf_now_ns (shares->clock) - waiter.since_ns;
       add_result (shares, &waiter, SHARE_GRANTED, 0);
       g_array_remove_index (account->waiters, 0);
     }
@@ -215,11 +234,18 @@
 refuse_waiters (shares_t *shares, account_t *account, int64_t before_ns,
                 int64_t now_ns)
 {
+  share_counts_t *counts = &shares->counts;
   while (account->waiters->len)
     {
       waiter_t waiter = g_array_index (account->waiters, waiter_t, 0);
       if (waiter.since_ns > before_ns)
         return;
+      if (now_ns - waiter.since_ns >= SHARE_WAIT_NS)
+        counts->late++;
+      else if (account->unlinked)
+        counts->unlinked++;
+      else
+        counts->scarce++;
       add_result (
           shares, &waiter, SHARE_REFUSED,
           fair_retry_after_ms (shares, account, waiter.tokens, now_ns));
@@ -227,10 +253,39 @@
     }
 }
 
+/* Where shares are steady: requests wait in the order of arrival until their
+   tokens are collected or have accrued.  A request is refused after
+   SHARE_WAIT_NS, or once all owners have told that it would be.  */
+static void
+serve_steady (shares_t *shares, account_t *account, int64_t now_ns,
+              kwf_effects_t *effects)
+{
+  collect_expire (account, now_ns, effects);
+  if (session_may_act (shares->session))
+    grant_waiters (shares, account, effects);
+  refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS, now_ns);
+  bool late = now_ns - account->round_ns >= SHARE_ANSWER_NS;
+  if (account->asked->len && late)
+    collect_handle_silence (account, now_ns);
+  while (account->waiters->len && !account->asked->len
+         && now_ns >= account->next_ask_ns
+         && !collect_ask (shares, account, now_ns, effects))
+    refuse_waiters (shares, account, first_waiter (account)->since_ns, now_ns);
+  if (!account->waiters->len)
+    collect_return (account, effects);
+  if (!account->waiters->len && !account->asked->len)
+    account->round = 0;
+}
+
 static void
 serve_account (shares_t *shares, account_t *account, int64_t now_ns,
                kwf_effects_t *effects)
 {
+  if (shares->steady)
+    {
+      serve_steady (shares, account, now_ns, effects);
+      return;
+    }
   if (!account->asked->len && !account->waiters->len)
     account->round = 0;
   if (!account->waiters->len)
@@ -239,15 +294,8 @@
       return;
     }
   if (session_may_act (shares->session))
-    grant_waiters (shares, account);
+    grant_waiters (shares, account, effects);
   refuse_waiters (shares, account, now_ns - SHARE_WAIT_NS, now_ns);
-  if (account->first && account->waiters->len
-      && (!account->asked->len
-          || now_ns - account->round_ns >= SHARE_ANSWER_NS))
-    {
-      transfer_ask_all_owners (shares, account, effects);
-      return;
-    }
   if (account->asked->len)
     return;
   /* Every peer has answered.  If that brought fewer tokens than the first
@@ -301,6 +349,8 @@
     case KWF_EV_STORE_REPLY:
       if (event->store.op == shares->op)
         epoch_handle_reply (shares, &event->store.reply, now_ns);
+      if (event->store.op == shares->save_op)
+        save_handle_reply (shares, &event->store.reply, now_ns);
       break;
     case KWF_EV_PEER_UP:
       transfer_peer_down (shares, event->peer.instance);
@@ -327,9 +377,21 @@
       if (g_str_has_prefix (row->key, "list/"))
         shares->list_version = MAX (shares->list_version, row->version);
       epoch_apply_row (shares, row, effects);
+      save_apply_row (shares, row);
     }
 }
 
+static guint
+count_members (const session_t *session)
+{
+  guint n = 0;
+  session_member_t member;
+  size_t at = 0;
+  while (session_next_member (session, &at, &member))
+    n += !member.expired && !member.leaving;
+  return n;
+}
+
 void
 shares_step (shares_t *shares, session_t *session, const kwf_event_t *event,
              const session_changes_t *changes, kwf_effects_t *effects)
@@ -338,9 +400,13 @@
   shares->session = session;
   advance_accrual (shares, now_ns);
   apply_changes (shares, changes, effects);
+  if (changes->fresh)
+    shares->n_members = count_members (session);
   handle_event (shares, event, now_ns, effects);
   epoch_run (shares, changes->fresh, now_ns, effects);
   transfer_expire_grants (shares, now_ns, effects);
+  give_up_run (shares, changes->fresh, effects);
+  save_run (shares, now_ns, effects);
   for (guint i = shares->busy->len; i-- > 0;)
     {
       account_t *account = g_ptr_array_index (shares->busy, i);
@@ -384,7 +450,7 @@
   bucket_t *bucket = &account->bucket;
   bucket_fill (bucket, shares->valid_ns);
   double allowance = shares_own_overdraft (shares, account);
-  if (tokens > bucket->limit_burst + allowance)
+  if (tokens > bucket->limit_burst + fmax (allowance, 0))
     return result;
   bucket_update_demand (bucket, tokens, now_ns);
   if (!account->waiters->len && tokens <= bucket->level + allowance)
@@ -393,23 +459,32 @@
       prefetch (shares, account, now_ns, effects);
       return (share_result_t){ request, SHARE_GRANTED, 0 };
     }
-  if (!account->waiters->len && now_ns < account->ask_backoff_until_ns)
+  if (!shares->steady && !account->waiters->len
+      && now_ns < account->ask_backoff_until_ns)
     {
       result.retry_after_ms
           = fair_retry_after_ms (shares, account, tokens, now_ns);
       return result;
     }
+  save_release (shares, account);
   waiter_t waiter = { request, tokens, now_ns };
   g_array_append_val (account->waiters, waiter);
-  if (shares->steady)
-    bucket_set_room (bucket, tokens);
   mark_busy (shares, account);
-  if (!account->round)
+  if (shares->steady)
+    {
+      if (account->waiters->len > 1
+          || collect_ask (shares, account, now_ns, effects))
+        return (share_result_t){ request, SHARE_WAIT, 0 };
+      g_ptr_array_set_size (account->asked, 0);
+    }
+  else if (!account->round)
     transfer_ask (shares, account, now_ns, effects);
   if (!account->asked->len)
     {
       account->round = 0;
       g_array_remove_index (account->waiters, account->waiters->len - 1);
+      *(account->unlinked ? &shares->counts.unlinked : &shares->counts.scarce)
+          += 1;
       result.retry_after_ms
           = fair_retry_after_ms (shares, account, tokens, now_ns);
       return result;
@@ -464,7 +539,7 @@
   bucket_fill (&account->bucket, shares->valid_ns);
   return (share_holding_t){ bucket_rate (&account->bucket),
                             bucket_cap (&account->bucket),
-                            account->bucket.level };
+                            account->bucket.level + collect_held (account) };
 }
 
 bool
@@ -485,6 +560,7 @@
 {
   int64_t deadline
       = MIN (epoch_next_tick_ns (shares), transfer_next_tick_ns (shares));
+  deadline = MIN (deadline, save_next_tick_ns (shares));
   for (guint i = 0; i < shares->busy->len; i++)
     {
       const account_t *account = g_ptr_array_index (shares->busy, i);
@@ -492,8 +568,10 @@
         deadline = MIN (deadline,
                         g_array_index (account->waiters, waiter_t, 0).since_ns
                             + SHARE_WAIT_NS);
-      if (account->first && account->waiters->len)
+      if (shares->steady && account->waiters->len && account->asked->len)
         deadline = MIN (deadline, account->round_ns + SHARE_ANSWER_NS);
+      else if (shares->steady && account->waiters->len)
+        deadline = MIN (deadline, account->next_ask_ns);
     }
   return deadline;
 }
--- a/net/message.c
+++ b/net/message.c
@@ -130,6 +130,8 @@
   wire_put_amount (writer, share_grant->rate);
   wire_put_amount (writer, share_grant->cap);
   wire_put_amount (writer, share_grant->level);
+  if (share_grant->tells_left)
+    wire_put_amount (writer, share_grant->left);
   if (share_grant->rate > 1 || share_grant->cap > 1)
     writer->failed = true;
 }
@@ -143,6 +145,9 @@
   share_grant->rate = wire_get_amount (reader);
   share_grant->cap = wire_get_amount (reader);
   share_grant->level = wire_get_amount (reader);
+  share_grant->tells_left = wire_has_more (reader);
+  if (share_grant->tells_left)
+    share_grant->left = wire_get_amount (reader);
   if (share_grant->rate > 1 || share_grant->cap > 1)
     reader->failed = true;
 }
@@ -355,6 +360,8 @@
       break;
     case KWF_MSG_SHARE_ACK:
       wire_put_int (writer, message->share_ack);
+      if (message->share_returned > 0)
+        wire_put_amount (writer, message->share_returned);
       break;
     case KWF_MSG_WITHDRAW:
       wire_put_text (writer, message->withdraw.digest);
@@ -445,6 +452,8 @@
       break;
     case KWF_MSG_SHARE_ACK:
       message->share_ack = wire_get_int (reader);
+      if (wire_has_more (reader))
+        message->share_returned = wire_get_amount (reader);
       break;
     case KWF_MSG_WITHDRAW:
       message->withdraw.digest = wire_get_text (reader);
@@ -507,6 +516,15 @@
     }
 }
 
+/* Number of optional fields that MESSAGE has.  */
+static int
+extra_fields (const kwf_message_t *message)
+{
+  if (message->type == KWF_MSG_SHARE_GRANT)
+    return message->share_grant.tells_left;
+  return message->type == KWF_MSG_SHARE_ACK && message->share_returned > 0;
+}
+
 kwf_status_t
 message_encode (GByteArray *out, const kwf_message_t *message)
 {
@@ -517,7 +535,8 @@
     return KWF_INVALID;
   int64_t optional[MESSAGE_OPTIONAL];
   size_t n_optional = message_collect_optional (message, optional);
-  wire_begin (&writer, out, message->type, (size_t)fields + n_optional);
+  size_t n_fields = (size_t)(fields + extra_fields (message)) + n_optional;
+  wire_begin (&writer, out, message->type, n_fields);
   put_fields (&writer, message);
   for (size_t i = 0; i < n_optional; i++)
     wire_put_int (&writer, optional[i]);
--- a/net/wire.c
+++ b/net/wire.c
@@ -123,6 +123,12 @@
   return NULL;
 }
 
+bool
+wire_has_more (const wire_reader_t *reader)
+{
+  return !reader->failed && reader->next < reader->items.size;
+}
+
 static bool
 next_is (const wire_reader_t *reader, msgpack_object_type type)
 {
@@ -130,12 +136,6 @@
          && reader->items.ptr[reader->next].type == type;
 }
 
-bool
-wire_has_more (const wire_reader_t *reader)
-{
-  return !reader->failed && reader->next < reader->items.size;
-}
-
 int64_t
 wire_get_int (wire_reader_t *reader)
 {
