Allow no region where allowed_regions is no list

A route or organisation with a text such as "south" in place of the list was served in all regions, as if the field were missing.

--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -309,7 +309,7 @@
 /* Guards against requests that leave their home regions: by the intersection
    of what route and organisation allow, also while the home region is
    evacuated, after a change of the configuration at the send, and with an
-   entry that is unknown or no text.  */
+   entry that is unknown or no text, or a text in place of the list.  */
 static void
 requests_stay_in_their_home_regions (void **state)
 {
@@ -335,6 +335,8 @@
   assert_int_equal (sent_to (&world, 50, "/read/x"), 0);
   feed_config (&world, 5, "[]");
   assert_int_not_equal (sent_to (&world, 60, "/read/x"), 0);
+  feed_config (&world, 6, "\"south\"");
+  assert_int_equal (sent_to (&world, 70, "/read/x"), 0);
   core_world_stop (&world);
 }
 
