Do not count a copy in an evacuated data centre as a holder

Requests for a model that only an evacuated data centre held were refused as if just an adapter were missing, although a load elsewhere had been announced that would finish before their deadline.

--- a/lib/wait.c
+++ b/lib/wait.c
@@ -204,7 +204,8 @@
   for (guint i = 0; servers && i < servers->len; i++)
     {
       const server_t *server = servers->pdata[i];
-      count.n += server_holds_model (server, request->model)
+      count.n += !server->evacuated
+                 && server_holds_model (server, request->model)
                  && !home_excludes (core, request, server);
       count.refused += server->refused;
       count.leaving += server_leaving (server);
@@ -225,8 +226,7 @@
       = kwf_lists_model (config_lists (core->config), request->model);
   if (request->kind != KWF_REQUEST_ROUTED || request->n_ran || !model)
     return;
-  /* If a server holds the model, only the adapter is missing, which takes
-     milliseconds to load.  */
+  /* With a holder only the adapter is missing, which loads in milliseconds. */
   bool adapter = count_holders (core, request).n > 0;
   int64_t announced_ns
       = backend_model_load_announced_ns (core->backend, request->model);
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -368,6 +368,27 @@
   g_array_free (sent.requests, TRUE);
 }
 
+/* Guards against a request that is refused for want of a copy while its model
+   is being loaded elsewhere, since an evacuated engine still holds it.  */
+static void
+request_waits_for_the_copy_that_is_loaded_elsewhere (void **state)
+{
+  core_world_t *world = *state;
+  evacuate (world, own, 1);
+  kwf_message_t message = { .type = KWF_MSG_RESIDENCY,
+                            .residency = { "e2", 1, .model = "m",
+                                           .adapter = "", .present = true } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "b",
+                                                    .message = &message } });
+  assert_int_equal (sent_to (world, 1, "/draft/x"), 0);
+  for (int i = 0; i < 27; i++)
+    {
+      core_world_advance (world, 100);
+      assert_null (core_world_effect (world, KWF_FX_REPLY));
+    }
+}
+
 static int
 set_up (void **state)
 {
@@ -386,6 +407,9 @@
                                      set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        request_waits_for_the_copy_that_is_loaded_elsewhere, set_up,
+        core_world_teardown),
     cmocka_unit_test (requests_stay_in_their_home_regions),
     cmocka_unit_test (model_is_loaded_in_the_home_region),
     cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
