--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -13,6 +13,7 @@
 
 #include "common-core.h"
 #include "platform/platform-internal.h"
+#include "platform/rows-json.h"
 
 static const char *const own[] = { "c" };
 static const char *const both[] = { "c", "x" };
@@ -389,6 +390,31 @@
     }
 }
 
+/* Guards against an evacuation that ends because an answer has a row that
+   cannot be read, and against a removal that such an answer hides for good. */
+static void
+unreadable_row_removes_no_other (void **state)
+{
+  (void)state;
+  static const char *const bodies[]
+      = { "{\"rows\":[{\"key\":\"evacuate/c\" 1}],\"ver\":9,\"now_ms\":1}",
+          "{\"rows\":[],\"ver\":9,\"now_ms\":1}" };
+  GHashTable *known = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_add (known, (char *)"evacuate/c");
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      client_answer_t answer
+          = { .body = bodies[i], .body_size = strlen (bodies[i]) };
+      rows_json_t rows;
+      assert_true (rows_json_decode (&rows, &answer) && rows.is_list);
+      rows_json_add_removed (&rows, known);
+      rows_json_drop_known (&rows, 9);
+      assert_int_equal (rows.rows->len, i);
+      rows_json_clear (&rows);
+    }
+  g_hash_table_unref (known);
+}
+
 static int
 set_up (void **state)
 {
@@ -410,6 +436,7 @@
     cmocka_unit_test_setup_teardown (
         request_waits_for_the_copy_that_is_loaded_elsewhere, set_up,
         core_world_teardown),
+    cmocka_unit_test (unreadable_row_removes_no_other),
     cmocka_unit_test (requests_stay_in_their_home_regions),
     cmocka_unit_test (model_is_loaded_in_the_home_region),
     cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
