--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -13,6 +13,7 @@
 
 #include "common-core.h"
 #include "platform/platform-internal.h"
+#include "platform/rows-json.h"
 
 static const char *const own[] = { "c" };
 static const char *const both[] = { "c", "x" };
@@ -309,7 +310,7 @@
 /* Guards against requests that leave their home regions: by the intersection
    of what route and organisation allow, also while the home region is
    evacuated, after a change of the configuration at the send, and with an
-   entry that is unknown or no text.  */
+   entry that is unknown or no text, or a text in place of the list.  */
 static void
 requests_stay_in_their_home_regions (void **state)
 {
@@ -335,6 +336,8 @@
   assert_int_equal (sent_to (&world, 50, "/read/x"), 0);
   feed_config (&world, 5, "[]");
   assert_int_not_equal (sent_to (&world, 60, "/read/x"), 0);
+  feed_config (&world, 6, "\"south\"");
+  assert_int_equal (sent_to (&world, 70, "/read/x"), 0);
   core_world_stop (&world);
 }
 
@@ -366,6 +369,52 @@
   g_array_free (sent.requests, TRUE);
 }
 
+/* Guards against a request that is refused for want of a copy while its model
+   is being loaded elsewhere, since an evacuated engine still holds it.  */
+static void
+request_waits_for_the_copy_that_is_loaded_elsewhere (void **state)
+{
+  core_world_t *world = *state;
+  evacuate (world, own, 1);
+  kwf_message_t message = { .type = KWF_MSG_RESIDENCY,
+                            .residency = { "e2", 1, .model = "m",
+                                           .adapter = "", .present = true } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "b",
+                                                    .message = &message } });
+  assert_int_equal (sent_to (world, 1, "/draft/x"), 0);
+  for (int i = 0; i < 27; i++)
+    {
+      core_world_advance (world, 100);
+      assert_null (core_world_effect (world, KWF_FX_REPLY));
+    }
+}
+
+/* Guards against an evacuation that ends because an answer has a row that
+   cannot be read, and against a removal that such an answer hides for good. */
+static void
+unreadable_row_removes_no_other (void **state)
+{
+  (void)state;
+  static const char *const bodies[]
+      = { "{\"rows\":[{\"key\":\"evacuate/c\" 1}],\"ver\":9,\"now_ms\":1}",
+          "{\"rows\":[],\"ver\":9,\"now_ms\":1}" };
+  GHashTable *known = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_add (known, (char *)"evacuate/c");
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      client_answer_t answer
+          = { .body = bodies[i], .body_size = strlen (bodies[i]) };
+      rows_json_t rows;
+      assert_true (rows_json_decode (&rows, &answer) && rows.is_list);
+      rows_json_add_removed (&rows, known);
+      rows_json_drop_known (&rows, 9);
+      assert_int_equal (rows.rows->len, i);
+      rows_json_clear (&rows);
+    }
+  g_hash_table_unref (known);
+}
+
 static int
 set_up (void **state)
 {
@@ -384,6 +433,10 @@
                                      set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (
+        request_waits_for_the_copy_that_is_loaded_elsewhere, set_up,
+        core_world_teardown),
+    cmocka_unit_test (unreadable_row_removes_no_other),
     cmocka_unit_test (requests_stay_in_their_home_regions),
     cmocka_unit_test (model_is_loaded_in_the_home_region),
     cmocka_unit_test (nothing_is_sent_in_seeded_schedules),
