Release held requests also while all servers are full

A request that was held for urgent ones stayed held until its deadline, and its caller got 504, if no server had room when the time for which it may be held was over: only the choice of a server with room released it, and a held request is neither checked by forecast nor for permits. The check of waiting requests releases it now, so that it is refused when it cannot be in time.

--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -446,10 +446,16 @@
 admission_check_waiting (kwf_core_t *core, request_t *request,
                          kwf_effects_t *effects)
 {
-  if (request->held || request->n_ran || !admission_applies (core, request))
+  if (request->n_ran || !admission_applies (core, request))
     return true;
   int64_t now_ns = kwf_now_ns (core->options.clock);
   admission_query_t query = query_for (core, request, now_ns);
+  if (request->held && query.waited_ns < admission_hold_ns (&query))
+    return true;
+  /* Its time is over while all servers are full, so admission_check, which is
+     called for a server with room, has not released it.  */
+  if (request->held)
+    release (core, request, &query, effects);
   admission_decision_t decision = admission_decide (&query);
   if (decision.verdict != ADMISSION_LATE && decision.verdict != ADMISSION_CUT)
     return true;
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -284,7 +284,7 @@
       check_permit_wait (core, request, limited, ahead, now_ns, effects);
       return;
     }
-  if (request->held || !admission_check_waiting (core, request, effects))
+  if (!admission_check_waiting (core, request, effects) || request->held)
     return;
   int64_t start_in_ns = start_after_ns (request, ahead);
   int64_t latest_start_in_ns
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -5,6 +5,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
@@ -521,11 +522,51 @@
   core_world_stop (&world);
 }
 
+/* Guards against a request that stays held until its deadline, because all
+   servers are full when the time for which it may be held ends: a caller with
+   20 s of the 30 s left holds for 5 s.  */
+static void
+held_request_is_released_at_full_servers (void **state)
+{
+  (void)state;
+  core_world_t world;
+  kwf_handle_t urgent = 2;
+  start_reporting (&world);
+  for (; urgent < 14; urgent++)
+    core_world_request (&world, urgent, "/urgent/", "m");
+  core_world_step (&world,
+                   &(kwf_event_t){ .type = KWF_EV_REQUEST,
+                                   .request = { .handle = 100,
+                                                .kind = KWF_REQUEST_ROUTED,
+                                                .id = "r",
+                                                .key_digest = "k",
+                                                .host = "h.example",
+                                                .path = "/patient/",
+                                                .model = "m",
+                                                .timeout_ns = 20000 * MS,
+                                                .fingerprint = 100 } });
+  for (; urgent < 2 * SLOTS + 1; urgent++)
+    core_world_request (&world, urgent, "/urgent/", "m");
+  for (int64_t ms = 0; ms < 6000; ms += 100)
+    {
+      assert_null (core_world_effect (&world, KWF_FX_REPLY));
+      core_world_advance (&world, 100);
+    }
+  char *text = kwf_core_metrics (world.core);
+  assert_non_null (strstr (
+      text, "kwf_admissions_total{outcome=\"held\",class=\"patient\"} 1\n"));
+  assert_non_null (strstr (
+      text, "kwf_admissions_total{outcome=\"turn\",class=\"patient\"} 1\n"));
+  free (text);
+  core_world_stop (&world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (request_waits_only_for_an_announced_copy),
+    cmocka_unit_test (held_request_is_released_at_full_servers),
     cmocka_unit_test (servers_without_a_pace_are_used_as_before),
     cmocka_unit_test (urgent_work_finds_room_in_an_overload),
   };
