Shut down idle connections only for a request that may use one

Each request that may run once shut down the connections to its server that had been idle for more than 500 ms, also where it used a new connection itself (the default). Requests that may be sent twice reuse idle connections for up to 5 s, so they opened more connections than before.

--- a/net/client-request.c
+++ b/net/client-request.c
@@ -159,11 +159,12 @@
   curl_off_t largest = (curl_off_t)transfer->max_answer_bytes;
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, MAX (ms, 0L));
   curl_easy_setopt (curl, CURLOPT_MAXFILESIZE_LARGE, largest);
-  if (request->recent_connection)
+  bool fresh = request->new_connection || request->own_connection;
+  /* On a connection of its own, no request needs others to be shut down, which
+     requests that may be sent twice still use.  */
+  if (request->recent_connection && !fresh)
     client_sockets_retire (transfer->client, request->address);
-  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT,
-                    request->new_connection || request->own_connection ? 1L
-                                                                       : 0L);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   curl_easy_setopt (curl, CURLOPT_FORBID_REUSE,
                     request->own_connection ? 1L : 0L);
 }
--- a/test/test_client_reuse.c
+++ b/test/test_client_reuse.c
@@ -16,6 +16,7 @@
   client_t *client;
   listener_t *listener;
   const char *keep_alive; /* header of the answers */
+  bool new_connection;    /* for the next request */
   bool ends;              /* the server closes instead of an answer */
   int ended;
   kwf_failure_t failure;
@@ -92,6 +93,7 @@
                                      .target = "/",
                                      .body = "run",
                                      .body_size = 3,
+                                     .new_connection = fixture->new_connection,
                                      .recent_connection = true },
                 &handler, fixture);
   int wanted = fixture->ended + 1;
@@ -128,6 +130,21 @@
   assert_true (fixture->answered);
 }
 
+/* Guards against a request that uses a new connection and still closes the
+   idle ones, which requests that may be sent twice use for longer.  */
+static void
+new_connection_keeps_the_idle_ones (void **state)
+{
+  fixture_t *fixture = *state;
+  send_one (fixture);
+  run_for (fixture->loop, (double)CLIENT_IDLE_NS / KWF_NS_PER_S + 0.05);
+  fixture->new_connection = true;
+  send_one (fixture);
+  run_for (fixture->loop, 0.05);
+  assert_int_equal (fixture->listener->accepted, 2);
+  assert_int_equal (fixture->listener->open->len, 2);
+}
+
 /* Guards against an idle time other than the one that the server names.  */
 static void
 named_idle_time_is_halved (void **state)
@@ -159,6 +176,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (only_recent_connections_are_used, set_up,
                                      tear_down),
+    cmocka_unit_test_setup_teardown (new_connection_keeps_the_idle_ones,
+                                     set_up, tear_down),
     cmocka_unit_test_setup_teardown (named_idle_time_is_halved, set_up,
                                      tear_down),
   };
