Retire idle connections whose server is not known for certain

The address kept with a socket holds 63 bytes and may be empty. Such a connection was never retired, so a request that may run once could be sent on one that the server was about to close. Too many are retired now rather than too few. No test: the listener of the tests has a short address.

--- a/net/client-socket.c
+++ b/net/client-socket.c
@@ -30,7 +30,7 @@
   bool owned; /* opened by open_socket, to be closed by close_socket */
   bool idle;
   client_easy_t *easy;     /* of the transfer that uses it; NULL: none */
-  char address[64];        /* of the server; empty: not known */
+  char address[64];        /* of the server, perhaps cut; empty: not known */
   int64_t recent_until_ns; /* IDLE: the connection is recent until then */
 } socket_t;
 
@@ -189,7 +189,9 @@
     {
       socket_t *socket = g_ptr_array_index (client->sockets, i);
       if (socket && socket->idle && socket->recent_until_ns <= now
-          && strcmp (socket->address, address) == 0)
+          && (!*socket->address
+              || strncmp (socket->address, address, sizeof socket->address - 1)
+                     == 0))
         shut_down_idle (socket);
     }
 }
