--- a/test/test_hub.c
+++ b/test/test_hub.c
@@ -11,6 +11,8 @@
 #include <cmocka.h>
 
 #include "common-core.h"
+#include "lib/request.h"
+#include "lib/share-state.h"
 
 enum
 {
@@ -249,6 +251,37 @@
   assert_true (reports_unreachable (world, "cs11"));
 }
 
+/* Whether the last step writes the row of the shares.  */
+static bool
+writes_shares (const core_world_t *world)
+{
+  for (size_t i = 0; i < kwf_effects_count (world->effects); i++)
+    {
+      const kwf_effect_t *effect = kwf_effects_at (world->effects, i);
+      for (size_t k = 0;
+           effect->type == KWF_FX_STORE && k < effect->store.txn.n_puts; k++)
+        if (strcmp (effect->store.txn.puts[k].key, "shares") == 0)
+          return true;
+    }
+  return false;
+}
+
+/* Guards against a first epoch of the shares that names the instances which
+   the first read showed: the hubs are known 2.5 s after the start, and the
+   wait of 1.2 s for further instances begins then.  This instance started 2 s
+   ago.  */
+static void
+first_epoch_waits_for_the_hubs (void **state)
+{
+  core_world_t *world = *state;
+  world->core->shares->epoch = 0;
+  int64_t ms = 0;
+  do
+    core_world_advance (world, 50);
+  while (!writes_shares (world) && (ms += 50) < 5000);
+  assert_in_range (ms, 1600, 2500);
+}
+
 int
 main (void)
 {
@@ -261,6 +294,8 @@
     cmocka_unit_test (dead_instance_is_not_named),
     cmocka_unit_test_setup_teardown (hub_reports_unreachable_members,
                                      core_world_setup, core_world_teardown),
+    cmocka_unit_test_setup_teardown (first_epoch_waits_for_the_hubs,
+                                     core_world_setup, core_world_teardown),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
