--- a/test/test_rebalance.c
+++ b/test/test_rebalance.c
@@ -67,6 +67,34 @@
   assert_int_equal (step.model, model);
 }
 
+/* Guards against demand that is divided by the number of copies only: a slow
+   engine gets as much of it as a fast one.  */
+static void
+demand_follows_the_capacity (void **state)
+{
+  (void)state;
+  fleet_t fleet;
+  make_fleet (&fleet, 3, 2);
+  fleet.engines[1].capacity = 2;
+  fleet.models[0].rate = 9000;
+  assert_step (next_step (&fleet, true, true), true, 0, 1);
+  fleet.engines[0].capacity = 3;
+  assert_step (next_step (&fleet, true, true), true, 0, 0);
+  /* Two models with equal demand and one copy each: the one on the slow engine
+     gets the second copy.  */
+  make_fleet (&fleet, 2, 3);
+  fleet.models[0].rate = fleet.models[1].rate = 9000;
+  make_resident (&fleet, 0, 0);
+  make_resident (&fleet, 1, 1);
+  fleet.engines[0].capacity = 2;
+  fleet.engines[1].capacity = 0.5;
+  fleet.engines[0].available = fleet.engines[1].available = false;
+  assert_step (next_step (&fleet, true, true), true, 1, 2);
+  fleet.engines[0].capacity = 0.5;
+  fleet.engines[1].capacity = 2;
+  assert_step (next_step (&fleet, true, true), true, 0, 2);
+}
+
 /* Guards against a requested model that gets no copy.  */
 static void
 missing_model_comes_first (void **state)
@@ -290,6 +318,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (demand_follows_the_capacity),
     cmocka_unit_test (missing_model_comes_first),
     cmocka_unit_test (rare_model_waits_for_a_cheap_place),
     cmocka_unit_test (last_copy_of_a_called_model_stays),
