Go on with the queue after a request that gives way

When a server had room again, the first request that waited for it was tried. A held request is not found in the queue again, so the search ends.

--- a/lib/wait.c
+++ b/lib/wait.c
@@ -472,7 +472,7 @@
       kwf_handle_t handle = request->handle;
       attempt_dispatch (core, request, effects);
       request = request_find (core, handle);
-      if (request && request->queue_item.place)
+      if (request && request->queue_item.place && !request->held)
         return;
     }
 }
--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -561,12 +561,36 @@
   core_world_stop (&world);
 }
 
+/* Guards against an urgent request that gets a place only at the next sweep,
+   because a patient one before it in the queue gives way.  */
+static void
+request_that_gives_way_stops_no_other (void **state)
+{
+  (void)state;
+  core_world_t world;
+  start_reporting (&world);
+  for (kwf_handle_t i = 2; i <= 2 * SLOTS; i++)
+    core_world_request (&world, i, "/urgent/", "m");
+  kwf_handle_t attempt
+      = core_world_effect (&world, KWF_FX_ATTEMPT_START)->start.attempt;
+  core_world_request (&world, 100, "/patient/", "m");
+  core_world_request (&world, 101, "/urgent/", "m");
+  core_world_step (&world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
+                                           .attempt = { .attempt = attempt,
+                                                        .request = 2 * SLOTS,
+                                                        .status = 200 } });
+  const kwf_effect_t *sent = core_world_effect (&world, KWF_FX_ATTEMPT_START);
+  assert_true (sent && sent->start.request == 101);
+  core_world_stop (&world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (request_waits_only_for_an_announced_copy),
     cmocka_unit_test (held_request_is_released_at_full_servers),
+    cmocka_unit_test (request_that_gives_way_stops_no_other),
     cmocka_unit_test (servers_without_a_pace_are_used_as_before),
     cmocka_unit_test (urgent_work_finds_room_in_an_overload),
   };
