--- a/lib/wait.c
+++ b/lib/wait.c
@@ -284,7 +284,7 @@
       check_permit_wait (core, request, limited, ahead, now_ns, effects);
       return;
     }
-  if (request->held || !admission_check_waiting (core, request, effects))
+  if (!admission_check_waiting (core, request, effects) || request->held)
     return;
   int64_t start_in_ns = start_after_ns (request, ahead);
   int64_t latest_start_in_ns
@@ -472,7 +472,7 @@
       kwf_handle_t handle = request->handle;
       attempt_dispatch (core, request, effects);
       request = request_find (core, handle);
-      if (request && request->queue_item.place)
+      if (request && request->queue_item.place && !request->held)
         return;
     }
 }
