Doubt cold servers again when contact is lost twice

An instance that lost contact, regained it for less than 2 s and lost it again kept what it had been told of single servers meanwhile, and could send to one that had become cold since without a permit. Found by review; no test yet.

--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -202,7 +202,6 @@
           .suspect = suspect,
           .needs_stream_resume = request->delivered > 0,
           .all_holders = request->kind == KWF_REQUEST_ROUTED,
-          .excluded_regions = home_excluded (core, request),
           .prompt_tokens = request->prompt_tokens + request->delivered,
           .gap_aim_ns = request->gap_aim_ns,
           .spread = request->hash ^ core->instance_hash };
--- a/lib/pacing.c
+++ b/lib/pacing.c
@@ -69,9 +69,14 @@
   if (!has_contact (core))
     {
       pacing->contact_ns = 0;
-      if (pacing->was_in_contact && !pacing->doubts
-          && now_ns - pacing->current_ns > CURRENT_NS)
+      if (!pacing->was_in_contact || now_ns - pacing->current_ns <= CURRENT_NS)
+        return;
+      if (!pacing->doubts)
         begin_doubts (core, "no link to any other instance", now_ns, effects);
+      else
+        /* What a list or an owner denied while there was contact may have
+           changed since.  */
+        set_doubted (core, true);
       return;
     }
   pacing->was_in_contact = true;
