--- a/lib/rates/give-up.c
+++ b/lib/rates/give-up.c
@@ -31,12 +31,12 @@
   bucket->level = fmin (bucket->level, 0);
 }
 
-void
-give_up_run (shares_t *shares, bool fresh, kwf_effects_t *effects)
+bool
+give_up_run (shares_t *shares, bool fresh)
 {
   if (!shares->steady || shares->gave_up || !shares->epoch || !fresh
       || !has_successor (shares))
-    return;
+    return false;
   shares->gave_up = true;
   shares->share = 0;
   GHashTableIter iter;
@@ -45,7 +45,5 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     drop_share (shares, value);
   session_set_epoch_left (shares->session, SESSION_LEFT_ALL_EPOCHS);
-  kwf_effects_log (effects, 155, KWF_LOG_INFO, NULL,
-                   "stopping: gave up the shares of epoch %" PRId64,
-                   shares->epoch);
+  return true;
 }
--- a/lib/rates/give-up.h
+++ b/lib/rates/give-up.h
@@ -10,7 +10,7 @@
 
 /* If this instance is stopping and another one can own shares, uses its own no
    more and says so in its session row; the next epoch leaves it out.  FRESH:
-   rows arrived in this step.  */
-void give_up_run (shares_t *shares, bool fresh, kwf_effects_t *effects);
+   rows arrived in this step.  Returns true when it does so.  */
+bool give_up_run (shares_t *shares, bool fresh);
 
 #endif
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -163,26 +163,26 @@
   double old_share;
   bool settled;
   bool needs_epoch;
+  bool gave_up;     /* this process is stopping and has no share any more */
+  bool saves;       /* this process has written the row of saved tokens */
+  bool save_failed; /* its last write was not committed */
+  bool was_valid;
   int64_t rank;     /* of this instance among the live members, by name */
   int64_t need_ns;  /* since when a new epoch is needed; 0: it is not */
   int64_t began_ns; /* when need_ns was set first */
   guint n_planned;  /* members of the needed epoch */
+  guint n_members;  /* live members, this instance included */
   int64_t next_write_ns;
   kwf_handle_t op;
   uint64_t next_op;
 
   share_counts_t counts;
-  guint n_members;       /* live members, this instance included */
   struct json_t *saved;  /* row that the predecessor saved; NULL: none */
   int64_t saved_version; /* of the row */
-  bool saves;            /* this process has written it */
-  bool save_failed;      /* the last write was not committed */
   kwf_handle_t save_op;  /* open write; 0: none */
   int64_t saved_ns;      /* when it was sent */
   int64_t next_save_ns;
 
-  bool gave_up; /* this process is stopping and has no share any more */
-  bool was_valid;
   int64_t stepped_ns;
   int64_t valid_ns; /* time with a valid lease so far */
 
--- a/lib/share.c
+++ b/lib/share.c
@@ -405,7 +405,10 @@
   handle_event (shares, event, now_ns, effects);
   epoch_run (shares, changes->fresh, now_ns, effects);
   transfer_expire_grants (shares, now_ns, effects);
-  give_up_run (shares, changes->fresh, effects);
+  if (give_up_run (shares, changes->fresh))
+    kwf_effects_log (effects, 155, KWF_LOG_INFO, NULL,
+                     "stopping: gave up the shares of epoch %" PRId64,
+                     shares->epoch);
   save_run (shares, now_ns, effects);
   for (guint i = shares->busy->len; i-- > 0;)
     {
