--- a/test/test_admission.c
+++ b/test/test_admission.c
@@ -569,7 +569,7 @@
   (void)state;
   core_world_t world;
   start_reporting (&world);
-  for (kwf_handle_t i = 2; i <= 2 * SLOTS; i++)
+  for (kwf_handle_t i = 2; i <= 16; i++) /* fills both servers */
     core_world_request (&world, i, "/urgent/", "m");
   kwf_handle_t attempt
       = core_world_effect (&world, KWF_FX_ATTEMPT_START)->start.attempt;
@@ -577,7 +577,7 @@
   core_world_request (&world, 101, "/urgent/", "m");
   core_world_step (&world, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
                                            .attempt = { .attempt = attempt,
-                                                        .request = 2 * SLOTS,
+                                                        .request = 16,
                                                         .status = 200 } });
   const kwf_effect_t *sent = core_world_effect (&world, KWF_FX_ATTEMPT_START);
   assert_true (sent && sent->start.request == 101);
