knapweedfork check: report findings and differences before sending

check reported only errors. It now also reports entries that are never used and limits that contradict each other (status 1), what differs from the version in force (--against, --in-force), and checks the platform's configuration (--platform). Lists that apply would refuse still end with status 2.

--- a/cmd/common-operator.h
+++ b/cmd/common-operator.h
@@ -30,6 +30,9 @@
   bool dry_run;
   int64_t version; /* version the files were edited from; -1: not given */
   const char *digest;
+  const char *platform;     /* file with the platform's configuration */
+  const char *against;      /* file with the lists in force */
+  bool in_force;            /* compare with the lists of the instance */
   const char *output;       /* directory for files; NULL: standard output */
   const char *arguments[2]; /* arguments of the command */
   int n_arguments;
--- a/cmd/knapweedfork.bash
+++ b/cmd/knapweedfork.bash
@@ -8,7 +8,7 @@
   local command= word
   COMPREPLY=()
   case $previous in
-    -t | --token-file | -c | --ca | -o | --output)
+    -t | --token-file | -c | --ca | -o | --output | --platform | --against)
       compopt -o filenames
       mapfile -t COMPREPLY < <(compgen -f -- "$current")
       return
@@ -27,6 +27,7 @@
   done
   case $command in
     '') options="$options --version" ;;
+    check) options="$options --platform= --against= --in-force" ;;
     apply) options="$options --dry-run --version=" ;;
     show) options="$options --output=" ;;
     key) options="$options --digest=" ;;
--- a/cmd/knapweedfork.c
+++ b/cmd/knapweedfork.c
@@ -12,7 +12,10 @@
 {
   OPTION_DRY_RUN = 256,
   OPTION_VERSION,
-  OPTION_DIGEST
+  OPTION_DIGEST,
+  OPTION_PLATFORM,
+  OPTION_AGAINST,
+  OPTION_IN_FORCE
 };
 
 static const struct argp_option common_options[] = {
@@ -47,6 +50,25 @@
   { 0 },
 };
 
+static const struct argp_option check_options[] = {
+  { .name = "platform",
+    .key = OPTION_PLATFORM,
+    .arg = "FILE",
+    .doc = "Check the platform's configuration in FILE, the value of the row "
+           "op/config, instead of PLANS and USES" },
+  { .name = "against",
+    .key = OPTION_AGAINST,
+    .arg = "FILE",
+    .doc = "Print what differs from the version in FILE: the output of "
+           "\"knapweedfork show --json\" or, with --platform, another "
+           "configuration" },
+  { .name = "in-force",
+    .key = OPTION_IN_FORCE,
+    .doc = "Print what differs from the lists in force, which the instance "
+           "is asked for" },
+  { 0 },
+};
+
 static const struct argp_option show_options[] = {
   { .name = "output",
     .key = 'o',
@@ -76,10 +98,13 @@
 } command_t;
 
 static const command_t commands[] = {
-  { "check", "PLANS USES",
-    "Check the files PLANS and USES without an instance.  All findings are "
-    "printed, each with file, line and field.",
-    NULL, 2, 2, operator_check },
+  { "check", "PLANS USES|--platform=FILE",
+    "Check the files PLANS and USES.  All findings are printed, each with "
+    "file, line and field: errors, entries that are never used, and limits "
+    "that contradict each other.  No instance is needed without "
+    "--in-force.\vExit status: 0 no findings, 1 findings, 2 the files are "
+    "invalid or cannot be read.",
+    check_options, 0, 2, operator_check },
   { "apply", "PLANS USES",
     "Put the files PLANS and USES in force everywhere.  Both change "
     "together.  It fails with status 3 when the lists changed since the "
@@ -162,6 +187,15 @@
     case OPTION_DIGEST:
       options->digest = arg;
       return 0;
+    case OPTION_PLATFORM:
+      options->platform = arg;
+      return 0;
+    case OPTION_AGAINST:
+      options->against = arg;
+      return 0;
+    case OPTION_IN_FORCE:
+      options->in_force = true;
+      return 0;
     case 'o':
       options->output = arg;
       return 0;
@@ -182,6 +216,8 @@
   int max = command->max;
   if (command->run == operator_key_withdraw)
     min = max = options->digest ? 0 : 1;
+  if (command->run == operator_check)
+    min = max = options->platform ? 0 : 2;
   if (options->n_arguments >= min && options->n_arguments <= max)
     return;
   fprintf (stderr,
@@ -269,7 +305,8 @@
   static const char doc[]
       = "Change and show the configuration of a knapweedfork fleet.\v"
         "Commands:\n"
-        "  check PLANS USES          check the two lists without an instance\n"
+        "  check PLANS USES          check the two lists before they are "
+        "sent\n"
         "  apply PLANS USES          put the two lists in force\n"
         "  show [plans|uses]         print the lists in force\n"
         "  key add ORGANISATION      make a key\n"
--- a/test/test_command.c
+++ b/test/test_command.c
@@ -224,6 +224,22 @@
   assert_contains (err, "absent");
 }
 
+/* The lists in force must be those of the instance, and an instance that
+   cannot be asked must not count as one without differences.  */
+static void
+check_compares_with_the_instance (void **state)
+{
+  (void)state;
+  static const char line[] = "check plans.toml uses.toml --in-force";
+  assert_int_equal (run (line, 200, LISTS_ANSWER ("7", PLANS_AS_JSON_STRING)),
+                    0);
+  assert_string_equal (server.line, "GET /lists");
+  assert_contains (out, "+ organisation south: ");
+  assert_int_equal (run (line, 0, ""), 2);
+  assert_int_equal (run (line, 200, "{}"), 2);
+  assert_int_equal (run_without_server (line), 2);
+}
+
 /* Wrong usage must end with status 2 and a message.  */
 static void
 wrong_usage_is_told (void **state)
@@ -508,6 +524,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (check_prints_findings),
+    cmocka_unit_test (check_compares_with_the_instance),
     cmocka_unit_test (wrong_usage_is_told),
     cmocka_unit_test (apply_sends_the_edited_version),
     cmocka_unit_test (apply_needs_a_version),
