Save tokens of calm accounts only

Half of a bucket that is 0.6 full or more is saved every 5 s at most, and what is needed is released at once.

--- a/lib/rates/save.c
+++ b/lib/rates/save.c
@@ -8,17 +8,19 @@
 
 #define KEY_PREFIX "shares-saved/"
 
-/* Part of its level that an owner saves, the part below which it saves more,
-   and the part that stays saved when saved tokens are needed.  */
-#define SAVED_PART 0.6
-#define SAVE_MORE_BELOW 0.45
-#define KEPT_PART 0.25
+/* Part of its level that an owner saves, and the part below which it saves
+   more.  */
+#define SAVED_PART 0.5
+#define SAVE_MORE_BELOW 0.3
+/* Only a bucket that is this full saves: a busy one would have to release the
+   tokens with another write.  */
+#define SAVE_LEVEL_PART 0.6
 /* A smaller part of the capacity is not worth a write.  */
 #define LEAST_PART 0.02
 
 /* Least time between writes that save more, which are also the writes that a
    calm owner makes.  */
-#define SAVE_MORE_NS (2 * KWF_NS_PER_S)
+#define SAVE_MORE_NS (5 * KWF_NS_PER_S)
 /* Least time between writes that release tokens.  */
 #define RELEASE_NS (20 * KWF_NS_PER_MS)
 #define TIMEOUT_NS (1 * KWF_NS_PER_S)
@@ -98,9 +100,10 @@
   if (account->pressed && floor_now > 0)
     {
       *due = true;
-      floor_now = level * KEPT_PART;
+      floor_now = 0;
     }
-  else if (floor_now < level * SAVE_MORE_BELOW && level > 2 * least)
+  else if (floor_now < level * SAVE_MORE_BELOW
+           && level >= bucket_cap (bucket) * SAVE_LEVEL_PART)
     {
       *more = true;
       floor_now = level * SAVED_PART;
