test_soak: play and judge pace, evacuations and cold servers

The soak did not know the fourth figure of X-Server-Load, rows evacuate/DATA_CENTRE and cold servers, so no run with faults judged their promises. New rules: EVACUATED and COLD.

--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -8,7 +8,6 @@
 
 #include "soak.h"
 
-#define N_DATA_CENTRES 2
 /* From SIGTERM until the end, beyond the grace.  */
 #define STOP_SPARE_MS 2000
 
@@ -16,6 +15,9 @@
 write_settings (const soak_t *soak, const instance_t *instance,
                 const char *path)
 {
+  char *platform = parts_settings (soak, "platform");
+  char *backend = parts_settings (soak, "backend");
+  char *queue = parts_settings (soak, "queue");
   char *text = g_strdup_printf (
       "[instance]\nid = \"%s\"\ndata_centre = \"%s\"\n"
       "[callers]\nlisten = \"127.0.0.1:0\"\naddress_lifetime_ms = 1000\n"
@@ -23,15 +25,18 @@
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
       "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
-      "lists_ms = %d\n"
+      "lists_ms = %d\n%s"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
-      "[backend]\nretry_share = %g\nretry_window_s = %d\nretry_slack = %d\n"
-      "[placement]\nmode = \"static\"\n"
+      "[backend]\nretry_share = %g\nretry_window_s = %d\nretry_slack = %d\n%s"
+      "%s[placement]\nmode = \"static\"\n"
       "[log]\nformat = \"json\"\nlevel = \"info\"\n",
       instance->id, instance->data_centre, soak->grace_s,
-      fake_store_address (soak->store), CONFIG_APPLY_MS, BUDGET_RATIO,
-      BUDGET_WINDOW_MS / 1000, BUDGET_SLACK);
+      fake_store_address (soak->store), CONFIG_APPLY_MS, platform,
+      BUDGET_RATIO, BUDGET_WINDOW_MS / 1000, BUDGET_SLACK, backend, queue);
   g_file_set_contents (path, text, -1, NULL);
+  g_free (platform);
+  g_free (backend);
+  g_free (queue);
   g_free (text);
 }
 
@@ -71,7 +76,7 @@
     {
       instance_t *instance = &soak->instances[i];
       g_snprintf (instance->id, sizeof instance->id, "i%d", i);
-      instance->data_centre = i % N_DATA_CENTRES ? "c2" : "c1";
+      instance->data_centre = i % DATA_CENTRES ? "c2" : "c1";
       start (soak, instance);
     }
 }
@@ -82,8 +87,7 @@
   return !soak->store_back_ns && soak->store_calm_ns <= since_ns;
 }
 
-/* Whether no unplanned disruption came since CONTACT_MS before SENT_NS.  */
-static bool
+bool
 is_undisturbed (const soak_t *soak, int i, int64_t sent_ns)
 {
   const instance_t *instance = &soak->instances[i];
--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -354,6 +354,7 @@
   int pieces = (int)(job->out->len / PIECE_BYTES);
   int64_t wait_ns = draw_pause_ns (job, slow ? 1500 : 40);
   job->pause_ms = slow ? 10 * PIECE_PAUSE_MS : PIECE_PAUSE_MS;
+  job->pause_ms = job->pause_ms * parts_pace (job->backend) / 100;
   if (run->request->route->is_long && !run->refused)
     {
       double share = g_rand_double (job->rand);
@@ -412,6 +413,7 @@
       = g_rand_new_with_seed (soak_hash (backend->soak, id, job->run->number));
   read_request (job, text);
   make_answer (job->run, job->out, job->rand);
+  parts_add_headers (backend, job->out, false);
   arrange_script (job);
   job->run->size = job->out->len;
   job->run->mark_at = job->run->size - (job->run->by_chunks ? 2 : 0);
@@ -419,6 +421,7 @@
   arrange_times (job);
   g_ptr_array_add (backend->jobs, job);
   judge_run (backend->soak, job->run);
+  parts_judge_run (backend, job->run);
 }
 
 void
--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -12,8 +12,8 @@
 #define MOST_REPORTS 12
 
 static const char *const rule_names[N_RULES]
-    = { "MIXED",  "ORDER", "UNASKED", "TWICE",  "REFUSED",
-        "BUDGET", "LOST",  "GONE",    "CONFIG", "DRAIN" };
+    = { "MIXED", "ORDER", "UNASKED", "TWICE", "REFUSED",   "BUDGET",
+        "LOST",  "GONE",  "CONFIG",  "DRAIN", "EVACUATED", "COLD" };
 
 static const char *const end_names[] = { "nothing yet", "whole", "broken off",
                                          "left by the caller", "unreadable" };
@@ -121,6 +121,9 @@
            soak->n_open, soak->n_open_short, soak->n_killed,
            soak->n_killed_last, soak->n_killed_open, soak->n_killed_open_last,
            soak->n_late_taken, soak->n_late_cut, soak->n_late_excused);
+  g_print ("; at most %d requests in a second at a cold server, none later "
+           "than %d ms after an evacuation",
+           soak->most_cold, soak->evacuated_late_ms);
   g_print ("; longest tick %d ms;", (int)(soak->max_lag_ns / KWF_NS_PER_MS));
   for (int i = 0; i < N_RULES; i++)
     g_print (" %s %d", rule_names[i], soak->broken[i]);
--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -36,10 +36,11 @@
 const size_t n_first_routes = G_N_ELEMENTS (soak_routes) - 1;
 
 static const char *const act_names[N_ACTS]
-    = { "term",         "term-many",    "term-again",  "restart",
-        "kill",         "stop",         "hup",         "hup-all",
-        "config",       "odd-entry",    "server-kill", "server-freeze",
-        "server-leave", "service-fail", "store-silent" };
+    = { "term",         "term-many",    "term-again",   "restart",
+        "kill",         "stop",         "hup",          "hup-all",
+        "config",       "odd-entry",    "server-kill",  "server-freeze",
+        "server-leave", "service-fail", "store-silent", "evacuate",
+        "readmit",      "cold-centre" };
 
 const char *
 act_name (act_t act)
@@ -88,6 +89,7 @@
       at_s = when_s;
     }
   g_rand_free (rand);
+  parts_plan (soak);
 }
 
 static void
@@ -123,14 +125,17 @@
   soak->version += 3;
   soak->config_ns = soak_now_ns ();
   GString *text = g_string_new (NULL);
+  char *fields = parts_service_fields (soak);
   g_string_append_printf (
       text,
-      "{\"version\":%d,\"services\":[{\"name\":\"desk\"},{\"name\":\"tally\"},"
+      "{\"version\":%d,\"services\":[{\"name\":\"desk\"%s},{\"name\":"
+      "\"tally\"},"
       "{\"name\":\"engine\",\"engine\":{\"weights_mb\":1000,"
       "\"adapter_slots\":2,\"loads_per_s\":1,\"models\":[{\"name\":\"m\","
       "\"weights_mb\":100,\"load_s\":1,\"adapters\":0,\"adapter_mb\":1}]}}],"
       "\"tenants\":[],\"routes\":[",
-      soak->version);
+      soak->version, fields);
+  g_free (fields);
   size_t n = soak->is_calm ? n_soak_routes : n_first_routes;
   for (size_t i = 0; i < n; i++)
     append_route (text, soak_routes[i].prefix, &soak_routes[i],
@@ -236,6 +241,13 @@
     case ACT_SERVICE_FAIL:
       backend_fail_service (backend, action->value);
       break;
+    case ACT_EVACUATE:
+    case ACT_READMIT:
+      parts_evacuate (soak, action->target, action->act == ACT_EVACUATE);
+      break;
+    case ACT_COLD_CENTRE:
+      parts_restart_centre (soak, action->target, action->value);
+      break;
     default:
       disturb_store (soak, action->value);
       break;
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -9,7 +9,6 @@
 
 #define PLAIN_SERVERS 4
 #define ENGINES 3
-#define SLOTS 32
 
 static bool
 is_engine (const backend_t *backend)
@@ -21,16 +20,20 @@
 static void
 put_entry (const backend_t *backend)
 {
+  char *fields = parts_entry_fields (backend);
   char *text = g_strdup_printf (
       "{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"c%d\",\"version\":"
       "\"1\",\"slots\":%d,\"state\":\"%s\",\"seq\":1,\"born\":"
-      "%" G_GINT64_FORMAT "%s}",
-      backend->service, backend->listener->address, backend->index % 2 + 1,
-      SLOTS, backend->leaving ? "draining" : "ready", backend->born_ms,
+      "%" G_GINT64_FORMAT "%s%s}",
+      backend->service, backend->listener->address,
+      backend->index % DATA_CENTRES + 1, SERVER_SLOTS,
+      backend->leaving ? "draining" : "ready", backend->born_ms,
       is_engine (backend) ? ",\"stage\":\"colocated\",\"models\":[{\"name\":"
                             "\"m\",\"version\":1,\"adapters\":[]}]"
-                          : "");
+                          : "",
+      fields);
   fake_store_put (backend->soak->store, "servers", backend->key, text);
+  g_free (fields);
   g_free (text);
 }
 
@@ -43,7 +46,14 @@
       "\"kv_used\":0,\"kv_total\":90000,\"handles\":0,\"born\":"
       "%" G_GINT64_FORMAT "}",
       backend->jobs->len, backend->born_ms);
-  connection_reply (connection, 200, text);
+  GString *answer = g_string_new (NULL);
+  g_string_printf (answer,
+                   "HTTP/1.1 200 X\r\nContent-Type: application/json\r\n"
+                   "Content-Length: %zu\r\n\r\n%s",
+                   strlen (text), text);
+  parts_add_headers (backend, answer, true);
+  connection_write (connection, answer->str, answer->len);
+  g_string_free (answer, TRUE);
   g_free (text);
 }
 
@@ -87,6 +97,7 @@
   backend->crashes = false;
   g_hash_table_remove_all (backend->last_ids);
   name_process (backend);
+  parts_start_server (backend);
   backend->listener
       = listener_start_at (backend->soak->loop, backend->port, serve, backend);
   put_entry (backend);
@@ -106,6 +117,7 @@
       backend->service = services[MIN (i / PLAIN_SERVERS, 2)];
       backend->jobs = g_ptr_array_new_with_free_func (job_free);
       backend->last_ids = g_hash_table_new (NULL, NULL);
+      backend->cold_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
       start (backend);
     }
 }
@@ -225,6 +237,7 @@
 {
   backend->thaw_ns = 0;
   backend->calm_ns = soak_now_ns ();
+  backend->thawed_ns = backend->calm_ns;
   set_reading (backend, true);
 }
 
@@ -269,6 +282,7 @@
         end_process (backend, false);
       g_ptr_array_free (backend->jobs, TRUE);
       g_hash_table_destroy (backend->last_ids);
+      g_array_free (backend->cold_arrivals, TRUE);
     }
   g_free (soak->backends);
 }
--- a/test/soak.h
+++ b/test/soak.h
@@ -24,6 +24,7 @@
 #define LOSS_SLACK_MS 200
 #define DRAIN_MS 2000
 #define CONFIG_APPLY_MS 2000
+#define EVACUATION_MS 5000
 #define GRACE_S 8
 #define LONG_GRACE_S 12
 /* A caller's SIGTERM excuses what was sent up to this time after it and is
@@ -51,6 +52,9 @@
 
 #define TICK_S 0.01
 
+#define DATA_CENTRES 2
+#define SERVER_SLOTS 32
+
 typedef enum
 {
   SOAK_IDEMPOTENT,
@@ -209,6 +213,9 @@
   int64_t left_ns; /* when the store, undisturbed, took an entry that says so,
                       or its removal; 0: it has not */
   bool crashes;    /* a bad request begins to be answered */
+  int64_t cold_until_ns;
+  int64_t thawed_ns;     /* end of its last freeze, 0: none */
+  GArray *cold_arrivals; /* times of the requests of the last second */
   soak_t *soak;
   int index;
   GPtrArray *jobs;      /* of job_t */
@@ -237,6 +244,8 @@
   RULE_GONE,
   RULE_CONFIG,
   RULE_DRAIN,
+  RULE_EVACUATED,
+  RULE_COLD,
   N_RULES
 } rule_t;
 
@@ -258,6 +267,9 @@
   ACT_SERVER_LEAVE,
   ACT_SERVICE_FAIL,
   ACT_STORE_SILENT,
+  ACT_EVACUATE,
+  ACT_READMIT,
+  ACT_COLD_CENTRE,
   N_ACTS
 } act_t;
 
@@ -297,6 +309,10 @@
   int version;           /* of the configuration */
   bool has_extra_route;
   bool has_bad_part;
+  bool has_pace;
+  bool has_evacuations;
+  bool has_cold;
+  int64_t evacuated_ns[DATA_CENTRES]; /* since when; 0: it is not */
   bool moved;
   bool is_calm; /* the last part has begun */
   bool closing; /* callers send nothing new */
@@ -314,15 +330,17 @@
   int n_killed;      /* resumable streams whose server was killed at work */
   int n_killed_open; /* those of a server that gave no mark of the end */
   int n_killed_open_last;
-  int n_killed_last;    /* those that reached their last event */
-  int n_late_taken;     /* requests passed on that were sent after SIGTERM */
-  int n_late_cut;       /* those that were cut */
-  int n_late_excused;   /* of these, at work in the last sixth of the grace */
-  int n_bad;            /* requests with the bad part that reached a server */
-  int n_bad_ended;      /* processes of servers that ended under them */
-  int n_bad_late;       /* those that came too late */
-  int64_t bad_fifth_ns; /* when the fifth process ended */
-  int calm_requests;    /* sent in the last part */
+  int n_killed_last;     /* those that reached their last event */
+  int n_late_taken;      /* requests passed on that were sent after SIGTERM */
+  int n_late_cut;        /* those that were cut */
+  int n_late_excused;    /* of these, at work in the last sixth of the grace */
+  int evacuated_late_ms; /* latest request after a row was written */
+  int most_cold;         /* most requests in a second at a cold server */
+  int n_bad;             /* requests with the bad part that reached a server */
+  int n_bad_ended;       /* processes of servers that ended under them */
+  int n_bad_late;        /* those that came too late */
+  int64_t bad_fifth_ns;  /* when the fifth process ended */
+  int calm_requests;     /* sent in the last part */
   int calm_successes;
 };
 
@@ -354,6 +372,8 @@
 /* Ends all; each must end by itself after SIGTERM.  */
 void instances_stop (soak_t *soak);
 void instances_free (soak_t *soak);
+/* Whether no unplanned disruption came since CONTACT_MS before SENT_NS.  */
+bool is_undisturbed (const soak_t *soak, int i, int64_t sent_ns);
 /* Whether nothing disturbed instance I for CONTACT_MS before NOW_NS.  */
 bool is_in_touch (const soak_t *soak, int i, int64_t now_ns);
 /* Whether instance I had no disruption at all since CONTACT_MS before
@@ -394,6 +414,28 @@
 void callers_tick (soak_t *soak, int64_t now_ns);
 void callers_stop (soak_t *soak);
 
+/* soak-parts.c: pace, evacuations and cold servers.  */
+void parts_draw (soak_t *soak);
+/* Adds to the schedule.  */
+void parts_plan (soak_t *soak);
+/* Writes or removes the row of DATA_CENTRE.  */
+void parts_evacuate (soak_t *soak, unsigned data_centre, bool evacuated);
+/* Kills the servers of the cold service in DATA_CENTRE.  */
+void parts_restart_centre (soak_t *soak, unsigned data_centre, unsigned value);
+/* Lines of an instance's settings for TABLE, fields of the cold service in the
+   configuration, and fields of a server's entry; to be freed.  */
+char *parts_settings (const soak_t *soak, const char *table);
+char *parts_service_fields (const soak_t *soak);
+char *parts_entry_fields (const backend_t *backend);
+bool parts_is_cold_service (const backend_t *backend);
+void parts_start_server (backend_t *backend);
+/* In per cent of the usual time.  */
+int parts_pace (const backend_t *backend);
+/* IS_CHECK: ANSWER is that of a health check.  */
+void parts_add_headers (const backend_t *backend, GString *answer,
+                        bool is_check);
+void parts_judge_run (backend_t *backend, const run_t *run);
+
 /* soak-answer.c: reads the bytes of an answer.  AT_END: no more come.  */
 void answer_read (answer_read_t *answer, const GString *in, bool at_end);
 void answer_clear (answer_read_t *answer);
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -101,6 +101,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, request_free);
   soak->arrivals = g_array_new (FALSE, FALSE, sizeof (arrival_t));
   soak->start_ns = soak_now_ns ();
+  parts_draw (soak);
   plan_make (soak);
   config_put (soak);
   backends_start (soak);
@@ -199,7 +200,7 @@
 int
 main (void)
 {
-  guint32 seeds[] = { 1, 2, 3 };
+  guint32 seeds[] = { 1, 2, 3, 100000 };
   const char *given = getenv ("KWF_SEED");
   if (given)
     seeds[0] = (guint32)strtoul (given, NULL, 10);
@@ -207,6 +208,7 @@
     cmocka_unit_test_prestate (rules_hold_for_seed, &seeds[0]),
     cmocka_unit_test_prestate (rules_hold_for_seed, &seeds[1]),
     cmocka_unit_test_prestate (rules_hold_for_seed, &seeds[2]),
+    cmocka_unit_test_prestate (rules_hold_for_seed, &seeds[3]),
   };
   if (given)
     return _cmocka_run_group_tests ("soak", tests, 1, NULL, NULL);
