--- a/test/soak.h
+++ b/test/soak.h
@@ -302,6 +302,8 @@
   ev_timer tick;
   int64_t start_ns;
   int64_t tick_ns;       /* time of the last tick */
+  int64_t last_tick_ns;  /* and of the one before it: what is read now came
+                            later */
   int64_t config_ns;     /* when the newest configuration was put */
   int64_t store_calm_ns; /* end of the last disruption of the store */
   int64_t store_back_ns; /* when it answers again; 0: it does */
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -76,6 +76,7 @@
   int64_t now_ns = soak_now_ns ();
   if (soak->tick_ns)
     soak->max_lag_ns = MAX (soak->max_lag_ns, now_ns - soak->tick_ns);
+  soak->last_tick_ns = soak->tick_ns;
   soak->tick_ns = now_ns;
   if (!soak->closing)
     plan_run (soak);
