test_soak: entries of cold servers tell how long they are cold anew

An instance that started late read from an entry of the start that a server is cold for 4 s more, and told the others: had all four servers of desk cold that had not restarted. Servers now write their entries each 500 ms while they are cold, and once when that is over.

--- a/test/soak-parts.c
+++ b/test/soak-parts.c
@@ -18,6 +18,7 @@
 #define RETURN_S 2.0
 #define COLD_PER_S 8
 #define COLD_START_S 4
+#define ENTRY_MS 500
 #define COLD_MOST (COLD_PER_S * 3 / 2 + 5)
 /* Longest extension of the bound of an evacuation by an unstable store.  */
 #define UNSTABLE_MS 6000
@@ -145,10 +146,26 @@
 parts_start_server (backend_t *backend)
 {
   backend->cold_until_ns = soak_now_ns () + COLD_START_S * KWF_NS_PER_S;
+  backend->entry_due_ns = soak_now_ns () + ENTRY_MS * KWF_NS_PER_MS;
   backend->thawed_ns = 0;
   g_array_set_size (backend->cold_arrivals, 0);
 }
 
+/* An entry that was written only at the start would tell instances that start
+   later of a coldness that is over.  */
+bool
+parts_take_due_entry (backend_t *backend, int64_t now_ns)
+{
+  if (!parts_is_cold_service (backend) || !backend->listener
+      || backend->leaving || !backend->entry_due_ns
+      || now_ns < backend->entry_due_ns)
+    return false;
+  backend->entry_due_ns = now_ns < backend->cold_until_ns
+                              ? now_ns + ENTRY_MS * KWF_NS_PER_MS
+                              : 0;
+  return true;
+}
+
 char *
 parts_entry_fields (const backend_t *backend)
 {
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -254,6 +254,8 @@
     thaw (backend);
   if (backend->thaw_ns)
     return;
+  if (parts_take_due_entry (backend, now_ns))
+    put_entry (backend);
   for (guint i = backend->jobs->len; i-- > 0;)
     if (job_tick (backend->jobs->pdata[i], now_ns))
       g_ptr_array_remove_index (backend->jobs, i);
--- a/test/soak.h
+++ b/test/soak.h
@@ -214,6 +214,7 @@
                       or its removal; 0: it has not */
   bool crashes;    /* a bad request begins to be answered */
   int64_t cold_until_ns;
+  int64_t entry_due_ns;  /* when its entry tells that anew, 0: never */
   int64_t thawed_ns;     /* end of its last freeze, 0: none */
   GArray *cold_arrivals; /* times of the requests of the last second */
   soak_t *soak;
@@ -431,6 +432,8 @@
 char *parts_entry_fields (const backend_t *backend);
 bool parts_is_cold_service (const backend_t *backend);
 void parts_start_server (backend_t *backend);
+/* Whether the entry of BACKEND must tell anew how long it is cold.  */
+bool parts_take_due_entry (backend_t *backend, int64_t now_ns);
 /* In per cent of the usual time.  */
 int parts_pace (const backend_t *backend);
 /* IS_CHECK: ANSWER is that of a health check.  */
