--- a/lib/rates/save.c
+++ b/lib/rates/save.c
@@ -15,6 +15,8 @@
 /* Only a bucket that is this full saves: a busy one would have to release the
    tokens with another write.  */
 #define SAVE_LEVEL_PART 0.6
+/* An account that had to release its tokens saves none for this time.  */
+#define RELEASED_NS (30 * KWF_NS_PER_S)
 /* A smaller part of the capacity is not worth a write.  */
 #define LEAST_PART 0.02
 
@@ -101,8 +103,11 @@
     {
       *due = true;
       floor_now = 0;
+      account->released_ns = shares->valid_ns;
     }
   else if (floor_now < level * SAVE_MORE_BELOW
+           && (!account->released_ns
+               || shares->valid_ns - account->released_ns >= RELEASED_NS)
            && level >= bucket_cap (bucket) * SAVE_LEVEL_PART)
     {
       *more = true;
--- a/lib/share-state.h
+++ b/lib/share-state.h
@@ -98,9 +98,10 @@
   GPtrArray *parcels; /* granted tokens that are not spent yet */
   GPtrArray *levels;  /* what the owners told of their tokens */
   /* Tokens saved for the next process (rates/save.h).  */
-  double floor;      /* in the row */
-  double floor_sent; /* in the open write of the row */
-  bool pressed;      /* a request needs some of them */
+  double floor;        /* in the row */
+  double floor_sent;   /* in the open write of the row */
+  bool pressed;        /* a request needs some of them */
+  int64_t released_ns; /* when saved tokens were last released; 0: never */
   bool taken_over;
   bool unlinked;       /* no owner could be asked */
   bool silent;         /* owners did not answer the last round */
