Judge common features after those with which nothing was answered

An instance without links blamed a sound part that a third of all requests had: it was there at five crashes of two bad parts, one of which was to be judged 2 ms later (test_crash_parts, schedule 6 of the merged code; 15 sound requests refused). A feature with which a request was answered is now judged after the others, whose crashes then do not count against it. 120 schedules pass.

--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -124,11 +124,16 @@
   return entry->n_lost * CAUSE_PART >= n;
 }
 
+static bool
+has_finished (const crash_t *crash, const crash_entry_t *entry)
+{
+  return entry->finished || crash_has_finished (crash, entry->fingerprint);
+}
+
 static bool
 is_enough (const crash_t *crash, const crash_entry_t *entry)
 {
-  bool finished
-      = entry->finished || crash_has_finished (crash, entry->fingerprint);
+  bool finished = has_finished (crash, entry);
   evidence_t evidence = evidence_of (crash, entry);
   int servers = finished ? CAUSE_SERVERS_FINISHED : CAUSE_SERVERS;
   int moments = finished ? CAUSE_MOMENTS_FINISHED : CAUSE_MOMENTS;
@@ -250,20 +255,28 @@
     crash_schedule_tick (crash, entry->hearing_ns);
 }
 
+/* One with which a request was answered is judged last: a common part is there
+   at the crashes of several causes together, and what they explain does not
+   count against it.  */
 static bool
-is_judged_before (const crash_entry_t *a, const crash_entry_t *b)
+is_judged_before (const crash_t *crash, const crash_entry_t *a,
+                  const crash_entry_t *b)
 {
+  bool a_finished = has_finished (crash, a);
+  if (a_finished != has_finished (crash, b))
+    return !a_finished;
   return a->n_lost != b->n_lost ? a->n_lost > b->n_lost
                                 : !crash_is_part (a->fingerprint)
                                       && crash_is_part (b->fingerprint);
 }
 
-/* The entry with the most losses of those that have been heard by NOW_NS;
-   NULL: there is none.  */
+/* The entry to be judged next of those that have been heard by NOW_NS; NULL:
+   there is none.  */
 static crash_entry_t *
 next_heard (crash_t *crash, int64_t now_ns)
 {
   crash_entry_t *next = NULL;
+  bool waits = false; /* one that is judged before others is still heard */
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, crash->entries);
@@ -273,11 +286,14 @@
       if (!entry->hearing_ns)
         continue;
       if (now_ns < entry->hearing_ns)
-        crash_schedule_tick (crash, entry->hearing_ns);
-      else if (!next || is_judged_before (entry, next))
+        {
+          crash_schedule_tick (crash, entry->hearing_ns);
+          waits |= !has_finished (crash, entry);
+        }
+      else if (!next || is_judged_before (crash, entry, next))
         next = entry;
     }
-  return next;
+  return next && waits && has_finished (crash, next) ? NULL : next;
 }
 
 static void
