--- a/lib/admission/admission.c
+++ b/lib/admission/admission.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "../balance/contention.h"
+#include "../balance/pace.h"
 #include "history.h"
 #include "state.h"
 
@@ -63,7 +63,7 @@
 {
   const GPtrArray *servers = backend_servers_of_service (backend, name);
   for (guint i = 0; servers && i < servers->len; i++)
-    if (server_is_measured (servers->pdata[i]))
+    if (server_reports_pace (servers->pdata[i]))
       return true;
   return false;
 }
@@ -184,7 +184,7 @@
   for (guint i = 0; i < servers->len; i++)
     {
       const server_t *server = servers->pdata[i];
-      if (server_is_measured (server))
+      if (server_reports_pace (server))
         admission_history_add (history_of (admission, server),
                                open_at (server, now_ns));
     }
--- a/lib/balance/contention.h
+++ b/lib/balance/contention.h
@@ -2,8 +2,10 @@
 
    Load pattern: a deployment has background work, whose streams may begin many
    seconds after they were asked for, beside streams that callers wait for.
-   Its engines are chosen by expected delay and its requests admitted by
-   forecast, also where servers do not report their pace.  The configuration
+   Its engines are chosen by expected delay, also where servers do not report
+   their pace.  Admission by forecast is not turned on by it: under a lasting
+   overload with uniform servers it held urgent requests for too long
+   (docs/design/admission.md).  The configuration
    alone tells: a stream route with a long target and a low priority.  */
 
 #ifndef KNAPWEEDFORK_CONTENTION_H
