--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -222,10 +222,18 @@
 LIMITS = {"cpu_share": 0.25, "memory_mb": 260}
 
 
+handed_out = set()
+
+
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """A free port of IP that was not returned before."""
+    while True:
+        with socket.socket() as s:
+            s.bind((ip, 0))
+            port = s.getsockname()[1]
+        if port not in handed_out:
+            handed_out.add(port)
+            return port
 
 
 class World:
