--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -1,9 +1,9 @@
-"""Stand-ins for the cases of the second review: the platform's store, plain
-replicas and clients, and a small deployment of the daemon on loopback.
+"""Stand-ins for the cases of the second review: the platform's store, clients,
+and a small deployment of the daemon on loopback.
 
 The store speaks the subset of PROTOCOL.md that the daemon calls: rows-tx,
-rows-get and rows-feed.  It is linearizable and loses nothing.  Replicas are
-processes of their own (replica.py), so that a case can kill one.
+rows-get and rows-feed.  It is linearizable and loses nothing.  Model replicas
+are processes of their own (engine.py), so that they can crash.
 """
 
 import base64
@@ -24,6 +24,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
 HOST = "shop.example"
+NET = 32 + os.getpid() % 64  # 127.NET.x.y, so that two cases can run at once
 
 
 def now_ms():
@@ -243,12 +244,13 @@
         self.record = Record(folder)
         self.directory = tempfile.mkdtemp(prefix="kwf-review-")
         self.processes = []
-        self.store = start_store("127.3.0.1")
+        self.engines = {}
+        self.store = start_store("127.%d.0.1" % NET)
         self.limits = limits
         self.instances = [self.start_instance(i) for i in range(instances)]
 
     def start_instance(self, i):
-        ip = "127.3.1.%d" % (i + 1)
+        ip = "127.%d.1.%d" % (NET, i + 1)
         node = {"name": "front-a-%d" % (i + 1), "ip": ip}
         listen = {n: "%s:%d" % (ip, free_port(ip)) for n in ("front", "ready", "directory")}
         node.update(listen)
@@ -276,25 +278,31 @@
         self.processes.append(process)
         return process
 
-    def start_replica(self, name, service, **options):
-        ip = "127.3.2.%d" % (len(self.processes) + 1)
-        address = "%s:%d" % (ip, free_port(ip))
-        path = os.path.join(self.directory, name + ".out")
-        born = int(time.time() * 1000)
-        options.update(id=name, address=address, runs=path, born=born)
-        process = self.spawn(
-            [sys.executable, os.path.join(HERE, "replica.py"), json.dumps(options)],
+    def start_engine(self, name, service, model, **options):
+        """Starts the replica NAME, or starts it again at its address."""
+        engine = self.engines.get(name)
+        if not engine:
+            ip = "127.%d.2.%d" % (NET, len(self.engines) + 1)
+            engine = {"id": name, "address": "%s:%d" % (ip, free_port(ip)), "seq": 0,
+                      "runs": os.path.join(self.directory, name + ".out")}
+            self.engines[name] = engine
+        engine["born"] = int(time.time() * 1000)
+        engine["seq"] += 1
+        options.update(id=name, address=engine["address"], runs=engine["runs"],
+                       born=engine["born"], model=model)
+        engine["process"] = self.spawn(
+            [sys.executable, "-B", os.path.join(HERE, "engine.py"), json.dumps(options)],
             open(os.path.join(self.directory, name + ".err"), "ab"),
         )
-        wait_for_port(address)
-        replica = {"id": name, "address": address, "process": process, "runs": path,
-                   "entry": {"backend": service, "address": address, "zone": "zone-a",
-                             "version": "v1", "slots": options.get("slots", 6),
-                             "state": "ready", "cold_left_ms": 0, "seq": 1,
-                             "born": born}}
-        self.store.put("servers", name, replica["entry"])
-        self.record.write("replica %s of %s at %s" % (name, service, address))
-        return replica
+        wait_for_port(engine["address"])
+        models = [{"name": model, "version": 1, "adapters": []}] if model else []
+        self.store.put("servers", name, {
+            "backend": service, "address": engine["address"], "zone": "zone-a",
+            "version": "v1", "slots": 64, "state": "ready", "cold_left_ms": 0,
+            "stage": "colocated", "models": models, "seq": engine["seq"],
+            "born": engine["born"]})
+        self.record.write("engine %s starts, holds %s" % (name, model or "nothing"))
+        return engine
 
     def wait_until_ready(self, limit_s=20):
         end = time.monotonic() + limit_s
