Let streams that have begun go on in a stop

Cause: a stopping instance preempts a stream for an urgent request, and stop_check_start then refuses the resumption, as it refuses whatever is not sure to end before the limit. A stream that has begun can't be refused, only cut. The same cut hits a stream that waits to be resumed as the stop begins, and one whose server breaks in a stop.

Now a stopping instance preempts nothing, lets each begun stream go on, before requests that have not begun, and refuses an urgent request that is late, as another instance may preempt for it.

--- a/lib/preempt.c
+++ b/lib/preempt.c
@@ -52,7 +52,9 @@
 {
   wait_queue_t *waits = &core->waits;
   int64_t now_ns = kwf_now_ns (core->options.clock);
-  if (now_ns < waits->preempt_ns || waits->preempts.tokens < 1)
+  /* A stopping instance may not have the time to resume a stream.  */
+  if (core->stop.stopping || now_ns < waits->preempt_ns
+      || waits->preempts.tokens < 1)
     return false;
   request_t *stream = find_stream (core, request, now_ns);
   bool charged = retry_budget_by_service (core->retries);
--- a/lib/request.h
+++ b/lib/request.h
@@ -373,12 +373,16 @@
 /* Whether this instance refuses new requests, as it is stopping.  */
 bool stop_refuses_requests (const kwf_core_t *core, int64_t now_ns);
 /* Whether an attempt of REQUEST may start now: this instance is not stopping,
-   or the request will end before it cuts what is open.  */
+   or the request will end before it cuts what is open.  A stream that has
+   begun may always go on.  */
 bool stop_allows_start (const kwf_core_t *core, const request_t *request,
                         int64_t now_ns);
 /* The same; if not, REQUEST is refused.  */
 bool stop_check_start (kwf_core_t *core, request_t *request,
                        kwf_effects_t *effects);
+/* Refuse REQUEST: its caller may use another instance.  */
+void stop_refuse (kwf_core_t *core, request_t *request,
+                  kwf_effects_t *effects);
 
 /* hedge-delay.c */
 /* Record the time from sending to the first data.  */
--- a/lib/stop.c
+++ b/lib/stop.c
@@ -49,22 +49,32 @@
   if (!stop->stopping || request->deadline_ns <= stop->limit_ns
       || stop->limit_ns == INT64_MAX)
     return true;
+  /* A stream that has begun can no longer be refused, only cut.  */
+  if (request_has_begun (request))
+    return true;
   int margin = request->idempotent ? MARGIN_REPEATABLE : MARGIN_ONCE;
   return longest_ns (core, request, now_ns)
          <= (stop->limit_ns - now_ns) / margin;
 }
 
+void
+stop_refuse (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
+{
+  core->stop.n_refused++;
+  request_fail (core, request, CODE_STOPPING, 0, use_another, effects);
+}
+
 bool
 stop_check_start (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
 {
   if (stop_allows_start (core, request, kwf_now_ns (core->options.clock)))
     return true;
-  core->stop.n_refused++;
-  request_fail (core, request, CODE_STOPPING, 0, use_another, effects);
+  stop_refuse (core, request, effects);
   return false;
 }
 
-/* Refuse the requests that wait and cannot end any more.  */
+/* Refuse the requests that wait and cannot end any more; streams that have
+   begun wait before all others from now on.  */
 static void
 check_waiting (kwf_core_t *core, kwf_effects_t *effects)
 {
@@ -72,8 +82,12 @@
   for (GList *item = open; item; item = item->next)
     {
       request_t *request = item->data;
-      if (!request->attempt && request->state != REQUEST_CRASH_CHECK)
-        stop_check_start (core, request, effects);
+      if (request->attempt || request->state == REQUEST_CRASH_CHECK
+          || !stop_check_start (core, request, effects)
+          || !request->queue_item.place || !request_has_begun (request))
+        continue;
+      wait_remove_request (core, request, false);
+      attempt_dispatch (core, request, effects);
     }
   g_list_free (open);
 }
--- a/lib/wait.c
+++ b/lib/wait.c
@@ -297,6 +297,10 @@
   if ((late || half_waited) && request->priority == KWF_PRIORITY_URGENT
       && preempt_for (core, request, effects))
     attempt_dispatch (core, request, effects);
+  else if ((late || half_waited) && request->priority == KWF_PRIORITY_URGENT
+           && core->stop.stopping && !request->n_ran)
+    /* Another instance may preempt a stream for it.  */
+    stop_refuse (core, request, effects);
   else if (late && start_in_ns && !request->n_ran)
     wait_shed (core, request, SHED_DEADLINE, start_in_ns - latest_start_in_ns,
                effects);
@@ -374,7 +378,11 @@
 {
   wait_queue_t *waits = &core->waits;
   request->queue_item.organisation = request->organisation;
-  request->queue_item.priority = admission_lane (request);
+  /* Only this instance can go on with a stream that has begun.  */
+  request->queue_item.priority
+      = core->stop.stopping && request_has_begun (request)
+            ? KWF_PRIORITY_URGENT
+            : admission_lane (request);
   request->queue_item.tokens = request->charged;
   request->queue_item.weight = weight_of (core, request);
   request->queue_item.resumed = request->n_ran > 0;
