Lift verdicts on what crashes servers by trials

Cause: of several features with the same evidence the first of the hash table got the verdict, which then explained the others' losses; and a verdict refused or called back each request that could have shown that the feature is sound.

Now features that fit equally are held together. An answer clears, a crash is counted, and only then requests get 422; until then 503 with Retry-After. Runs at servers go on. Riders keep their evidence.

--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -114,6 +114,6 @@
   request->resumable = route->stream && route->resumable;
   request->duration_kind = duration_kind (route->name, service_name,
                                           request->model, request->stream);
-  if (!feature_refuse_bad_part (core, request, effects))
+  if (!feature_refuse_suspect (core, request, effects))
     admit_charge (core, request, cost_of (event, organisation), effects);
 }
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -331,8 +331,7 @@
          && !notice_server_is_paused (server, now_ns)
          && !home_excludes (core, request, server)
          && cold_may_send (&server->limit.cold, attempt->sent_ns, now_ns)
-         && session_may_act (core->session)
-         && !feature_has_bad_part (core, request)
+         && session_may_act (core->session) && feature_may_send (core, request)
          && (!request->organisation[0]
              || config_key_organisation (core->config, request->digest));
 }
@@ -385,7 +384,8 @@
   int64_t now_ns = kwf_now_ns (core->options.clock);
   home_refresh (core, request);
   if (!check_before_send (core, request, now_ns, effects)
-      || feature_refuse_bad_part (core, request, effects))
+      || feature_refuse_suspect (core, request, effects)
+      || feature_awaits_trial (core, request, effects))
     return;
   crash_state_t crash = crash_state (core->crash, request->fingerprint);
   if (crash == CRASH_QUARANTINED && request->n_ran
@@ -440,6 +440,11 @@
 attempt_trial_result (kwf_core_t *core, const crash_result_t *result,
                       kwf_effects_t *effects)
 {
+  if (core->options.push_updates)
+    {
+      feature_trial_result (core, result, effects);
+      return;
+    }
   request_t *request = request_find (core, result->request);
   if (!request || request->state != REQUEST_AWAITS_TRIAL)
     {
@@ -495,7 +500,7 @@
       || !session_may_act (core->session)
       || !stop_allows_start (core, request, now_ns)
       || crash_state (core->crash, request->fingerprint) != CRASH_CLEAR
-      || feature_has_bad_part (core, request))
+      || request->part_trial_ns || !feature_may_send (core, request))
     return;
   server_t *running = request->attempt->server;
   request->tried_servers[request->n_tried++] = running;
--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -12,9 +12,9 @@
 /* Servers that are lost within this time of each other may have one cause that
    is no request, so they are one moment.  */
 #define MOMENT_NS (KWF_NS_PER_S / 4)
-/* Lost servers and moments that make a feature the cause.  One with which a
-   request was answered before has more against it to be explained.  */
-#define CAUSE_SERVERS 4
+/* Lost servers (CRASH_CAUSE_SERVERS) and moments that make a feature the
+   cause.  One with which a request was answered before has more against it to
+   be explained.  */
 #define CAUSE_MOMENTS 2
 #define CAUSE_SERVERS_FINISHED 5
 #define CAUSE_MOMENTS_FINISHED 3
@@ -28,9 +28,9 @@
 /* Before a verdict, the others are heard for this time: they may know that a
    request with the feature was answered, or have lost more to another one.  */
 #define HEARING_NS (KWF_NS_PER_S / 10)
-/* A verdict on a part that stands for this time is written to the table: it
-   outlives the instances that know it, as others bring the part again.  */
-#define ROW_DELAY_NS (1 * KWF_NS_PER_S)
+/* Features of which an instance with a new link is told at most: where many
+   servers end, many sound ones have losses until they are answered.  */
+#define MAX_SENT 256
 /* All instances have had the evidence of a verdict after this time.  */
 #define RECENT_NS (1 * KWF_NS_PER_S)
 
@@ -55,19 +55,29 @@
   return true;
 }
 
-/* Whether CAUSE may explain losses of ENTRY: it is held to be the cause with
-   more evidence, or was before.  A request explains no single losses of a
-   part: of several requests that crash servers the part explains more.  */
+/* Whether ENTRY was there at each crash of OTHER.  */
+static bool
+has_losses_of (const crash_entry_t *entry, const crash_entry_t *other)
+{
+  for (int i = 0; i < other->n_lost; i++)
+    if (!has_loss (entry, &other->lost[i]))
+      return false;
+  return true;
+}
+
+/* Whether CAUSE may explain losses of ENTRY: it is held to be the cause, and
+   ENTRY was not there at each of its crashes.  If ENTRY was, the evidence does
+   not tell the two apart.  A request explains no single losses of a part: of
+   several requests that crash servers the part explains more.  */
 static bool
 is_stronger (const crash_entry_t *cause, const crash_entry_t *entry)
 {
   if (cause == entry || cause->state != CRASH_QUARANTINED
       || (crash_is_part (entry->fingerprint)
-          && !crash_is_part (cause->fingerprint)))
+          && !crash_is_part (cause->fingerprint))
+      || has_losses_of (entry, cause))
     return false;
-  return !entry->verdict || cause->n_lost > entry->n_lost
-         || (cause->n_lost == entry->n_lost
-             && cause->verdict < entry->verdict);
+  return !entry->verdict || cause->n_lost > entry->n_lost;
 }
 
 /* Marks in EXPLAINED the losses of ENTRY that other causes explain.  */
@@ -124,6 +134,27 @@
   return entry->n_lost * CAUSE_PART >= n;
 }
 
+bool
+crash_are_apart (const crash_t *crash, const crash_entry_t *entry,
+                 const uint64_t *features, size_t n)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, crash->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const crash_entry_t *rival = value;
+      bool held = false;
+      for (size_t i = 0; i < n && !held; i++)
+        held = features[i] == rival->fingerprint;
+      if (!held && rival->n_lost >= CRASH_CAUSE_SERVERS
+          && crash_is_part (rival->fingerprint)
+          && has_losses_of (rival, entry))
+        return true;
+    }
+  return false;
+}
+
 static bool
 has_finished (const crash_t *crash, const crash_entry_t *entry)
 {
@@ -135,7 +166,7 @@
 {
   bool finished = has_finished (crash, entry);
   evidence_t evidence = evidence_of (crash, entry);
-  int servers = finished ? CAUSE_SERVERS_FINISHED : CAUSE_SERVERS;
+  int servers = finished ? CAUSE_SERVERS_FINISHED : CRASH_CAUSE_SERVERS;
   int moments = finished ? CAUSE_MOMENTS_FINISHED : CAUSE_MOMENTS;
   return evidence.moments >= moments && evidence.servers >= servers
          && (evidence.servers >= servers + CAUSE_SERVERS_MORE
@@ -146,34 +177,48 @@
 crash_is_rider (const crash_t *crash, const crash_entry_t *entry)
 {
   /* The evidence may be another instance's.  */
-  return entry->n_lost >= CAUSE_SERVERS
-         && evidence_of (crash, entry).servers < CAUSE_SERVERS;
+  return entry->n_lost >= CRASH_CAUSE_SERVERS
+         && evidence_of (crash, entry).servers < CRASH_CAUSE_SERVERS;
 }
 
 static bool
 is_cause (const crash_t *crash, const crash_entry_t *entry)
 {
-  return entry->n_lost >= CAUSE_SERVERS && is_enough (crash, entry);
+  return entry->n_lost >= CRASH_CAUSE_SERVERS && is_enough (crash, entry);
+}
+
+static void
+drop_verdict (crash_t *crash, crash_entry_t *entry)
+{
+  entry->state = CRASH_SUSPECT;
+  entry->verdict = 0;
+  crash->generation++;
+  crash_keep_evidence (crash, entry);
 }
 
 void
-crash_reconsider (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
+crash_reconsider (crash_t *crash, crash_entry_t *entry)
 {
   if (crash->trials || entry->state != CRASH_QUARANTINED
       || is_cause (crash, entry))
     return;
-  entry->state = CRASH_SUSPECT;
-  entry->verdict = 0;
-  crash->generation++;
-  if (entry->version)
-    crash_write_row (crash, entry, NULL, effects);
+  drop_verdict (crash, entry);
 }
 
-/* Clears the features whose verdicts are void since another one is held to be
-   the cause, or has lost more.  */
+/* Drops the verdicts that are void since another feature is held to be the
+   cause, or has lost more.  The evidence stays: the other one may turn out to
+   be sound.  */
 static void
-clear_riders (crash_t *crash, kwf_effects_t *effects)
+drop_riders (crash_t *crash, int64_t now_ns)
 {
+  if (!crash->riders_ns)
+    return;
+  if (now_ns < crash->riders_ns)
+    {
+      crash_schedule_tick (crash, crash->riders_ns);
+      return;
+    }
+  crash->riders_ns = 0;
   GPtrArray *riders = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
@@ -185,17 +230,26 @@
         g_ptr_array_add (riders, value);
     }
   for (guint i = 0; i < riders->len; i++)
-    crash_clear (crash, g_ptr_array_index (riders, i), effects);
+    drop_verdict (crash, g_ptr_array_index (riders, i));
   g_ptr_array_free (riders, TRUE);
 }
 
-/* The process INCARNATION of SERVER has crashed.  */
+/* The losses of one crash arrive one after the other, so the features are
+   compared only after a time.  */
 static void
-note_crash (crash_t *crash, const crash_loss_t *loss, int64_t now_ns)
+schedule_riders (crash_t *crash)
+{
+  if (!crash->riders_ns)
+    crash->riders_ns = crash_now (crash) + HEARING_NS;
+  crash_schedule_tick (crash, crash->riders_ns);
+}
+
+void
+crash_note_crash (crash_t *crash, const crash_loss_t *loss)
 {
   crash_seen_t seen
       = { XXH64 (loss->server, strlen (loss->server), loss->incarnation),
-          now_ns };
+          crash_now (crash) };
   for (guint i = 0; i < crash->crashes->len; i++)
     if (g_array_index (crash->crashes, crash_seen_t, i).id == seen.id)
       return;
@@ -222,23 +276,47 @@
 give_verdict (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
   entry->hearing_ns = 0;
-  if (entry->seen_here && crash_is_part (entry->fingerprint))
-    entry->row_ns = crash_now (crash) + ROW_DELAY_NS;
   crash_quarantine (crash, entry, false, effects);
-  crash_schedule_tick (crash, crash_now (crash) + ROW_DELAY_NS);
-  clear_riders (crash, effects);
+  crash_keep_evidence (crash, entry);
+  schedule_riders (crash);
+}
+
+/* Hear the others on ENTRY before the verdict, if there is enough evidence. */
+static void
+begin_hearing (crash_t *crash, crash_entry_t *entry)
+{
+  if (!entry->hearing_ns && is_cause (crash, entry))
+    entry->hearing_ns = crash_now (crash) + HEARING_NS;
+  if (entry->hearing_ns)
+    crash_schedule_tick (crash, entry->hearing_ns);
+}
+
+/* A verdict that explained losses is void: judge the others again.  */
+static void
+hear_suspects (crash_t *crash)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_hash_table_iter_init (&iter, crash->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((crash_entry_t *)value)->state == CRASH_SUSPECT)
+      begin_hearing (crash, value);
 }
 
 void
 crash_judge (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
   int64_t now_ns = crash_now (crash);
-  note_crash (crash, &entry->lost[entry->n_lost - 1], now_ns);
+  crash_note_crash (crash, &entry->lost[entry->n_lost - 1]);
   count_moment (entry, now_ns);
   crash->generation++;
+  entry->last_ns = now_ns;
+  crash_keep_evidence (crash, entry);
   if (entry->state == CRASH_QUARANTINED && now_ns < entry->until_ns)
     {
-      clear_riders (crash, effects);
+      /* The verdict has more weight now.  */
+      crash->n_verdicts++;
+      schedule_riders (crash);
       return;
     }
   /* A feature whose quarantine has run out needs no more evidence.  */
@@ -249,10 +327,28 @@
     }
   entry->state = CRASH_SUSPECT;
   crash_set_expiry (crash, entry, now_ns + CRASH_QUARANTINE_NS);
-  if (!entry->hearing_ns && is_cause (crash, entry))
-    entry->hearing_ns = now_ns + HEARING_NS;
-  if (entry->hearing_ns)
-    crash_schedule_tick (crash, entry->hearing_ns);
+  begin_hearing (crash, entry);
+}
+
+void
+crash_judge_row (crash_t *crash, crash_entry_t *entry, int64_t until_ns,
+                 kwf_effects_t *effects)
+{
+  crash->generation++;
+  if (entry->state == CRASH_QUARANTINED)
+    {
+      crash->n_verdicts++;
+      schedule_riders (crash);
+      return;
+    }
+  entry->state = CRASH_SUSPECT;
+  crash_set_expiry (crash, entry, MAX (entry->until_ns, until_ns));
+  /* The writer may not know that a request with it was answered.  */
+  if (entry->kept.is_held && !has_finished (crash, entry)
+      && !crash_is_rider (crash, entry))
+    give_verdict (crash, entry, effects);
+  else
+    begin_hearing (crash, entry);
 }
 
 /* One with which a request was answered is judged last: a common part is there
@@ -296,47 +392,49 @@
   return next && waits && has_finished (crash, next) ? NULL : next;
 }
 
-static void
-write_rows (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
+/* End the hearing of ENTRY and of those that are judged together with it;
+   returns those that are held to be a cause.  */
+static GPtrArray *
+end_hearings (crash_t *crash, const crash_entry_t *entry, int64_t now_ns)
 {
+  GPtrArray *causes = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, crash->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      crash_entry_t *entry = value;
-      if (!entry->row_ns || entry->state != CRASH_QUARANTINED)
+      crash_entry_t *other = value;
+      if (!other->hearing_ns || now_ns < other->hearing_ns
+          || is_judged_before (crash, entry, other))
         continue;
-      if (now_ns < entry->row_ns)
-        {
-          crash_schedule_tick (crash, entry->row_ns);
-          continue;
-        }
-      entry->row_ns = 0;
-      if (!entry->version)
-        crash_write_row (
-            crash, entry,
-            crash_row_text (crash, entry, "quarantined", entry->until_ns),
-            effects);
+      other->hearing_ns = 0;
+      if (is_cause (crash, other))
+        g_ptr_array_add (causes, other);
     }
+  return causes;
 }
 
 void
 crash_run_verdicts (crash_t *crash, const session_t *session, int64_t now_ns,
                     kwf_effects_t *effects)
 {
-  crash_entry_t *entry;
-  while ((entry = next_heard (crash, now_ns)))
+  const crash_entry_t *next;
+  while ((next = next_heard (crash, now_ns)))
     {
-      entry->hearing_ns = 0;
-      if (!is_cause (crash, entry))
-        continue;
-      /* Others may have less evidence, or explain it by another verdict.  */
-      crash_send_message (session, entry->fingerprint, "", KWF_CRASH_CAUSE,
-                          effects);
-      give_verdict (crash, entry, effects);
+      GPtrArray *causes = end_hearings (crash, next, now_ns);
+      for (guint i = 0; i < causes->len; i++)
+        {
+          crash_entry_t *cause = g_ptr_array_index (causes, i);
+          /* Others may have less evidence, or explain it by another
+             verdict.  */
+          crash_send_message (session, cause->fingerprint, "", KWF_CRASH_CAUSE,
+                              effects);
+          give_verdict (crash, cause, effects);
+        }
+      g_ptr_array_free (causes, TRUE);
     }
-  write_rows (crash, now_ns, effects);
+  drop_riders (crash, now_ns);
+  crash_write_evidence (crash, now_ns, effects);
 }
 
 void
@@ -350,6 +448,8 @@
                      "%s is cleared: a request with it was answered",
                      crash_feature_name (effects, fingerprint));
   crash_clear (crash, entry, effects);
+  if (was_cause)
+    hear_suspects (crash);
   /* Others may count more losses than this instance.  */
   crash_send_message (session, fingerprint, "", KWF_CRASH_SOUND, effects);
 }
@@ -362,8 +462,14 @@
   crash_entry_t *entry = crash_find (crash, fingerprint);
   if (content->incarnation == KWF_CRASH_SOUND)
     {
-      if (entry)
+      bool was_cause = entry && entry->state == CRASH_QUARANTINED;
+      /* One write is enough to delete the row.  */
+      if (entry && entry->wrote_row)
         crash_clear (crash, entry, effects);
+      else if (entry)
+        crash_remove (crash, entry);
+      if (was_cause)
+        hear_suspects (crash);
       return;
     }
   if (entry && entry->state == CRASH_QUARANTINED
@@ -376,8 +482,7 @@
                           effects);
       return;
     }
-  crash_quarantine (crash, crash_find_or_add (crash, fingerprint), false,
-                    effects);
+  give_verdict (crash, crash_find_or_add (crash, fingerprint), effects);
 }
 
 static void
@@ -395,18 +500,21 @@
   };
 }
 
-/* Sends the verdict, then the losses: they show the receiver what rides along
-   with the cause.  */
-static void
-send_verdict (crash_t *crash, const char *instance, const crash_entry_t *entry,
-              kwf_effects_t *effects)
+/* Sends the verdict, if there is one, then the losses: they show the receiver
+   what rides along with the cause, and what is short of a verdict.  Returns
+   whether there was anything to send.  */
+static bool
+send_evidence (const crash_t *crash, const char *instance,
+               const crash_entry_t *entry, kwf_effects_t *effects)
 {
-  if (entry->state != CRASH_QUARANTINED
-      || crash_state (crash, entry->fingerprint) != CRASH_QUARANTINED)
-    return;
-  send_to (instance, entry, entry->n_lost, effects);
+  bool is_held = crash_is_held (crash, entry->fingerprint);
+  if (!is_held)
+    return false;
+  if (is_held)
+    send_to (instance, entry, entry->n_lost, effects);
   for (int i = 0; i < entry->n_lost; i++)
     send_to (instance, entry, i, effects);
+  return true;
 }
 
 void
@@ -420,9 +528,10 @@
         send_to (instance, entry, entry->n_lost, effects);
       return;
     }
+  int n = 0;
   GHashTableIter iter;
   gpointer value;
   g_hash_table_iter_init (&iter, crash->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    send_verdict (crash, instance, value, effects);
+  while (n < MAX_SENT && g_hash_table_iter_next (&iter, NULL, &value))
+    n += send_evidence (crash, instance, value, effects);
 }
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -21,6 +21,8 @@
 /* A crash within this time after the request's connection was closed counts
    against the request.  */
 #define CLOSED_RUN_NS (2 * KWF_NS_PER_S)
+/* Trials of a part end further apart than this.  */
+#define PROOF_INTERVAL_NS (3 * KWF_NS_PER_S / 10)
 /* Expired rows are deleted at a random time within this period, by the first
    instance that does so.  */
 #define CLEANUP_SPREAD_NS (30 * KWF_NS_PER_S)
@@ -90,6 +92,7 @@
   g_free (crash->finished);
   g_array_free (crash->results, TRUE);
   g_array_free (crash->taken, TRUE);
+  g_free (crash->part_trial.broken.server);
   g_free (crash);
 }
 
@@ -262,8 +265,6 @@
 static bool
 ran_beside_cause (const crash_t *crash, const crash_entry_t *entry)
 {
-  if (!crash->trials)
-    return crash_is_rider (crash, entry);
   return entry->finished && entry->n_lost >= crash->limit
          && are_losses_explained (crash, entry, true);
 }
@@ -271,7 +272,7 @@
 crash_state_t
 crash_state (crash_t *crash, uint64_t fingerprint)
 {
-  if (!g_hash_table_size (crash->entries))
+  if (!crash->trials || !g_hash_table_size (crash->entries))
     return CRASH_CLEAR;
   const crash_entry_t *entry = crash_find (crash, fingerprint);
   int64_t now_ns = crash_now (crash);
@@ -284,9 +285,8 @@
                ? CRASH_QUARANTINED
                : CRASH_CLEAR;
   bool expired = entry->state == CRASH_SUSPECT && now_ns >= entry->until_ns;
-  return expired || !crash->trials || crash_is_explained (crash, entry)
-             ? CRASH_CLEAR
-             : CRASH_SUSPECT;
+  return expired || crash_is_explained (crash, entry) ? CRASH_CLEAR
+                                                      : CRASH_SUSPECT;
 }
 
 const char *
@@ -377,6 +377,8 @@
   entry->n_moments = 0;
   entry->hearing_ns = 0;
   entry->seen_here = false;
+  entry->kept = (crash_kept_t){ 0 };
+  entry->n_proofs = 0;
 }
 
 /* Count the loss of SERVER against FINGERPRINT; true when it was new.  HERE:
@@ -390,8 +392,10 @@
       || g_hash_table_size (crash->entries) >= CRASH_MAX_ENTRIES)
     return false;
   crash_entry_t *entry = crash_find_or_add (crash, fingerprint);
-  if (entry->n_lost && crash_state (crash, fingerprint) == CRASH_CLEAR
-      && (crash->trials || crash_now (crash) >= entry->until_ns))
+  bool is_over = crash->trials
+                     ? crash_state (crash, fingerprint) == CRASH_CLEAR
+                     : crash_now (crash) >= entry->until_ns;
+  if (entry->n_lost && is_over)
     forget_losses (entry);
   if (here)
     entry->seen_here = true;
@@ -603,11 +607,18 @@
   if (content->incarnation == KWF_CRASH_REQUEST_FINISHED)
     {
       entry->finished = true;
-      crash_reconsider (crash, entry, effects);
+      crash_reconsider (crash, entry);
     }
   if (content->incarnation != KWF_CRASH_PROVEN
       || entry->state != CRASH_QUARANTINED)
     return;
+  if (!crash->trials)
+    {
+      /* Several hubs may pass on one message.  */
+      if (crash_now (crash) - entry->proof_ns >= PROOF_INTERVAL_NS)
+        crash_add_proof (crash, entry, entry->n_proofs + 1);
+      return;
+    }
   crash_mark_proven (crash, entry, effects);
 }
 
@@ -707,14 +718,17 @@
     {
       crash->next_tick_ns = INT64_MAX;
       crash_retry_writes (crash, now_ns, effects);
+      crash_check_part_trial (crash, session, effects);
       crash_run_verdicts (crash, session, now_ns, effects);
       expire_entries (crash, now_ns, effects);
     }
   if (event->type == KWF_EV_PEER_UP && !crash->trials)
     crash_send_verdicts (crash, event->peer.instance, 0, effects);
   if (event->type == KWF_EV_STORE_REPLY)
-    return crash_handle_reply (crash, event->store.op, &event->store.reply,
-                               effects);
+    return crash_handle_part_trial (crash, event->store.op,
+                                    &event->store.reply)
+           || crash_handle_reply (crash, event->store.op, &event->store.reply,
+                                  effects);
   if (event->type != KWF_EV_PEER_MESSAGE
       || event->peer.message->type != KWF_MSG_CRASH)
     return false;
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -39,6 +39,24 @@
                 fingerprint is no suspect (any more): ask again */
 } crash_result_t;
 
+/* What may become of a request, where there are no trials of
+   fingerprints.  */
+typedef enum
+{
+  CRASH_SEND,
+  CRASH_TRY,    /* ask for a trial first */
+  CRASH_RETURN, /* not now: it is not sure that the feature is the cause */
+  CRASH_REFUSE  /* never: a feature of it crashes servers */
+} crash_verdict_t;
+
+typedef struct
+{
+  crash_verdict_t verdict;
+  uint64_t feature;  /* the one that stands against the request */
+  int64_t return_ns; /* CRASH_RETURN: when to come back, in nanoseconds from
+                        now */
+} crash_advice_t;
+
 crash_t *crash_new (const kwf_core_options_t *options);
 void crash_free (crash_t *crash);
 
@@ -50,6 +68,7 @@
 bool crash_is_part (uint64_t feature);
 uint64_t crash_part_id (uint64_t feature);
 
+/* CRASH_CLEAR where there are no trials of fingerprints: see crash_advise.  */
 crash_state_t crash_state (crash_t *crash, uint64_t fingerprint);
 
 /* Whether it is not proven that FINGERPRINT, which is quarantined, caused the
@@ -57,6 +76,33 @@
    requests with it finished before.  */
 bool crash_is_unproven (const crash_t *crash, uint64_t fingerprint);
 
+/* A trial of a part is over after this time, whether its end is known or
+   not.  */
+#define CRASH_PART_TRIAL_NS (5 * KWF_NS_PER_S)
+
+/* Whether FEATURE is held to crash servers.  */
+bool crash_is_held (const crash_t *crash, uint64_t feature);
+
+/* FEATURE as text for the log.  */
+const char *crash_feature_name (kwf_effects_t *effects, uint64_t feature);
+
+/* What is to become of a request with N FEATURES; CRASH_SEND where there are
+   trials of fingerprints.  */
+crash_advice_t crash_advise (const crash_t *crash, const uint64_t *features,
+                             size_t n);
+
+/* Ask the platform's table whether REQUEST may be the one that is sent to see
+   whether its FEATURE crashes servers; crash_take_results returns the
+   result.  */
+void crash_ask_for_part_trial (crash_t *crash, uint64_t feature,
+                               kwf_handle_t request, kwf_effects_t *effects);
+/* SERVER broke off the run of that request: the trial ends when it turns out
+   that the server crashed.  */
+void crash_part_trial_broke (crash_t *crash, const char *server,
+                             uint64_t incarnation);
+/* The run of that request has ended, or its answer has cleared its parts.  */
+void crash_part_trial_ended (crash_t *crash, kwf_effects_t *effects);
+
 /* Id of the server, number I from 0, that crashed while it ran FINGERPRINT;
    NULL: there is none.  */
 const char *crash_lost_server (const crash_t *crash, uint64_t fingerprint,
--- a/lib/crashrow.h
+++ b/lib/crashrow.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define CRASHROW_MAX_LOST 3
+#define CRASHROW_MAX_LOST 16
 
 typedef struct
 {
@@ -18,7 +18,11 @@
 {
   const char *state; /* "suspect", "trial" or "quarantined" */
   crash_loss_t lost[CRASHROW_MAX_LOST];
+  int moment_of[CRASHROW_MAX_LOST]; /* servers that were lost together have the
+                                       same number; 0: not known */
   int n_lost;
+  int n_proofs;         /* servers that crashed in a trial of the feature */
+  bool finished;        /* a request was answered before */
   const char *holder;   /* instance that runs the trial, or NULL */
   const char *server;   /* server of the trial, or NULL; "quarantined": the
                            server that crashed during the trial */
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -12,9 +12,14 @@
 #define CRASH_QUARANTINE_NS (600 * KWF_NS_PER_S)
 /* Delay before a failed write is repeated.  */
 #define CRASH_WRITE_RETRY_NS (1 * KWF_NS_PER_S)
+#define CRASH_WRITE_TRIES 60
+/* Rows of evidence, where there are no trials of fingerprints.  */
+#define CRASH_EVIDENCE_PREFIX "crash/seen/"
 
 /* Losses that are kept of a feature.  */
-#define CRASH_MAX_LOST 16
+#define CRASH_MAX_LOST CRASHROW_MAX_LOST
+/* Lost servers that make a feature the cause of crashes.  */
+#define CRASH_CAUSE_SERVERS 4
 /* Features that are kept at most; no more are counted then.  */
 #define CRASH_MAX_ENTRIES 20000
 
@@ -35,6 +40,15 @@
   int64_t at_ns;
 } crash_seen_t;
 
+/* What a row of evidence says of its feature.  */
+typedef struct
+{
+  int n_lost;
+  int n_proofs;
+  bool is_held;  /* to be the cause of its losses */
+  bool finished; /* a request with it was answered before */
+} crash_kept_t;
+
 typedef struct
 {
   uint64_t fingerprint;
@@ -43,11 +57,15 @@
   crash_loss_t lost[CRASH_MAX_LOST];
   int n_lost;
   int64_t first_ns; /* of the first loss */
+  int64_t last_ns;  /* of the last one */
   int moment_of[CRASH_MAX_LOST];
   int n_moments;      /* servers that are lost together count as one */
   int64_t moment_ns;  /* when the last of them began */
   int64_t hearing_ns; /* end of the hearing before a verdict; 0: none */
   int64_t row_ns;     /* when its row is written; 0: it is not */
+  crash_kept_t kept;  /* what its row says */
+  bool writes_row;    /* a write of it awaits its reply */
+  bool wrote_row;     /* this instance wrote the row that is known */
   uint64_t verdict;   /* number of the verdict against it; 0: none */
   int64_t verdict_ns;
   int64_t until_ns;       /* end of suspicion or quarantine */
@@ -60,9 +78,12 @@
                              the row */
   bool finished;          /* a request with it finished before the crash */
   bool proven;            /* a server crashed during its trial */
-  char *server;           /* of the trial */
-  uint64_t incarnation;   /* of that server */
-  int64_t trial_version;  /* of trial/SERVER */
+  int n_proofs; /* servers that crashed in a trial, where only parts have them
+                 */
+  int64_t proof_ns;      /* when the last of them was counted */
+  char *server;          /* of the trial */
+  uint64_t incarnation;  /* of that server */
+  int64_t trial_version; /* of trial/SERVER */
 } crash_entry_t;
 
 /* A request whose connection to a server broke or was closed by this
@@ -90,7 +111,8 @@
   char *trial_server; /* SERVER of trial/SERVER; NULL: none */
   int64_t version;
   int64_t trial_version;
-  char *value; /* new text of crash/FINGERPRINT; NULL deletes the row */
+  char *value;       /* new text of crash/FINGERPRINT; NULL deletes the row */
+  crash_kept_t kept; /* what VALUE says */
   int tries;
   int64_t next_try_ns; /* time of the next try; 0: it awaits its reply */
 } crash_write_t;
@@ -102,6 +124,19 @@
   int64_t until_ns; /* 0: no trial holds the server */
 } trial_lock_t;
 
+/* The lock trial/parts: one request at a time, over all instances, may show
+   whether a part of its prompt crashes servers.  */
+typedef struct
+{
+  int64_t until_ns;     /* end of the trial that is known; 0: there is none */
+  int64_t version;      /* of the row */
+  bool owned;           /* the trial is this instance's */
+  crash_loss_t broken;  /* server that broke its run; NULL: none has */
+  kwf_handle_t op;      /* of the transaction that awaits its reply; 0: none */
+  kwf_handle_t request; /* the one that is to be tried */
+  uint64_t part;
+} part_trial_t;
+
 struct crash
 {
   /* Losses after which a fingerprint is quarantined, and whether one that has
@@ -122,6 +157,8 @@
   GArray *taken;   /* of crash_result_t, returned by crash_take_results */
   uint64_t generation;
   uint64_t n_verdicts;
+  int64_t riders_ns; /* when verdicts are compared; 0: never */
+  part_trial_t part_trial;
   uint64_t next_op;
   int64_t next_tick_ns; /* of the next timed step; INT64_MAX: none */
 };
@@ -146,9 +183,6 @@
                          const char *server, uint64_t incarnation,
                          kwf_effects_t *effects);
 
-/* FINGERPRINT as text for the log.  */
-const char *crash_feature_name (kwf_effects_t *effects, uint64_t fingerprint);
-
 /* crash-verdict.c: verdicts from losses alone, where there are no trials.  */
 
 /* A loss was added to ENTRY: if there is enough evidence, hold it to be the
@@ -161,12 +195,16 @@
 
 /* A request with the feature of ENTRY was answered before its losses: drop a
    verdict for which there is too little evidence then.  */
-void crash_reconsider (crash_t *crash, crash_entry_t *entry,
-                       kwf_effects_t *effects);
+void crash_reconsider (crash_t *crash, crash_entry_t *entry);
 
 /* Whether ENTRY was lost only with servers that another cause explains.  */
 bool crash_is_rider (const crash_t *crash, const crash_entry_t *entry);
 
+/* Whether a request with FEATURES can tell ENTRY from another part that was
+   there at all of its crashes: it has no such part, or not all of them.  */
+bool crash_are_apart (const crash_t *crash, const crash_entry_t *entry,
+                      const uint64_t *features, size_t n);
+
 /* A request with the feature of ENTRY was answered: forget its losses.  */
 void crash_acquit (crash_t *crash, const session_t *session,
                    crash_entry_t *entry, kwf_effects_t *effects);
@@ -186,6 +224,43 @@
 void crash_mark_proven (crash_t *crash, crash_entry_t *entry,
                         kwf_effects_t *effects);
 
+/* crash-evidence.c: the rows crash/seen/FEATURE, by which what is known of a
+   feature outlives the instances.  */
+/* ENTRY has changed: write its row in a while, if it needs one.  */
+void crash_keep_evidence (crash_t *crash, crash_entry_t *entry);
+/* Write the rows that are due.  */
+void crash_write_evidence (crash_t *crash, int64_t now_ns,
+                           kwf_effects_t *effects);
+void crash_apply_evidence (crash_t *crash, const kwf_row_t *row,
+                           kwf_effects_t *effects);
+/* Handle the reply to WRITE, which is freed or sent again.  */
+void crash_evidence_written (crash_t *crash, crash_write_t *write,
+                             const kwf_store_reply_t *reply,
+                             kwf_effects_t *effects);
+
+/* Keep WRITE, which has failed, and send it again later.  */
+void crash_write_again (crash_t *crash, crash_write_t *write);
+
+/* Count LOSS, which is the last one of ENTRY, among the crashes.  */
+void crash_note_crash (crash_t *crash, const crash_loss_t *loss);
+
+/* The row of ENTRY was merged into it, and holds until UNTIL_NS: take over its
+   verdict if nothing speaks against it, or judge the entry.  */
+void crash_judge_row (crash_t *crash, crash_entry_t *entry, int64_t until_ns,
+                      kwf_effects_t *effects);
+
+/* crash-parts.c: the lock trial/parts.  Return false when the row or the reply
+   concerns something else.  */
+bool crash_apply_part_trial (crash_t *crash, const kwf_row_t *row);
+/* ENTRY has N_PROOFS, by a message or a row.  */
+void crash_add_proof (crash_t *crash, crash_entry_t *entry, int n_proofs);
+/* If the server of this instance's trial has crashed, count that and end the
+   trial.  */
+void crash_check_part_trial (crash_t *crash, const session_t *session,
+                             kwf_effects_t *effects);
+bool crash_handle_part_trial (crash_t *crash, kwf_handle_t op,
+                              const kwf_store_reply_t *reply);
+
 /* The fingerprint is harmless: remove ENTRY and delete its row.  */
 void crash_clear (crash_t *crash, crash_entry_t *entry,
                   kwf_effects_t *effects);
--- a/lib/crashtable.c
+++ b/lib/crashtable.c
@@ -10,14 +10,15 @@
 #include "op.h"
 
 #define STORE_TIMEOUT_NS (2 * KWF_NS_PER_S)
-#define WRITE_TRIES 60
 
 /* Rows.  */
 
 static char *
-crash_key (kwf_effects_t *effects, uint64_t fingerprint)
+crash_key (const crash_t *crash, kwf_effects_t *effects, uint64_t fingerprint)
 {
-  return kwf_effects_printf (effects, "crash/%016" PRIx64, fingerprint);
+  return kwf_effects_printf (effects, "%s%016" PRIx64,
+                             crash->trials ? "crash/" : CRASH_EVIDENCE_PREFIX,
+                             fingerprint);
 }
 
 static int64_t
@@ -32,8 +33,11 @@
 {
   crashrow_t row = { .state = state,
                      .n_lost = MIN (entry->n_lost, CRASHROW_MAX_LOST),
+                     .n_proofs = entry->n_proofs,
+                     .finished = entry->finished,
                      .for_ms = ms_until (crash, until_ns) };
   memcpy (row.lost, entry->lost, sizeof row.lost);
+  memcpy (row.moment_of, entry->moment_of, sizeof row.moment_of);
   if (strcmp (state, "trial") == 0)
     {
       row.holder = crash->instance;
@@ -52,7 +56,7 @@
       = kwf_effects_alloc (effects, 2 * sizeof *conditions);
   kwf_put_t *puts = kwf_effects_alloc (effects, 2 * sizeof *puts);
   size_t n = 1;
-  char *key = crash_key (effects, write->fingerprint);
+  char *key = crash_key (crash, effects, write->fingerprint);
   conditions[0] = (kwf_condition_t){ key, write->version };
   puts[0] = (kwf_put_t){ key, kwf_effects_strdup (effects, write->value) };
   if (write->trial_server)
@@ -92,6 +96,10 @@
   write->fingerprint = entry->fingerprint;
   write->version = entry->version;
   write->value = value;
+  write->kept = (crash_kept_t){ .n_lost = entry->n_lost,
+                                .n_proofs = entry->n_proofs,
+                                .is_held = entry->state == CRASH_QUARANTINED,
+                                .finished = entry->finished };
   if (entry->owns_trial_row)
     {
       write->trial_server = g_strdup (entry->server);
@@ -152,16 +160,6 @@
   entry->version = context->version;
   if (entry->owns_trial_row)
     return;
-  if (!crash->trials)
-    {
-      /* The writer may not know that a request with it was answered.  */
-      if (entry->state != CRASH_QUARANTINED
-          && crash_has_finished (crash, entry->fingerprint))
-        crash_remove (crash, entry);
-      else if (entry->state != CRASH_QUARANTINED)
-        crash_quarantine (crash, entry, false, context->effects);
-      return;
-    }
   merge_losses (crash, entry, row);
   if (entry->n_lost == crash->limit && entry->state != CRASH_QUARANTINED)
     {
@@ -228,6 +226,12 @@
 void
 crash_apply_row (crash_t *crash, const kwf_row_t *row, kwf_effects_t *effects)
 {
+  if (!crash->trials)
+    {
+      if (!crash_apply_part_trial (crash, row))
+        crash_apply_evidence (crash, row, effects);
+      return;
+    }
   if (g_str_has_prefix (row->key, "trial/"))
     apply_trial_row (crash, row);
   if (!g_str_has_prefix (row->key, "crash/"))
@@ -313,6 +317,15 @@
   crash_add_result (crash, write->fingerprint, write->request, false, true);
 }
 
+void
+crash_write_again (crash_t *crash, crash_write_t *write)
+{
+  /* Repeating it is safe: its conditions let it take effect only once.  */
+  write->next_try_ns = crash_now (crash) + CRASH_WRITE_RETRY_NS;
+  crash_schedule_tick (crash, write->next_try_ns);
+  g_hash_table_insert (crash->writes, &write->op, write);
+}
+
 bool
 crash_handle_reply (crash_t *crash, kwf_handle_t op,
                     const kwf_store_reply_t *reply, kwf_effects_t *effects)
@@ -327,6 +340,11 @@
       crash_write_free (write);
       return true;
     }
+  if (!crash->trials)
+    {
+      crash_evidence_written (crash, write, reply, effects);
+      return true;
+    }
   crash_entry_t *entry = crash_find (crash, write->fingerprint);
   if (reply->outcome == KWF_STORE_COMMITTED && entry
       && entry->version == write->version)
@@ -336,15 +354,12 @@
       crash_apply_row (crash, &reply->conflicts[i], effects);
   bool again = reply->outcome == KWF_STORE_FAILED
                || reply->outcome == KWF_STORE_UNKNOWN;
-  if (!again || write->tries >= WRITE_TRIES)
+  if (!again || write->tries >= CRASH_WRITE_TRIES)
     {
       crash_write_free (write);
       return true;
     }
-  /* Repeating it is safe: its conditions let it take effect only once.  */
-  write->next_try_ns = crash_now (crash) + CRASH_WRITE_RETRY_NS;
-  crash_schedule_tick (crash, write->next_try_ns);
-  g_hash_table_insert (crash->writes, &write->op, write);
+  crash_write_again (crash, write);
   return true;
 }
 
--- a/lib/request.c
+++ b/lib/request.c
@@ -79,7 +79,7 @@
 request_add (kwf_core_t *core, const kwf_request_event_t *event,
              const char *organisation, int priority, int64_t now_ns)
 {
-  size_t parts_size = event->n_parts * sizeof *event->parts;
+  size_t parts_size = (event->n_parts + 1) * sizeof *event->parts;
   size_t size = sizeof (request_t) + parts_size + text_size (event->id)
                 + text_size (event->key_digest) + text_size (organisation)
                 + text_size (event->model) + text_size (event->adapter)
@@ -124,6 +124,7 @@
   };
   for (size_t i = 0; i < event->n_parts; i++)
     parts[i] = crash_part (event->parts[i]);
+  parts[event->n_parts] = request->fingerprint;
   request->route_key
       = route_key (organisation, event->model ? event->model : event->service,
                    event->prefix ? event->prefix : hash);
@@ -194,6 +195,7 @@
   if (request->trial)
     crash_trial_ended (core->crash, request->fingerprint, code == CODE_OK,
                        effects);
+  feature_request_ended (core, request, effects);
   if (request->state == REQUEST_AWAITS_TOKENS)
     shares_cancel (core->shares, request->handle);
   end_claim (core, request, effects);
--- a/lib/request.h
+++ b/lib/request.h
@@ -59,8 +59,10 @@
   uint64_t
       hash; /* of organisation, kind, model and body: it chooses servers */
   uint64_t fingerprint;
-  const uint64_t *parts; /* of the prompt, by which crashes are counted */
+  const uint64_t *parts; /* of the prompt, by which crashes are counted; the
+                            fingerprint follows them */
   size_t n_parts;
+  int64_t part_trial_ns; /* end of the trial of its parts; 0: it is none */
   uint64_t route_key;
   uint64_t duration_kind;
   bool succeeded; /* a server has answered it with a success */
@@ -334,12 +336,23 @@
 /* The answer of ATTEMPT is complete.  */
 void feature_answered (kwf_core_t *core, const attempt_t *attempt,
                        kwf_effects_t *effects);
-/* Whether a part of REQUEST is held to crash servers.  */
-bool feature_has_bad_part (const kwf_core_t *core, const request_t *request);
-/* If so, refuse REQUEST and return true.  */
-bool feature_refuse_bad_part (kwf_core_t *core, request_t *request,
-                              kwf_effects_t *effects);
-/* End the requests with such a part that wait at a server.  */
+/* REQUEST ends.  */
+void feature_request_ended (kwf_core_t *core, request_t *request,
+                            kwf_effects_t *effects);
+/* Whether nothing of REQUEST is held to crash servers, or it is the one that
+   is to show whether that is so.  */
+bool feature_may_send (const kwf_core_t *core, const request_t *request);
+/* Refuse REQUEST and return true, if something of it is held to crash servers
+   and it can't be tried now.  */
+bool feature_refuse_suspect (kwf_core_t *core, request_t *request,
+                             kwf_effects_t *effects);
+/* If REQUEST can be tried, ask for that and return true;
+   feature_trial_result gets the result.  */
+bool feature_awaits_trial (kwf_core_t *core, request_t *request,
+                           kwf_effects_t *effects);
+void feature_trial_result (kwf_core_t *core, const crash_result_t *result,
+                           kwf_effects_t *effects);
+/* End the requests at a server that are known to crash it.  */
 void feature_end_bad_parts (kwf_core_t *core, kwf_effects_t *effects);
 
 /* crash-check.c */
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -816,7 +816,8 @@
                 .prefix = request->n_parts ? request->parts[0] : 0,
                 .parts = request->parts,
                 .n_parts = request->n_parts,
-                .fingerprint = request->handle } });
+                .fingerprint
+                = request->body ? request->body : request->handle } });
 }
 
 /* Model i gets a part of the requests that falls with i.  */
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -17,7 +17,7 @@
 #include "common-fleet-sim.h"
 
 #define CORE_FLEET_MS KWF_NS_PER_MS
-#define CORE_FLEET_PARTS 4
+#define CORE_FLEET_PARTS 8
 /* A server judges its limit over this time.  */
 #define CORE_FLEET_WINDOW_NS (4 * KWF_NS_PER_S)
 
@@ -108,8 +108,9 @@
   int n_tries;
   uint64_t parts[CORE_FLEET_PARTS]; /* of its prompt */
   size_t n_parts;
-  int kind;    /* for the test */
-  bool blamed; /* ended with "request_crashes_servers" */
+  uint64_t body; /* requests with the same one are equal; 0: none is */
+  int kind;      /* for the test */
+  bool blamed;   /* ended with "request_crashes_servers" */
 } core_fleet_request_t;
 
 struct core_fleet
--- /dev/null
+++ b/test/test_crash_evidence.c
@@ -0,0 +1,280 @@
+/* Verdicts on what crashes servers, where the evidence fits several features,
+   fits none, or has to outlive the instances that gathered it.
+
+   KWF_EVIDENCE_SEEDS: number of seeds of each test; KWF_EVIDENCE_SEED: plays
+   one alone; KWF_EVIDENCE_INSTANCES: number of instances.  */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "common-core-fleet.h"
+
+#define DEFAULT_SEEDS 12
+#define DEFAULT_INSTANCES 8
+#define N_SERVERS 24
+#define MAX_PROCESSES 64 /* of a server */
+#define MAX_TOGETHER 5
+#define SETTLED_NS (8 * KWF_NS_PER_S)
+#define CALM_NS (4 * KWF_NS_PER_S)
+#define CONTACT_NS (3 * KWF_NS_PER_S)
+#define DOWN_NS (5 * KWF_NS_PER_S / 2)
+/* From the arrival of a request to the end of its server, at most.  */
+#define BEGIN_NS (KWF_NS_PER_S / 2)
+/* What the rules allow: retries, or requests with a part, that are late, and
+   refusals with 4xx for each number of requests.  */
+#define RULE_LATE 3
+#define RULE_DENIED 5
+#define RULE_DENIED_PER 500
+/* Crashes after which the rules bind.  */
+#define PART_CRASHES 5
+#define REQUEST_CRASHES 3
+
+#define OLD_PART 1
+#define GOOD_PART 2
+#define BODY (UINT64_C (1) << 40) /* no handle of a request */
+
+typedef enum
+{
+  SOUND_OLD, /* has the parts that were there before */
+  SOUND,     /* has a part that comes with the bad one, if there is one */
+  BAD        /* crashes its server */
+} request_kind_t;
+
+typedef struct
+{
+  core_fleet_t *fleet;
+  uint64_t bad_part; /* 0: none; the requests of kind BAD have the same body */
+  uint64_t together[MAX_TOGETHER]; /* parts that come with it each time */
+  size_t n_together;
+  request_kind_t next; /* kind of the requests that are sent */
+  int rule_crashes;
+  bool is_seen[N_SERVERS][MAX_PROCESSES]; /* processes that it ends */
+  int n_crashes;
+  int64_t bound_ns; /* when the last of RULE_CRASHES servers has ended */
+  int n_late;
+} world_t;
+
+static void
+draw (core_fleet_t *fleet, core_fleet_request_t *request)
+{
+  const world_t *world = fleet->data;
+  size_t n = 0;
+  request->kind = world->next;
+  if (world->next == BAD && !world->bad_part)
+    request->body = BODY;
+  if (world->next == SOUND_OLD)
+    request->parts[n++] = OLD_PART;
+  /* One of the parts at least, and the first one most often.  */
+  for (size_t i = 0; world->next != SOUND_OLD && i < world->n_together; i++)
+    if (world->next == BAD || (!n && i + 1 == world->n_together)
+        || core_fleet_random (fleet, 3))
+      request->parts[n++] = world->together[i];
+  request->parts[n++]
+      = world->next == BAD && world->bad_part ? world->bad_part : GOOD_PART;
+  request->n_parts = n;
+}
+
+static bool
+crashes (core_fleet_t *fleet, int instance, int server,
+         const core_fleet_request_t *request)
+{
+  world_t *world = fleet->data;
+  if (request->kind != BAD)
+    return false;
+  uint64_t process = fleet->servers[server].incarnation % MAX_PROCESSES;
+  bool ends = !world->is_seen[server][process];
+  world->is_seen[server][process] = true;
+  world->n_late += world->bound_ns
+                   && fleet->now_ns > world->bound_ns + CONTACT_NS
+                   && core_fleet_in_touch (fleet, instance);
+  world->n_crashes += ends;
+  if (ends && world->n_crashes == world->rule_crashes)
+    world->bound_ns = fleet->now_ns + BEGIN_NS;
+  return true;
+}
+
+static long
+number_from (const char *variable, long otherwise)
+{
+  const char *text = g_getenv (variable);
+  return text ? strtol (text, NULL, 10) : otherwise;
+}
+
+static world_t *
+world_new (uint64_t seed, int rule_crashes)
+{
+  world_t *world = g_new0 (world_t, 1);
+  int n_instances
+      = (int)number_from ("KWF_EVIDENCE_INSTANCES", DEFAULT_INSTANCES);
+  world->fleet = core_fleet_new (seed, n_instances, N_SERVERS);
+  world->rule_crashes = rule_crashes;
+  world->fleet->data = world;
+  world->fleet->draw = draw;
+  world->fleet->crashes = crashes;
+  world->fleet->service_ns = 700 * CORE_FLEET_MS;
+  world->fleet->verbose = g_getenv ("KWF_EVIDENCE_VERBOSE") != NULL;
+  core_fleet_run (world->fleet, SETTLED_NS);
+  return world;
+}
+
+static void
+world_free (world_t *world)
+{
+  core_fleet_free (world->fleet);
+  g_free (world);
+}
+
+static void
+send_now (world_t *world, request_kind_t kind, int n)
+{
+  world->next = kind;
+  for (int i = 0; i < n; i++)
+    core_fleet_request (world->fleet, 1);
+}
+
+/* Sound requests at RATE a second until UNTIL_NS.  */
+static void
+run_sound (world_t *world, request_kind_t kind, double rate, int64_t until_ns)
+{
+  world->next = kind;
+  core_fleet_run_callers (world->fleet, rate, until_ns);
+}
+
+typedef struct
+{
+  int n;
+  int n_served;
+  int n_blamed;
+} sound_counts_t;
+
+/* The sound requests sent from FROM_NS on.  */
+static sound_counts_t
+count_sound (const world_t *world, int64_t from_ns)
+{
+  sound_counts_t counts = { 0 };
+  for (guint i = 0; i < world->fleet->requests->len; i++)
+    {
+      const core_fleet_request_t *request
+          = &g_array_index (world->fleet->requests, core_fleet_request_t, i);
+      if (request->kind != SOUND || request->sent_ns < from_ns)
+        continue;
+      counts.n++;
+      counts.n_served += request->status == 200;
+      counts.n_blamed += request->blamed;
+    }
+  return counts;
+}
+
+/* Play each seed; PLAY returns the number of broken rules.  */
+static void
+play_seeds (int (*play) (uint64_t seed))
+{
+  uint64_t only = (uint64_t)number_from ("KWF_EVIDENCE_SEED", 0);
+  uint64_t first = only ? only : 1;
+  uint64_t last
+      = only ? only
+             : (uint64_t)number_from ("KWF_EVIDENCE_SEEDS", DEFAULT_SEEDS);
+  int failures = 0;
+  for (uint64_t seed = first; seed <= last; seed++)
+    failures += play (seed);
+  assert_int_equal (failures, 0);
+}
+
+/* The parts of a new prompt come with a bad one at first, and one of four
+   requests has it later.  */
+static int
+play_together (uint64_t seed)
+{
+  world_t *world = world_new (seed, PART_CRASHES);
+  core_fleet_t *fleet = world->fleet;
+  world->n_together = 1 + seed % MAX_TOGETHER;
+  for (size_t i = 0; i < world->n_together; i++)
+    world->together[i] = 1000 + core_fleet_random (fleet, 1000000);
+  world->bad_part = 1000 + core_fleet_random (fleet, 1000000);
+  run_sound (world, SOUND_OLD, 20, fleet->now_ns + CALM_NS);
+  int64_t from_ns = fleet->now_ns;
+  send_now (world, BAD, 3);
+  run_sound (world, SOUND_OLD, 20, from_ns + 3 * KWF_NS_PER_S);
+  while (fleet->now_ns < from_ns + 40 * KWF_NS_PER_S)
+    {
+      run_sound (world, SOUND, 2, fleet->now_ns + 3 * KWF_NS_PER_S / 2);
+      send_now (world, BAD, 1);
+    }
+  core_fleet_run (fleet, fleet->now_ns + 5 * KWF_NS_PER_S);
+  sound_counts_t sound = count_sound (
+      world, (world->bound_ns ? world->bound_ns : from_ns) + 2 * CONTACT_NS);
+  print_message ("seed %d, %d together: %d crashes, %d too late; %d of %d "
+                 "sound ones served\n",
+                 (int)seed, (int)world->n_together, world->n_crashes,
+                 world->n_late, sound.n_served, sound.n);
+  int failures = (world->n_late > RULE_LATE) + (sound.n_served * 2 < sound.n);
+  world_free (world);
+  return failures;
+}
+
+/* Guards against a sound part that is held to crash servers, as it was there
+   at the same crashes as the bad one.  */
+static void
+sound_part_is_refused_for_its_company (void **state)
+{
+  (void)state;
+  play_seeds (play_together);
+}
+
+/* Servers end for another reason, a quarter of them each time, while the
+   first requests with a new part wait for their answers.  */
+static int
+play_no_cause (uint64_t seed)
+{
+  world_t *world = world_new (seed, PART_CRASHES);
+  core_fleet_t *fleet = world->fleet;
+  world->n_together = 1;
+  world->together[0] = 1000 + core_fleet_random (fleet, 1000000);
+  fleet->service_ns = 1800 * CORE_FLEET_MS;
+  run_sound (world, SOUND_OLD, 20, fleet->now_ns + CALM_NS);
+  int64_t from_ns = fleet->now_ns;
+  int n_times = 2 + (int)core_fleet_random (fleet, 6);
+  send_now (world, SOUND, 3 * N_SERVERS);
+  for (int time = 0; time < n_times; time++)
+    {
+      run_sound (world, SOUND, 10,
+                 fleet->now_ns
+                     + (int64_t)(300 + core_fleet_random (fleet, 1500))
+                           * CORE_FLEET_MS);
+      int first = (int)core_fleet_random (fleet, N_SERVERS);
+      for (int i = 0; i < N_SERVERS / 4; i++)
+        core_fleet_crash_server (fleet, (first + i) % N_SERVERS, DOWN_NS);
+    }
+  run_sound (world, SOUND, 20, fleet->now_ns + 20 * KWF_NS_PER_S);
+  core_fleet_run (fleet, fleet->now_ns + 5 * KWF_NS_PER_S);
+  sound_counts_t sound = count_sound (world, from_ns);
+  print_message ("seed %d: %d of %d sound ones served, %d blamed\n", (int)seed,
+                 sound.n_served, sound.n, sound.n_blamed);
+  int failures = sound.n_blamed > RULE_DENIED + sound.n / RULE_DENIED_PER;
+  world_free (world);
+  return failures;
+}
+
+/* Guards against sound requests that are refused as crashing servers, where
+   servers end for another reason.  */
+static void
+sound_part_is_refused_for_other_crashes (void **state)
+{
+  (void)state;
+  play_seeds (play_no_cause);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (sound_part_is_refused_for_its_company),
+    cmocka_unit_test (sound_part_is_refused_for_other_crashes),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
