Keep the evidence of crashes in the table

Cause: the verdict on a fingerprint and all losses lived in processes; only verdicts on parts had a row, without the losses.

Now each feature with a loss has a row crash/seen/FEATURE, written a fraction of a second later, as most sound ones are answered until then; an answer deletes it, and a reader whose row goes forgets the feature.

--- a/lib/crash-evidence.c
+++ b/lib/crash-evidence.c
@@ -35,8 +35,6 @@
 needs_row (const crash_t *crash, const crash_entry_t *entry)
 {
   const crash_kept_t *kept = &entry->kept;
-  if (!is_held (entry) || !crash_is_part (entry->fingerprint))
-    return false;
   return entry->n_lost > kept->n_lost || entry->n_proofs > kept->n_proofs
          || (entry->n_lost && is_held (entry) && !kept->is_held)
          || (kept->is_held && !kept->finished && has_finished (crash, entry));
--- a/lib/feature.c
+++ b/lib/feature.c
@@ -76,8 +76,9 @@
     }
   else
     end_trial (core, request, effects);
-  crash_connection_ended (core->crash, request->fingerprint,
-                          attempt->server->id, attempt->incarnation, broken);
+  if (!core->options.push_updates || !has_gone_on (attempt, now_ns))
+    crash_connection_ended (core->crash, request->fingerprint,
+                            attempt->server->id, attempt->incarnation, broken);
   /* A server may crash after its request was called back.  */
   for (size_t i = 0; i < request->n_parts && !broken; i++)
     if (crash_is_held (core->crash, request->parts[i]))
--- a/test/test_crash_evidence.c
+++ b/test/test_crash_evidence.c
@@ -34,6 +34,8 @@
 #define PART_CRASHES 5
 #define REQUEST_CRASHES 3
 
+/* Callers whose time is this short do not come again.  */
+#define ONE_TRY_NS (3 * KWF_NS_PER_S / 2)
 #define OLD_PART 1
 #define GOOD_PART 2
 #define BODY (UINT64_C (1) << 40) /* no handle of a request */
@@ -185,6 +187,15 @@
   assert_int_equal (failures, 0);
 }
 
+static int
+check_late (const world_t *world, uint64_t seed)
+{
+  if (world->n_late)
+    print_message ("seed %d: %d crashes, %d too late\n", (int)seed,
+                   world->n_crashes, world->n_late);
+  return world->n_late > RULE_LATE;
+}
+
 /* The parts of a new prompt come with a bad one at first, and one of four
    requests has it later.  */
 static int
@@ -269,12 +280,82 @@
   play_seeds (play_no_cause);
 }
 
+static void
+kill_all (core_fleet_t *fleet)
+{
+  for (int i = 0; i < fleet->n_instances; i++)
+    core_fleet_kill (fleet, i);
+  for (int i = 0; i < fleet->n_instances; i++)
+    core_fleet_start (fleet, i);
+}
+
+/* A request or a part that crashes servers comes each few seconds; all
+   instances are killed together, up to three times in a row.  */
+static int
+play_killed (uint64_t seed, bool is_part)
+{
+  world_t *world = world_new (seed, is_part ? PART_CRASHES : REQUEST_CRASHES);
+  core_fleet_t *fleet = world->fleet;
+  if (is_part)
+    world->bad_part = 1000 + core_fleet_random (fleet, 1000000);
+  int first_kill = (int)core_fleet_random (fleet, 4);
+  int last_kill = first_kill + (int)core_fleet_random (fleet, 3);
+  fleet->deadline_ns = ONE_TRY_NS;
+  for (int i = 0; i < 16; i++)
+    {
+      send_now (world, BAD, 1);
+      run_sound (world, SOUND_OLD, 20,
+                 fleet->now_ns
+                     + (int64_t)(1500 + core_fleet_random (fleet, 3000))
+                           * CORE_FLEET_MS);
+      if (i < first_kill || i > last_kill)
+        continue;
+      kill_all (fleet);
+      run_sound (world, SOUND_OLD, 20, fleet->now_ns + 4 * KWF_NS_PER_S);
+    }
+  int failures = check_late (world, seed);
+  world_free (world);
+  return failures;
+}
+
+static int
+play_request_killed (uint64_t seed)
+{
+  return play_killed (seed, false);
+}
+
+/* Guards against a request that crashes servers and is forgotten when all
+   instances are killed.  */
+static void
+request_is_forgotten_by_a_new_fleet (void **state)
+{
+  (void)state;
+  play_seeds (play_request_killed);
+}
+
+static int
+play_part_killed (uint64_t seed)
+{
+  return play_killed (seed, true);
+}
+
+/* Guards against the losses of a part that are forgotten when all instances
+   are killed before there is a verdict.  */
+static void
+losses_are_forgotten_by_a_new_fleet (void **state)
+{
+  (void)state;
+  play_seeds (play_part_killed);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (sound_part_is_refused_for_its_company),
     cmocka_unit_test (sound_part_is_refused_for_other_crashes),
+    cmocka_unit_test (request_is_forgotten_by_a_new_fleet),
+    cmocka_unit_test (losses_are_forgotten_by_a_new_fleet),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
