--- a/test/soak-parts.c
+++ b/test/soak-parts.c
@@ -1,7 +1,8 @@
 /* Newer promises: servers that report their pace, evacuations of data centres
-   and cold servers.  Only seeds from FIRST_SEED on have them, and they are
-   drawn from a generator of their own, so that lower seeds keep their
-   schedules.  */
+   and cold servers; from RESTARTS_SEED on also restarts of all instances, at
+   the same moment or in turn, and streams that give up their places.  Only
+   seeds from FIRST_SEED on have them, and they are drawn from a generator of
+   their own, so that lower seeds keep their schedules.  */
 
 #include <string.h>
 
@@ -10,6 +11,12 @@
 #include "soak.h"
 
 #define FIRST_SEED 100000
+#define RESTARTS_SEED 200000
+/* Time between restarts of all, and between two instances in turn.  */
+#define RESTARTS_S 12.0
+#define IN_TURN_S 1.5
+/* Slots that engines report where streams give up their places.  */
+#define FEW_SLOTS 3
 /* Spells of other work on a server's machine.  */
 #define SPELL_MS 600
 #define SPELL_SHARE 15
@@ -35,6 +42,12 @@
   soak->has_pace = all || drawn & 1;
   soak->has_evacuations = all || drawn & 2;
   soak->has_cold = all || drawn & 4 || !(drawn & 3);
+  if (soak->seed < RESTARTS_SEED)
+    return;
+  all = soak->seed == RESTARTS_SEED;
+  soak->has_bad_part |= all;
+  soak->has_preemption = all || drawn & 8;
+  soak->has_restarts = all || drawn & 16 || !soak->has_preemption;
 }
 
 static void
@@ -69,6 +82,22 @@
     }
 }
 
+/* All instances are killed at the same moment, or restarted in turn.  */
+static void
+plan_restarts (soak_t *soak, GRand *rand)
+{
+  double end_s = soak->seconds - CALM_S;
+  double at_s = WARM_UP_S;
+  while ((at_s += g_rand_double_range (rand, 0, RESTARTS_S)) < end_s)
+    {
+      bool in_turn = g_rand_boolean (rand);
+      for (int i = 0; i < soak->n_instances; i++)
+        append_action (soak, in_turn ? ACT_RESTART : ACT_KILL,
+                       MIN (at_s + (in_turn ? i * IN_TURN_S : 0), end_s),
+                       (unsigned)i, 0);
+    }
+}
+
 void
 parts_plan (soak_t *soak)
 {
@@ -83,8 +112,10 @@
   while (soak->has_cold && (at_s += g_rand_double_range (rand, 0, 10)) < end_s)
     append_action (soak, ACT_COLD_CENTRE, at_s,
                    g_rand_int (rand) % DATA_CENTRES, g_rand_int (rand));
+  if (soak->has_restarts)
+    plan_restarts (soak, rand);
   g_rand_free (rand);
-  if (soak->has_evacuations || soak->has_cold)
+  if (soak->has_evacuations || soak->has_cold || soak->has_restarts)
     g_array_sort (soak->plan, compare_actions);
 }
 
@@ -129,6 +160,23 @@
              : g_strdup ("");
 }
 
+char *
+parts_route_fields (const soak_t *soak, const soak_route_t *route)
+{
+  return soak->has_preemption && route->engine ? g_strdup_printf (
+             ",\"priority\":%d", route->kind == SOAK_RESUMABLE ? 2 : 0)
+                                               : g_strdup ("");
+}
+
+int
+parts_slots (const backend_t *backend)
+{
+  return backend->soak->has_preemption
+                 && strcmp (backend->service, "engine") == 0
+             ? FEW_SLOTS
+             : SERVER_SLOTS;
+}
+
 bool
 parts_is_cold_service (const backend_t *backend)
 {
@@ -192,7 +240,7 @@
   size_t at = strcspn (answer->str, "\n") + 1;
   char *load
       = g_strdup_printf ("X-Server-Load: %u,0,%d,%d\r\n", backend->jobs->len,
-                         SERVER_SLOTS, parts_pace (backend));
+                         parts_slots (backend), parts_pace (backend));
   char *cold = g_strdup_printf ("X-Cold-Ms: %d\r\n", cold_left_ms (backend));
   if (backend->soak->has_pace)
     g_string_insert (answer, (gssize)at, load);
--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -93,20 +93,22 @@
 }
 
 static void
-append_route (GString *text, const char *prefix, const soak_route_t *route,
-              const char *service)
+append_route (const soak_t *soak, GString *text, const char *prefix,
+              const soak_route_t *route, const char *service)
 {
   static const char *const kinds[]
       = { "idempotent", "non_idempotent", "stream", "stream" };
+  char *fields = parts_route_fields (soak, route);
   g_string_append_printf (
       text,
       "%s{\"name\":\"r%c\",\"hostname\":\"h.example\",\"path_prefix\":\"%s\","
       "\"backend\":\"%s\",\"kind\":\"%s\",\"resumable\":%s,"
-      "\"max_attempts\":%d,\"timeout_ms\":%d,\"target_latency_ms\":500%s}",
+      "\"max_attempts\":%d,\"timeout_ms\":%d,\"target_latency_ms\":500%s%s}",
       text->str[text->len - 1] == '[' ? "" : ",", prefix[1], prefix, service,
       kinds[route->kind], route->kind == SOAK_RESUMABLE ? "true" : "false",
       route->attempts, route->is_long ? 2 * LONG_MS : TIMEOUT_MS,
-      route->engine ? ",\"sticky\":true" : "");
+      route->engine ? ",\"sticky\":true" : "", fields);
+  g_free (fields);
 }
 
 /* Plain routes change places between "desk" and "tally" when they move.  */
@@ -138,10 +140,10 @@
   g_free (fields);
   size_t n = soak->is_calm ? n_soak_routes : n_first_routes;
   for (size_t i = 0; i < n; i++)
-    append_route (text, soak_routes[i].prefix, &soak_routes[i],
+    append_route (soak, text, soak_routes[i].prefix, &soak_routes[i],
                   route_service (soak, &soak_routes[i]));
   if (soak->has_extra_route)
-    append_route (text, extra.prefix, &extra, "desk");
+    append_route (soak, text, extra.prefix, &extra, "desk");
   g_string_append (text, "]}");
   fake_store_put (soak->store, "op", "config", text->str);
   g_string_free (text, TRUE);
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -26,7 +26,7 @@
       "\"1\",\"slots\":%d,\"state\":\"%s\",\"seq\":1,\"born\":"
       "%" G_GINT64_FORMAT "%s%s}",
       backend->service, backend->listener->address,
-      backend->index % DATA_CENTRES + 1, SERVER_SLOTS,
+      backend->index % DATA_CENTRES + 1, parts_slots (backend),
       backend->leaving ? "draining" : "ready", backend->born_ms,
       is_engine (backend) ? ",\"stage\":\"colocated\",\"models\":[{\"name\":"
                             "\"m\",\"version\":1,\"adapters\":[]}]"
--- a/test/soak.h
+++ b/test/soak.h
@@ -315,6 +315,8 @@
   bool has_pace;
   bool has_evacuations;
   bool has_cold;
+  bool has_restarts;
+  bool has_preemption;
   int64_t evacuated_ns[DATA_CENTRES]; /* since when; 0: it is not */
   bool moved;
   bool is_calm; /* the last part has begun */
@@ -429,6 +431,9 @@
    configuration, and fields of a server's entry; to be freed.  */
 char *parts_settings (const soak_t *soak, const char *table);
 char *parts_service_fields (const soak_t *soak);
+char *parts_route_fields (const soak_t *soak, const soak_route_t *route);
+/* Slots that BACKEND reports.  */
+int parts_slots (const backend_t *backend);
 char *parts_entry_fields (const backend_t *backend);
 bool parts_is_cold_service (const backend_t *backend);
 void parts_start_server (backend_t *backend);
