--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -8,6 +8,8 @@
 #include "crash.h"
 #include "crashrow.h"
 
+/* With trials, the second loss is that of a suspect that ran alone.  */
+#define CRASH_TRIAL_LOSSES 2
 #define CRASH_SUSPICION_NS (60 * KWF_NS_PER_S)
 #define CRASH_QUARANTINE_NS (600 * KWF_NS_PER_S)
 /* Delay before a failed write is repeated.  */
@@ -173,6 +175,15 @@
 bool crash_has_loss (const crash_entry_t *entry, const char *server,
                      uint64_t incarnation);
 
+/* Frees the contents of an ended_run_t.  */
+void crash_ended_run_clear (gpointer data);
+
+/* crash-loss.c: handle KWF_MSG_CRASH and pass it on, where this instance is a
+   hub.  */
+void crash_handle_message (crash_t *crash, const session_t *session,
+                           const kwf_peer_event_t *peer,
+                           kwf_effects_t *effects);
+
 /* Quarantine ENTRY.  WRITE: also write its row.  */
 void crash_quarantine (crash_t *crash, crash_entry_t *entry, bool write,
                        kwf_effects_t *effects);
@@ -265,6 +276,13 @@
 void crash_clear (crash_t *crash, crash_entry_t *entry,
                   kwf_effects_t *effects);
 
+/* Whether a fingerprint other than FINGERPRINT explains the crash of SERVER: a
+   proven one or, with UNFINISHED, a quarantined one that has never
+   finished.  */
+bool crash_is_loss_explained (const crash_t *crash, uint64_t fingerprint,
+                              const char *server, uint64_t incarnation,
+                              bool unfinished);
+
 /* Whether each loss of ENTRY is explained by another fingerprint that is
    proven.  */
 bool crash_is_explained (const crash_t *crash, const crash_entry_t *entry);
