Dispatch waiting requests again only when a verdict changes

Where rows are pushed a suspect stands against no request, so its losses and rows are no reason to look at all waiting requests again.

--- a/lib/crash-loss.c
+++ b/lib/crash-loss.c
@@ -108,7 +108,8 @@
       || (!crash->trials && entry->n_lost < TELL_LOSSES))
     return;
   entry->finished = true;
-  crash->generation++;
+  if (crash->trials)
+    crash->generation++;
   crash_send_message (session, fingerprint, "", KWF_CRASH_REQUEST_FINISHED,
                       effects);
 }
@@ -227,7 +228,8 @@
   crash_entry_t *entry = crash_find (crash, content->fingerprint);
   if (!entry)
     return;
-  crash->generation++;
+  if (crash->trials)
+    crash->generation++;
   if (content->incarnation == KWF_CRASH_REQUEST_FINISHED)
     {
       entry->finished = true;
--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -309,13 +309,13 @@
   int64_t now_ns = crash_now (crash);
   crash_note_crash (crash, &entry->lost[entry->n_lost - 1]);
   count_moment (entry, now_ns);
-  crash->generation++;
   entry->last_ns = now_ns;
   crash_keep_evidence (crash, entry);
   if (entry->state == CRASH_QUARANTINED && now_ns < entry->until_ns)
     {
       /* The verdict has more weight now.  */
       crash->n_verdicts++;
+      crash->generation++;
       schedule_riders (crash);
       return;
     }
@@ -334,10 +334,10 @@
 crash_judge_row (crash_t *crash, crash_entry_t *entry, int64_t until_ns,
                  kwf_effects_t *effects)
 {
-  crash->generation++;
   if (entry->state == CRASH_QUARANTINED)
     {
       crash->n_verdicts++;
+      crash->generation++;
       schedule_riders (crash);
       return;
     }
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -213,8 +213,10 @@
 crash_remove (crash_t *crash, const crash_entry_t *entry)
 {
   uint64_t fingerprint = entry->fingerprint;
+  /* Without trials, a suspect stands against no request.  */
+  if (crash->trials || entry->state == CRASH_QUARANTINED)
+    crash->generation++;
   g_hash_table_remove (crash->entries, &fingerprint);
-  crash->generation++;
 }
 
 void
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -156,7 +156,8 @@
 /* Number of verdicts so far that a feature is the cause of crashes.  */
 uint64_t crash_verdicts (const crash_t *crash);
 
-/* Increases with each change of any fingerprint's state.  */
+/* Increases with each change by which a request may be sent, or may not be
+   sent any more.  */
 uint64_t crash_generation (const crash_t *crash);
 
 /* Numbers of suspects and of quarantined fingerprints, for the status
