--- a/lib/crash-parts.c
+++ b/lib/crash-parts.c
@@ -132,10 +132,11 @@
 }
 
 void
-crash_part_trial_ended (crash_t *crash, kwf_effects_t *effects)
+crash_part_trial_ended (crash_t *crash, kwf_handle_t request,
+                        kwf_effects_t *effects)
 {
   part_trial_t *trial = &crash->part_trial;
-  if (!trial->owned)
+  if (!trial->owned || trial->request != request)
     return;
   trial->owned = false;
   g_clear_pointer (&trial->broken.server, g_free);
@@ -144,11 +145,11 @@
 }
 
 void
-crash_part_trial_broke (crash_t *crash, const char *server,
-                        uint64_t incarnation)
+crash_part_trial_broke (crash_t *crash, kwf_handle_t request,
+                        const char *server, uint64_t incarnation)
 {
   part_trial_t *trial = &crash->part_trial;
-  if (!trial->owned)
+  if (!trial->owned || trial->request != request)
     return;
   g_free (trial->broken.server);
   trial->broken = (crash_loss_t){ g_strdup (server), incarnation };
@@ -180,7 +181,7 @@
     return;
   crash_add_proof (crash, entry, entry->n_proofs + 1);
   crash_send_message (session, trial->part, "", KWF_CRASH_PROVEN, effects);
-  crash_part_trial_ended (crash, effects);
+  crash_part_trial_ended (crash, trial->request, effects);
 }
 
 bool
--- a/lib/crash.h
+++ b/lib/crash.h
@@ -96,12 +96,13 @@
    result.  */
 void crash_ask_for_part_trial (crash_t *crash, uint64_t feature,
                                kwf_handle_t request, kwf_effects_t *effects);
-/* SERVER broke off the run of that request: the trial ends when it turns out
-   that the server crashed.  */
-void crash_part_trial_broke (crash_t *crash, const char *server,
-                             uint64_t incarnation);
-/* The run of that request has ended, or its answer has cleared its parts.  */
-void crash_part_trial_ended (crash_t *crash, kwf_effects_t *effects);
+/* SERVER broke off the run of REQUEST: its trial, if it has one, ends when it
+   turns out that the server crashed.  */
+void crash_part_trial_broke (crash_t *crash, kwf_handle_t request,
+                             const char *server, uint64_t incarnation);
+/* The run of REQUEST has ended, or its answer has cleared its parts.  */
+void crash_part_trial_ended (crash_t *crash, kwf_handle_t request,
+                             kwf_effects_t *effects);
 
 /* Id of the server, number I from 0, that crashed while it ran FINGERPRINT;
    NULL: there is none.  */
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -100,7 +100,8 @@
 } ended_run_t;
 
 /* A table transaction that awaits its reply or its next try.  It writes the
-   row crash/FINGERPRINT.  With TRIAL_SERVER it also writes the row
+   row crash/FINGERPRINT, or crash/seen/FEATURE where there are no trials of
+   fingerprints.  With TRIAL_SERVER it also writes the row
    trial/SERVER: a trial request takes this lock, any other write deletes the
    row and so releases the lock.  */
 typedef struct
@@ -135,7 +136,7 @@
   bool owned;           /* the trial is this instance's */
   crash_loss_t broken;  /* server that broke its run; NULL: none has */
   kwf_handle_t op;      /* of the transaction that awaits its reply; 0: none */
-  kwf_handle_t request; /* the one that is to be tried */
+  kwf_handle_t request; /* the one that is tried */
   uint64_t part;
 } part_trial_t;
 
--- a/lib/feature.c
+++ b/lib/feature.c
@@ -46,7 +46,7 @@
   if (!request->part_trial_ns)
     return;
   request->part_trial_ns = 0;
-  crash_part_trial_ended (core->crash, effects);
+  crash_part_trial_ended (core->crash, request->handle, effects);
 }
 
 static bool
@@ -71,8 +71,8 @@
   if (broken && request->part_trial_ns)
     {
       request->part_trial_ns = 0;
-      crash_part_trial_broke (core->crash, attempt->server->id,
-                              attempt->incarnation);
+      crash_part_trial_broke (core->crash, request->handle,
+                              attempt->server->id, attempt->incarnation);
     }
   else
     end_trial (core, request, effects);
@@ -200,7 +200,7 @@
   if (!request || request->state != REQUEST_AWAITS_TRIAL)
     {
       if (result->granted)
-        crash_part_trial_ended (core->crash, effects);
+        crash_part_trial_ended (core->crash, result->request, effects);
       return;
     }
   if (!result->granted)
