Keep evacuations over an older copy of the store

Callers' requests went to servers of an evacuated data centre, or found none in one that was taken back, when the store came back from a copy of an earlier state: the rows evacuate/NAME were taken as they stood in it until the operator wrote them again.

Cause: a row that the copy lacks counted as removed, and one that it still has as written. What was known now stays in force until the operator has written again, for 4 s at most (lib/evacuation/kept.c). A row under a version above the known one cannot be of the copy and counts at once.

older_copy_lifts_an_evacuation of test_older_copy (a daemon) and of test_evacuation, and older_copy_brings_an_evacuation_back, fail with the hold taken out (line 190 and 223) and pass with it.

A process that starts after the return still knows the copy only.

--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -214,11 +214,14 @@
   size_t n_rows;
 } kwf_rows_event_t;
 
-/* All data centres that are evacuated now: their servers get no new request or
-   order.  */
+/* All data centres that the store shows as evacuated: their servers get no new
+   request or order.  Sent again once the entries of an older copy of the store
+   can be told from those written since.  */
 typedef struct
 {
+  int64_t revision; /* of the table */
   const char *const *data_centres;
+  const int64_t *revisions; /* of their rows; all are above 0 */
   size_t n;
 } kwf_evacuations_event_t;
 
--- a/lib/core.c
+++ b/lib/core.c
@@ -188,7 +188,7 @@
   backend_step (core->backend, event, effects, &report);
   pacing_step (core, event, effects);
   if (evacuation_step (core->evacuation, core->backend, core->regions,
-                       core->options.data_centre, event, effects))
+                       &core->options, event, effects))
     waits_recheck_all (core);
   if (event->type == KWF_EV_MEMBERS || event->type == KWF_EV_CONFIG)
     {
--- a/lib/evacuation/evacuation.c
+++ b/lib/evacuation/evacuation.c
@@ -3,9 +3,11 @@
 #include <string.h>
 
 #include "../metric.h"
+#include "kept.h"
 
 struct evacuation
 {
+  kept_t *kept;
   GHashTable *data_centres;   /* set of names */
   GHashTable *logged_unknown; /* set: names that no server has, and that were
                                  logged */
@@ -21,6 +23,7 @@
 evacuation_new (void)
 {
   evacuation_t *evacuation = g_new0 (evacuation_t, 1);
+  evacuation->kept = kept_new ();
   evacuation->data_centres = new_set ();
   evacuation->logged_unknown = new_set ();
   return evacuation;
@@ -31,6 +34,7 @@
 {
   if (!evacuation)
     return;
+  kept_free (evacuation->kept);
   g_hash_table_unref (evacuation->data_centres);
   g_hash_table_unref (evacuation->logged_unknown);
   g_free (evacuation);
@@ -98,11 +102,10 @@
 
 static bool
 replace_names (evacuation_t *evacuation, const backend_t *backend,
-               const kwf_evacuations_event_t *event, kwf_effects_t *effects)
+               const kwf_evacuations_event_t *event, int64_t now_ns,
+               kwf_effects_t *effects)
 {
-  GHashTable *names = new_set ();
-  for (size_t i = 0; i < event->n; i++)
-    g_hash_table_add (names, g_strdup (event->data_centres[i]));
+  GHashTable *names = kept_apply (evacuation->kept, event, now_ns, effects);
   bool begins = each_difference (names, evacuation->data_centres, log_begin,
                                  backend, effects);
   bool ends = each_difference (evacuation->data_centres, names, log_end,
@@ -148,17 +151,17 @@
 
 bool
 evacuation_step (evacuation_t *evacuation, const backend_t *backend,
-                 const regions_t *regions, const char *own,
+                 const regions_t *regions, const kwf_core_options_t *options,
                  const kwf_event_t *event, kwf_effects_t *effects)
 {
   bool changed = false;
   if (event->type == KWF_EV_EVACUATIONS)
-    changed
-        = replace_names (evacuation, backend, &event->evacuations, effects);
+    changed = replace_names (evacuation, backend, &event->evacuations,
+                             kwf_now_ns (options->clock), effects);
   else if (event->type != KWF_EV_MEMBERS)
     return false;
   mark_servers (evacuation, backend, regions);
-  log_unknown (evacuation, backend, own, effects);
+  log_unknown (evacuation, backend, options->data_centre, effects);
   return changed;
 }
 
--- a/lib/evacuation/evacuation.h
+++ b/lib/evacuation/evacuation.h
@@ -29,10 +29,11 @@
 
 /* Handle KWF_EV_EVACUATIONS, and KWF_EV_MEMBERS, which may list new servers:
    set the region of the servers of BACKEND, and whether they are in an
-   evacuated data centre.  OWN: the data centre of this instance.  Return
-   whether the set of evacuated data centres has changed.  */
+   evacuated data centre.  Return whether the set of evacuated data centres has
+   changed.  */
 bool evacuation_step (evacuation_t *evacuation, const backend_t *backend,
-                      const regions_t *regions, const char *own,
+                      const regions_t *regions,
+                      const kwf_core_options_t *options,
                       const kwf_event_t *event, kwf_effects_t *effects);
 
 bool evacuation_contains (const evacuation_t *evacuation,
--- a/lib/restored.c
+++ b/lib/restored.c
@@ -4,10 +4,6 @@
 
 #include "revision.h"
 
-/* The store removes the entry of a silent server well within this time, and a
-   server that lives writes again within it.  */
-#define HOLD_NS (4 * KWF_NS_PER_S)
-
 restored_list_t
 restored_list (const backend_t *backend, const kwf_members_event_t *event,
                int64_t before, int64_t current_ns)
@@ -41,7 +37,7 @@
 hold (server_t *server, int64_t revision, int64_t now_ns)
 {
   server->restored.held_revision = revision;
-  server->restored.until_ns = now_ns + HOLD_NS;
+  server->restored.until_ns = now_ns + RESTORED_HOLD_NS;
   /* Nor does it take back what an answer announced.  */
   if (server->notice.unsettled_revision < revision)
     server->notice.unsettled_revision = revision;
--- a/lib/restored.h
+++ b/lib/restored.h
@@ -12,6 +12,10 @@
 
 #include "backend.h"
 
+/* After this time of a new era all that lives has written again, and the store
+   has removed the entries of servers that are silent.  */
+#define RESTORED_HOLD_NS (4 * KWF_NS_PER_S)
+
 typedef enum
 {
   RESTORED_CURRENT, /* the entry holds */
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -38,13 +38,14 @@
       "grace_s = %d\n%s"
       "[operator]\nlisten = \"127.0.0.1:0\"\n"
       "[peers]\nlisten = \"127.0.0.1:0\"\n"
-      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n"
+      "[platform]\naddress = \"%s\"\nprotocol = \"rows\"\nfresh_ms = 2000\n%s"
       "[session]\nlease_ms = 300000\nrenew_ms = 100000\n"
       "[backend]\n%s"
       "[placement]\nmode = \"dynamic\"\n",
       options->memory_mb, options->grace_s,
       options->callers ? options->callers : "",
       fake_store_address (daemon->store),
+      options->platform ? options->platform : "",
       options->retries ? options->retries : "retry_share = 0.2\n");
   assert_true (g_file_set_contents (daemon->settings, text, -1, NULL));
   g_free (text);
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -29,11 +29,12 @@
 
 typedef struct
 {
-  int grace_s;         /* 0: none */
-  int memory_mb;       /* of the instance; 0: not told */
-  const char *callers; /* further lines of [callers]; NULL: none */
-  const char *retries; /* limits for repeats, lines of the settings; NULL: the
-                          default of these tests */
+  int grace_s;          /* 0: none */
+  int memory_mb;        /* of the instance; 0: not told */
+  const char *callers;  /* further lines of [callers]; NULL: none */
+  const char *platform; /* further lines of [platform]; NULL: none */
+  const char *retries;  /* limits for repeats, lines of the settings; NULL: the
+                           default of these tests */
 } test_daemon_options_t;
 
 /* The same with OPTIONS.  */
--- a/test/test_evacuation.c
+++ b/test/test_evacuation.c
@@ -12,6 +12,7 @@
 #include <gsl/gsl_rng.h>
 
 #include "common-core.h"
+#include "lib/revision.h"
 #include "platform/platform-internal.h"
 #include "platform/rows-json.h"
 
@@ -46,11 +47,25 @@
                                                        .n_members = 4 } });
 }
 
+/* The store, at REVISION, shows the first N of NAMES, whose rows have
+   REVISIONS.  */
+static void
+show (core_world_t *world, int64_t revision, const char *const *names,
+      const int64_t *revisions, size_t n)
+{
+  core_world_step (world,
+                   &(kwf_event_t){ .type = KWF_EV_EVACUATIONS,
+                                   .evacuations = { .revision = revision,
+                                                    .data_centres = names,
+                                                    .revisions = revisions,
+                                                    .n = n } });
+}
+
 static void
 evacuate (core_world_t *world, const char *const *names, size_t n)
 {
-  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_EVACUATIONS,
-                                          .evacuations = { names, n } });
+  static const int64_t revisions[] = { 1, 1 };
+  show (world, 1, names, revisions, n);
 }
 
 static bool
@@ -147,6 +162,77 @@
   assert_false (logs_event (world, 272));
 }
 
+/* Whether requests are sent to the server with DIGIT.  They are spaced, so
+   that no limit refuses them.  */
+static bool
+uses (core_world_t *world, char digit)
+{
+  static kwf_handle_t last = 5000;
+  bool any = false;
+  for (int i = 0; i < 20; i++)
+    {
+      core_world_advance (world, 20);
+      any |= sent_to (world, ++last, "/read/x") == digit;
+    }
+  return any;
+}
+
+/* Guards against requests to an evacuated data centre because the store came
+   back from a copy that lacks the evacuation, and against one that is kept
+   though nobody writes it again, or after it was lifted.  */
+static void
+older_copy_lifts_an_evacuation (void **state)
+{
+  core_world_t *world = *state;
+  show (world, revision_make (1, 9), own, (int64_t[]){ 9 }, 1);
+  assert_false (uses (world, '1'));
+  show (world, revision_make (2, 5), own, NULL, 0);
+  assert_true (logs_event (world, 278));
+  assert_false (uses (world, '1'));
+  /* Another change while the operator has not written it again.  */
+  show (world, revision_make (2, 6), both + 1,
+        (int64_t[]){ revision_make (2, 6) }, 1);
+  assert_false (uses (world, '1'));
+  show (world, revision_make (2, 7), both,
+        (int64_t[]){ revision_make (2, 7), revision_make (2, 6) }, 2);
+  assert_false (uses (world, '1'));
+  show (world, revision_make (2, 8), both + 1,
+        (int64_t[]){ revision_make (2, 6) }, 1);
+  assert_true (uses (world, '1'));
+  /* It was lifted in truth, while nobody here saw it.  */
+  show (world, revision_make (3, 1), own, NULL, 0);
+  assert_false (uses (world, '2'));
+  core_world_advance (world, 4100);
+  show (world, revision_make (3, 1), own, NULL, 0);
+  assert_true (uses (world, '2'));
+}
+
+/* Guards against a data centre that is emptied because the store came back
+   from a copy in which its evacuation was not yet lifted, and against one that
+   is used though it is evacuated anew.  */
+static void
+older_copy_brings_an_evacuation_back (void **state)
+{
+  core_world_t *world = *state;
+  int64_t first = revision_make (1, 3);
+  show (world, revision_make (1, 3), own, &first, 1);
+  show (world, revision_make (1, 9), own, NULL, 0);
+  assert_true (uses (world, '1'));
+  int64_t copied = revision_make (2, 3);
+  show (world, revision_make (2, 5), own, &copied, 1);
+  assert_true (logs_event (world, 278));
+  assert_true (uses (world, '1'));
+  int64_t again = revision_make (2, 6);
+  show (world, revision_make (2, 6), own, &again, 1);
+  assert_false (uses (world, '1'));
+  show (world, revision_make (2, 7), own, NULL, 0);
+  assert_true (uses (world, '1'));
+  /* Its version shows that it is not of the copy.  */
+  int64_t later = revision_make (3, 7);
+  show (world, revision_make (3, 7), own, &later, 1);
+  assert_false (uses (world, '1'));
+}
+
 /* What a schedule has sent so far.  */
 typedef struct
 {
@@ -431,6 +517,10 @@
                                      set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (decision_is_checked_again_at_the_send,
                                      set_up, core_world_teardown),
+    cmocka_unit_test_setup_teardown (older_copy_lifts_an_evacuation, set_up,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (older_copy_brings_an_evacuation_back,
+                                     set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (unknown_data_centre_is_kept,
                                      core_world_setup, core_world_teardown),
     cmocka_unit_test_setup_teardown (
--- a/test/test_older_copy.c
+++ b/test/test_older_copy.c
@@ -145,7 +145,9 @@
 {
   fixture_t *fixture = g_new0 (fixture_t, 1);
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
-  test_daemon_start (&fixture->daemon, fixture->loop, ROUTE ("r"));
+  test_daemon_start_with (
+      &fixture->daemon, fixture->loop, ROUTE ("r"),
+      &(test_daemon_options_t){ .platform = "evacuation_ms = 2000\n" });
   fake_store_set_era (fixture->daemon.store, 1);
   for (int i = 0; i < N_SERVERS; i++)
     {
@@ -276,6 +278,26 @@
   assert_true (fixture->desks[2].n_requests > 0);
 }
 
+/* Guards against requests to a data centre whose evacuation the copy lacks,
+   and against one that stays out of use though nobody evacuates it again.  */
+static void
+older_copy_lifts_an_evacuation (void **state)
+{
+  fixture_t *fixture = *state;
+  const char *address = fixture->daemon.process.address;
+  fake_store_copy (fixture->daemon.store);
+  fake_store_put (fixture->daemon.store, "op", "evacuate/c", "{}");
+  assert_true (becomes (fixture, address, "r", 503, FRESH_MS));
+  drill (fixture);
+  int64_t end_ms = now_ms () + AGAIN_MS;
+  while (now_ms () < end_ms)
+    {
+      assert_int_equal (call (fixture, "r"), 503);
+      run_for (fixture->loop, 0.02);
+    }
+  assert_true (becomes (fixture, address, "r", 200, 2 * FRESH_MS + AGAIN_MS));
+}
+
 static void
 start_second (fixture_t *fixture)
 {
@@ -341,6 +363,7 @@
     TEST (older_copy_takes_configurations_back),
     TEST (older_copy_brings_a_leaving_server_back),
     TEST (server_that_comes_after_an_older_copy_is_not_used),
+    TEST (older_copy_lifts_an_evacuation),
     TEST (new_instance_takes_the_configuration_of_an_older_copy),
     TEST (new_instance_uses_a_server_that_left),
   };
