--- a/test/common-fake-store.c
+++ b/test/common-fake-store.c
@@ -43,6 +43,7 @@
   GPtrArray *copy; /* of row_t; NULL: there is no copy */
   int64_t copy_version;
   bool silent;
+  int status; /* as in fake_store_set_status */
   ev_timer poll_timer;
 };
 
@@ -118,9 +119,10 @@
   if (store->era)
     g_snprintf (era, sizeof era, "Store-Era: %d\r\n", store->era);
   connection_print (connection,
-                    "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                    "HTTP/1.1 %03d X\r\nContent-Type: application/json\r\n"
                     "%sContent-Length: %zu\r\n\r\n%s",
-                    status, era, strlen (text), text);
+                    store->status ? MAX (store->status, 0) : status, era,
+                    strlen (text), text);
   free (text);
   json_decref (body);
 }
@@ -374,6 +376,12 @@
   store->era = era;
 }
 
+void
+fake_store_set_status (fake_store_t *store, int status)
+{
+  store->status = status;
+}
+
 void
 fake_store_set_silent (fake_store_t *store, bool silent)
 {
--- a/test/common-fake-store.h
+++ b/test/common-fake-store.h
@@ -43,6 +43,11 @@
 /* Names an era in its answers from now on.  */
 void fake_store_set_era (fake_store_t *store, int era);
 
+/* The status of all answers from now on; 0: the usual ones, NONE_STATUS:
+   000.  */
+#define NONE_STATUS (-1)
+void fake_store_set_status (fake_store_t *store, int status);
+
 /* SILENT: no request is answered from now on.  False: requests are answered
    again.  */
 void fake_store_set_silent (fake_store_t *store, bool silent);
