Pace the rows of crash evidence

Cause: each instance wrote a row for each part of each prompt that was lost with a server, repeated a refused write every second, 60 times, whether or not the row was still needed, and removed rows as soon as their parts were answered. With 91 instances and hundreds of parts that is thousands of writes a second, where a part of a table takes 200.

An instance now writes or removes one row of evidence at a time, verdicts first, and leaves the gap that records of streams already had, 125 writes a second for the fleet (lib/write-gap). A write that failed is no longer repeated as it was: whether the row is still needed is seen when it is due again.

--- a/lib/crash-evidence.c
+++ b/lib/crash-evidence.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "write-gap.h"
+
 /* An instance that found one of the losses writes the row after this time, at
    random within the spread: most sound features are answered until then, and
    most instances that found a loss find the row written.  The others write it
@@ -59,6 +61,7 @@
 static void
 write_row (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
+  entry->row_ns = 0;
   entry->writes_row = true;
   entry->finished = has_finished (crash, entry);
   crash_write_row (crash, entry,
@@ -68,11 +71,27 @@
                    effects);
 }
 
-void
-crash_write_evidence (crash_t *crash, int64_t now_ns, kwf_effects_t *effects)
+/* Whether the row of A matters more than that of B: the verdicts, then what is
+   closest to one.  */
+static bool
+matters_more (const crash_entry_t *a, const crash_entry_t *b)
+{
+  if (is_held (a) != is_held (b))
+    return is_held (a);
+  if (a->n_lost != b->n_lost)
+    return a->n_lost > b->n_lost;
+  /* At random, so that instances write different rows.  */
+  return a->row_ns < b->row_ns;
+}
+
+/* The entry whose row is due and matters most; NULL: none is due.  */
+static crash_entry_t *
+next_due (const crash_t *crash, int64_t now_ns, int64_t *later_ns)
 {
+  crash_entry_t *best = NULL;
   GHashTableIter iter;
   gpointer value;
+  *later_ns = INT64_MAX;
   g_hash_table_iter_init (&iter, crash->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -80,14 +99,66 @@
       if (!entry->row_ns)
         continue;
       if (now_ns < entry->row_ns)
-        {
-          crash_schedule_tick (crash, entry->row_ns);
-          continue;
-        }
-      entry->row_ns = 0;
-      if (!needs_row (crash, entry))
+        *later_ns = MIN (*later_ns, entry->row_ns);
+      else if (!needs_row (crash, entry))
+        entry->row_ns = 0;
+      else if (!best || matters_more (entry, best))
+        best = entry;
+    }
+  return best;
+}
+
+void
+crash_write_evidence (crash_t *crash, const session_t *session, int64_t now_ns,
+                      kwf_effects_t *effects)
+{
+  int64_t later_ns;
+  crash_entry_t *entry = next_due (crash, now_ns, &later_ns);
+  bool any = entry || !g_queue_is_empty (&crash->removals);
+  if (any && now_ns >= crash->evidence_ns)
+    {
+      if (entry)
+        write_row (crash, entry, effects);
+      else
+        crash_send_write (crash, g_queue_pop_head (&crash->removals), effects);
+      crash->evidence_ns
+          = now_ns + write_gap_ns (session_count_members (session));
+    }
+  if (any)
+    later_ns = crash->evidence_ns;
+  if (later_ns < INT64_MAX)
+    crash_schedule_tick (crash, MAX (later_ns, crash->evidence_ns));
+}
+
+static void
+remove_row (crash_t *crash, uint64_t feature, int64_t version)
+{
+  crash_write_t *write = g_new0 (crash_write_t, 1);
+  write->fingerprint = feature;
+  write->version = version;
+  g_queue_push_tail (&crash->removals, write);
+  crash_schedule_tick (crash, crash->evidence_ns);
+}
+
+void
+crash_remove_evidence (crash_t *crash, const crash_entry_t *entry)
+{
+  if (entry->version)
+    remove_row (crash, entry->fingerprint, entry->version);
+}
+
+/* Another instance has removed the row of FEATURE.  */
+static void
+drop_removal (crash_t *crash, uint64_t feature)
+{
+  for (GList *link = crash->removals.head; link; link = link->next)
+    {
+      crash_write_t *write = link->data;
+      if (write->fingerprint != feature)
         continue;
-      write_row (crash, entry, effects);
+      g_queue_delete_link (&crash->removals, link);
+      crash_write_free (write);
+      return;
     }
 }
 
@@ -173,30 +244,23 @@
       row_context_t context = { crash, feature, row->version, effects };
       crashrow_read (row->value, apply_parsed, &context);
     }
-  /* The feature was answered, or its time is over.  */
-  else if (entry && entry->version)
-    crash_remove (crash, entry);
-}
-
-static void
-delete_row (crash_t *crash, uint64_t feature, int64_t version,
-            kwf_effects_t *effects)
-{
-  crash_write_t *write = g_new0 (crash_write_t, 1);
-  write->fingerprint = feature;
-  write->version = version;
-  crash_send_write (crash, write, effects);
+  else
+    {
+      drop_removal (crash, feature);
+      /* The feature was answered, or its time is over.  */
+      if (entry && entry->version)
+        crash_remove (crash, entry);
+    }
 }
 
 static void
-row_committed (crash_t *crash, const crash_write_t *write, int64_t version,
-               kwf_effects_t *effects)
+row_committed (crash_t *crash, const crash_write_t *write, int64_t version)
 {
   crash_entry_t *entry = crash_find (crash, write->fingerprint);
   if (write->value && (!entry || !entry->writes_row))
     {
       /* The feature was cleared meanwhile.  */
-      delete_row (crash, write->fingerprint, version, effects);
+      remove_row (crash, write->fingerprint, version);
       return;
     }
   if (!entry || !write->value || version < entry->version)
@@ -210,15 +274,20 @@
 crash_evidence_written (crash_t *crash, crash_write_t *write,
                         const kwf_store_reply_t *reply, kwf_effects_t *effects)
 {
-  bool again = reply->outcome == KWF_STORE_FAILED
-               || reply->outcome == KWF_STORE_UNKNOWN;
-  if (again && write->tries < CRASH_WRITE_TRIES)
+  bool failed = reply->outcome == KWF_STORE_FAILED
+                || reply->outcome == KWF_STORE_UNKNOWN;
+  if (failed)
+    crash->evidence_ns
+        = MAX (crash->evidence_ns, crash_now (crash) + CRASH_WRITE_RETRY_NS);
+  /* Whether a row is still to be written shows when it is due again.  */
+  if (failed && !write->value && write->tries < CRASH_WRITE_TRIES)
     {
-      crash_write_again (crash, write);
+      g_queue_push_tail (&crash->removals, write);
+      crash_schedule_tick (crash, crash->evidence_ns);
       return;
     }
   if (reply->outcome == KWF_STORE_COMMITTED)
-    row_committed (crash, write, reply->revision, effects);
+    row_committed (crash, write, reply->revision);
   if (reply->outcome == KWF_STORE_CONFLICT)
     for (size_t i = 0; i < reply->n_conflicts; i++)
       crash_apply_evidence (crash, &reply->conflicts[i], effects);
--- a/lib/crash-verdict.c
+++ b/lib/crash-verdict.c
@@ -434,7 +434,7 @@
       g_ptr_array_free (causes, TRUE);
     }
   drop_riders (crash, now_ns);
-  crash_write_evidence (crash, now_ns, effects);
+  crash_write_evidence (crash, session, now_ns, effects);
 }
 
 void
--- a/lib/crash.c
+++ b/lib/crash.c
@@ -51,6 +51,7 @@
   crash->crashes = g_array_new (FALSE, FALSE, sizeof (crash_seen_t));
   crash->ended_runs = g_array_new (FALSE, TRUE, sizeof (ended_run_t));
   g_array_set_clear_func (crash->ended_runs, crash_ended_run_clear);
+  g_queue_init (&crash->removals);
   crash->writes = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                          crash_write_free);
   crash->locks
@@ -72,6 +73,7 @@
   g_array_free (crash->crashes, TRUE);
   g_array_free (crash->ended_runs, TRUE);
   g_hash_table_unref (crash->writes);
+  g_queue_clear_full (&crash->removals, crash_write_free);
   g_hash_table_unref (crash->locks);
   g_free (crash->finished);
   g_array_free (crash->results, TRUE);
@@ -222,7 +224,9 @@
 void
 crash_clear (crash_t *crash, crash_entry_t *entry, kwf_effects_t *effects)
 {
-  if (entry->version || entry->owns_trial_row)
+  if (!crash->trials)
+    crash_remove_evidence (crash, entry);
+  else if (entry->version || entry->owns_trial_row)
     crash_write_row (crash, entry, NULL, effects);
   crash_remove (crash, entry);
 }
--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -159,6 +159,9 @@
   GArray *results; /* of crash_result_t */
   GArray *taken;   /* of crash_result_t, returned by crash_take_results */
   uint64_t generation;
+  int64_t evidence_ns; /* no row of evidence is written or removed before this
+                          time */
+  GQueue removals;     /* of crash_write_t: rows of evidence to be removed */
   uint64_t n_verdicts;
   int64_t riders_ns; /* when verdicts are compared; 0: never */
   part_trial_t part_trial;
@@ -240,12 +243,16 @@
    feature outlives the instances.  */
 /* ENTRY has changed: write its row in a while, if it needs one.  */
 void crash_keep_evidence (crash_t *crash, crash_entry_t *entry);
-/* Write the rows that are due.  */
-void crash_write_evidence (crash_t *crash, int64_t now_ns,
-                           kwf_effects_t *effects);
+/* Write the row that is due and matters most, or remove one, if it is time for
+   that.  */
+void crash_write_evidence (crash_t *crash, const session_t *session,
+                           int64_t now_ns, kwf_effects_t *effects);
 void crash_apply_evidence (crash_t *crash, const kwf_row_t *row,
                            kwf_effects_t *effects);
-/* Handle the reply to WRITE, which is freed or sent again.  */
+/* The feature of ENTRY is cleared: remove its row.  */
+void crash_remove_evidence (crash_t *crash, const crash_entry_t *entry);
+/* Handle the reply to WRITE, which is freed or, if it removes a row, sent
+   again.  */
 void crash_evidence_written (crash_t *crash, crash_write_t *write,
                              const kwf_store_reply_t *reply,
                              kwf_effects_t *effects);
--- a/lib/origin/origin.c
+++ b/lib/origin/origin.c
@@ -6,13 +6,10 @@
 
 #include "../op.h"
 #include "../revision.h"
+#include "../write-gap.h"
 #include "begun.h"
 #include "versions.h"
 
-/* Least time between two writes of records, and the time per instance of the
-   fleet, since all write to the same part of the table.  */
-#define WRITE_GAP_NS (100 * KWF_NS_PER_MS)
-#define WRITE_GAP_EACH_NS (8 * KWF_NS_PER_MS)
 /* From a write to its row's arrival at another instance.  */
 #define ARRIVAL_NS (350 * KWF_NS_PER_MS)
 /* Instances notice a new version at about the same time; each waits for a
@@ -49,7 +46,7 @@
   origins->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, versions_free);
   origins->begun = begun_new (options->instance);
-  origins->gap_ns = WRITE_GAP_NS;
+  origins->gap_ns = write_gap_ns (1);
   return origins;
 }
 
@@ -274,8 +271,7 @@
   if (!written)
     return;
   origins->next_op++;
-  origins->gap_ns
-      = MAX (WRITE_GAP_NS, (int64_t)origins->n_members * WRITE_GAP_EACH_NS);
+  origins->gap_ns = write_gap_ns (origins->n_members);
   origins->write_ns = now_ns + origins->gap_ns;
 }
 
@@ -308,24 +304,13 @@
   write_records (origins, now_ns, effects);
 }
 
-static size_t
-count_members (const session_t *session)
-{
-  session_member_t member;
-  size_t at = 0;
-  size_t n = 0;
-  while (session_next_member (session, &at, &member))
-    n++;
-  return n;
-}
-
 void
 origins_step (origins_t *origins, const session_t *session,
               const kwf_event_t *event, const session_changes_t *changes,
               kwf_effects_t *effects)
 {
   if (event->type == KWF_EV_MEMBERS || changes->fresh)
-    origins->n_members = count_members (session);
+    origins->n_members = session_count_members (session);
   for (size_t i = 0; changes->fresh && i < changes->n_rows; i++)
     apply_row (origins, &changes->rows[i], effects);
   if (event->type == KWF_EV_MEMBERS)
--- a/lib/session.c
+++ b/lib/session.c
@@ -499,6 +499,17 @@
   return false;
 }
 
+size_t
+session_count_members (const session_t *session)
+{
+  session_member_t member;
+  size_t at = 0;
+  size_t n = 0;
+  while (session_next_member (session, &at, &member))
+    n++;
+  return n;
+}
+
 int64_t
 session_revision (const session_t *session)
 {
--- a/lib/session.h
+++ b/lib/session.h
@@ -153,6 +153,9 @@
 bool session_next_member (const session_t *session, size_t *at,
                           session_member_t *member);
 
+/* The number of members, this instance included.  */
+size_t session_count_members (const session_t *session);
+
 /* Revision up to which all rows are known; 0 before the first rows.  */
 int64_t session_revision (const session_t *session);
 
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -339,6 +339,19 @@
 
 /* The table.  */
 
+/* Whether the table takes one more transaction.  */
+static bool
+count_write (core_fleet_t *fleet)
+{
+  int64_t second = fleet->now_ns / KWF_NS_PER_S;
+  if (second != fleet->second)
+    fleet->n_writes = 0;
+  fleet->second = second;
+  fleet->n_writes++;
+  fleet->most_writes = MAX (fleet->most_writes, fleet->n_writes);
+  return !fleet->table_rate || fleet->n_writes <= fleet->table_rate;
+}
+
 static void
 commit (core_fleet_instance_t *instance, kwf_handle_t op, const kwf_txn_t *txn)
 {
@@ -348,6 +361,11 @@
   task->reply.outcome = KWF_STORE_UNKNOWN;
   if (fleet->store_down || instance->cut)
     return;
+  if (!count_write (fleet))
+    {
+      task->reply.outcome = KWF_STORE_FAILED;
+      return;
+    }
   int64_t before = fleet->table->revision;
   task->reply = fleet_sim_commit (fleet->table, txn);
   for (size_t i = 0; i < txn->n_puts && fleet->table->revision > before; i++)
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -123,6 +123,11 @@
   bool *wanted;
   heap_t tasks;
   fleet_sim_t *table;
+  int table_rate;   /* transactions that the table takes in a second; it
+                       rejects the others; 0: it takes all */
+  int64_t second;   /* the present one */
+  int n_writes;     /* transactions in it */
+  int most_writes;  /* in any second */
   GArray *requests; /* of core_fleet_request_t */
   GArray *tries;    /* of guint: the request of each handle, from 1 on */
   /* For each service, "desk" and "quiet": times of int64_t at which callers
--- a/test/test_crash_evidence.c
+++ b/test/test_crash_evidence.c
@@ -20,6 +20,11 @@
 #define N_SERVERS 24
 #define MAX_PROCESSES 64 /* of a server */
 #define MAX_TOGETHER 5
+/* A fleet whose table takes this many transactions a second, as a part of the
+   store's does.  */
+#define LARGE_INSTANCES 64
+#define TABLE_RATE 200
+#define LARGE_REQUESTS 200
 #define SETTLED_NS (8 * KWF_NS_PER_S)
 #define CALM_NS (4 * KWF_NS_PER_S)
 #define CONTACT_NS (3 * KWF_NS_PER_S)
@@ -52,6 +57,7 @@
 {
   core_fleet_t *fleet;
   uint64_t bad_part; /* 0: none; the requests of kind BAD have the same body */
+  uint64_t n_new;    /* parts that no other request had; 0: there are none */
   uint64_t together[MAX_TOGETHER]; /* parts that come with it each time */
   size_t n_together;
   request_kind_t next; /* kind of the requests that are sent */
@@ -72,6 +78,8 @@
     request->body = BODY;
   if (world->next == SOUND_OLD)
     request->parts[n++] = OLD_PART;
+  for (uint64_t i = 0; i < world->n_new; i++)
+    request->parts[n++] = 1000 + core_fleet_random (fleet, 1000000000);
   /* One of the parts at least, and the first one most often.  */
   for (size_t i = 0; world->next != SOUND_OLD && i < world->n_together; i++)
     if (world->next == BAD || (!n && i + 1 == world->n_together)
@@ -109,11 +117,9 @@
 }
 
 static world_t *
-world_new (uint64_t seed, int rule_crashes)
+world_new_of (uint64_t seed, int n_instances, int rule_crashes)
 {
   world_t *world = g_new0 (world_t, 1);
-  int n_instances
-      = (int)number_from ("KWF_EVIDENCE_INSTANCES", DEFAULT_INSTANCES);
   world->fleet = core_fleet_new (seed, n_instances, N_SERVERS);
   world->rule_crashes = rule_crashes;
   world->fleet->data = world;
@@ -125,6 +131,13 @@
   return world;
 }
 
+static world_t *
+world_new (uint64_t seed, int rule_crashes)
+{
+  int n = (int)number_from ("KWF_EVIDENCE_INSTANCES", DEFAULT_INSTANCES);
+  return world_new_of (seed, n, rule_crashes);
+}
+
 static void
 world_free (world_t *world)
 {
@@ -426,6 +439,30 @@
   assert_int_equal (failures, 0);
 }
 
+/* Guards against a large fleet whose rows of evidence, after many servers with
+   many parts of prompts ended together, leave the table no room for other
+   rows.  */
+static void
+evidence_floods_the_table (void **state)
+{
+  (void)state;
+  world_t *world = world_new_of (1, LARGE_INSTANCES, PART_CRASHES);
+  core_fleet_t *fleet = world->fleet;
+  fleet->table_rate = TABLE_RATE;
+  fleet->service_ns = 1800 * CORE_FLEET_MS;
+  run_sound (world, SOUND_OLD, 20, fleet->now_ns + CALM_NS);
+  fleet->most_writes = 0;
+  world->n_new = CORE_FLEET_PARTS - 1;
+  send_now (world, SOUND, LARGE_REQUESTS);
+  core_fleet_run (fleet, fleet->now_ns + KWF_NS_PER_S / 2);
+  for (int i = 0; i < N_SERVERS / 2; i++)
+    core_fleet_crash_server (fleet, i, DOWN_NS);
+  core_fleet_run (fleet, fleet->now_ns + 20 * KWF_NS_PER_S);
+  print_message ("%d transactions in a second at most\n", fleet->most_writes);
+  assert_true (fleet->most_writes <= TABLE_RATE);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -436,6 +473,7 @@
     cmocka_unit_test (losses_are_forgotten_by_a_new_fleet),
     cmocka_unit_test (losses_are_forgotten_in_turn),
     cmocka_unit_test (losses_are_not_told_to_a_new_process),
+    cmocka_unit_test (evidence_floods_the_table),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
