--- a/lib/crashstate.h
+++ b/lib/crashstate.h
@@ -143,8 +143,8 @@
 struct crash
 {
   /* Losses after which a fingerprint is quarantined, and whether one that has
-     fewer may run only as a trial.  Without trials nothing is written to the
-     table: losses are only sent to the other instances.  */
+     fewer may run only as a trial.  Without trials the losses are sent to
+     the other instances and kept in rows of evidence.  */
   int limit;
   bool trials;
   const kwf_clock_t *clock;
