Do not hand on requests whose callers left before they were read

What callers saw: work went on for callers that had left (GONE). When the process has stood still, or its loop is late for another reason, connections wait in the kernel with a whole request and its end.

Cause: libmicrohttpd accepts a connection, reads the request and calls the handler in one call; the end of the connection was read from hangup_fd only in the next turn. In the turn that is late, timers and answers of servers came before the ends of connections as well, so that requests which waited were sent after their callers had left; and one read of hangup_fd returned 64 ends at most.

Fix: the caller of a request is looked for before the request is handed on, if its connection or the last look at all ends is newer than what was read or over 100 ms old; ends of connections are read before anything else in a turn, all of them.

--- a/net/operator.c
+++ b/net/operator.c
@@ -235,6 +235,11 @@
   g_string_append (text, "# TYPE kwf_answers_ended_by_close_total counter\n");
   write_by_close (text, "requests", instance->client);
   write_by_close (text, "control", instance->control);
+  g_string_append_printf (text,
+                          "# TYPE kwf_callers_left_unread_total counter\n"
+                          "kwf_callers_left_unread_total %" G_GUINT64_FORMAT
+                          "\n",
+                          server_left_requests (instance->caller_server));
   server_intake_write_metrics (text, instance->intake);
   if (instance->store->ops->write_metrics)
     instance->store->ops->write_metrics (instance->store, text);
--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -72,6 +72,7 @@
   int64_t close_at_ns; /* ending: when it is closed at the latest */
   bool before_request; /* TLS: no request line was read on it */
   bool hung_up;
+  int64_t opened_ns;
   int64_t since_ns; /* when it was opened, the last request line was read or
                        the last answer ended */
   char remote[64];
@@ -94,6 +95,9 @@
   int64_t log_at_ns; /* no line before that */
   int port;
   int hangup_fd; /* epoll set that reports connections that callers closed */
+  int64_t hangups_read_ns; /* when that was last read */
+  uint64_t n_left; /* requests that were not handed on, since their callers had
+                      left before they were read */
   bool run_pending; /* MHD_run is due before the loop waits */
   bool closing;     /* each connection is closed after its next answer */
   bool quiesced;    /* server_quiesce was called: no new connections */
@@ -136,6 +140,12 @@
 /* Its body; release with g_free.  */
 char *server_refusal_body (const char *code, const char *message);
 
+/* Whether the caller has closed the connection.  libmicrohttpd may accept a
+   connection and read a request from it in one call, after the caller has
+   left.  Other connections cannot be looked at here: ending them while
+   libmicrohttpd runs makes it lose requests.  */
+bool server_has_hung_up (server_connection_t *connection);
+
 /* Calls the handler's gone(), at most once, when the caller closed before the
    answer was complete.  */
 void server_report_gone (server_request_state_t *request);
--- a/net/server-request.c
+++ b/net/server-request.c
@@ -343,8 +343,11 @@
     return refuse_body (request);
   if (!request->handler_called)
     {
-      if (request->connection->hung_up)
-        return MHD_NO;
+      if (server_has_hung_up (request->connection))
+        {
+          request->server->n_left++;
+          return MHD_NO;
+        }
       if (!hold_copy (request))
         return server_answer_refused (request);
       call_handler (request);
--- a/net/server.c
+++ b/net/server.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <netdb.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -16,6 +17,12 @@
 
 #include "../lib/logging.h"
 
+/* Ends of connections that one system call returns.  */
+#define HANGUPS_READ 64
+/* The caller of a request that is handed on was there this long ago, or
+   later.  */
+#define HANGUPS_AGE_MAX_NS (100 * KWF_NS_PER_MS)
+
 static int64_t
 now_ns (void)
 {
@@ -104,7 +111,7 @@
   connection->server = server;
   connection->mhd = mhd;
   connection->fd = info->connect_fd;
-  connection->since_ns = now_ns ();
+  connection->since_ns = connection->opened_ns = now_ns ();
   info = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
   const struct sockaddr *address = info->client_addr;
   socklen_t size = address->sa_family == AF_INET6
@@ -218,30 +225,57 @@
   server_schedule_run (watcher->data);
 }
 
+static void
+end_hung_up (server_connection_t *connection)
+{
+  server_request_state_t *request = connection->request;
+  connection->hung_up = true;
+  if (!request || !request->handler_called)
+    server_shutdown_connection (connection);
+  else if (!request->answered && !request->gone)
+    {
+      server_report_gone (request);
+      if (server_ends_by_close (request))
+        server_dissolve_connection (connection);
+      server_shutdown_connection (connection);
+      server_resume (request);
+    }
+}
+
+/* Ends the requests of all callers that have closed their connections.  */
+static void
+read_hangups (server_t *server)
+{
+  struct epoll_event ready[HANGUPS_READ];
+  int n;
+  server->hangups_read_ns = now_ns ();
+  do
+    {
+      n = epoll_wait (server->hangup_fd, ready, HANGUPS_READ, 0);
+      for (int i = 0; i < n; i++)
+        end_hung_up (ready[i].data.ptr);
+    }
+  while (n == HANGUPS_READ);
+}
+
 static void
 on_hangup (struct ev_loop *loop, ev_io *watcher, int events)
 {
   (void)loop;
   (void)events;
-  server_t *server = watcher->data;
-  struct epoll_event ready[64];
-  int n = epoll_wait (server->hangup_fd, ready, 64, 0);
-  for (int i = 0; i < n; i++)
-    {
-      server_connection_t *connection = ready[i].data.ptr;
-      server_request_state_t *request = connection->request;
-      connection->hung_up = true;
-      if (!request || !request->handler_called)
-        server_shutdown_connection (connection);
-      else if (!request->answered && !request->gone)
-        {
-          server_report_gone (request);
-          if (server_ends_by_close (request))
-            server_dissolve_connection (connection);
-          server_shutdown_connection (connection);
-          server_resume (request);
-        }
-    }
+  read_hangups (watcher->data);
+}
+
+bool
+server_has_hung_up (server_connection_t *connection)
+{
+  const server_t *server = connection->server;
+  bool unread = connection->opened_ns >= server->hangups_read_ns
+                || now_ns () - server->hangups_read_ns > HANGUPS_AGE_MAX_NS;
+  struct pollfd state = { .fd = connection->fd, .events = POLLRDHUP };
+  if (unread && poll (&state, 1, 0) > 0)
+    connection->hung_up = true;
+  return connection->hung_up;
 }
 
 /* libmicrohttpd's time-out starts anew with each byte.  This closes
@@ -380,6 +414,8 @@
   ev_idle_init (&server->idle, on_idle);
   server->mhd_io.data = server->hangup_io.data = server->timeout.data
       = server->read_check.data = server->prepare.data = server;
+  /* Before timers and answers of the same turn, which may move a queue on.  */
+  ev_set_priority (&server->hangup_io, EV_MAXPRI);
   ev_io_start (loop, &server->mhd_io);
   ev_io_start (loop, &server->hangup_io);
   ev_timer_start (loop, &server->read_check);
@@ -501,3 +537,9 @@
 {
   return server->n_open;
 }
+
+uint64_t
+server_left_requests (const server_t *server)
+{
+  return server->n_left;
+}
--- a/net/server.h
+++ b/net/server.h
@@ -111,6 +111,10 @@
    completely.  */
 size_t server_open_requests (const server_t *server);
 
+/* Number of requests that were not passed to the handler, because their
+   callers had left before they were read.  */
+uint64_t server_left_requests (const server_t *server);
+
 /* The request of HANDLE; NULL: it is answered or its caller closed.  */
 const server_request_t *server_request (const server_t *server,
                                         kwf_handle_t request);
