Keep fencing tokens of two builds in one order

Cause: the token was the version of the row duty/placement and became its revision, with the era of the store in its upper bits. Where the store counts from 1, or has come back once, the tokens of an older build are lower for good.

Fix: the row holds base_era, from which tokens count; a row of a build that writes none has its own era as the base, so tokens stay bare versions until the store comes back. A refused token makes the base 0, which is how the builds count.

--- a/lib/election.c
+++ b/lib/election.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "op.h"
+#include "revision.h"
 
 /* A leader whose link is down for this long is replaced.  */
 #define LINK_LOST_NS (1500 * KWF_NS_PER_MS)
@@ -46,8 +47,10 @@
   int64_t lease_ns;
   int64_t leader_lease_ns; /* duration of the lease; 0: none is needed */
 
-  int64_t version; /* of the row; 0: absent */
-  char *leader;    /* NULL or "": none */
+  int64_t version;     /* of the row; 0: absent */
+  int64_t base_era;    /* tokens of this era are the versions of the row */
+  int64_t op_base_era; /* in the row that is being written */
+  char *leader;        /* NULL or "": none */
   uint64_t leader_incarnation;
   int64_t vacant_since_ns; /* when a live leader was last known, or the row
                               last changed; candidates wait from then on */
@@ -109,6 +112,16 @@
              : 0;
 }
 
+/* The tokens of builds without eras are the versions of the row.  Where a
+   leader of such a build may come before or after, the row has no base, and
+   that of its own era keeps all tokens in one order.  */
+static int64_t
+token_of (const election_t *election)
+{
+  int64_t era = revision_era (election->version) - election->base_era;
+  return revision_make (MAX (era, 0), revision_version (election->version));
+}
+
 int64_t
 election_token (const election_t *election)
 {
@@ -116,7 +129,7 @@
   return election->is_leader && !election->token_refused && !election->stopping
                  && now_ns >= election->act_ns
                  && now_ns < election_lease_end_ns (election)
-             ? election->version
+             ? token_of (election)
              : 0;
 }
 
@@ -167,7 +180,7 @@
       election->is_leader
           ? "this instance is the leader for %s, token %" PRId64
           : "this instance is not the leader for %s any more, token %" PRId64,
-      election->key, version);
+      election->key, token_of (election));
 }
 
 static void
@@ -180,6 +193,11 @@
       = json_string_value (json_object_get (object, "instance"));
   json_int_t incarnation
       = json_integer_value (json_object_get (object, "incarnation"));
+  const json_t *base = json_object_get (object, "base_era");
+  if (row->value)
+    election->base_era = json_is_integer (base)
+                             ? (int64_t)json_integer_value (base)
+                             : revision_era (row->version);
   set_leader (election, row->version, leader, (uint64_t)incarnation, effects);
   json_decref (object);
 }
@@ -188,8 +206,10 @@
 static void
 write_row (election_t *election, const char *leader, kwf_effects_t *effects)
 {
-  json_t *object = json_pack ("{s:s,s:I}", "instance", leader, "incarnation",
-                              (json_int_t)election->incarnation);
+  json_t *object = json_pack ("{s:s,s:I,s:I}", "instance", leader,
+                              "incarnation", (json_int_t)election->incarnation,
+                              "base_era", election->base_era);
+  election->op_base_era = election->base_era;
   char *text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   kwf_condition_t *condition = kwf_effects_alloc (effects, sizeof *condition);
@@ -218,6 +238,7 @@
   election->next_write_ns = kwf_now_ns (election->clock) + RETRY_NS;
   if (reply->outcome == KWF_STORE_COMMITTED)
     {
+      election->base_era = election->op_base_era;
       set_leader (election, reply->revision,
                   election->op_resigns ? "" : election->instance,
                   election->incarnation, effects);
@@ -265,7 +286,7 @@
     kwf_effects_log (
         effects, 367, KWF_LOG_INFO, NULL,
         "the table confirms the lease for %s again, token %" PRId64,
-        election->key, election->version);
+        election->key, token_of (election));
   election->expiry_sent_ns = 0;
 }
 
@@ -282,7 +303,7 @@
     kwf_effects_log (effects, 366, KWF_LOG_WARNING, NULL,
                      "no renewal of the lease for %s, token %" PRId64
                      ", for %" PRId64 " ms; no orders",
-                     election->key, election->version,
+                     election->key, token_of (election),
                      (now_ns - election->confirmed_ns) / KWF_NS_PER_MS);
   election->expiry_sent_ns = now_ns;
   session_member_t member;
@@ -325,7 +346,9 @@
   election->token_refused = true;
   kwf_effects_log (effects, 361, KWF_LOG_WARNING, NULL,
                    "%s: a server has seen a higher token than %" PRId64,
-                   election->key, election->version);
+                   election->key, token_of (election));
+  /* A leader of a build whose tokens name the era itself came before.  */
+  election->base_era = 0;
 }
 
 void
@@ -400,7 +423,8 @@
 handle_leadership_expired (election_t *election, const kwf_peer_event_t *peer)
 {
   if (peer->message->type == KWF_MSG_LEADERSHIP_EXPIRED
-      && peer->message->leadership_expired == election->version
+      && revision_version (peer->message->leadership_expired)
+             == revision_version (election->version)
       && g_strcmp0 (peer->instance, election->leader) == 0)
     election->leader_expired = true;
 }
@@ -427,6 +451,8 @@
   election->deadline_ns = INT64_MAX;
   if (election->stopping || !session_revision (session))
     return;
+  if (!election->version && !election->op)
+    election->base_era = revision_era (session_revision (session));
   /* In a small fleet all instances are hubs.  This one became the leader then
      and isn't a hub of the larger fleet: resign.  */
   if (election->is_leader && !election->op
--- a/test/test_election.c
+++ b/test/test_election.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "common-core.h"
+#include "lib/revision.h"
 
 #define B_JOINS                                                               \
   "{\"incarnation\":1,\"counter\":1,\"peer_address\":\"127.0.0.1:9\"}"
@@ -139,6 +140,46 @@
   assert_true (!next || next->fence > token);
 }
 
+/* Guards against orders that are refused for good after an upgrade, or after
+   one that is taken back, where the store names an era: the tokens of builds
+   without eras are the versions of the row.  */
+static void
+tokens_of_two_builds_are_not_in_order (void **state)
+{
+  core_world_t *world = *state;
+  world->revision = revision_make (1, world->revision + 9);
+  core_world_row (world, "duty/placement", OTHER_LEADS);
+  int64_t token = revision_version (world->revision);
+  const kwf_order_t *order = advance_until_order (world, 10000);
+  assert_non_null (order);
+  assert_true (order->fence > token);
+  assert_true (order->fence <= revision_version (world->revision));
+  /* A leader of a build with eras came before.  */
+  token = order->fence;
+  answer_order (world, order, 412, "stale_fence");
+  order = advance_until_order (world, 10000);
+  assert_non_null (order);
+  assert_true (order->fence > revision_make (1, token));
+}
+
+/* Guards against tokens that go back when the store comes back from an older
+   copy.  */
+static void
+tokens_go_back_with_the_store (void **state)
+{
+  core_world_t *world = *state;
+  world->revision = revision_make (1, world->revision + 9);
+  core_world_row (world, "duty/placement",
+                  "{\"instance\":\"b\",\"incarnation\":1,\"base_era\":1}");
+  int64_t before = revision_version (world->revision);
+  world->revision = revision_make (2, before - 5);
+  core_world_row (world, "duty/placement",
+                  "{\"instance\":\"b\",\"incarnation\":1,\"base_era\":1}");
+  const kwf_order_t *order = advance_until_order (world, 10000);
+  assert_non_null (order);
+  assert_true (order->fence > before);
+}
+
 /* Whether this instance notified "b" in the last step that its lease
    expired.  */
 static bool
@@ -258,6 +299,12 @@
     cmocka_unit_test_setup_teardown (successor_waits_for_late_orders,
                                      core_world_setup_servers,
                                      core_world_teardown),
+    cmocka_unit_test_setup_teardown (tokens_of_two_builds_are_not_in_order,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
+    cmocka_unit_test_setup_teardown (tokens_go_back_with_the_store,
+                                     core_world_setup_servers,
+                                     core_world_teardown),
     cmocka_unit_test_setup_teardown (refused_token_ends_the_orders,
                                      core_world_setup_servers,
                                      core_world_teardown),
