Configure after the packages are there, and again if that was cut off

What builders saw: `make -j5` on a clean machine fails, because the configure step runs beside the install of packages, and the next `make` fails with "No rule to make target": the cache file alone counted as configured.

The configure step now depends on the packages, and on the Makefile, which is the last file that cmake writes.

--- a/Makefile
+++ b/Makefile
@@ -12,17 +12,18 @@
 packages:
 	@sh .ci/packages
 
-$(BUILD)/CMakeCache.txt:
+# The Makefile is the last file that the configuration writes.
+$(BUILD)/Makefile: | packages
 	@cmake -S . -B $(BUILD) > /dev/null
 
-build: packages $(BUILD)/CMakeCache.txt
+build: packages $(BUILD)/Makefile
 	@cmake --build $(BUILD) -j $(JOBS) -- --no-print-directory -s > $(BUILD)/build.log || { cat $(BUILD)/build.log; exit 1; }
 
-build/asan/CMakeCache.txt:
+build/asan/Makefile: | packages
 	@cmake -S . -B build/asan -DSANITIZE=ON -DCMAKE_BUILD_TYPE=Debug \
 	  > /dev/null
 
-asan: packages build/asan/CMakeCache.txt
+asan: packages build/asan/Makefile
 	@cmake --build build/asan -j $(JOBS) -- --no-print-directory -s > build/asan/build.log || { cat build/asan/build.log; exit 1; }
 
 format:
