--- a/test/soak-instance.c
+++ b/test/soak-instance.c
@@ -40,6 +40,16 @@
   g_free (text);
 }
 
+/* The daemon that INSTANCE starts: with KWF_OLD_DAEMON, which names that of an
+   earlier build, each start draws one of the two.  */
+static const char *
+daemon_of (const soak_t *soak, const instance_t *instance)
+{
+  const char *old = g_getenv ("KWF_OLD_DAEMON");
+  bool draws_old = soak_hash (soak, instance->id, instance->incarnation) & 1;
+  return old && draws_old ? old : "knapweedforkd";
+}
+
 static void
 start (const soak_t *soak, instance_t *instance)
 {
@@ -51,8 +61,8 @@
                                    instance->id, instance->incarnation);
   write_settings (soak, instance, settings);
   const char *args[] = { "--config", settings, NULL };
-  if (!process_spawn_logged (&instance->process, "knapweedforkd", args,
-                             instance->log))
+  if (!process_spawn_logged (&instance->process, daemon_of (soak, instance),
+                             args, instance->log))
     g_error ("cannot start an instance");
   instance->is_up = false;
   instance->is_frozen = false;
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -243,6 +243,10 @@
   g_free (n);
 }
 
+/* From this seed on, requests that reach a server after their callers have
+   left count after a freeze of their instance as well.  */
+#define FROZEN_SEED 400000
+
 /* Servers that work on for a caller that has left.  */
 static void
 judge_gone (soak_t *soak, const GList *requests)
@@ -252,14 +256,15 @@
   for (; requests; requests = requests->next)
     {
       const request_t *request = requests->data;
-      if (request->end != END_LEFT || !request->calm || !request->ended_calm)
+      bool calm = request->calm && request->ended_calm;
+      if (request->end != END_LEFT || (!calm && soak->seed < FROZEN_SEED))
         continue;
       int64_t late_ns = request->ended_ns + GONE_MS * KWF_NS_PER_MS;
       for (guint i = 0; i < request->runs->len; i++)
         {
           const run_t *run = request->runs->pdata[i];
           n_arrived += run->began_ns > late_ns && !run->disturbed;
-          if (!may_repeat (request) || run->disturbed || run->refused
+          if (!calm || !may_repeat (request) || run->disturbed || run->refused
               || run->due_ns <= late_ns)
             continue;
           soak->n_left++;
