Send no request in a held-up turn whose caller left meanwhile

Cause: which callers have left is known as of the begin of a turn.

Fix: the turn's begin is noted; later than 100 ms after it, an attempt is started only after a look at its caller's connection. In a turn that is in time nothing is looked at, except connections that were accepted in it.

Evidence: slow_turn_sends_on_after_its_caller_left fails with that look taken out (a limit of 100 s instead of 100 ms), and passes with it.

--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -94,8 +94,8 @@
   size_t n_unlogged; /* refused since the last line of the log */
   int64_t log_at_ns; /* no line before that */
   int port;
-  int hangup_fd; /* epoll set that reports connections that callers closed */
-  int64_t hangups_read_ns; /* when that was last read */
+  int hangup_fd;   /* epoll set that reports connections that callers closed */
+  int64_t turn_ns; /* when the turn of the loop began */
   uint64_t n_left; /* requests that were not handed on, since their callers had
                       left before they were read */
   bool run_pending; /* MHD_run is due before the loop waits */
@@ -109,6 +109,7 @@
                           slowly */
   ev_timer linger;     /* active while refused connections are open */
   ev_prepare prepare;
+  ev_check turn;
   ev_idle idle; /* active while run_pending, so that the loop does not wait */
 };
 
@@ -140,10 +141,11 @@
 /* Its body; release with g_free.  */
 char *server_refusal_body (const char *code, const char *message);
 
-/* Whether the caller has closed the connection.  libmicrohttpd may accept a
-   connection and read a request from it in one call, after the caller has
-   left.  Other connections cannot be looked at here: ending them while
-   libmicrohttpd runs makes it lose requests.  */
+/* Whether the caller has closed the connection, also if that was not read yet:
+   libmicrohttpd may accept a connection and read a request from it in one
+   call, and a turn of the loop may be held up.  Other connections cannot be
+   looked at here: ending them while libmicrohttpd runs makes it lose requests.
+ */
 bool server_has_hung_up (server_connection_t *connection);
 
 /* Calls the handler's gone(), at most once, when the caller closed before the
--- a/net/server.c
+++ b/net/server.c
@@ -19,9 +19,8 @@
 
 /* Ends of connections that one system call returns.  */
 #define HANGUPS_READ 64
-/* The caller of a request that is handed on was there this long ago, or
-   later.  */
-#define HANGUPS_AGE_MAX_NS (100 * KWF_NS_PER_MS)
+/* Later in a turn it is not known any more which callers have left.  */
+#define TURN_KNOWN_NS (100 * KWF_NS_PER_MS)
 
 static int64_t
 now_ns (void)
@@ -248,7 +247,6 @@
 {
   struct epoll_event ready[HANGUPS_READ];
   int n;
-  server->hangups_read_ns = now_ns ();
   do
     {
       n = epoll_wait (server->hangup_fd, ready, HANGUPS_READ, 0);
@@ -266,18 +264,37 @@
   read_hangups (watcher->data);
 }
 
+/* Before the other watchers of a turn, which reads all ends of connections
+   that the kernel knew when it began.  */
+static void
+on_turn (struct ev_loop *loop, ev_check *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  server_t *server = watcher->data;
+  server->turn_ns = now_ns ();
+}
+
 bool
 server_has_hung_up (server_connection_t *connection)
 {
-  const server_t *server = connection->server;
-  bool unread = connection->opened_ns >= server->hangups_read_ns
-                || now_ns () - server->hangups_read_ns > HANGUPS_AGE_MAX_NS;
+  int64_t turn_ns = connection->server->turn_ns;
+  bool known = connection->opened_ns < turn_ns
+               && now_ns () - turn_ns <= TURN_KNOWN_NS;
   struct pollfd state = { .fd = connection->fd, .events = POLLRDHUP };
-  if (unread && poll (&state, 1, 0) > 0)
+  if (!connection->hung_up && !known && poll (&state, 1, 0) > 0)
     connection->hung_up = true;
   return connection->hung_up;
 }
 
+bool
+server_caller_left (const server_t *server, kwf_handle_t handle)
+{
+  const server_request_state_t *request
+      = kwf_slots_get (server->requests, handle);
+  return !request || request->gone || server_has_hung_up (request->connection);
+}
+
 /* libmicrohttpd's time-out starts anew with each byte.  This closes
    connections on which the next request line, or the rest of a request after
    it, has not been read for more than twice idle_s, so that callers that send
@@ -411,9 +428,11 @@
   ev_timer_init (&server->read_check, on_read_check, read_check_s,
                  read_check_s);
   ev_prepare_init (&server->prepare, on_prepare);
+  ev_check_init (&server->turn, on_turn);
   ev_idle_init (&server->idle, on_idle);
   server->mhd_io.data = server->hangup_io.data = server->timeout.data
-      = server->read_check.data = server->prepare.data = server;
+      = server->read_check.data = server->prepare.data = server->turn.data
+      = server;
   /* Before timers and answers of the same turn, which may move a queue on.  */
   ev_set_priority (&server->hangup_io, EV_MAXPRI);
   ev_io_start (loop, &server->mhd_io);
@@ -421,6 +440,8 @@
   ev_timer_start (loop, &server->read_check);
   server_intake_start (server);
   ev_prepare_start (loop, &server->prepare);
+  ev_set_priority (&server->turn, EV_MAXPRI);
+  ev_check_start (loop, &server->turn);
 }
 
 server_t *
@@ -520,6 +541,7 @@
   ev_timer_stop (server->loop, &server->read_check);
   server_intake_stop (server);
   ev_prepare_stop (server->loop, &server->prepare);
+  ev_check_stop (server->loop, &server->turn);
   ev_idle_stop (server->loop, &server->idle);
   close (server->hangup_fd);
   kwf_slots_free (server->requests);
--- a/net/server.h
+++ b/net/server.h
@@ -115,6 +115,10 @@
    callers had left before they were read.  */
 uint64_t server_left_requests (const server_t *server);
 
+/* Whether the caller of REQUEST has left; gone() may not have been called
+   yet.  */
+bool server_caller_left (const server_t *server, kwf_handle_t request);
+
 /* The request of HANDLE; NULL: it is answered or its caller closed.  */
 const server_request_t *server_request (const server_t *server,
                                         kwf_handle_t request);
--- a/net/transfer.c
+++ b/net/transfer.c
@@ -283,7 +283,9 @@
       = g_hash_table_lookup (instance->requests, &start->request);
   const server_request_t *request
       = server_request (instance->caller_server, start->request);
-  if (!caller_request || !request)
+  /* The attempt ends with the event of a caller that has left.  */
+  if (!caller_request || !request
+      || server_caller_left (instance->caller_server, start->request))
     return;
   transfer_t *transfer = new_transfer (instance, start);
   caller_request->attempts++;
--- a/test/test_left_callers.c
+++ b/test/test_left_callers.c
@@ -12,6 +12,7 @@
 
 #include "common-daemon.h"
 #include "common-listener.h"
+#include "net/server.h"
 
 #define START_S 12.0
 /* The daemon stands still for this time; callers leave early in it.  */
@@ -22,6 +23,8 @@
 /* More than one system call returns.  */
 #define N_LEAVE 100
 #define N_STAY 20
+#define SLOW_TURN_MS 150
+#define CALL_S 5.0
 /* The limit that the server names, and requests that wait for it.  */
 #define LIMIT "2"
 #define N_WAIT 12
@@ -169,6 +172,75 @@
   assert_int_equal (fixture->n_left, before);
 }
 
+typedef struct
+{
+  int fd; /* of the caller */
+  server_t *server;
+  kwf_handle_t request;
+  bool left; /* as seen in the turn in which the caller leaves */
+  int n_gone;
+  int n_requests;
+} held_t;
+
+static void
+on_held_request (server_t *server, const server_request_t *request, void *data)
+{
+  held_t *held = data;
+  held->n_requests++;
+  held->request = request->handle;
+  assert_false (server_caller_left (server, request->handle));
+}
+
+static void
+on_held_gone (server_t *server, kwf_handle_t request, void *data)
+{
+  (void)server;
+  held_t *held = data;
+  held->n_gone += request == held->request;
+}
+
+/* A turn in which the caller leaves, and that is held up.  */
+static void
+on_slow_turn (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  held_t *held = timer->data;
+  close (held->fd);
+  pause_ms (SLOW_TURN_MS);
+  held->left = server_caller_left (held->server, held->request);
+}
+
+/* Guards against a request that is sent on in a turn of the loop which was
+   held up, while its caller left.  */
+static void
+slow_turn_sends_on_after_its_caller_left (void **state)
+{
+  (void)state;
+  static const server_handler_t handler
+      = { .request = on_held_request, .gone = on_held_gone };
+  held_t held = { 0 };
+  kwf_error_t error;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  held.server
+      = server_start (loop, &(server_options_t){ .address = "127.0.0.1:0" },
+                      &handler, &held, &error);
+  assert_non_null (held.server);
+  char address[32];
+  g_snprintf (address, sizeof address, "127.0.0.1:%d",
+              server_port (held.server));
+  held.fd = raw_send (address, CALL ("held"));
+  assert_true (run_until (loop, &held.n_requests, 1, CALL_S));
+  ev_timer timer;
+  ev_timer_init (&timer, on_slow_turn, 0.01, 0.);
+  timer.data = &held;
+  ev_timer_start (loop, &timer);
+  assert_true (run_until (loop, &held.n_gone, 1, CALL_S));
+  assert_true (held.left);
+  server_stop (held.server);
+  ev_loop_destroy (loop);
+}
+
 #define TEST(name) cmocka_unit_test_setup_teardown (name, set_up, tear_down)
 
 int
@@ -177,6 +249,7 @@
   const struct CMUnitTest tests[] = {
     TEST (requests_are_sent_on_after_their_callers_left),
     TEST (waiting_requests_are_sent_on_after_their_callers_left),
+    cmocka_unit_test (slow_turn_sends_on_after_its_caller_left),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
