--- a/lib/election.c
+++ b/lib/election.c
@@ -112,9 +112,9 @@
              : 0;
 }
 
-/* The tokens of builds without eras are the versions of the row.  Where a
-   leader of such a build may come before or after, the row has no base, and
-   that of its own era keeps all tokens in one order.  */
+/* Builds without eras use the version of the row as the token, so the era of a
+   row that such a build wrote becomes the base: then its tokens and those of
+   this build are in one order.  */
 static int64_t
 token_of (const election_t *election)
 {
