Ask peers that are behind for the form of their messages

Cause: the question was for rows after the newest one that is known here. A peer that is sent versions polls for itself, and may be 5 s behind, so it did not answer; until it did, it was sent versions, which it ignores.

Fix: the second question, and each fourth after it, is for all rows of the era.

--- a/net/message-form.c
+++ b/net/message-form.c
@@ -80,10 +80,3 @@
   *fields.rows = (const kwf_row_t *)(void *)rows->data;
   return rows;
 }
-
-void
-message_ask_form (kwf_message_t *message, int64_t revision)
-{
-  *message = (kwf_message_t){ .type = KWF_MSG_STATE_REQUEST,
-                              .state_after = revision - 1 };
-}
--- a/net/message-form.h
+++ b/net/message-form.h
@@ -27,9 +27,4 @@
    rows.  */
 GArray *message_to_versions (kwf_message_t *message);
 
-/* Sets MESSAGE to a question that a peer answers only if it reads revisions
-   and knows the rows up to REVISION: its own revisions are higher than the
-   number in the question, versions are not.  */
-void message_ask_form (kwf_message_t *message, int64_t revision);
-
 #endif
--- a/net/peer-form.c
+++ b/net/peer-form.c
@@ -6,9 +6,12 @@
 #include "../lib/logging.h"
 #include "../lib/revision.h"
 
-/* A peer whose form is not known is asked with one turn of PING in so many:
-   it answers only when it knows all rows that are known here.  */
+/* A peer whose form is not known is asked with one turn of PING in so many.
+   It answers only if it knows a row after the one in the question.  The first
+   question brings few rows; one in ASK_ALL brings all of the era, as a peer
+   that gets no changes may be seconds behind.  */
 #define ASK_PINGS 4
+#define ASK_ALL 4
 
 kwf_status_t
 link_send (link_t *link, const kwf_message_t *message)
@@ -46,8 +49,11 @@
   int64_t revision = peers->handler->revision (peers->data);
   if (!revision_era (revision))
     return;
-  kwf_message_t question;
-  message_ask_form (&question, revision);
+  int64_t after = link->n_questions++ % ASK_ALL == 1
+                      ? revision_make (revision_era (revision), 0)
+                      : revision - 1;
+  kwf_message_t question
+      = { .type = KWF_MSG_STATE_REQUEST, .state_after = after };
   link_send_frame (link, &question);
 }
 
--- a/net/peer-internal.h
+++ b/net/peer-internal.h
@@ -51,6 +51,7 @@
   bool reads_revisions; /* the other side said so, or sent one */
   bool form_logged;     /* that it does not was logged */
   unsigned n_pings;     /* turns of PING */
+  unsigned n_questions; /* for the form of the other side */
   kwf_error_t cause;    /* for the report when it is closed; KWF_OK: nothing to
                            report */
 } link_t;
@@ -116,9 +117,10 @@
 kwf_status_t link_send_frame (link_t *link, const kwf_message_t *message);
 kwf_status_t link_send (link_t *link, const kwf_message_t *message);
 
-/* peer-form.c: tells the other side what this one reads, asks it for the same
-   unless that is known, and notes what MESSAGE shows of it.  The last returns
-   whether MESSAGE is for nothing else.  */
+/* peer-form.c: tells the other side what this one reads; asks it for the same
+   unless that is known, by a question for rows after a revision, which only a
+   peer that knows revisions has; and notes what MESSAGE shows of it.  The last
+   returns whether MESSAGE is for nothing else.  */
 void link_send_form (link_t *link);
 void link_ask_form (link_t *link);
 bool link_note_form (link_t *link, const kwf_message_t *message);
