Bound the reads of the ends of connections

What callers would see: the process hangs once 64 or more callers leave at the same moment.

Cause: read_hangups went on until less than 64 ends were there.

Fix: at most one read for each 64 open connections, which returns each once.

--- a/net/server-internal.h
+++ b/net/server-internal.h
@@ -143,9 +143,7 @@
 
 /* Whether the caller has closed the connection, also if that was not read yet:
    libmicrohttpd may accept a connection and read a request from it in one
-   call, and a turn of the loop may be held up.  Other connections cannot be
-   looked at here: ending them while libmicrohttpd runs makes it lose requests.
- */
+   call, and a turn of the loop may be held up.  */
 bool server_has_hung_up (server_connection_t *connection);
 
 /* Calls the handler's gone(), at most once, when the caller closed before the
--- a/net/server.c
+++ b/net/server.c
@@ -241,11 +241,14 @@
     }
 }
 
-/* Ends the requests of all callers that have closed their connections.  */
+/* Ends the requests of all callers that have closed their connections.  The
+   shutdown of a connection reports it once more, so the number of reads is
+   bounded.  */
 static void
 read_hangups (server_t *server)
 {
   struct epoll_event ready[HANGUPS_READ];
+  size_t reads = server->n_connections / HANGUPS_READ + 1;
   int n;
   do
     {
@@ -253,7 +256,7 @@
       for (int i = 0; i < n; i++)
         end_hung_up (ready[i].data.ptr);
     }
-  while (n == HANGUPS_READ);
+  while (n == HANGUPS_READ && --reads);
 }
 
 static void
--- a/test/test_left_callers.c
+++ b/test/test_left_callers.c
@@ -23,6 +23,7 @@
 /* More than one system call returns.  */
 #define N_LEAVE 100
 #define N_STAY 20
+#define N_CROWD 300
 #define SLOW_TURN_MS 150
 #define CALL_S 5.0
 /* The limit that the server names, and requests that wait for it.  */
@@ -172,6 +173,26 @@
   assert_int_equal (fixture->n_left, before);
 }
 
+/* Guards against a loop that reads the ends of connections for good, because
+   it reports each of them again when it shuts the connection down.  */
+static void
+many_callers_that_leave_at_once_stop_the_loop (void **state)
+{
+  fixture_t *fixture = *state;
+  int crowd[N_CROWD];
+  raw_answer_t last;
+  for (int i = 0; i < N_CROWD; i++)
+    crowd[i] = raw_send (fixture->daemon.process.address, "GET /r/x HTT");
+  run_for (fixture->loop, LEAVE_S);
+  process_signal (&fixture->daemon.process, SIGSTOP);
+  close_all (crowd, N_CROWD);
+  process_signal (&fixture->daemon.process, SIGCONT);
+  raw_call (fixture->loop, fixture->daemon.process.address, CALL ("stay"),
+            "ok", CALL_S, &last);
+  assert_int_equal (raw_answer_status (&last), 200);
+  raw_answer_clear (&last);
+}
+
 typedef struct
 {
   int fd; /* of the caller */
@@ -249,6 +270,7 @@
   const struct CMUnitTest tests[] = {
     TEST (requests_are_sent_on_after_their_callers_left),
     TEST (waiting_requests_are_sent_on_after_their_callers_left),
+    TEST (many_callers_that_leave_at_once_stop_the_loop),
     cmocka_unit_test (slow_turn_sends_on_after_its_caller_left),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
