--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -29,6 +29,10 @@
             ("front-mandeville-1", "mandeville"),
             ("front-mandeville-2", "mandeville"),
             ("front-spanish-town-1", "spanish-town")]
+# Those of its spare machines that add_nodes adds (share 0.75).
+ADDED = [("front-kingston-a-4", "kingston-a"),
+         ("front-kingston-b-3", "kingston-b"),
+         ("front-mandeville-3", "mandeville")]
 ZONES = ["kingston-a", "kingston-b", "spanish-town", "mandeville"]
 # Time from the start of the machines to that of the traffic.
 LEAD_S = 10
@@ -46,11 +50,17 @@
 BEAT_S = 1.2
 
 
+given_ports = set()
+
+
 def free_port():
     """A port of 127.0.0.1 at which nothing listens, below those that the
-    system gives to outgoing connections."""
+    system gives to outgoing connections; another one at each call."""
     while True:
         port = random.randint(10000, 32000)
+        if port in given_ports:
+            continue
+        given_ports.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
@@ -446,6 +456,7 @@
         self.born = int(time.time() * 1000)
         self.seq = 0
         self.writers = set()
+        self.more = []    # headers of its answers
         self.ran = []     # (time, organisation, request id)
 
     async def run(self, headers, body):
@@ -498,7 +509,8 @@
                     return
                 writer.write(answer(200, result,
                                     [("X-Request-Id", request),
-                                     ("X-Server-Stamp", "stamp." + request)]))
+                                     ("X-Server-Stamp", "stamp." + request)]
+                                    + self.more))
             await writer.drain()
 
 
@@ -705,3 +717,9 @@
     """The daemons of all machines, not started yet."""
     return [Daemon(name, zone, folder, store.address)
             for name, zone in MACHINES]
+
+
+async def make_larger_fleet(folder, store):
+    """The same with those that are added."""
+    return await make_fleet(folder, store) + [
+        Daemon(name, zone, folder, store.address) for name, zone in ADDED]
