--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -48,6 +48,8 @@
               "spanish-town": "jm-central", "mandeville": "jm-central"},
 }
 BEAT_S = 1.2
+# An entry goes after three intervals of silence.
+SILENT_S = 3 * BEAT_S
 
 
 given_ports = set()
@@ -163,6 +165,7 @@
         self.era = 0      # 0: its answers name none
         self.away = False
         self.kept = None
+        self.heard = {}   # when a server wrote its entry last
         self.changed = asyncio.Condition()
 
     def copy(self):
@@ -176,6 +179,8 @@
         self.kept = None
         self.era += 1
         self.away = False
+        self.heard = {name: time.monotonic() for name in self.rows
+                      if name[0] == "servers"}
         async with self.changed:
             self.changed.notify_all()
 
@@ -195,6 +200,8 @@
         self.version += 1
         text = base64.b64encode(json.dumps(value).encode()).decode()
         self.rows[table, "", key] = [text, self.version, False]
+        if table == "servers":
+            self.heard[table, "", key] = time.monotonic()
         async with self.changed:
             self.changed.notify_all()
 
@@ -204,6 +211,17 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def expire(self):
+        """Removes the entries of servers that were silent for too long."""
+        while True:
+            await asyncio.sleep(0.1)
+            for name, at in list(self.heard.items()):
+                if self.away or time.monotonic() - at < SILENT_S:
+                    continue
+                del self.heard[name]
+                if self.live(name):
+                    await self.remove(name[0], name[2])
+
     async def transact(self, call):
         names = [((row["table"], row.get("part", ""), row["key"]),
                   row.get("ver", 0)) for row in call.get("expected", [])]
@@ -698,6 +716,7 @@
     result = COULD_NOT_RUN
     with tempfile.TemporaryDirectory(prefix="kwf-review-") as folder:
         store = await Store().listen()
+        asyncio.ensure_future(store.expire())
         daemons = await prepare(folder, store)
         try:
             result = await asyncio.wait_for(play(store, daemons), LIMIT_S)
