Let streams go on at the only version once it is shown to be the only one

Cause: a stream without a record went on at the only version of the list of servers, however old that list was. The list says what was there when it was read; the stream may have begun later, elsewhere. The same held for services whose servers name no version, and for records that had not come because the own table was not read.

Why this works: lib/currency shows that this instance knows what any instance knew when the request arrived: by an answer of the store that is later, or by the word of all hubs that they know no more, or of more than half while the store fails here. Otherwise the request is refused after 500 ms at most, at once if nobody can be asked.

--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -38,6 +38,8 @@
   KWF_FX_ORDER,          /* send an order to an engine; KWF_EV_ORDER_REPLY
                             follows */
   KWF_FX_LOG,            /* write a numbered log event */
+  KWF_FX_REFRESH,        /* read at once what is new in the tables of
+                            kwf_table_t; KWF_EV_TABLE_DATE follows for each */
   KWF_FX_EXIT            /* all requests have ended: stop the event loop */
 } kwf_effect_type_t;
 
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -37,7 +37,9 @@
   KWF_EV_ROWS,           /* changed table rows that no transaction asked for */
   KWF_EV_OPERATOR,       /* command on the operator port */
   KWF_EV_STOP,           /* SIGTERM or SIGINT */
-  KWF_EV_EVACUATIONS     /* data centres that the operator evacuates */
+  KWF_EV_EVACUATIONS,    /* data centres that the operator evacuates */
+  KWF_EV_TABLE_DATE      /* how current a table is here; also the result of
+                            KWF_FX_REFRESH */
 } kwf_event_type_t;
 
 typedef enum
@@ -225,6 +227,26 @@
   size_t n;
 } kwf_evacuations_event_t;
 
+/* Tables of the platform whose date is told.  */
+typedef enum
+{
+  KWF_TABLE_SERVERS, /* list of backend servers */
+  KWF_TABLE_OWN,     /* the fleet's own table */
+  KWF_N_TABLES
+} kwf_table_t;
+
+/* The rows of TABLE that earlier events delivered were its newest at
+   CURRENT_NS, by the core's clock, or later.  */
+typedef struct
+{
+  kwf_table_t table;
+  int64_t current_ns; /* valid if the rows are dated; INT64_MIN: they are
+                         not */
+  int64_t revision;   /* up to which they are known */
+  bool failed;        /* the last call of this instance got no answer */
+  bool behind;        /* another instance knows newer rows */
+} kwf_table_date_event_t;
+
 /* Load report of a backend server, or the failure to read one.  */
 typedef struct
 {
@@ -350,6 +372,7 @@
     kwf_config_event_t config;
     kwf_rows_event_t rows;
     kwf_evacuations_event_t evacuations;
+    kwf_table_date_event_t date;
     kwf_operator_event_t operator_;
     kwf_order_event_t order;
     kwf_notice_event_t notice;
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -42,7 +42,10 @@
   KWF_MSG_SERVER_LIMIT,   /* a backend server names a limit, or no more */
   KWF_MSG_PERMIT_ASK,     /* to the owner of a limit: permits wanted */
   KWF_MSG_PERMIT_GRANT,   /* reply: permits granted */
-  KWF_MSG_FORM            /* the first on a link: what the sender reads */
+  KWF_MSG_FORM,           /* the first on a link: what the sender reads */
+  KWF_MSG_TABLES_QUERY,   /* asks up to where the receiver knows the platform's
+                             tables */
+  KWF_MSG_TABLES_REPLY    /* reply to that */
 } kwf_message_type_t;
 
 /* RENEW: the sender's session row, which a peer is asked to write.  */
@@ -241,6 +244,15 @@
   int64_t started;    /* 1: the ramp-up of the server is over; 0: not said */
 } kwf_permit_grant_t;
 
+/* TABLES_QUERY has the number only.  */
+typedef struct
+{
+  int64_t number;  /* of the question; the reply repeats it */
+  int64_t servers; /* revision up to which the list of backend servers is
+                      known */
+  int64_t own;     /* the same of the fleet's own table */
+} kwf_tables_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -270,7 +282,8 @@
     kwf_server_limit_t server_limit;
     kwf_permit_ask_t permit_ask;
     kwf_permit_grant_t permit_grant;
-    int64_t form; /* message_form_t of net/message-form.h */
+    kwf_tables_t tables; /* TABLES_QUERY and TABLES_REPLY */
+    int64_t form;        /* message_form_t of net/message-form.h */
   };
 } kwf_message_t;
 
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -13,6 +13,7 @@
 #include "claim.h"
 #include "config.h"
 #include "crash.h"
+#include "currency.h"
 #include "demand.h"
 #include "duration.h"
 #include "evacuation/evacuation.h"
@@ -139,6 +140,7 @@
   int64_t homeless_version;
   crash_t *crash;
   origins_t *origins;
+  currency_t *currency;
   demand_t *demand;
   placement_t *placement;
   metrics_t *metrics;
--- a/lib/core.c
+++ b/lib/core.c
@@ -40,6 +40,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   core->crash = crash_new (own);
   core->origins = origins_new (own);
+  core->currency = currency_new (own);
   core->demand = demand_new (own->clock);
   core->placement
       = placement_new (own, &(placement_sources_t){ .session = core->session,
@@ -82,6 +83,7 @@
   retry_budget_free (core->retries);
   placement_free (core->placement);
   demand_free (core->demand);
+  currency_free (core->currency);
   origins_free (core->origins);
   crash_free (core->crash);
   evacuation_free (core->evacuation);
@@ -253,6 +255,7 @@
   claims_step (core->claims, core->session, event, effects);
   crash_step (core->crash, core->session, event, &changes, effects);
   origins_step (core->origins, core->session, event, &changes, effects);
+  currency_step (core->currency, core->session, event, effects);
   step_backend (core, event, effects);
   placement_step (core->placement, event, &changes, effects);
   if (core->loads)
--- a/lib/fanout.c
+++ b/lib/fanout.c
@@ -160,13 +160,30 @@
       fn (member.instance, data);
 }
 
+/* A leaf polls only if it was told nothing.  Its relay and the reader may lack
+   what it has read.  */
+static void
+tell_upwards (const session_t *session, kwf_instance_fn_t fn, void *data)
+{
+  const char *relay = fanout_own_relay (session);
+  session_member_t reader = first_hub (session, NULL);
+  if (*relay)
+    fn (relay, data);
+  if (*reader.instance && strcmp (reader.instance, relay) != 0)
+    fn (reader.instance, data);
+}
+
 void
 fanout_feed_targets (const session_t *session, bool own, kwf_instance_fn_t fn,
                      void *data)
 {
   fanout_role_t role = fanout_role (session);
   if (role == FANOUT_LEAF)
-    return;
+    {
+      if (own)
+        tell_upwards (session, fn, data);
+      return;
+    }
   fanout_local_members (session, fn, data);
   /* The reader passes changes on to the relays.  A relay that had to poll the
      store itself passes its result on to the reader.  */
--- a/lib/fanout.h
+++ b/lib/fanout.h
@@ -35,7 +35,8 @@
 
 /* Calls FN with each instance to which this one passes changes of the tables
    on.  OWN: this instance read the changes from the store; false: another
-   instance passed them on to it.  */
+   instance passed them on to it.  A leaf passes on what it read, to its relay
+   and the reader.  */
 void fanout_feed_targets (const session_t *session, bool own,
                           kwf_instance_fn_t fn, void *data);
 
--- a/lib/origin/origin.c
+++ b/lib/origin/origin.c
@@ -116,19 +116,19 @@
              versions_are_several (versions), kwf_now_ns (origins->clock));
 }
 
-bool
+origin_word_t
 origins_find (const origins_t *origins, const char *service, uint64_t key,
               uint64_t *software)
 {
   const versions_t *versions
       = g_hash_table_lookup (origins->services, service);
   if (key && begun_find (origins->begun, key, software))
-    return true;
+    return ORIGIN_RECORDED;
   *software = 0;
   /* The servers of the service name no versions.  */
   if (!versions || (!versions->present->len && !versions->kept->len))
-    return true;
-  return versions_only (versions, software);
+    return ORIGIN_ONLY;
+  return versions_only (versions, software) ? ORIGIN_ONLY : ORIGIN_UNKNOWN;
 }
 
 int64_t
--- a/lib/origin/origin.h
+++ b/lib/origin/origin.h
@@ -11,7 +11,9 @@
    a record.
 
    A record that is not there yet, or was lost with its instance, leaves the
-   version unknown, and the stream must not go on.  */
+   version unknown, and the stream must not go on.  That there is only one
+   version has to be true of the time at which the stream began, so it needs
+   tables that are as current as that (lib/currency.h).  */
 
 #ifndef KNAPWEEDFORK_ORIGIN_H
 #define KNAPWEEDFORK_ORIGIN_H
@@ -47,10 +49,18 @@
 void origins_begin (origins_t *origins, const char *service, uint64_t key,
                     uint64_t software);
 
+typedef enum
+{
+  ORIGIN_RECORDED, /* a record tells the version */
+  ORIGIN_ONLY,     /* it is the only one, as far as the tables are known; 0:
+                      the servers name none */
+  ORIGIN_UNKNOWN   /* several may have begun the stream */
+} origin_word_t;
+
 /* Sets SOFTWARE to the version that began stream KEY of SERVICE (0: the caller
-   did not say which stream); false: it is unknown.  */
-bool origins_find (const origins_t *origins, const char *service, uint64_t key,
-                   uint64_t *software);
+   did not say which stream), unless it is unknown.  */
+origin_word_t origins_find (const origins_t *origins, const char *service,
+                            uint64_t key, uint64_t *software);
 
 /* Time after which a record that is not known will not arrive.  */
 int64_t origins_delay_ns (const origins_t *origins);
--- a/lib/session-state.h
+++ b/lib/session-state.h
@@ -46,7 +46,11 @@
   bool leaving;
   bool expired;
   bool linked;
-  bool rows_requested;           /* rows were requested on the present link */
+  int64_t linked_ns;   /* since when, valid with LINKED */
+  int64_t unlinked_ns; /* when the last link was lost; 0: there was none */
+  int64_t refuses_ns;  /* since when its address has refused connections;
+                          valid with refused_ns */
+  bool rows_requested; /* rows were requested on the present link */
   int64_t command_revision_sent; /* command_revision when rows were last
                                     sent on this link */
   bool replied_not_silent;       /* its last answer to an outage query on this
--- a/lib/session.c
+++ b/lib/session.c
@@ -116,6 +116,7 @@
 {
   member_t *member = member_find_or_add (session, event->instance);
   member->linked = true;
+  member->linked_ns = kwf_now_ns (session->clock);
   member->link_incarnation = event->incarnation;
   member->refused_ns = 0;
   member->vote_query_ns = INT64_MIN / 2;
@@ -141,13 +142,18 @@
   if (!member)
     return;
   if (member->linked)
-    hub_schedule_unreachable_list (session);
+    {
+      hub_schedule_unreachable_list (session);
+      member->unlinked_ns = kwf_now_ns (session->clock);
+    }
   member->linked = false;
   member->rows_requested = false;
   member->vote_query_ns = INT64_MIN / 2;
   member->replied_not_silent = false;
   /* The process may have been paused since the previous step, so the refusal
      may be as old as that step.  */
+  if (event->refused && !member->refused_ns)
+    member->refuses_ns = kwf_now_ns (session->clock);
   member->refused_ns = event->refused ? MAX (session->stepped_ns, 1) : 0;
   if (!member->version && event->refused)
     g_ptr_array_remove (session->members, member);
@@ -467,6 +473,9 @@
     .expired = member->expired,
     .linked
     = member->linked && member->link_incarnation == member->incarnation,
+    .linked_ns = member->linked_ns,
+    .unlinked_ns = member->unlinked_ns,
+    .refuses_ns = member->refused_ns ? member->refuses_ns : 0,
     .caller_address = member->caller_address,
     .peer_address = member->peer_address,
     .data_centre = member->data_centre,
--- a/lib/session.h
+++ b/lib/session.h
@@ -42,10 +42,15 @@
   uint64_t incarnation;
   int64_t epoch_left;
   bool leaving;
-  bool expired; /* its counter has not changed for a lease plus a margin,
-                   during which this instance had answers from the table
-                   itself */
-  bool linked;  /* an authenticated link to it is up */
+  bool expired;      /* its counter has not changed for a lease plus a margin,
+                        during which this instance had answers from the table
+                        itself */
+  bool linked;       /* an authenticated link to it is up */
+  int64_t linked_ns; /* since when it has been; valid with LINKED */
+  /* Valid without LINKED: when the last link was lost, and since when its
+     address has refused connections.  0: there was none, it does not.  */
+  int64_t unlinked_ns;
+  int64_t refuses_ns;
   const char *caller_address;
   const char *peer_address;
   const char *data_centre;
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -266,6 +266,7 @@
                       (double)config_version (core->config));
   notices_write_metrics (core, out);
   origins_write_metrics (core->origins, out);
+  currency_write_metrics (core->currency, out);
   evacuation_write_metrics (core->evacuation, core->backend, out);
   metric_write_value (out, "kwf_routes_without_home", "gauge",
                       g_hash_table_size (core->homeless));
--- a/net/instance.c
+++ b/net/instance.c
@@ -70,6 +70,13 @@
   instance_step (data, &(kwf_event_t){ .type = KWF_EV_ROWS, .rows = *rows });
 }
 
+static void
+on_dated (void *data, const kwf_table_date_event_t *date)
+{
+  instance_step (data,
+                 &(kwf_event_t){ .type = KWF_EV_TABLE_DATE, .date = *date });
+}
+
 /* The platform's fleet secret became known.  No link could be made before,
    since this instance used a secret of its own.  */
 static void
@@ -128,6 +135,7 @@
                                                .config = on_config,
                                                .evacuations = on_evacuations,
                                                .rows = on_rows,
+                                               .dated = on_dated,
                                                .max_age_ns = table_max_age_ns,
                                                .publish = on_publish,
                                                .send_feed = on_send_feed,
@@ -303,6 +311,10 @@
     case KWF_FX_LOG:
       logging_write (&effect->log);
       break;
+    case KWF_FX_REFRESH:
+      if (instance->store->ops->refresh)
+        instance->store->ops->refresh (instance->store);
+      break;
     case KWF_FX_EXIT:
       begin_exit (instance);
       break;
--- a/net/message.c
+++ b/net/message.c
@@ -306,6 +306,7 @@
     case KWF_MSG_LEADERSHIP_EXPIRED:
     case KWF_MSG_UNREACHABLE:
     case KWF_MSG_FORM:
+    case KWF_MSG_TABLES_QUERY:
       return 1;
     case KWF_MSG_OUTAGE_REPLY:
     case KWF_MSG_WITHDRAW:
@@ -320,6 +321,7 @@
     case KWF_MSG_FEED:
       return 5;
     case KWF_MSG_CRASH:
+    case KWF_MSG_TABLES_REPLY:
       return 3;
     case KWF_MSG_SERVER_LEAVING:
       return 4;
@@ -424,6 +426,14 @@
     case KWF_MSG_FORM:
       wire_put_int (writer, message->form);
       break;
+    case KWF_MSG_TABLES_QUERY:
+      wire_put_int (writer, message->tables.number);
+      break;
+    case KWF_MSG_TABLES_REPLY:
+      wire_put_int (writer, message->tables.number);
+      wire_put_int (writer, message->tables.servers);
+      wire_put_int (writer, message->tables.own);
+      break;
     }
 }
 
@@ -520,6 +530,14 @@
     case KWF_MSG_FORM:
       message->form = wire_get_int (reader);
       break;
+    case KWF_MSG_TABLES_QUERY:
+      message->tables.number = wire_get_int (reader);
+      break;
+    case KWF_MSG_TABLES_REPLY:
+      message->tables.number = wire_get_int (reader);
+      message->tables.servers = wire_get_int (reader);
+      message->tables.own = wire_get_int (reader);
+      break;
     }
 }
 
--- a/net/store.h
+++ b/net/store.h
@@ -26,6 +26,8 @@
   /* Changed rows of this product's own table, if the store follows that table
      by itself.  */
   void (*rows) (void *data, const kwf_rows_event_t *rows);
+  /* How current a table is, after its rows were delivered.  */
+  void (*dated) (void *data, const kwf_table_date_event_t *date);
   /* Age that what this instance knows of a table may reach before it polls the
      platform itself; 0: it polls for other instances.  */
   int64_t (*max_age_ns) (void *data);
@@ -55,6 +57,9 @@
      others may have changed.  KNOWN: the row of that instance is known; false:
      it should be read soon.  May be NULL.  */
   void (*on_link_up) (store_t *store, const char *peer, bool known);
+  /* Read at once what is new in the tables whose date is told.  NULL: no dates
+     are told.  */
+  void (*refresh) (store_t *store);
   /* Append metrics of the calls to the platform; may be NULL.  */
   void (*write_metrics) (const store_t *store, GString *out);
   void (*free) (store_t *store);
--- a/standin/common-world.c
+++ b/standin/common-world.c
@@ -367,6 +367,7 @@
       world_node_link (node, effect->link.instance);
       break;
     case KWF_FX_PEER_UNLINK:
+    case KWF_FX_REFRESH:
       break;
     case KWF_FX_PEER_SEND:
       world_node_send (node, effect->send.instance, &effect->send.message);
--- a/test/origin-fleet.c
+++ b/test/origin-fleet.c
@@ -7,6 +7,7 @@
 #include "lib/core-state.h"
 #include "lib/origin/origin.h"
 #include "lib/revision.h"
+#include "origin-cuts.h"
 
 #define MS KWF_NS_PER_MS
 #define N_INSTANCES 3
@@ -15,6 +16,10 @@
 #define LENGTH_MS 40000
 /* A change of the table reaches an instance after at most this time.  */
 #define FEED_MS 300
+/* The same of the list of the servers, where there are cuts.  */
+#define LIST_MS 100
+/* A caller waits for so long that its stream may go on.  */
+#define TAKE_UP_MS 500
 #define VERSION_OLD 0x10
 #define VERSION_NEW 0x20
 #define STREAM_MS 6000
@@ -33,9 +38,10 @@
   int64_t at_ns;
   int instance;
   int64_t process;
-  kwf_handle_t op; /* of a reply; 0: a row */
+  kwf_handle_t op; /* of a reply; 0: a row, or a list of the servers */
   kwf_store_reply_t reply;
   row_t row;
+  bool is_list;
 } delivery_t;
 
 typedef struct
@@ -43,6 +49,8 @@
   origins_t *origins;
   int64_t process;
   bool alive;
+  bool missed;                 /* a delivery was lost in a cut */
+  uint64_t servers[N_SERVERS]; /* as it knows them */
 } instance_t;
 
 typedef struct
@@ -51,6 +59,9 @@
   int instance;
   int64_t process;
   int64_t begun_ns;
+  int64_t arrived_ns; /* when its caller came to take it up; 0: it did not */
+  int taker;          /* instance to which it came */
+  int64_t taker_process;
   uint64_t version; /* of the server that began it */
 } stream_t;
 
@@ -68,6 +79,7 @@
   GArray *deliveries; /* of delivery_t */
   GArray *streams;    /* of stream_t */
   int n_streams;
+  origin_cuts_t *cuts; /* NULL: there are no cuts */
   origin_counts_t counts;
 } fleet_t;
 
@@ -86,6 +98,11 @@
 static void
 deliver (fleet_t *fleet, int instance, const row_t *row)
 {
+  if (fleet->cuts && !cuts_reaches (fleet->cuts, instance))
+    {
+      fleet->instances[instance].missed = true;
+      return;
+    }
   delivery_t delivery = { .at_ns = now (fleet) + draw (fleet, FEED_MS) * MS,
                           .instance = instance,
                           .process = fleet->instances[instance].process,
@@ -144,6 +161,7 @@
                         .op = effect->store.op,
                         .reply = { .outcome = KWF_STORE_FAILED } };
   bool good = draw (fleet, 10) > 0;
+  good &= !fleet->cuts || cuts_reaches_store (fleet->cuts, instance);
   for (size_t i = 0; i < txn->n_conditions; i++)
     {
       const row_t *row = find_row (fleet, txn->conditions[i].key);
@@ -185,6 +203,11 @@
 static void
 list_servers (fleet_t *fleet, int instance)
 {
+  if (fleet->cuts)
+    cuts_note_list (fleet->cuts, instance,
+                    revision_make (fleet->era, fleet->version));
+  memcpy (fleet->instances[instance].servers, fleet->servers,
+          sizeof fleet->servers);
   kwf_member_t members[N_SERVERS];
   size_t n = 0;
   for (int i = 0; i < N_SERVERS; i++)
@@ -199,6 +222,32 @@
         NULL);
 }
 
+/* The list of the servers has changed.  */
+static void
+announce_servers (fleet_t *fleet)
+{
+  fleet->version++;
+  for (int i = 0; i < N_INSTANCES; i++)
+    {
+      instance_t *instance = &fleet->instances[i];
+      if (!instance->alive)
+        continue;
+      if (!fleet->cuts)
+        list_servers (fleet, i);
+      else if (!cuts_reaches (fleet->cuts, i))
+        instance->missed = true;
+      else
+        {
+          delivery_t delivery
+              = { .at_ns = now (fleet) + draw (fleet, LIST_MS) * MS,
+                  .instance = i,
+                  .process = instance->process,
+                  .is_list = true };
+          g_array_append_val (fleet->deliveries, delivery);
+        }
+    }
+}
+
 static void
 kill_instance (fleet_t *fleet, int i)
 {
@@ -209,21 +258,14 @@
   instance->origins = NULL;
   instance->alive = false;
   instance->process++;
+  if (fleet->cuts)
+    cuts_end_process (fleet->cuts, i);
 }
 
-/* A process reads the whole table before it serves.  */
+/* Instance I reads both tables.  */
 static void
-start_instance (fleet_t *fleet, int i)
+read_all (fleet_t *fleet, int i)
 {
-  instance_t *instance = &fleet->instances[i];
-  if (instance->alive)
-    return;
-  char name[8];
-  g_snprintf (name, sizeof name, "i%d", i);
-  kwf_core_options_t options = fleet->world.core->options;
-  options.instance = name;
-  instance->origins = origins_new (&options);
-  instance->alive = true;
   kwf_row_t *rows = g_new0 (kwf_row_t, fleet->rows->len + 1);
   size_t n = 0;
   for (guint k = 0; k < fleet->rows->len; k++)
@@ -238,6 +280,25 @@
   list_servers (fleet, i);
 }
 
+/* A process reads the whole table before it serves.  */
+static void
+start_instance (fleet_t *fleet, int i)
+{
+  instance_t *instance = &fleet->instances[i];
+  if (instance->alive || (fleet->cuts && !cuts_reaches_store (fleet->cuts, i)))
+    return;
+  char name[8];
+  g_snprintf (name, sizeof name, "i%d", i);
+  kwf_core_options_t options = fleet->world.core->options;
+  options.instance = name;
+  instance->origins = origins_new (&options);
+  instance->alive = true;
+  instance->missed = false;
+  if (fleet->cuts)
+    cuts_begin_process (fleet->cuts, i);
+  read_all (fleet, i);
+}
+
 static void
 rows_free (GArray *rows)
 {
@@ -289,9 +350,20 @@
 static void
 run_delivery (fleet_t *fleet, const delivery_t *delivery)
 {
-  const instance_t *instance = &fleet->instances[delivery->instance];
+  instance_t *instance = &fleet->instances[delivery->instance];
   if (!instance->alive || instance->process != delivery->process)
     return;
+  if (!delivery->op && fleet->cuts
+      && !cuts_reaches (fleet->cuts, delivery->instance))
+    {
+      instance->missed = true;
+      return;
+    }
+  if (delivery->is_list)
+    {
+      list_servers (fleet, delivery->instance);
+      return;
+    }
   if (delivery->op)
     {
       step (fleet, delivery->instance,
@@ -307,13 +379,16 @@
         &(session_changes_t){ .fresh = true, .rows = &row, .n_rows = 1 });
 }
 
+/* Runs the deliveries that are due, and those of tables to instance READS (-1:
+   none).  */
 static void
-run_deliveries (fleet_t *fleet)
+run_deliveries (fleet_t *fleet, int reads)
 {
   for (guint i = 0; i < fleet->deliveries->len;)
     {
       delivery_t delivery = g_array_index (fleet->deliveries, delivery_t, i);
-      if (delivery.at_ns > now (fleet))
+      if (delivery.at_ns > now (fleet)
+          && (delivery.instance != reads || delivery.op))
         {
           i++;
           continue;
@@ -324,15 +399,41 @@
     }
 }
 
-/* A server of VERSION, or of any if that is 0; -1: there is none.  */
+/* The instances that are to read the tables do so, if they reach them.  */
+static void
+run_reads (fleet_t *fleet)
+{
+  for (int i = 0; i < N_INSTANCES; i++)
+    {
+      instance_t *instance = &fleet->instances[i];
+      if (!instance->alive || !cuts_reads (fleet->cuts, i))
+        continue;
+      if (!cuts_reaches (fleet->cuts, i))
+        {
+          cuts_fail (fleet->cuts, i);
+          continue;
+        }
+      run_deliveries (fleet, i);
+      if (instance->missed)
+        read_all (fleet, i);
+      instance->missed = false;
+      cuts_date (fleet->cuts, i);
+    }
+}
+
+/* A server of VERSION, or of any if that is 0, which INSTANCE knows (-1: any);
+   -1: there is none.  */
 static int
-draw_server (fleet_t *fleet, uint64_t version)
+draw_server (fleet_t *fleet, int instance, uint64_t version)
 {
   int from = draw (fleet, N_SERVERS);
+  const uint64_t *known
+      = instance < 0 ? fleet->servers : fleet->instances[instance].servers;
   for (int i = 0; i < N_SERVERS; i++)
     {
       int k = (from + i) % N_SERVERS;
-      if (fleet->servers[k] && (!version || fleet->servers[k] == version))
+      if (fleet->servers[k] && fleet->servers[k] == known[k]
+          && (!version || fleet->servers[k] == version))
         return k;
     }
   return -1;
@@ -352,7 +453,7 @@
 begin_stream (fleet_t *fleet)
 {
   int instance = draw_instance (fleet);
-  int server = draw_server (fleet, 0);
+  int server = draw_server (fleet, instance, 0);
   if (instance < 0 || server < 0)
     return;
   /* Servers of a version that is not written get no streams while there are
@@ -360,7 +461,7 @@
   for (int i = 0; i < N_SERVERS; i++)
     if (!origins_may_begin (fleet->instances[instance].origins, "models",
                             fleet->servers[server]))
-      server = draw_server (fleet, 0);
+      server = draw_server (fleet, instance, 0);
   stream_t stream = { .instance = instance,
                       .process = fleet->instances[instance].process,
                       .begun_ns = now (fleet),
@@ -371,21 +472,57 @@
                  origin_key ("models", "o", stream.id), stream.version);
 }
 
+/* Where there are cuts: the instance at which the caller of STREAM waits that
+   it goes on; -1: there is none.  */
+static int
+taker_of (fleet_t *fleet, stream_t *stream)
+{
+  bool waits
+      = stream->arrived_ns
+        && fleet->instances[stream->taker].process == stream->taker_process;
+  if (waits)
+    return stream->taker;
+  stream->taker = draw_instance (fleet);
+  if (stream->taker < 0)
+    return -1;
+  stream->taker_process = fleet->instances[stream->taker].process;
+  stream->arrived_ns = now (fleet);
+  return stream->taker;
+}
+
+/* Whether the caller of STREAM waits at INSTANCE, which may not know all
+   versions; SHOWN is set to whether it does.  */
+static bool
+awaits_currency (fleet_t *fleet, const stream_t *stream, int instance,
+                 bool *shown)
+{
+  currency_word_t word
+      = cuts_judge (fleet->cuts, instance, stream->arrived_ns);
+  *shown = word == CURRENCY_SHOWN;
+  return word == CURRENCY_OPEN
+         && now (fleet) - stream->arrived_ns < TAKE_UP_MS * MS;
+}
+
 /* The caller of STREAM takes it up; returns whether it goes on.  */
 static bool
 take_up (fleet_t *fleet, stream_t *stream)
 {
-  int instance = draw_instance (fleet);
+  int instance
+      = fleet->cuts ? taker_of (fleet, stream) : draw_instance (fleet);
   if (instance < 0)
     return true;
   origins_t *origins = fleet->instances[instance].origins;
-  bool served = draw_server (fleet, stream->version) >= 0;
+  bool served = draw_server (fleet, -1, stream->version) >= 0;
   uint64_t version = 0;
   uint64_t key = origin_key ("models", "o", stream->id);
-  bool known = origins_find (origins, "models", key, &version);
-  int server = known ? draw_server (fleet, version) : -1;
+  origin_word_t word = origins_find (origins, "models", key, &version);
+  bool known = word != ORIGIN_UNKNOWN;
+  if (word == ORIGIN_ONLY && fleet->cuts
+      && awaits_currency (fleet, stream, instance, &known))
+    return true;
+  int server = known ? draw_server (fleet, instance, version) : -1;
   /* It may wait for the record.  */
-  if (!known
+  if (!known && word == ORIGIN_UNKNOWN
       && now (fleet) - stream->begun_ns
              < origins_delay_ns (origins) + STREAM_MS * MS
       && draw (fleet, 8))
@@ -396,6 +533,7 @@
     return false;
   fleet->counts.went_on += served;
   fleet->counts.joined += fleet->servers[server] != stream->version;
+  stream->arrived_ns = 0;
   stream->instance = instance;
   stream->process = fleet->instances[instance].process;
   origins_begin (origins, "models", key, version);
@@ -422,9 +560,7 @@
   static const uint64_t versions[]
       = { VERSION_OLD, VERSION_NEW, VERSION_NEW, 0 };
   fleet->servers[draw (fleet, N_SERVERS)] = versions[draw (fleet, 4)];
-  for (int i = 0; i < N_INSTANCES; i++)
-    if (fleet->instances[i].alive)
-      list_servers (fleet, i);
+  announce_servers (fleet);
 }
 
 static void
@@ -459,7 +595,11 @@
 run_step (fleet_t *fleet)
 {
   fleet->world.clock.now_ns += STEP_MS * MS;
-  run_deliveries (fleet);
+  if (fleet->cuts)
+    cuts_run (fleet->cuts);
+  run_deliveries (fleet, -1);
+  if (fleet->cuts)
+    run_reads (fleet);
   for (int i = 0; i < N_INSTANCES; i++)
     if (fleet->instances[i].alive)
       step (fleet, i, &(kwf_event_t){ .type = KWF_EV_TICK }, NULL);
@@ -488,12 +628,13 @@
   g_array_free (fleet->streams, TRUE);
   rows_free (fleet->rows);
   rows_free (fleet->copy);
+  cuts_free (fleet->cuts);
   g_rand_free (fleet->random);
   core_world_stop (&fleet->world);
 }
 
 origin_counts_t
-origin_fleet_play (uint64_t seed)
+origin_fleet_play (uint64_t seed, bool cuts)
 {
   fleet_t fleet
       = { .random = g_rand_new_with_seed ((guint32)seed),
@@ -504,6 +645,9 @@
           .servers = { VERSION_OLD, VERSION_OLD, VERSION_OLD },
           .version = 1 };
   core_world_start (&fleet.world);
+  if (cuts)
+    fleet.cuts = cuts_new (&fleet.world.core->options,
+                           fleet.world.core->session, seed);
   for (int i = 0; i < N_INSTANCES; i++)
     start_instance (&fleet, i);
   for (int ms = 0; ms < LENGTH_MS; ms += STEP_MS)
--- a/test/origin-fleet.h
+++ b/test/origin-fleet.h
@@ -6,6 +6,7 @@
 #ifndef KNAPWEEDFORK_TEST_ORIGIN_FLEET_H
 #define KNAPWEEDFORK_TEST_ORIGIN_FLEET_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct
@@ -16,7 +17,8 @@
   int joined;  /* went on at another version */
 } origin_counts_t;
 
-/* Plays schedule SEED.  */
-origin_counts_t origin_fleet_play (uint64_t seed);
+/* Plays schedule SEED.  CUTS: instances are cut off from the store and from
+   each other, and the store is away at times (origin-cuts.h).  */
+origin_counts_t origin_fleet_play (uint64_t seed, bool cuts);
 
 #endif
--- a/test/test_fanout.c
+++ b/test/test_fanout.c
@@ -81,7 +81,9 @@
   join (world, "00", "c");
   int64_t listens_ns = kwf_core_feed_max_age_ns (world->core);
   assert_true (listens_ns > passes_ns && listens_ns < 2 * KWF_NS_PER_S);
-  assert_targets (world, true, "");
+  assert_targets (world, false, "");
+  /* What it had to read itself, its relay and the reader may lack.  */
+  assert_targets (world, true, "00 0 ");
   /* Both links are lost.  */
   link_is (world, "0", false);
   link_is (world, "00", false);
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -60,6 +60,8 @@
                .demand = "{\"demand\":{\"m/x\":0.5}}" } },
   { .type = KWF_MSG_DEMAND, .demand_text = "{}" },
   { .type = KWF_MSG_FORM, .form = 2 },
+  { .type = KWF_MSG_TABLES_QUERY, .tables = { .number = 3 } },
+  { .type = KWF_MSG_TABLES_REPLY, .tables = { 3, INT64_MAX, 0 } },
   { .type = KWF_MSG_RESIDENCY,
     .residency = { .server = "s1",
                    .incarnation = 3,
@@ -209,6 +211,12 @@
     case KWF_MSG_FORM:
       assert_true (a->form == b->form);
       break;
+    case KWF_MSG_TABLES_QUERY:
+    case KWF_MSG_TABLES_REPLY:
+      assert_true (a->tables.number == b->tables.number);
+      assert_true (a->tables.servers == b->tables.servers);
+      assert_true (a->tables.own == b->tables.own);
+      break;
     case KWF_MSG_STATE_REQUEST:
       assert_true (a->state_after == b->state_after);
       break;
@@ -326,7 +334,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_FORM + 1 },
+    { .type = KWF_MSG_TABLES_REPLY + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_SHARE_REQUEST, .share_request = { .organisation = "" } },
     { .type = KWF_MSG_SHARE_REQUEST,
--- a/test/test_origin.c
+++ b/test/test_origin.c
@@ -20,6 +20,7 @@
 /* Longer than a record takes to arrive.  */
 #define RECORD_MS 1000
 #define SCHEDULES 1000
+#define CUT_SCHEDULES 200
 /* In KNOWN-RED.txt: played and printed, and judged if it is asked for.  */
 #define KNOWN_RED 217
 
@@ -192,15 +193,144 @@
   assert_null (sent_to (world));
 }
 
-/* Guards against refused take-ups where only one version has been there.  */
+/* Tells the date of both tables.  */
+static void
+date_tables (core_world_t *world, int64_t current_ns, bool failed)
+{
+  for (int i = 0; i < KWF_N_TABLES; i++)
+    core_world_step (world, &(kwf_event_t){ .type = KWF_EV_TABLE_DATE,
+                                            .date = { .table = (kwf_table_t)i,
+                                                      .current_ns = current_ns,
+                                                      .revision = 5,
+                                                      .failed = failed } });
+}
+
+/* Guards against refused take-ups where only one version has been there, and
+   the tables are as current as the request.  */
 static void
 stream_of_the_only_version_goes_on (void **state)
 {
   core_world_t *world = *state;
   list_engines (world, OLD, OLD);
+  date_tables (world, world->clock.now_ns, false);
   assert_non_null (take_up (world, 1, "any"));
 }
 
+/* Makes the instances "b" and, if there are to be two, "c" members.  */
+static void
+add_members (core_world_t *world, int n)
+{
+  for (int i = 0; i < n; i++)
+    {
+      char *key = g_strdup_printf ("session/%c", 'b' + i);
+      core_world_row (world, key,
+                      "{\"incarnation\":1,\"counter\":1,\"data_centre\":"
+                      "\"c\",\"peer_address\":\"127.0.0.1:9\"}");
+      g_free (key);
+    }
+}
+
+/* "b" tells up to where it knows the tables, if it was asked in the last
+   step.  */
+static bool
+answer_question (core_world_t *world, int64_t revision)
+{
+  const kwf_effect_t *effect = NULL;
+  for (size_t i = 0; i < kwf_effects_count (world->effects) && !effect; i++)
+    {
+      effect = kwf_effects_at (world->effects, i);
+      if (effect->type != KWF_FX_PEER_SEND
+          || effect->send.message.type != KWF_MSG_TABLES_QUERY)
+        effect = NULL;
+    }
+  if (!effect)
+    return false;
+  kwf_message_t reply
+      = { .type = KWF_MSG_TABLES_REPLY,
+          .tables = { effect->send.message.tables.number, revision, 5 } };
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                                          .peer = { .instance = "b",
+                                                    .incarnation = 1,
+                                                    .message = &reply } });
+  return true;
+}
+
+/* Takes the stream of request HANDLE up while "b" tells REVISION when it is
+   asked (0: it does not answer); returns the server, or NULL.  */
+static const char *
+take_up_asking (core_world_t *world, kwf_handle_t handle, int64_t revision)
+{
+  char own[16];
+  g_snprintf (own, sizeof own, "t%d", (int)handle);
+  request_stream (world, handle, own, "any");
+  for (int ms = 0; ms < RECORD_MS && !sent_to (world)
+                   && !core_world_effect (world, KWF_FX_REPLY);
+       ms += 10)
+    {
+      if (revision)
+        answer_question (world, revision);
+      core_world_advance (world, 10);
+    }
+  return sent_to (world);
+}
+
+static void
+assert_refused (const core_world_t *world)
+{
+  const kwf_effect_t *reply = core_world_effect (world, KWF_FX_REPLY);
+  assert_non_null (reply);
+  assert_int_equal (reply->reply.status, 503);
+  assert_int_equal (reply->reply.run, KWF_RUN_NO);
+}
+
+/* Guards against a stream that goes on at the only version of a list that is
+   older than the stream may be: the instance was cut off from the store and
+   the others, and a second version came.  */
+static void
+stream_goes_on_by_a_list_from_before_a_cut (void **state)
+{
+  core_world_t *world = *state;
+  list_engines (world, OLD, OLD);
+  add_members (world, 2);
+  date_tables (world, world->clock.now_ns, false);
+  core_world_advance (world, 2000);
+  request_stream (world, 1, "t1", "any");
+  assert_null (sent_to (world));
+  assert_non_null (core_world_effect (world, KWF_FX_REFRESH));
+  /* The answer of the store is later than the request.  */
+  date_tables (world, world->clock.now_ns, false);
+  core_world_advance (world, 10);
+  assert_non_null (sent_to (world));
+
+  /* No answer, and the links to the other two are gone: refused at once.  */
+  core_world_advance (world, 2000);
+  date_tables (world, world->clock.now_ns - 2 * KWF_NS_PER_S, true);
+  core_world_step (world, &(kwf_event_t){ .type = KWF_EV_PEER_DOWN,
+                                          .peer = { .instance = "b" } });
+  request_stream (world, 2, "t2", "any");
+  assert_null (sent_to (world));
+  assert_refused (world);
+}
+
+/* Guards against refused streams while the store answers nobody: the others
+   tell that they know no more.  One that knows more ends that.  */
+static void
+stream_does_not_go_on_while_the_store_is_away (void **state)
+{
+  core_world_t *world = *state;
+  list_engines (world, OLD, OLD);
+  add_members (world, 2);
+  int64_t current_ns = world->clock.now_ns;
+  core_world_advance (world, 5000);
+  date_tables (world, current_ns, true);
+  /* "b" and this one are two of three; "c" does not answer.  */
+  assert_non_null (take_up_asking (world, 1, 5));
+  assert_null (take_up_asking (world, 2, 6));
+  assert_refused (world);
+  assert_null (take_up_asking (world, 3, 0));
+  assert_refused (world);
+}
+
 /* Guards against a process that starts when the servers of the old version
    have left, and takes the new one for the only one.  */
 static void
@@ -240,7 +370,7 @@
   origin_counts_t all = { 0 };
   for (uint64_t i = first; i < first + n; i++)
     {
-      origin_counts_t counts = origin_fleet_play (i);
+      origin_counts_t counts = origin_fleet_play (i, false);
       if (counts.joined)
         print_message ("schedule %d: %d of %d joined\n", (int)i, counts.joined,
                        counts.taken_up);
@@ -261,6 +391,39 @@
     assert_true (2 * all.went_on >= all.served);
 }
 
+/* The same with instances that are cut off from the store, from each other or
+   from both, and a store that is away: what an instance has not heard of is
+   not taken for what is not there.  KWF_CUTS_SEED plays one schedule.  */
+static void
+take_ups_join_two_versions_in_cuts (void **state)
+{
+  (void)state;
+  const char *seed = getenv ("KWF_CUTS_SEED");
+  const char *schedules = getenv ("KWF_ORIGIN_SCHEDULES");
+  uint64_t first = seed ? strtoull (seed, NULL, 10) : 1;
+  uint64_t n = seed        ? 1
+               : schedules ? strtoull (schedules, NULL, 10)
+                           : CUT_SCHEDULES;
+  origin_counts_t all = { 0 };
+  for (uint64_t i = first; i < first + n; i++)
+    {
+      origin_counts_t counts = origin_fleet_play (i, true);
+      if (counts.joined)
+        print_message ("schedule %d: %d of %d joined\n", (int)i, counts.joined,
+                       counts.taken_up);
+      all.joined += counts.joined;
+      all.taken_up += counts.taken_up;
+      all.went_on += counts.went_on;
+      all.served += counts.served;
+    }
+  print_message ("in cuts: %d take-ups, %d went on, %d while their version "
+                 "served; %d joined\n",
+                 all.taken_up, all.went_on, all.served, all.joined);
+  assert_int_equal (all.joined, 0);
+  if (!seed)
+    assert_true (2 * all.went_on >= all.served);
+}
+
 #define TEST(name)                                                            \
   cmocka_unit_test_setup_teardown (name, core_world_setup, core_world_teardown)
 
@@ -272,9 +435,12 @@
     TEST (stream_is_taken_up_at_another_version),
     TEST (stream_goes_on_at_a_process_started_anew),
     TEST (stream_of_the_only_version_goes_on),
+    TEST (stream_goes_on_by_a_list_from_before_a_cut),
+    TEST (stream_does_not_go_on_while_the_store_is_away),
     TEST (new_process_takes_the_new_version_for_the_only_one),
     cmocka_unit_test (id_of_another_organisation_finds_a_stream),
     cmocka_unit_test (take_ups_join_two_versions),
+    cmocka_unit_test (take_ups_join_two_versions_in_cuts),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
