--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -23,6 +23,8 @@
   KWF_FX_MEMBERS,        /* read the membership list; KWF_EV_MEMBERS follows */
   KWF_FX_PROBE,          /* read a backend server's load report; KWF_EV_REPORT
                             follows */
+  KWF_FX_ASK,            /* ask a backend server whether it answers;
+                            KWF_EV_ANSWERED follows */
   KWF_FX_PEER_LINK,      /* connect to this instance and keep the link up */
   KWF_FX_PEER_UNLINK,    /* close the link and stop reconnecting */
   KWF_FX_PEER_SEND,      /* send a message to a peer; lost when the link is
@@ -55,17 +57,19 @@
 {
   kwf_handle_t request;
   kwf_handle_t attempt;
-  const char *server;       /* id, for logs */
-  const char *address;      /* "IP:PORT" */
-  int64_t deadline_ns;      /* time of the core's clock */
-  int64_t resume_from;      /* tokens that earlier attempts delivered */
-  int priority;             /* 0 urgent, 1 interactive, 2 overnight */
-  bool resumes;             /* earlier attempts delivered a part of the
-                               answer */
-  bool repeatable;          /* may be sent again when no answer arrives */
-  bool stream;              /* the answer is to be a stream of events */
-  bool keep_unsafe;         /* may go over a kept connection also if it is not
-                               repeatable */
+  const char *server;  /* id, for logs */
+  const char *address; /* "IP:PORT" */
+  int64_t deadline_ns; /* time of the core's clock */
+  int64_t resume_from; /* tokens that earlier attempts delivered */
+  int priority;        /* 0 urgent, 1 interactive, 2 overnight */
+  bool resumes;        /* earlier attempts delivered a part of the
+                          answer */
+  bool repeatable;     /* may be sent again when no answer arrives */
+  bool stream;         /* the answer is to be a stream of events */
+  bool keep_unsafe;    /* may go over a kept connection also if it is not
+                          repeatable */
+  int handed_attempts; /* to another instance, SERVER, as its caller sent it,
+which may make so many attempts; 0: to a server */
   const char *organisation; /* "" on routes without a key */
 } kwf_attempt_start_t;
 
@@ -95,6 +99,14 @@
   const char *body; /* JSON text */
 } kwf_operator_reply_t;
 
+/* Question to a backend server.  */
+typedef struct
+{
+  const char *server;  /* id */
+  const char *address; /* "IP:PORT" */
+  int64_t asked_ns;    /* ASK: the event repeats it */
+} kwf_probe_t;
+
 /* Order to a model engine.  */
 typedef struct
 {
@@ -142,11 +154,7 @@
       int64_t timeout_ns; /* after this time the outcome is UNKNOWN */
       kwf_txn_t txn;
     } store;
-    struct
-    {
-      const char *server;
-      const char *address;
-    } probe;
+    kwf_probe_t probe; /* PROBE, ASK */
     struct
     {
       const char *instance;
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -16,12 +16,14 @@
 
 typedef enum
 {
-  KWF_EV_TICK = 1,       /* the time of KWF_FX_TIMER has come; harmless at any
-                            time */
-  KWF_EV_STORE_REPLY,    /* result of KWF_FX_STORE */
-  KWF_EV_MEMBERS,        /* result of KWF_FX_MEMBERS, or a new membership
-                            list */
+  KWF_EV_TICK = 1,    /* the time of KWF_FX_TIMER has come; harmless at any
+                         time */
+  KWF_EV_STORE_REPLY, /* result of KWF_FX_STORE */
+  KWF_EV_MEMBERS,
+  /* result of KWF_FX_MEMBERS, or a new membership
+     list */
   KWF_EV_REPORT,         /* result of KWF_FX_PROBE */
+  KWF_EV_ANSWERED,       /* result of KWF_FX_ASK */
   KWF_EV_PEER_UP,        /* link established and authenticated */
   KWF_EV_PEER_DOWN,      /* link lost, or a connection attempt failed */
   KWF_EV_PEER_MESSAGE,   /* message from an authenticated peer */
@@ -69,8 +71,10 @@
   bool idempotent;             /* may run more than once */
   bool stream;
   bool resuming;         /* ROUTED: continues a stream that broke off */
+  int handed_attempts;   /* ROUTED: another instance sent it and allows so many
+attempts; 0: it is from its caller */
   const char *resumes;   /* id of the request that got its first event; NULL:
-                            not told */
+                              not told */
   bool has_token_counts; /* ROUTED: the caller gave prompt_tokens and
                             max_tokens */
   int64_t prompt_tokens;
@@ -247,6 +251,14 @@
   bool behind;        /* another instance knows newer rows */
 } kwf_table_date_event_t;
 
+/* Whether a backend server that was asked has answered anything.  */
+typedef struct
+{
+  const char *server; /* member id of the server */
+  int64_t asked_ns;   /* that of the effect */
+  bool answered;
+} kwf_answered_event_t;
+
 /* Load report of a backend server, or the failure to read one.  */
 typedef struct
 {
@@ -365,6 +377,7 @@
     } store;
     kwf_members_event_t members;
     kwf_report_event_t report;
+    kwf_answered_event_t answered;
     kwf_peer_event_t peer;
     kwf_request_event_t request;
     kwf_handle_t gone;
--- a/include/knapweedfork/message.h
+++ b/include/knapweedfork/message.h
@@ -45,7 +45,10 @@
   KWF_MSG_FORM,           /* the first on a link: what the sender reads */
   KWF_MSG_TABLES_QUERY,   /* asks up to where the receiver knows the platform's
                              tables */
-  KWF_MSG_TABLES_REPLY    /* reply to that */
+  KWF_MSG_TABLES_REPLY,   /* reply to that */
+  KWF_MSG_REACH,          /* whether an instance reaches backend servers */
+  KWF_MSG_REACH_QUERY,    /* asks whether servers answer the receiver */
+  KWF_MSG_REACH_REPLY     /* reply to that */
 } kwf_message_type_t;
 
 /* RENEW: the sender's session row, which a peer is asked to write.  */
@@ -253,6 +256,29 @@
   int64_t own;     /* the same of the fleet's own table */
 } kwf_tables_t;
 
+typedef struct
+{
+  const char *instance;
+  uint64_t incarnation;
+  bool stranded;  /* no backend server answers it, but other instances */
+  bool forwarded; /* the sender received it from another instance */
+} kwf_reach_t;
+
+typedef struct
+{
+  int64_t number;             /* of the question; the reply repeats it */
+  int64_t age_ns;             /* answers within this time count */
+  const char *const *servers; /* above all these */
+  size_t n_servers;
+} kwf_reach_query_t;
+
+typedef struct
+{
+  int64_t number;
+  const char *const *servers; /* that have answered the sender */
+  size_t n_servers;
+} kwf_reach_reply_t;
+
 typedef struct
 {
   kwf_message_type_t type;
@@ -283,7 +309,10 @@
     kwf_permit_ask_t permit_ask;
     kwf_permit_grant_t permit_grant;
     kwf_tables_t tables; /* TABLES_QUERY and TABLES_REPLY */
-    int64_t form;        /* message_form_t of net/message-form.h */
+    kwf_reach_t reach;
+    kwf_reach_query_t reach_query;
+    kwf_reach_reply_t reach_reply;
+    int64_t form; /* message_form_t of net/message-form.h */
   };
 } kwf_message_t;
 
--- a/lib/admit-routed.c
+++ b/lib/admit-routed.c
@@ -111,12 +111,17 @@
       = request_add (core, &routed, organisation ? organisation->name : "",
                      priority, kwf_now_ns (core->options.clock));
   admission_set_route (request, route, event->timeout_ns);
-  request->max_attempts = route->max_attempts;
+  request->max_attempts = event->handed_attempts ? MIN (route->max_attempts,
+                                                        event->handed_attempts)
+                                                 : route->max_attempts;
   request->gap_aim_ns = route->gap_aim_ns;
   request->resumable = route->stream && route->resumable;
+  request->handed_over = event->handed_attempts > 0;
   takeup_init (request, event);
   request->duration_kind = duration_kind (route->name, service_name,
                                           request->model, request->stream);
-  if (!feature_refuse_suspect (core, request, effects))
+  if (!handover_start (core, request, effects)
+      && !handover_refuse (core, request, effects)
+      && !feature_refuse_suspect (core, request, effects))
     admit_charge (core, request, cost_of (event, organisation), effects);
 }
--- a/lib/attempt.c
+++ b/lib/attempt.c
@@ -340,6 +340,8 @@
 bool
 kwf_core_may_send (const kwf_core_t *core, kwf_handle_t handle)
 {
+  if (handover_is (handle))
+    return handover_may_send (core);
   const attempt_t *attempt = kwf_slots_get (core->attempts, handle);
   if (!attempt)
     return false;
@@ -404,6 +406,8 @@
   int64_t now_ns = kwf_now_ns (core->options.clock);
   home_refresh (core, request);
   if (!check_before_send (core, request, now_ns, effects)
+      || handover_start (core, request, effects)
+      || handover_refuse (core, request, effects)
       || feature_refuse_suspect (core, request, effects)
       || feature_awaits_trial (core, request, effects))
     return;
--- a/lib/backend.c
+++ b/lib/backend.c
@@ -882,3 +882,19 @@
   if (was_trial || server->failures >= CIRCUIT_FAILURES)
     open_circuit (server, now_ns);
 }
+
+void
+backend_forget_failures (backend_t *backend)
+{
+  for (guint i = 0; i < backend->servers->len; i++)
+    {
+      server_t *server = g_ptr_array_index (backend->servers, i);
+      close_circuit (server);
+      server->bad = 0;
+      server->ejected_until_ns = 0;
+      server->ejections = 0;
+      server->missed_reports = 0;
+      server->refused = false;
+    }
+  backend->index_stale = true;
+}
--- a/lib/backend.h
+++ b/lib/backend.h
@@ -12,6 +12,7 @@
 
 #include "balance/speed.h"
 #include "limit.h"
+#include "reach/reach.h"
 #include "window.h"
 
 typedef enum
@@ -131,6 +132,7 @@
   int openings; /* of the circuit in a row, for the back-off */
   int ejections;
 
+  reach_mark_t reach;
   notice_t notice;
   restored_t restored;
   limit_t limit;
@@ -278,6 +280,9 @@
 void backend_attempt_ended (backend_t *backend, server_t *server,
                             outcome_t outcome, int64_t now_ns);
 
+/* The failures of all servers were this instance's own.  */
+void backend_forget_failures (backend_t *backend);
+
 /* outlier.c: count an outcome of SERVER.  A bad outcome may eject it, but
    never the last usable copy of a model.  */
 void outlier_record (backend_t *backend, server_t *server, bool good,
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -21,6 +21,7 @@
 #include "fleet-load.h"
 #include "metric.h"
 #include "origin/origin.h"
+#include "stranded.h"
 #include "pacing.h"
 #include "permit.h"
 #include "placement.h"
@@ -141,6 +142,9 @@
   crash_t *crash;
   origins_t *origins;
   currency_t *currency;
+  reach_t *reach;
+  stranded_t *stranded;
+  uint64_t n_handovers; /* requests that were handed over to instances */
   demand_t *demand;
   placement_t *placement;
   metrics_t *metrics;
--- a/lib/core.c
+++ b/lib/core.c
@@ -41,6 +41,8 @@
   core->crash = crash_new (own);
   core->origins = origins_new (own);
   core->currency = currency_new (own);
+  core->reach = reach_new (own);
+  core->stranded = stranded_new (own);
   core->demand = demand_new (own->clock);
   core->placement
       = placement_new (own, &(placement_sources_t){ .session = core->session,
@@ -83,6 +85,8 @@
   retry_budget_free (core->retries);
   placement_free (core->placement);
   demand_free (core->demand);
+  stranded_free (core->stranded);
+  reach_free (core->reach);
   currency_free (core->currency);
   origins_free (core->origins);
   crash_free (core->crash);
@@ -205,11 +209,14 @@
     return;
   /* Runs that this report ends count as lost by it below.  */
   end_checks_reported (core, &report, effects);
+  if (report.answered)
+    reach_note_data (core->reach, &report.server->reach);
+  bool refused = report.refused && !stranded_may_be_self (core);
   crash_handle_report (core->crash, core->session, report.server->id,
-                       report.valid, report.refused, report.fresh,
+                       report.valid, refused, report.fresh,
                        report.server->incarnation, effects);
   bool crashed
-      = report.refused
+      = refused
         || (report.valid
             && report.server->incarnation != report.incarnation_before);
   if (report.valid)
@@ -257,6 +264,7 @@
   origins_step (core->origins, core->session, event, &changes, effects);
   currency_step (core->currency, core->session, event, effects);
   step_backend (core, event, effects);
+  stranded_step (core, event, effects);
   placement_step (core->placement, event, &changes, effects);
   if (core->loads)
     fleet_load_step (core->loads, core->session, core->backend, event,
@@ -345,6 +353,7 @@
   tick_ns = MIN (tick_ns, backend_next_tick_ns (core->backend));
   tick_ns = MIN (tick_ns, crash_next_tick_ns (core->crash));
   tick_ns = MIN (tick_ns, origins_next_tick_ns (core->origins));
+  tick_ns = MIN (tick_ns, stranded_next_tick_ns (core));
   tick_ns = MIN (tick_ns, placement_next_tick_ns (core->placement));
   tick_ns = MIN (tick_ns, requests_next_tick_ns (core));
   tick_ns = MIN (tick_ns, waits_next_tick_ns (core));
@@ -379,20 +388,30 @@
                kwf_effects_t *effects)
 {
   pacing_begin_step (core, effects);
+  stranded_note_attempt (core, event);
   switch (event->type)
     {
     case KWF_EV_ATTEMPT_DATA:
-      answer_data (core, &event->attempt, effects);
+      if (handover_is (event->attempt.attempt))
+        handover_data (core, &event->attempt, effects);
+      else
+        answer_data (core, &event->attempt, effects);
       if (core->waits.recheck)
         break;
       if (core->n_withheld)
         set_timer (core, effects);
       return;
     case KWF_EV_ATTEMPT_END:
-      answer_end (core, &event->attempt, effects);
+      if (handover_is (event->attempt.attempt))
+        handover_end (core, &event->attempt, effects);
+      else
+        answer_end (core, &event->attempt, effects);
       break;
     case KWF_EV_ATTEMPT_FAILED:
-      answer_failed (core, &event->attempt, effects);
+      if (handover_is (event->attempt.attempt))
+        handover_failed (core, &event->attempt, effects);
+      else
+        answer_failed (core, &event->attempt, effects);
       break;
     case KWF_EV_NOTICE:
       handle_limit (core, &event->notice, effects);
@@ -439,5 +458,6 @@
 kwf_core_ready (const kwf_core_t *core)
 {
   return config_lists (core->config) && session_may_act (core->session)
-         && shares_ready (core->shares) && !core->stop.stopping;
+         && shares_ready (core->shares) && !core->stop.stopping
+         && !stranded_is_left_out (core);
 }
--- a/lib/directory.c
+++ b/lib/directory.c
@@ -116,7 +116,8 @@
 bool
 directory_includes (const kwf_core_t *core, const session_member_t *member)
 {
-  if (member->leaving || !member->caller_address)
+  if (member->leaving || !member->caller_address
+      || (stranded_is_member (core, member) && stranded_are_left_out (core)))
     return false;
   if (strcmp (member->instance, core->options.instance) == 0)
     return !core->stop.stopping;
--- a/lib/election.c
+++ b/lib/election.c
@@ -58,6 +58,7 @@
   bool is_leader;
   bool token_refused; /* a server has seen a higher token */
   bool stopping;
+  bool unable;     /* to do the task */
   kwf_handle_t op; /* write in flight; 0: none */
   bool op_resigns;
   int64_t op_sent_ns;
@@ -351,6 +352,12 @@
   election->base_era = 0;
 }
 
+void
+election_set_able (election_t *election, bool able)
+{
+  election->unable = !able;
+}
+
 void
 election_resign (election_t *election, kwf_effects_t *effects)
 {
@@ -414,7 +421,7 @@
 static bool
 is_candidate (const election_t *election, const session_t *session)
 {
-  return session_is_hub (session, election->instance)
+  return session_is_hub (session, election->instance) && !election->unable
          && (election->version
              || session_age_ns (session) >= FIRST_ELECTION_NS);
 }
@@ -452,11 +459,11 @@
   if (election->stopping || !session_revision (session))
     return;
   if (!election->version && !election->op)
-    election->base_era = revision_era (session_revision (session));
-  /* In a small fleet all instances are hubs.  This one became the leader then
-     and isn't a hub of the larger fleet: resign.  */
+    election->base_era = revision_era (session_revision (
+        session)); /* In a small fleet all instances are hubs.  This one may
+have become the leader then, and be no hub of the larger fleet.  */
   if (election->is_leader && !election->op
-      && !session_is_hub (session, election->instance))
+      && (election->unable || !session_is_hub (session, election->instance)))
     write_row (election, "", effects);
   if (!election->vacant_since_ns || has_live_leader (election, session))
     {
--- a/lib/election.h
+++ b/lib/election.h
@@ -50,6 +50,10 @@
 void election_handle_token_refusal (election_t *election,
                                     kwf_effects_t *effects);
 
+/* Set whether this instance can do the task.  If it can't, it resigns, and is
+   no candidate.  At first it can.  */
+void election_set_able (election_t *election, bool able);
+
 /* Give up the leadership, because this instance is stopping.  */
 void election_resign (election_t *election, kwf_effects_t *effects);
 
--- a/lib/error-code.c
+++ b/lib/error-code.c
@@ -29,6 +29,7 @@
   [CODE_MODEL_NOT_RESIDENT] = { "model_not_resident", 503 },
   [CODE_ORIGIN_UNKNOWN] = { "origin_unknown", 503 },
   [CODE_NO_SERVER] = { "no_server", 503 },
+  [CODE_INSTANCE_STRANDED] = { "instance_stranded", 421 },
   [CODE_RETRY_BUDGET_EXHAUSTED] = { "retry_budget_exhausted", 503 },
   [CODE_CLAIM_UNAVAILABLE] = { "claim_unavailable", 503 },
   [CODE_BACKEND_ERROR] = { "backend_error", 502 },
--- a/lib/placement-direct.c
+++ b/lib/placement-direct.c
@@ -959,6 +959,12 @@
   send_demand (direct, effects);
 }
 
+void
+placement_direct_set_able (placement_direct_t *direct, bool able)
+{
+  election_set_able (direct->election, able);
+}
+
 void
 placement_direct_resign (placement_direct_t *direct, kwf_effects_t *effects)
 {
--- a/lib/placement-direct.h
+++ b/lib/placement-direct.h
@@ -25,6 +25,7 @@
                                    kwf_effects_t *effects);
 
 /* Resign as the leader: this instance is stopping.  */
+void placement_direct_set_able (placement_direct_t *direct, bool able);
 void placement_direct_resign (placement_direct_t *direct,
                               kwf_effects_t *effects);
 
--- a/lib/placement.c
+++ b/lib/placement.c
@@ -396,6 +396,13 @@
              : ledger_next_tick_ns (placement->ledger);
 }
 
+void
+placement_set_able (placement_t *placement, bool able)
+{
+  if (placement->direct)
+    placement_direct_set_able (placement->direct, able);
+}
+
 void
 placement_resign (placement_t *placement, kwf_effects_t *effects)
 {
--- a/lib/placement.h
+++ b/lib/placement.h
@@ -39,6 +39,10 @@
    step.  */
 void placement_send_demand (placement_t *placement, kwf_effects_t *effects);
 
+/* Set whether this instance reaches engines: if it doesn't, it isn't the
+   leader.  */
+void placement_set_able (placement_t *placement, bool able);
+
 /* This instance is stopping: let another instance become the leader at
    once.  */
 void placement_resign (placement_t *placement, kwf_effects_t *effects);
--- a/lib/request.c
+++ b/lib/request.c
@@ -192,6 +192,7 @@
     attempt_cancel (core, request->hedge, effects);
   if (request->attempt)
     attempt_cancel (core, request->attempt, effects);
+  handover_cancel (request, effects);
   if (request->trial)
     crash_trial_ended (core->crash, request->fingerprint, code == CODE_OK,
                        effects);
@@ -377,7 +378,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const request_t *request = value;
-      if (core->options.finish_withdrawn && request->attempt)
+      if (core->options.finish_withdrawn
+          && (request->attempt || request->handover))
         continue;
       if (request->organisation[0]
           && !config_key_organisation (core->config, request->digest))
--- a/lib/request.h
+++ b/lib/request.h
@@ -19,8 +19,9 @@
   REQUEST_STREAMING,     /* data of the answer arrived */
   REQUEST_CRASH_CHECK,   /* the connection broke; a load report is to show
                             whether the server crashed */
-  REQUEST_END_CHECK      /* only its connection marks the end of the answer;
+  REQUEST_END_CHECK,     /* only its connection marks the end of the answer;
                             the same is to show whether the answer is cut */
+  REQUEST_HANDED_OVER    /* another instance runs it */
 } request_state_t;
 
 typedef struct attempt attempt_t;
@@ -96,6 +97,10 @@
   server_t *tried_servers[ROUTE_MAX_TRIED]; /* not to be chosen again; may be
                                                freed, so only compared */
   int n_tried;
+  bool handed_over;      /* another instance has handed it over */
+  int n_handovers;       /* times that it was handed over */
+  kwf_handle_t handover; /* under way; 0: none is */
+  uint64_t handed_to;    /* hash of the name of the last instance */
   const server_t *crash_check_server; /* may have crashed; only compared */
 
   queue_item_t queue_item; /* place in the queue for room at an engine */
@@ -250,6 +255,30 @@
 void attempt_cancel (kwf_core_t *core, attempt_t *attempt,
                      kwf_effects_t *effects);
 
+/* handover.c: requests that another instance runs for this one.  */
+/* Whether HANDLE of an attempt is that of a handover.  */
+bool handover_is (kwf_handle_t handle);
+/* Hand REQUEST over, if this instance is stranded and another one may take it;
+   false: nothing was done.  */
+bool handover_start (kwf_core_t *core, request_t *request,
+                     kwf_effects_t *effects);
+/* Refuse REQUEST, which was handed over to this instance, if no server may
+   answer here; false: nothing was done.  */
+bool handover_refuse (kwf_core_t *core, request_t *request,
+                      kwf_effects_t *effects);
+void handover_cancel (request_t *request, kwf_effects_t *effects);
+bool handover_may_send (const kwf_core_t *core);
+/* Handle what the other instance answers.  */
+void handover_data (kwf_core_t *core, const kwf_attempt_event_t *event,
+                    kwf_effects_t *effects);
+void handover_end (kwf_core_t *core, const kwf_attempt_event_t *event,
+                   kwf_effects_t *effects);
+void handover_failed (kwf_core_t *core, const kwf_attempt_event_t *event,
+                      kwf_effects_t *effects);
+/* This instance is stranded: hand over the requests that wait here or hang at
+   servers.  */
+void handover_open_requests (kwf_core_t *core, kwf_effects_t *effects);
+
 /* takeup.c: streams go on only at the software version that began them.  */
 /* Set which stream REQUEST, made from EVENT, is or takes up.  */
 void takeup_init (request_t *request, const kwf_request_event_t *event);
--- a/lib/statuspage.c
+++ b/lib/statuspage.c
@@ -267,6 +267,9 @@
   notices_write_metrics (core, out);
   origins_write_metrics (core->origins, out);
   currency_write_metrics (core->currency, out);
+  reach_write_metrics (core->reach, out);
+  metric_write_value (out, "kwf_handovers_total", "counter",
+                      (double)core->n_handovers);
   evacuation_write_metrics (core->evacuation, core->backend, out);
   metric_write_value (out, "kwf_routes_without_home", "gauge",
                       g_hash_table_size (core->homeless));
--- a/lib/stop.c
+++ b/lib/stop.c
@@ -82,7 +82,8 @@
   for (GList *item = open; item; item = item->next)
     {
       request_t *request = item->data;
-      if (request->attempt || request->state == REQUEST_CRASH_CHECK
+      if (request->attempt || request->handover
+          || request->state == REQUEST_CRASH_CHECK
           || !stop_check_start (core, request, effects)
           || !request->queue_item.place || !request_has_begun (request))
         continue;
--- a/net/instance-internal.h
+++ b/net/instance-internal.h
@@ -205,7 +205,9 @@
 /* probe.c: request the load report of a backend server.  */
 void probe_start (instance_t *instance, const char *server,
                   const char *address);
-
+/* Ask a server whether it answers.  */
+void probe_ask (instance_t *instance, const char *server, const char *address,
+                int64_t asked_ns);
 /* order.c: send an order to a model engine.  */
 void order_start (instance_t *instance, const kwf_order_t *order);
 
--- a/net/instance.c
+++ b/net/instance.c
@@ -274,6 +274,10 @@
     case KWF_FX_PROBE:
       probe_start (instance, effect->probe.server, effect->probe.address);
       break;
+    case KWF_FX_ASK:
+      probe_ask (instance, effect->probe.server, effect->probe.address,
+                 effect->probe.asked_ns);
+      break;
     case KWF_FX_ORDER:
       order_start (instance, &effect->order);
       break;
--- a/net/message.c
+++ b/net/message.c
@@ -1,289 +1,9 @@
 #include "message.h"
 
-#include <math.h>
 #include <string.h>
 
 #include "message-optional.h"
-#include "wire.h"
-
-static void
-put_rows (wire_writer_t *writer, const kwf_row_t *rows, size_t n_rows)
-{
-  wire_put_array (writer, n_rows);
-  for (size_t i = 0; i < n_rows; i++)
-    {
-      wire_put_array (writer, 3);
-      wire_put_text (writer, rows[i].key);
-      wire_put_int (writer, rows[i].version);
-      wire_put_value (writer, rows[i].value);
-    }
-}
-
-static const kwf_row_t *
-read_rows (wire_reader_t *reader, size_t *n_rows)
-{
-  wire_reader_t frame;
-  wire_reader_t list;
-  uint32_t count = wire_enter (reader, &frame);
-  kwf_row_t *rows
-      = msgpack_zone_malloc (reader->zone, (count + 1) * sizeof *rows);
-  if (!rows)
-    reader->failed = true;
-  for (uint32_t i = 0; i < count && !reader->failed; i++)
-    {
-      wire_enter (reader, &list);
-      rows[i] = (kwf_row_t){ .key = wire_get_text (reader) };
-      rows[i].version = wire_get_int (reader);
-      rows[i].value = wire_get_value (reader);
-      wire_leave (reader, &list);
-    }
-  wire_leave (reader, &frame);
-  *n_rows = count;
-  return rows;
-}
-
-static void
-put_renew (wire_writer_t *writer, const kwf_renew_t *renew)
-{
-  wire_put_uint (writer, renew->incarnation);
-  wire_put_int (writer, renew->counter);
-  wire_put_int (writer, renew->epoch_left);
-  wire_put_bool (writer, renew->leaving);
-  wire_put_text_or_empty (writer, renew->caller_address);
-  wire_put_text_or_empty (writer, renew->peer_address);
-  wire_put_text_or_empty (writer, renew->data_centre);
-  wire_put_int (writer, renew->load);
-  wire_put_amount (writer, renew->cores);
-  wire_put_int (writer, renew->after);
-  wire_put_value (writer, renew->demand);
-}
-
-static void
-read_renew (wire_reader_t *reader, kwf_renew_t *renew)
-{
-  renew->incarnation = wire_get_uint (reader);
-  renew->counter = wire_get_int (reader);
-  renew->epoch_left = wire_get_int (reader);
-  renew->leaving = wire_get_bool (reader);
-  renew->caller_address = wire_get_text_or_empty (reader);
-  renew->peer_address = wire_get_text_or_empty (reader);
-  renew->data_centre = wire_get_text_or_empty (reader);
-  renew->load = wire_get_int (reader);
-  renew->cores = wire_get_amount (reader);
-  renew->after = wire_get_int (reader);
-  renew->demand = wire_get_value (reader);
-}
-
-static void
-put_renewed (wire_writer_t *writer, const kwf_renewed_t *renewed)
-{
-  wire_put_int (writer, renewed->counter);
-  wire_put_bool (writer, renewed->renewed);
-  wire_put_int (writer, renewed->revision);
-  put_rows (writer, renewed->rows, renewed->n_rows);
-}
-
-static void
-read_renewed (wire_reader_t *reader, kwf_renewed_t *renewed)
-{
-  renewed->counter = wire_get_int (reader);
-  renewed->renewed = wire_get_bool (reader);
-  renewed->revision = wire_get_int (reader);
-  renewed->rows = read_rows (reader, &renewed->n_rows);
-}
-
-/* A negative amount, which asks for a part of the burst limit as well, is
-   encoded as its absolute value and a flag.  */
-static void
-put_share_request (wire_writer_t *writer,
-                   const kwf_share_request_t *share_request)
-{
-  wire_put_int (writer, share_request->epoch);
-  wire_put_int (writer, share_request->number);
-  wire_put_text (writer, share_request->organisation);
-  wire_put_amount (writer, fabs (share_request->tokens));
-  wire_put_bool (writer, share_request->tokens < 0);
-  wire_put_bool (writer, share_request->ahead);
-}
-
-static void
-read_share_request (wire_reader_t *reader, kwf_share_request_t *share_request)
-{
-  share_request->epoch = wire_get_int (reader);
-  share_request->number = wire_get_int (reader);
-  share_request->organisation = wire_get_text (reader);
-  share_request->tokens = wire_get_amount (reader);
-  if (wire_get_bool (reader))
-    share_request->tokens = -share_request->tokens;
-  share_request->ahead = wire_get_bool (reader);
-}
-
-/* The number is that of the share request.  The rate and cap are fractions, 0
-   to 1, of the organisation's rate and burst; the level is an amount of
-   tokens.  */
-static void
-put_share_grant (wire_writer_t *writer, const kwf_share_grant_t *share_grant)
-{
-  wire_put_int (writer, share_grant->epoch);
-  wire_put_int (writer, share_grant->number);
-  wire_put_text (writer, share_grant->organisation);
-  wire_put_amount (writer, share_grant->rate);
-  wire_put_amount (writer, share_grant->cap);
-  wire_put_amount (writer, share_grant->level);
-  if (share_grant->tells_left)
-    wire_put_amount (writer, share_grant->left);
-  if (share_grant->rate > 1 || share_grant->cap > 1)
-    writer->failed = true;
-}
-
-static void
-read_share_grant (wire_reader_t *reader, kwf_share_grant_t *share_grant)
-{
-  share_grant->epoch = wire_get_int (reader);
-  share_grant->number = wire_get_int (reader);
-  share_grant->organisation = wire_get_text (reader);
-  share_grant->rate = wire_get_amount (reader);
-  share_grant->cap = wire_get_amount (reader);
-  share_grant->level = wire_get_amount (reader);
-  share_grant->tells_left = wire_has_more (reader);
-  if (share_grant->tells_left)
-    share_grant->left = wire_get_amount (reader);
-  if (share_grant->rate > 1 || share_grant->cap > 1)
-    reader->failed = true;
-}
-
-static void
-put_server_loads (wire_writer_t *writer, const kwf_server_loads_t *loads)
-{
-  wire_put_int (writer, loads->scope);
-  wire_put_array (writer, loads->n_loads);
-  for (size_t i = 0; i < loads->n_loads; i++)
-    {
-      wire_put_array (writer, 3);
-      wire_put_text (writer, loads->loads[i].server);
-      wire_put_int (writer, loads->loads[i].open);
-      wire_put_int (writer, loads->loads[i].reading);
-    }
-}
-
-static void
-read_server_loads (wire_reader_t *reader, kwf_server_loads_t *loads)
-{
-  wire_reader_t frame;
-  wire_reader_t item;
-  int64_t scope = wire_get_int (reader);
-  if (scope < KWF_LOAD_SCOPE_OWN || scope > KWF_LOAD_SCOPE_FLEET)
-    reader->failed = true;
-  loads->scope = (kwf_load_scope_t)scope;
-  uint32_t count = wire_enter (reader, &frame);
-  kwf_server_load_t *list
-      = msgpack_zone_malloc (reader->zone, (count + 1) * sizeof *list);
-  if (!list)
-    reader->failed = true;
-  for (uint32_t i = 0; i < count && !reader->failed; i++)
-    {
-      wire_enter (reader, &item);
-      list[i] = (kwf_server_load_t){ .server = wire_get_text (reader) };
-      list[i].open = wire_get_int (reader);
-      list[i].reading = wire_get_int (reader);
-      wire_leave (reader, &item);
-    }
-  wire_leave (reader, &frame);
-  loads->loads = list;
-  loads->n_loads = count;
-}
-
-static void
-put_unreachable (wire_writer_t *writer, const kwf_unreachable_t *unreachable)
-{
-  wire_put_array (writer, unreachable->n_names);
-  for (size_t i = 0; i < unreachable->n_names; i++)
-    wire_put_text (writer, unreachable->names[i]);
-}
-
-static void
-read_unreachable (wire_reader_t *reader, kwf_unreachable_t *unreachable)
-{
-  wire_reader_t frame;
-  uint32_t count = wire_enter (reader, &frame);
-  const char **names
-      = msgpack_zone_malloc (reader->zone, (count + 1) * sizeof *names);
-  if (!names)
-    reader->failed = true;
-  for (uint32_t i = 0; i < count && !reader->failed; i++)
-    names[i] = wire_get_text (reader);
-  wire_leave (reader, &frame);
-  unreachable->names = names;
-  unreachable->n_names = count;
-}
-
-static void
-put_server_limit (wire_writer_t *writer, const kwf_server_limit_t *limit)
-{
-  wire_put_text (writer, limit->server);
-  wire_put_uint (writer, limit->incarnation);
-  wire_put_int (writer, limit->version);
-  wire_put_bool (writer, limit->named);
-  wire_put_amount (writer, limit->rate_per_s);
-  wire_put_bool (writer, limit->forwarded);
-}
-
-static void
-read_server_limit (wire_reader_t *reader, kwf_server_limit_t *limit)
-{
-  limit->server = wire_get_text (reader);
-  limit->incarnation = wire_get_uint (reader);
-  limit->version = wire_get_int (reader);
-  limit->named = wire_get_bool (reader);
-  limit->rate_per_s = wire_get_amount (reader);
-  limit->forwarded = wire_get_bool (reader);
-}
-
-static void
-put_permit_ask (wire_writer_t *writer, const kwf_permit_ask_t *ask)
-{
-  put_server_limit (writer, &ask->limit);
-  wire_put_int (writer, ask->number);
-  wire_put_int (writer, ask->n);
-  wire_put_int (writer, ask->patience_ns);
-  wire_put_int (writer, ask->n_unspent);
-  wire_put_int (writer, ask->n_unpermitted);
-}
-
-static void
-read_permit_ask (wire_reader_t *reader, kwf_permit_ask_t *ask)
-{
-  read_server_limit (reader, &ask->limit);
-  ask->number = wire_get_int (reader);
-  ask->n = wire_get_int (reader);
-  ask->patience_ns = wire_get_int (reader);
-  ask->n_unspent = wire_get_int (reader);
-  ask->n_unpermitted = wire_get_int (reader);
-}
-
-static void
-put_permit_grant (wire_writer_t *writer, const kwf_permit_grant_t *grant)
-{
-  wire_put_text (writer, grant->server);
-  wire_put_uint (writer, grant->incarnation);
-  wire_put_int (writer, grant->number);
-  wire_put_int (writer, grant->n);
-  wire_put_int (writer, grant->start_ns);
-  wire_put_int (writer, grant->spacing_ns);
-  wire_put_int (writer, grant->free_ns);
-}
-
-static void
-read_permit_grant (wire_reader_t *reader, kwf_permit_grant_t *grant)
-{
-  grant->server = wire_get_text (reader);
-  grant->incarnation = wire_get_uint (reader);
-  grant->number = wire_get_int (reader);
-  grant->n = wire_get_int (reader);
-  grant->start_ns = wire_get_int (reader);
-  grant->spacing_ns = wire_get_int (reader);
-  grant->free_ns = wire_get_int (reader);
-}
+#include "message-parts.h"
 
 /* Number of fields of a message type, without the optional ones; -1: unknown
    type.  */
@@ -312,6 +32,7 @@
     case KWF_MSG_WITHDRAW:
     case KWF_MSG_STATE_ROWS:
     case KWF_MSG_SERVER_LOADS:
+    case KWF_MSG_REACH_REPLY:
       return 2;
     case KWF_MSG_SHARE_REQUEST:
     case KWF_MSG_SHARE_GRANT:
@@ -322,8 +43,10 @@
       return 5;
     case KWF_MSG_CRASH:
     case KWF_MSG_TABLES_REPLY:
+    case KWF_MSG_REACH_QUERY:
       return 3;
     case KWF_MSG_SERVER_LEAVING:
+    case KWF_MSG_REACH:
       return 4;
     case KWF_MSG_PERMIT_ASK:
       return 11;
@@ -343,10 +66,10 @@
     case KWF_MSG_LEAVE:
       break;
     case KWF_MSG_RENEW:
-      put_renew (writer, &message->renew);
+      message_put_renew (writer, &message->renew);
       break;
     case KWF_MSG_RENEWED:
-      put_renewed (writer, &message->renewed);
+      message_put_renewed (writer, &message->renewed);
       break;
     case KWF_MSG_OUTAGE_QUERY:
       wire_put_int (writer, message->outage.number);
@@ -356,10 +79,10 @@
       wire_put_bool (writer, message->outage.silent);
       break;
     case KWF_MSG_SHARE_REQUEST:
-      put_share_request (writer, &message->share_request);
+      message_put_share_request (writer, &message->share_request);
       break;
     case KWF_MSG_SHARE_GRANT:
-      put_share_grant (writer, &message->share_grant);
+      message_put_share_grant (writer, &message->share_grant);
       break;
     case KWF_MSG_SHARE_ACK:
       wire_put_int (writer, message->share_ack);
@@ -375,7 +98,8 @@
       break;
     case KWF_MSG_STATE_ROWS:
       wire_put_int (writer, message->state_rows.revision);
-      put_rows (writer, message->state_rows.rows, message->state_rows.n_rows);
+      message_put_rows (writer, message->state_rows.rows,
+                        message->state_rows.n_rows);
       break;
     case KWF_MSG_CRASH:
       wire_put_uint (writer, message->crash.fingerprint);
@@ -397,16 +121,17 @@
       wire_put_int (writer, message->feed.after);
       wire_put_int (writer, message->feed.revision);
       wire_put_int (writer, message->feed.as_of_ns);
-      put_rows (writer, message->feed.rows, message->feed.n_rows);
+      message_put_rows (writer, message->feed.rows, message->feed.n_rows);
       break;
     case KWF_MSG_SERVER_LOADS:
-      put_server_loads (writer, &message->loads);
+      message_put_server_loads (writer, &message->loads);
       break;
     case KWF_MSG_LEADERSHIP_EXPIRED:
       wire_put_int (writer, message->leadership_expired);
       break;
     case KWF_MSG_UNREACHABLE:
-      put_unreachable (writer, &message->unreachable);
+      message_put_names (writer, message->unreachable.names,
+                         message->unreachable.n_names);
       break;
     case KWF_MSG_SERVER_LEAVING:
       wire_put_text (writer, message->leaving.server);
@@ -415,13 +140,13 @@
       wire_put_bool (writer, message->leaving.forwarded);
       break;
     case KWF_MSG_SERVER_LIMIT:
-      put_server_limit (writer, &message->server_limit);
+      message_put_server_limit (writer, &message->server_limit);
       break;
     case KWF_MSG_PERMIT_ASK:
-      put_permit_ask (writer, &message->permit_ask);
+      message_put_permit_ask (writer, &message->permit_ask);
       break;
     case KWF_MSG_PERMIT_GRANT:
-      put_permit_grant (writer, &message->permit_grant);
+      message_put_permit_grant (writer, &message->permit_grant);
       break;
     case KWF_MSG_FORM:
       wire_put_int (writer, message->form);
@@ -434,6 +159,23 @@
       wire_put_int (writer, message->tables.servers);
       wire_put_int (writer, message->tables.own);
       break;
+    case KWF_MSG_REACH:
+      wire_put_text (writer, message->reach.instance);
+      wire_put_uint (writer, message->reach.incarnation);
+      wire_put_bool (writer, message->reach.stranded);
+      wire_put_bool (writer, message->reach.forwarded);
+      break;
+    case KWF_MSG_REACH_QUERY:
+      wire_put_int (writer, message->reach_query.number);
+      wire_put_int (writer, message->reach_query.age_ns);
+      message_put_names (writer, message->reach_query.servers,
+                         message->reach_query.n_servers);
+      break;
+    case KWF_MSG_REACH_REPLY:
+      wire_put_int (writer, message->reach_reply.number);
+      message_put_names (writer, message->reach_reply.servers,
+                         message->reach_reply.n_servers);
+      break;
     }
 }
 
@@ -446,10 +188,10 @@
     case KWF_MSG_LEAVE:
       break;
     case KWF_MSG_RENEW:
-      read_renew (reader, &message->renew);
+      message_read_renew (reader, &message->renew);
       break;
     case KWF_MSG_RENEWED:
-      read_renewed (reader, &message->renewed);
+      message_read_renewed (reader, &message->renewed);
       break;
     case KWF_MSG_OUTAGE_QUERY:
       message->outage.number = wire_get_int (reader);
@@ -459,10 +201,10 @@
       message->outage.silent = wire_get_bool (reader);
       break;
     case KWF_MSG_SHARE_REQUEST:
-      read_share_request (reader, &message->share_request);
+      message_read_share_request (reader, &message->share_request);
       break;
     case KWF_MSG_SHARE_GRANT:
-      read_share_grant (reader, &message->share_grant);
+      message_read_share_grant (reader, &message->share_grant);
       break;
     case KWF_MSG_SHARE_ACK:
       message->share_ack = wire_get_int (reader);
@@ -479,7 +221,7 @@
     case KWF_MSG_STATE_ROWS:
       message->state_rows.revision = wire_get_int (reader);
       message->state_rows.rows
-          = read_rows (reader, &message->state_rows.n_rows);
+          = message_read_rows (reader, &message->state_rows.n_rows);
       break;
     case KWF_MSG_CRASH:
       message->crash.fingerprint = wire_get_uint (reader);
@@ -501,16 +243,17 @@
       message->feed.after = wire_get_int (reader);
       message->feed.revision = wire_get_int (reader);
       message->feed.as_of_ns = wire_get_int (reader);
-      message->feed.rows = read_rows (reader, &message->feed.n_rows);
+      message->feed.rows = message_read_rows (reader, &message->feed.n_rows);
       break;
     case KWF_MSG_SERVER_LOADS:
-      read_server_loads (reader, &message->loads);
+      message_read_server_loads (reader, &message->loads);
       break;
     case KWF_MSG_LEADERSHIP_EXPIRED:
       message->leadership_expired = wire_get_int (reader);
       break;
     case KWF_MSG_UNREACHABLE:
-      read_unreachable (reader, &message->unreachable);
+      message->unreachable.names
+          = message_read_names (reader, &message->unreachable.n_names);
       break;
     case KWF_MSG_SERVER_LEAVING:
       message->leaving.server = wire_get_text (reader);
@@ -519,13 +262,13 @@
       message->leaving.forwarded = wire_get_bool (reader);
       break;
     case KWF_MSG_SERVER_LIMIT:
-      read_server_limit (reader, &message->server_limit);
+      message_read_server_limit (reader, &message->server_limit);
       break;
     case KWF_MSG_PERMIT_ASK:
-      read_permit_ask (reader, &message->permit_ask);
+      message_read_permit_ask (reader, &message->permit_ask);
       break;
     case KWF_MSG_PERMIT_GRANT:
-      read_permit_grant (reader, &message->permit_grant);
+      message_read_permit_grant (reader, &message->permit_grant);
       break;
     case KWF_MSG_FORM:
       message->form = wire_get_int (reader);
@@ -538,6 +281,23 @@
       message->tables.servers = wire_get_int (reader);
       message->tables.own = wire_get_int (reader);
       break;
+    case KWF_MSG_REACH:
+      message->reach.instance = wire_get_text (reader);
+      message->reach.incarnation = wire_get_uint (reader);
+      message->reach.stranded = wire_get_bool (reader);
+      message->reach.forwarded = wire_get_bool (reader);
+      break;
+    case KWF_MSG_REACH_QUERY:
+      message->reach_query.number = wire_get_int (reader);
+      message->reach_query.age_ns = wire_get_int (reader);
+      message->reach_query.servers
+          = message_read_names (reader, &message->reach_query.n_servers);
+      break;
+    case KWF_MSG_REACH_REPLY:
+      message->reach_reply.number = wire_get_int (reader);
+      message->reach_reply.servers
+          = message_read_names (reader, &message->reach_reply.n_servers);
+      break;
     }
 }
 
--- a/net/probe.c
+++ b/net/probe.c
@@ -1,4 +1,5 @@
-/* Requests load reports of backend servers and passes them to the core.  */
+/* Requests load reports of backend servers and passes them to the core, or
+   only whether there was an answer.  */
 
 #include "instance-internal.h"
 
@@ -17,9 +18,9 @@
 {
   instance_t *instance;
   int64_t asked_ns;
+  bool is_question; /* whether the server answers */
   char server[];
 } probe_t;
-
 static void
 report_and_free (probe_t *probe, kwf_report_event_t *report)
 {
@@ -29,6 +30,17 @@
   g_hash_table_remove (probe->instance->control_calls, probe);
 }
 
+static void
+answer_and_free (probe_t *probe, bool answered)
+{
+  kwf_event_t event = { .type = KWF_EV_ANSWERED,
+                        .answered = { .server = probe->server,
+                                      .asked_ns = probe->asked_ns,
+                                      .answered = answered } };
+  instance_step (probe->instance, &event);
+  g_hash_table_remove (probe->instance->control_calls, probe);
+}
+
 static void
 on_done (void *data, kwf_handle_t transfer, const client_answer_t *answer)
 {
@@ -36,6 +48,11 @@
   probe_t *probe = data;
   notice_read (probe->instance, KWF_ANSWER_REPORT, 0, probe->server,
                probe->asked_ns, answer);
+  if (probe->is_question)
+    {
+      answer_and_free (probe, true);
+      return;
+    }
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
   kwf_report_event_t report = { 0 };
   const protocol_t *protocol = probe->instance->protocol;
@@ -53,13 +70,18 @@
 {
   (void)transfer;
   (void)error;
-  report_and_free (
-      data, &(kwf_report_event_t){ .refused = failure == KWF_FAIL_REFUSED,
-                                   .broken = failure == KWF_FAIL_BROKEN });
+  probe_t *probe = data;
+  if (probe->is_question)
+    answer_and_free (probe, false);
+  else
+    report_and_free (
+        probe, &(kwf_report_event_t){ .refused = failure == KWF_FAIL_REFUSED,
+                                      .broken = failure == KWF_FAIL_BROKEN });
 }
 
-void
-probe_start (instance_t *instance, const char *server, const char *address)
+static void
+start (instance_t *instance, const char *server, const char *address,
+       int64_t asked_ns, bool is_question)
 {
   static const client_handler_t handler
       = { .done = on_done, .failed = on_failed };
@@ -67,7 +89,8 @@
   size_t size = strlen (server) + 1;
   probe_t *probe = g_malloc (sizeof *probe + size);
   probe->instance = instance;
-  probe->asked_ns = kwf_now_ns (kwf_clock_system ());
+  probe->asked_ns = asked_ns;
+  probe->is_question = is_question;
   g_hash_table_add (instance->control_calls, probe);
   memcpy (probe->server, server, size);
   header_t expect = { protocol->expect_server_header, probe->server };
@@ -85,3 +108,16 @@
                            .own_connection = protocol->echo_name != NULL },
       &handler, probe);
 }
+
+void
+probe_start (instance_t *instance, const char *server, const char *address)
+{
+  start (instance, server, address, kwf_now_ns (kwf_clock_system ()), false);
+}
+
+void
+probe_ask (instance_t *instance, const char *server, const char *address,
+           int64_t asked_ns)
+{
+  start (instance, server, address, asked_ns, true);
+}
--- a/net/protocol.h
+++ b/net/protocol.h
@@ -53,6 +53,15 @@
   void (*add_headers) (GArray *headers, GPtrArray *texts,
                        const kwf_attempt_start_t *start, int64_t left_ms,
                        const char *last_event);
+  /* The same for a request that is handed over to another instance, which gets
+     all that the caller sent in REQUEST.  RESUMES: id of the request that got
+     the first event of a stream that goes on after LAST_EVENT; NULL: it is as
+     its caller sent it.  NULL: nothing is handed over.  */
+  void (*add_handover_headers) (GArray *headers, GPtrArray *texts,
+                                const server_request_t *request,
+                                const kwf_attempt_start_t *start,
+                                int64_t left_ms, const char *last_event,
+                                const char *resumes);
   /* Header with the request id, which each answer must repeat.  */
   const char *echo_name;
   /* Header that a server's successes bear; NULL: none.  */
--- a/net/relay.c
+++ b/net/relay.c
@@ -189,6 +189,31 @@
   transfer_finish (transfer, KWF_EV_ATTEMPT_END, event, report_event);
 }
 
+/* Appends the headers of the attempt START, which has LEFT_MS.  */
+static void
+collect_headers (const instance_t *instance, GArray *headers, GPtrArray *texts,
+                 const kwf_attempt_start_t *start,
+                 const caller_request_t *caller_request,
+                 const server_request_t *request, int64_t left_ms)
+{
+  const protocol_t *protocol = instance->protocol;
+  char *position = g_strdup_printf ("%" G_GINT64_FORMAT,
+                                    caller_request->position.last_id);
+  g_ptr_array_add (texts, position);
+  bool resumes = start->resumes && caller_request->position.last_id >= 0;
+  if (start->handed_attempts)
+    {
+      protocol->add_handover_headers (headers, texts, request, start, left_ms,
+                                      resumes ? position : NULL,
+                                      caller_request->id);
+      return;
+    }
+  g_array_append_vals (headers, caller_request->headers->data,
+                       caller_request->headers->len);
+  protocol->add_headers (headers, texts, start, left_ms,
+                         resumes ? position : caller_request->resume_event_id);
+}
+
 void
 relay_start (instance_t *instance, transfer_t *transfer,
              const kwf_attempt_start_t *start,
@@ -202,17 +227,10 @@
                                             .failed = on_failed };
   int64_t left_ns = MAX (start->deadline_ns - kwf_now_ns (kwf_clock_system ()),
                          KWF_NS_PER_MS);
-  char last_event[24];
   GPtrArray *texts = g_ptr_array_new_with_free_func (g_free);
-  bool resumes = start->resumes && caller_request->position.last_id >= 0;
   GArray *headers = g_array_new (FALSE, FALSE, sizeof (header_t));
-  g_array_append_vals (headers, caller_request->headers->data,
-                       caller_request->headers->len);
-  g_snprintf (last_event, sizeof last_event, "%" G_GINT64_FORMAT,
-              caller_request->position.last_id);
-  instance->protocol->add_headers (
-      headers, texts, start, left_ns / KWF_NS_PER_MS,
-      resumes ? last_event : caller_request->resume_event_id);
+  collect_headers (instance, headers, texts, start, caller_request, request,
+                   left_ns / KWF_NS_PER_MS);
   routed_stream_init (&transfer->routed_stream, &caller_request->position,
                       start->resumes);
   transfer->wants_events
--- a/standin/common-world.c
+++ b/standin/common-world.c
@@ -366,6 +366,7 @@
     case KWF_FX_PEER_LINK:
       world_node_link (node, effect->link.instance);
       break;
+    case KWF_FX_ASK:
     case KWF_FX_PEER_UNLINK:
     case KWF_FX_REFRESH:
       break;
--- a/test/common-core-fleet.c
+++ b/test/common-core-fleet.c
@@ -1,4 +1,4 @@
-#include "common-core-fleet.h"
+#include "common-core-fleet-task.h"
 
 #include <math.h>
 #include <string.h>
@@ -6,13 +6,14 @@
 #include "lib/lists-build.h"
 #include "net/message.h"
 
-#define LINK_NS (5 * CORE_FLEET_MS)
 #define LINK_RETRY_NS (200 * CORE_FLEET_MS)
 /* A link notices that its other end is silent after this time.  */
 #define SILENCE_NS (1500 * CORE_FLEET_MS)
 #define STORE_NS (4 * CORE_FLEET_MS)
 #define FEED_NS (15 * CORE_FLEET_MS)
 #define SERVER_NS (3 * CORE_FLEET_MS)
+/* An instance gives up a question to a server after this time.  */
+#define REPORT_NS (1 * KWF_NS_PER_S)
 /* An instance counts for the rule when it has been told for this long.  */
 #define TOLD_NS (500 * CORE_FLEET_MS)
 /* The rule holds from this time after the limit was first named, and for
@@ -23,49 +24,6 @@
 #define BEGIN_NS (400 * CORE_FLEET_MS)
 #define DOWN_NS (3 * KWF_NS_PER_S)
 
-typedef enum
-{
-  TASK_TIMER,
-  TASK_STORE_REPLY,
-  TASK_ROWS,
-  TASK_START,
-  TASK_LINK,
-  TASK_LINK_DOWN,
-  TASK_MESSAGE,
-  TASK_ARRIVAL,
-  TASK_ANSWER,
-  TASK_REQUEST,
-  TASK_MEMBERS,
-  TASK_LOADED,
-  TASK_REFUSED,
-  TASK_CRASH
-} task_type_t;
-
-typedef struct
-{
-  task_type_t type;
-  core_fleet_instance_t *to;
-  uint64_t incarnation; /* of the instance TO */
-  core_fleet_instance_t *from;
-  uint64_t from_incarnation;
-  GByteArray *bytes; /* message */
-  kwf_handle_t op;   /* store reply */
-  kwf_store_reply_t reply;
-  kwf_row_t row;
-  kwf_handle_t request;
-  kwf_handle_t attempt;
-  int server;
-  kwf_answer_kind_t kind;
-  char order_id[24];
-  core_fleet_order_t order;
-  int status; /* of the answer to a request or an order */
-  bool named; /* the answer names a limit */
-  double limit;
-  int64_t timer_ns;
-  uint64_t server_incarnation;
-  int64_t asked_ns;
-} task_t;
-
 static struct timespec
 to_timespec (int64_t now_ns)
 {
@@ -103,11 +61,11 @@
   return (double)(random_next (&fleet->state) >> 11) / (double)(1ULL << 53);
 }
 
-static task_t *
-add_task (core_fleet_t *fleet, task_type_t type, int64_t delay_ns,
-          core_fleet_instance_t *to)
+core_fleet_task_t *
+core_fleet_add_task (core_fleet_t *fleet, core_fleet_task_type_t type,
+                     int64_t delay_ns, core_fleet_instance_t *to)
 {
-  task_t *task = g_new0 (task_t, 1);
+  core_fleet_task_t *task = g_new0 (core_fleet_task_t, 1);
   task->type = type;
   task->to = to;
   task->incarnation = to ? to->incarnation : 0;
@@ -116,7 +74,7 @@
 }
 
 static void
-task_free (task_t *task)
+task_free (core_fleet_task_t *task)
 {
   if (task->bytes)
     g_byte_array_free (task->bytes, TRUE);
@@ -176,8 +134,8 @@
 
 static void run_effects (core_fleet_instance_t *instance);
 
-static void
-step (core_fleet_instance_t *instance, const kwf_event_t *event)
+void
+core_fleet_step (core_fleet_instance_t *instance, const kwf_event_t *event)
 {
   kwf_effects_clear (instance->effects);
   kwf_core_step (instance->core, event, instance->effects);
@@ -210,8 +168,9 @@
         members[i].models = core_fleet_residents (fleet, server->engine,
                                                   &members[i].n_models);
     }
-  step (instance, &(kwf_event_t){
-                      .type = KWF_EV_MEMBERS,
+  core_fleet_step (
+      instance,
+      &(kwf_event_t){ .type = KWF_EV_MEMBERS,
                       .members = { .valid = true,
                                    .members = members,
                                    .n_members = (size_t)fleet->n_servers } });
@@ -233,18 +192,19 @@
   g_hash_table_iter_init (&iter, fleet->table->table);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_array_append_vals (rows, value, 1);
-  step (instance,
-        &(kwf_event_t){ .type = KWF_EV_ROWS,
-                        .rows = { .revision = fleet->table->revision,
-                                  .rows = (kwf_row_t *)(void *)rows->data,
-                                  .n_rows = rows->len } });
+  core_fleet_step (
+      instance,
+      &(kwf_event_t){ .type = KWF_EV_ROWS,
+                      .rows = { .revision = fleet->table->revision,
+                                .rows = (kwf_row_t *)(void *)rows->data,
+                                .n_rows = rows->len } });
   g_array_free (rows, TRUE);
   kwf_lists_t *lists = make_lists (fleet);
-  step (instance,
-        &(kwf_event_t){
-            .type = KWF_EV_CONFIG,
-            .config
-            = { .version = 1, .lists = &lists, .keys = &key, .n_keys = 1 } });
+  core_fleet_step (instance, &(kwf_event_t){ .type = KWF_EV_CONFIG,
+                                             .config = { .version = 1,
+                                                         .lists = &lists,
+                                                         .keys = &key,
+                                                         .n_keys = 1 } });
   feed_members (instance);
 }
 
@@ -259,7 +219,7 @@
                                   .incarnation = peer->incarnation,
                                   .refused = refused } };
   if (instance->alive)
-    step (instance, &event);
+    core_fleet_step (instance, &event);
 }
 
 static void
@@ -272,13 +232,13 @@
   *pair (fleet, fleet->linked, b, a) = false;
   feed_link (a, b, false, refused);
   feed_link (b, a, false, refused);
-  add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
-  add_task (fleet, TASK_LINK, LINK_RETRY_NS, b)->from = a;
+  core_fleet_add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
+  core_fleet_add_task (fleet, TASK_LINK, LINK_RETRY_NS, b)->from = a;
 }
 
 /* Opens the link that TASK->to wants to TASK->from, or tries again.  */
 static void
-run_link (core_fleet_t *fleet, const task_t *task)
+run_link (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   core_fleet_instance_t *a = task->to;
   core_fleet_instance_t *b = task->from;
@@ -287,7 +247,7 @@
     return;
   if (!b->alive || a->cut || b->cut || a->frozen || b->frozen)
     {
-      add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
+      core_fleet_add_task (fleet, TASK_LINK, LINK_RETRY_NS, a)->from = b;
       return;
     }
   *pair (fleet, fleet->linked, a, b) = true;
@@ -310,14 +270,15 @@
   GByteArray *bytes = g_byte_array_new ();
   if (message_encode (bytes, message) != KWF_OK)
     g_error ("a message of type %d cannot be encoded", (int)message->type);
-  task_t *task = add_task (fleet, TASK_MESSAGE, LINK_NS, to);
+  core_fleet_task_t *task
+      = core_fleet_add_task (fleet, TASK_MESSAGE, CORE_FLEET_LINK_NS, to);
   task->bytes = bytes;
   task->from = from;
   task->from_incarnation = from->incarnation;
 }
 
 static void
-deliver_message (core_fleet_t *fleet, const task_t *task)
+deliver_message (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   kwf_message_t message;
   kwf_error_t error;
@@ -329,11 +290,12 @@
                       &error)
       != KWF_OK)
     g_error ("%s", error.message);
-  step (task->to,
-        &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
-                        .peer = { .instance = task->from->name,
-                                  .incarnation = task->from_incarnation,
-                                  .message = &message } });
+  core_fleet_step (
+      task->to,
+      &(kwf_event_t){ .type = KWF_EV_PEER_MESSAGE,
+                      .peer = { .instance = task->from->name,
+                                .incarnation = task->from_incarnation,
+                                .message = &message } });
   msgpack_zone_free (zone);
 }
 
@@ -356,7 +318,8 @@
 commit (core_fleet_instance_t *instance, kwf_handle_t op, const kwf_txn_t *txn)
 {
   core_fleet_t *fleet = instance->fleet;
-  task_t *task = add_task (fleet, TASK_STORE_REPLY, STORE_NS, instance);
+  core_fleet_task_t *task
+      = core_fleet_add_task (fleet, TASK_STORE_REPLY, STORE_NS, instance);
   task->op = op;
   task->reply.outcome = KWF_STORE_UNKNOWN;
   if (fleet->store_down || instance->cut)
@@ -370,7 +333,8 @@
   task->reply = fleet_sim_commit (fleet->table, txn);
   for (size_t i = 0; i < txn->n_puts && fleet->table->revision > before; i++)
     for (int k = 0; k < fleet->n_instances; k++)
-      add_task (fleet, TASK_ROWS, FEED_NS, &fleet->instances[k])->row
+      core_fleet_add_task (fleet, TASK_ROWS, FEED_NS, &fleet->instances[k])
+          ->row
           = *fleet_sim_get_row (fleet->table, txn->puts[i].key);
 }
 
@@ -419,7 +383,8 @@
       bool counts = counts_for_rule (fleet, server, arrival->instance);
       n += counts;
       n_before += counts
-                  && arrival->at_ns < server->learnt_ns + LINK_NS + SERVER_NS;
+                  && arrival->at_ns
+                         < server->learnt_ns + CORE_FLEET_LINK_NS + SERVER_NS;
     }
   double allowed = core_fleet_allowed (server->limit);
   server->n_excessive += n > allowed && n_before <= allowed;
@@ -470,7 +435,8 @@
       uint64_t spread_ns = (uint64_t)fleet->feed_spread_ns;
       int64_t more_ns
           = spread_ns ? (int64_t)core_fleet_random (fleet, spread_ns) : 0;
-      add_task (fleet, TASK_MEMBERS, FEED_NS + more_ns, &fleet->instances[i]);
+      core_fleet_add_task (fleet, TASK_MEMBERS, FEED_NS + more_ns,
+                           &fleet->instances[i]);
     }
 }
 
@@ -480,7 +446,7 @@
 {
   int status = core_fleet_order (fleet, server, order);
   if (core_fleet_engine_busy (server->engine))
-    add_task (fleet, TASK_LOADED, 5 * KWF_NS_PER_S, NULL)->server
+    core_fleet_add_task (fleet, TASK_LOADED, 5 * KWF_NS_PER_S, NULL)->server
         = (int)(server - fleet->servers);
   else if (order->adapter < 0)
     core_fleet_change_entry (fleet, server);
@@ -493,14 +459,15 @@
 count_arrival (core_fleet_t *fleet, const core_fleet_server_t *server,
                kwf_handle_t handle)
 {
-  guint *n = &g_array_index (fleet->arrived, guint, handle - 1);
+  kwf_handle_t root = g_array_index (fleet->roots, kwf_handle_t, handle - 1);
+  guint *n = &g_array_index (fleet->arrived, guint, root - 1);
   if (++*n > 1)
     g_array_append_val (fleet->repeats[server->quiet], fleet->now_ns);
 }
 
 /* The server crashes later if REQUEST is such that it does.  */
 static void
-plan_crash (core_fleet_t *fleet, const task_t *arrival)
+plan_crash (core_fleet_t *fleet, const core_fleet_task_t *arrival)
 {
   const core_fleet_server_t *server = &fleet->servers[arrival->server];
   if (!fleet->crashes
@@ -508,7 +475,8 @@
                           request_of (fleet, arrival->request)))
     return;
   int64_t delay_ns = (int64_t)core_fleet_random (fleet, BEGIN_NS);
-  task_t *task = add_task (fleet, TASK_CRASH, delay_ns, NULL);
+  core_fleet_task_t *task
+      = core_fleet_add_task (fleet, TASK_CRASH, delay_ns, NULL);
   task->server = arrival->server;
   task->server_incarnation = server->incarnation;
 }
@@ -532,20 +500,48 @@
 }
 
 static void
-run_arrival (core_fleet_t *fleet, const task_t *task)
+end_call (core_fleet_t *fleet, const core_fleet_task_t *call,
+          core_fleet_task_type_t type, int64_t delay_ns)
+{
+  core_fleet_task_t *end
+      = core_fleet_add_task (fleet, type, delay_ns, call->to);
+  end->incarnation = call->incarnation;
+  end->request = call->request;
+  end->attempt = call->attempt;
+  end->server = call->server;
+  end->kind = call->kind;
+  end->is_question = call->is_question;
+  end->asked_ns = call->asked_ns;
+  g_strlcpy (end->order_id, call->order_id, sizeof end->order_id);
+}
+
+/* What becomes of a call that does not reach its server.  */
+static void
+end_lost_call (core_fleet_t *fleet, const core_fleet_task_t *call)
+{
+  core_fleet_path_t path = call->to->path;
+  if (path == CORE_FLEET_REFUSES)
+    end_call (fleet, call, TASK_REFUSED, SERVER_NS);
+  else if (path == CORE_FLEET_RESETS)
+    end_call (fleet, call, TASK_UNANSWERED, SERVER_NS);
+  else if (call->kind == KWF_ANSWER_REPORT)
+    end_call (fleet, call, TASK_UNANSWERED, REPORT_NS);
+}
+
+static void
+run_arrival (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   core_fleet_server_t *server = &fleet->servers[task->server];
   core_fleet_arrival_t arrival
       = { fleet->now_ns, task->to->index, task->kind };
+  if (task->to->path != CORE_FLEET_OPEN)
+    {
+      end_lost_call (fleet, task);
+      return;
+    }
   if (fleet->now_ns < server->back_ns)
     {
-      task_t *refusal = add_task (fleet, TASK_REFUSED, SERVER_NS, task->to);
-      refusal->incarnation = task->incarnation;
-      refusal->request = task->request;
-      refusal->attempt = task->attempt;
-      refusal->server = task->server;
-      refusal->kind = task->kind;
-      g_strlcpy (refusal->order_id, task->order_id, sizeof refusal->order_id);
+      end_call (fleet, task, TASK_REFUSED, SERVER_NS);
       return;
     }
   g_array_append_val (server->arrivals, arrival);
@@ -559,7 +555,8 @@
   if (runs)
     plan_crash (fleet, task);
   int64_t delay_ns = SERVER_NS + (runs ? fleet->service_ns : 0);
-  task_t *answer = add_task (fleet, TASK_ANSWER, delay_ns, task->to);
+  core_fleet_task_t *answer
+      = core_fleet_add_task (fleet, TASK_ANSWER, delay_ns, task->to);
   answer->status = status;
   g_strlcpy (answer->order_id, task->order_id, sizeof answer->order_id);
   answer->incarnation = task->incarnation;
@@ -567,6 +564,7 @@
   answer->attempt = task->attempt;
   answer->server = task->server;
   answer->kind = task->kind;
+  answer->is_question = task->is_question;
   answer->named = server->names;
   answer->limit = server->limit;
   answer->server_incarnation = server->incarnation;
@@ -593,28 +591,72 @@
       report->orders = core_fleet_engine_orders (server->engine);
       report->busy = core_fleet_engine_busy (server->engine);
     }
-  step (instance, &event);
+  core_fleet_step (instance, &event);
   core_fleet_residents_free (models, report->n_models);
 }
 
+/* Whether the server of TASK, which was asked, has answered.  */
+static void
+answer_question (const core_fleet_task_t *task, bool answered)
+{
+  const char *id = task->to->fleet->servers[task->server].id;
+  core_fleet_step (task->to, &(kwf_event_t){ .type = KWF_EV_ANSWERED,
+                                             .answered = { id, task->asked_ns,
+                                                           answered } });
+}
+
+/* A call on a connection that was reset, or a question that nobody answered in
+   time.  */
+static void
+run_unanswered (const core_fleet_task_t *task)
+{
+  if (task->is_question)
+    answer_question (task, false);
+  else if (task->kind == KWF_ANSWER_REQUEST)
+    core_fleet_step (
+        task->to, &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                                  .attempt = { .attempt = task->attempt,
+                                               .request = task->request,
+                                               .failure = KWF_FAIL_BROKEN } });
+  else if (task->kind == KWF_ANSWER_REPORT)
+    core_fleet_step (
+        task->to,
+        &(kwf_event_t){
+            .type = KWF_EV_REPORT,
+            .report
+            = { .server = task->to->fleet->servers[task->server].id } });
+}
+
 static void
-run_answer (core_fleet_t *fleet, const task_t *task)
+run_answer (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   core_fleet_server_t *server = &fleet->servers[task->server];
   core_fleet_instance_t *instance = task->to;
+  if (instance->path == CORE_FLEET_HANGS)
+    {
+      if (task->is_question)
+        end_call (fleet, task, TASK_UNANSWERED, REPORT_NS);
+      return;
+    }
+  if (instance->path == CORE_FLEET_RESETS)
+    {
+      run_unanswered (task);
+      return;
+    }
   if (server->incarnation != task->server_incarnation
       && task->kind != KWF_ANSWER_REQUEST)
     return;
   if (server->incarnation != task->server_incarnation
       || (task->kind == KWF_ANSWER_REQUEST && !task->status))
     {
-      step (instance,
-            &(kwf_event_t){
-                .type = KWF_EV_ATTEMPT_FAILED,
-                .attempt = { .attempt = task->attempt,
-                             .request = task->request,
-                             .failure = task->status ? KWF_FAIL_BROKEN
-                                                     : KWF_FAIL_CONNECT } });
+      core_fleet_step (
+          instance,
+          &(kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
+                          .attempt
+                          = { .attempt = task->attempt,
+                              .request = task->request,
+                              .failure = task->status ? KWF_FAIL_BROKEN
+                                                      : KWF_FAIL_CONNECT } });
       return;
     }
   kwf_event_t notice = {
@@ -634,33 +676,42 @@
     server->told_ns[instance->index] = fleet->now_ns;
   if (notice.notice.limit != KWF_LIMIT_NOT_NAMED
       || kwf_core_knows_limit (instance->core, &notice.notice))
-    step (instance, &notice);
+    core_fleet_step (instance, &notice);
   if (task->kind == KWF_ANSWER_REQUEST)
-    step (instance,
-          &(kwf_event_t){ .type = KWF_EV_ATTEMPT_END,
-                          .attempt = { .attempt = task->attempt,
-                                       .request = task->request,
-                                       .status = task->status,
-                                       .not_run = task->status == 421
-                                                  || task->status == 503,
-                                       .misplaced = task->status == 421 } });
+    core_fleet_step (
+        instance,
+        &(kwf_event_t){
+            .type = KWF_EV_ATTEMPT_END,
+            .attempt = { .attempt = task->attempt,
+                         .request = task->request,
+                         .status = task->status,
+                         .not_run = task->status == 421 || task->status == 503,
+                         .misplaced = task->status == 421 } });
+  else if (task->is_question)
+    answer_question (task, true);
   else if (task->kind == KWF_ANSWER_ORDER)
-    step (instance,
-          &(kwf_event_t){ .type = KWF_EV_ORDER_REPLY,
-                          .order = { .server = server->id,
-                                     .id = task->order_id,
-                                     .status = task->status,
-                                     .running = task->status == 202 } });
+    core_fleet_step (
+        instance,
+        &(kwf_event_t){ .type = KWF_EV_ORDER_REPLY,
+                        .order = { .server = server->id,
+                                   .id = task->order_id,
+                                   .status = task->status,
+                                   .running = task->status == 202 } });
   else
     feed_report (instance, server);
 }
 
 /* The address of a server without a process refuses the connection.  */
 static void
-run_refusal (core_fleet_t *fleet, const task_t *task)
+run_refusal (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   const char *id = fleet->servers[task->server].id;
   kwf_event_t event = { 0 };
+  if (task->is_question)
+    {
+      answer_question (task, false);
+      return;
+    }
   if (task->kind == KWF_ANSWER_REQUEST)
     event = (kwf_event_t){ .type = KWF_EV_ATTEMPT_FAILED,
                            .attempt = { .attempt = task->attempt,
@@ -674,7 +725,7 @@
                            .order = { .server = id,
                                       .id = task->order_id,
                                       .failure = KWF_FAIL_REFUSED } };
-  step (task->to, &event);
+  core_fleet_step (task->to, &event);
 }
 
 void
@@ -687,13 +738,14 @@
   server->back_ns = fleet->now_ns + down_ns;
   for (guint i = 0; i < n; i++)
     {
-      const task_t *answer
+      const core_fleet_task_t *answer
           = g_array_index (fleet->tasks.items, heap_item_t, i).data;
       if (answer->type != TASK_ANSWER || answer->server != index
           || answer->kind != KWF_ANSWER_REQUEST || !answer->status
           || answer->server_incarnation == server->incarnation)
         continue;
-      task_t *broken = add_task (fleet, TASK_ANSWER, SERVER_NS, answer->to);
+      core_fleet_task_t *broken
+          = core_fleet_add_task (fleet, TASK_ANSWER, SERVER_NS, answer->to);
       broken->incarnation = answer->incarnation;
       broken->request = answer->request;
       broken->attempt = answer->attempt;
@@ -703,11 +755,12 @@
       broken->server_incarnation = answer->server_incarnation;
     }
   for (int i = 0; i < fleet->n_instances; i++)
-    add_task (fleet, TASK_MEMBERS, down_ns + FEED_NS, &fleet->instances[i]);
+    core_fleet_add_task (fleet, TASK_MEMBERS, down_ns + FEED_NS,
+                         &fleet->instances[i]);
 }
 
 static void
-run_crash (core_fleet_t *fleet, const task_t *task)
+run_crash (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   if (fleet->servers[task->server].incarnation == task->server_incarnation)
     core_fleet_crash_server (fleet, task->server, DOWN_NS);
@@ -718,7 +771,7 @@
 static void
 plan_request (core_fleet_t *fleet, guint index, int64_t delay_ns)
 {
-  add_task (fleet, TASK_REQUEST, delay_ns, NULL)->request = index;
+  core_fleet_add_task (fleet, TASK_REQUEST, delay_ns, NULL)->request = index;
 }
 
 static void
@@ -749,7 +802,8 @@
 {
   core_fleet_t *fleet = instance->fleet;
   core_fleet_request_t *request = request_of (fleet, reply->request);
-  if (request->handle != reply->request)
+  if (core_fleet_answer_handover (fleet, reply->request, reply->status)
+      || request->handle != reply->request)
     return;
   request->blamed |= g_strcmp0 (reply->code, "request_crashes_servers") == 0;
   fleet->n_exhausted += g_strcmp0 (reply->code, "retry_budget_exhausted") == 0;
@@ -766,8 +820,11 @@
 handle_forward_end (core_fleet_t *fleet, kwf_handle_t handle)
 {
   core_fleet_request_t *request = request_of (fleet, handle);
-  if (request->handle == handle)
-    end_request (fleet, request, 200);
+  if (core_fleet_answer_handover (fleet, handle, 200)
+      || request->handle != handle)
+    return;
+  end_request (fleet, request,
+               request->handed_status ? request->handed_status : 200);
 }
 
 static int
@@ -784,15 +841,52 @@
   return -1;
 }
 
-static void
-run_request (core_fleet_t *fleet, const task_t *task)
+kwf_handle_t
+core_fleet_add_try (core_fleet_t *fleet, guint index, kwf_handle_t root)
+{
+  const guint none = 0;
+  g_array_append_val (fleet->tries, index);
+  g_array_append_val (fleet->arrived, none);
+  kwf_handle_t handle = fleet->tries->len;
+  g_array_append_val (fleet->roots, *(root ? &root : &handle));
+  return handle;
+}
+
+kwf_event_t
+core_fleet_request_event (core_fleet_request_t *request, kwf_handle_t handle)
 {
   static const char *const paths[] = { "/0/x", "/1/x", "/2/x" };
+  return (kwf_event_t){
+    .type = KWF_EV_REQUEST,
+    .request
+    = { .handle = handle,
+        .kind = KWF_REQUEST_ROUTED,
+        .id = "r",
+        .key_digest = "k",
+        .host = "h.example",
+        .path = request->quiet ? "/quiet/x" : paths[request->priority],
+        .model
+        = request->model < 0 ? NULL : core_fleet_model_name (request->model),
+        .adapter = request->adapter < 0
+                       ? NULL
+                       : core_fleet_adapter_name (request->adapter),
+        .prefix = request->n_parts ? request->parts[0] : 0,
+        .parts = request->parts,
+        .n_parts = request->n_parts,
+        .fingerprint = request->body ? request->body : handle }
+  };
+}
+
+static void
+run_request (core_fleet_t *fleet, const core_fleet_task_t *task)
+{
   guint index = (guint)task->request;
   core_fleet_request_t *request = request_at (fleet, index);
   request->n_tries++;
   g_array_append_val (fleet->sent[request->quiet], fleet->now_ns);
-  request->instance = random_live_instance (fleet);
+  request->instance = fleet->choose ? fleet->choose (fleet) : -1;
+  if (request->instance < 0)
+    request->instance = random_live_instance (fleet);
   if (request->instance < 0
       || (fleet->gate && !fleet->gate (fleet, request->instance)))
     {
@@ -800,42 +894,20 @@
       return;
     }
   core_fleet_instance_t *instance = &fleet->instances[request->instance];
-  task_t *event = g_new0 (task_t, 1);
-  *event = (task_t){ .type = TASK_REQUEST,
-                     .to = instance,
-                     .incarnation = instance->incarnation,
-                     .request = task->request };
+  core_fleet_task_t *event = g_new0 (core_fleet_task_t, 1);
+  *event = (core_fleet_task_t){ .type = TASK_REQUEST,
+                                .to = instance,
+                                .incarnation = instance->incarnation,
+                                .request = task->request };
   if (instance->frozen)
     {
       g_ptr_array_add (instance->kept, event);
       return;
     }
   g_free (event);
-  const guint none = 0;
-  g_array_append_val (fleet->tries, index);
-  g_array_append_val (fleet->arrived, none);
-  request->handle = fleet->tries->len;
-  step (instance,
-        &(kwf_event_t){
-            .type = KWF_EV_REQUEST,
-            .request
-            = { .handle = request->handle,
-                .kind = KWF_REQUEST_ROUTED,
-                .id = "r",
-                .key_digest = "k",
-                .host = "h.example",
-                .path = request->quiet ? "/quiet/x" : paths[request->priority],
-                .model = request->model < 0
-                             ? NULL
-                             : core_fleet_model_name (request->model),
-                .adapter = request->adapter < 0
-                               ? NULL
-                               : core_fleet_adapter_name (request->adapter),
-                .prefix = request->n_parts ? request->parts[0] : 0,
-                .parts = request->parts,
-                .n_parts = request->n_parts,
-                .fingerprint
-                = request->body ? request->body : request->handle } });
+  request->handle = core_fleet_add_try (fleet, index, 0);
+  kwf_event_t sent = core_fleet_request_event (request, request->handle);
+  core_fleet_step (instance, &sent);
 }
 
 /* Model i gets a part of the requests that falls with i.  */
@@ -884,11 +956,12 @@
 
 /* Effects.  */
 
-static task_t *
+static core_fleet_task_t *
 start_call (core_fleet_instance_t *instance, kwf_answer_kind_t kind,
             const char *server, kwf_handle_t request, kwf_handle_t attempt)
 {
-  task_t *task = add_task (instance->fleet, TASK_ARRIVAL, SERVER_NS, instance);
+  core_fleet_task_t *task = core_fleet_add_task (instance->fleet, TASK_ARRIVAL,
+                                                 SERVER_NS, instance);
   task->server = find_server (instance->fleet, server);
   task->kind = kind;
   task->request = request;
@@ -900,7 +973,8 @@
 static void
 start_order (core_fleet_instance_t *instance, const kwf_order_t *order)
 {
-  task_t *task = start_call (instance, KWF_ANSWER_ORDER, order->server, 0, 0);
+  core_fleet_task_t *task
+      = start_call (instance, KWF_ANSWER_ORDER, order->server, 0, 0);
   g_strlcpy (task->order_id, order->id, sizeof task->order_id);
   task->order = (core_fleet_order_t){
     .model = (int)g_ascii_strtoll (order->model + 1, NULL, 10),
@@ -920,7 +994,8 @@
   core_fleet_instance_t *peer = &fleet->instances[index];
   *pair (fleet, fleet->wanted, instance, peer) = wanted;
   if (wanted)
-    add_task (fleet, TASK_LINK, LINK_NS, instance)->from = peer;
+    core_fleet_add_task (fleet, TASK_LINK, CORE_FLEET_LINK_NS, instance)->from
+        = peer;
   else
     close_link (instance, peer, false);
 }
@@ -930,7 +1005,8 @@
 {
   core_fleet_t *fleet = instance->fleet;
   instance->timer_ns = at_ns;
-  add_task (fleet, TASK_TIMER, MAX (at_ns - fleet->now_ns, 0), instance)
+  core_fleet_add_task (fleet, TASK_TIMER, MAX (at_ns - fleet->now_ns, 0),
+                       instance)
       ->timer_ns
       = at_ns;
 }
@@ -949,6 +1025,11 @@
     case KWF_FX_PROBE:
       start_call (instance, KWF_ANSWER_REPORT, effect->probe.server, 0, 0);
       break;
+    case KWF_FX_ASK:
+      start_call (instance, KWF_ANSWER_REPORT, effect->probe.server, 0, 0)
+          ->is_question
+          = true;
+      break;
     case KWF_FX_ORDER:
       start_order (instance, &effect->order);
       break;
@@ -962,8 +1043,11 @@
       send_message (instance, effect->send.instance, &effect->send.message);
       break;
     case KWF_FX_ATTEMPT_START:
-      start_call (instance, KWF_ANSWER_REQUEST, effect->start.server,
-                  effect->start.request, effect->start.attempt);
+      if (effect->start.handed_attempts)
+        core_fleet_hand_over (instance, &effect->start);
+      else
+        start_call (instance, KWF_ANSWER_REQUEST, effect->start.server,
+                    effect->start.request, effect->start.attempt);
       break;
     case KWF_FX_REPLY:
       handle_reply (instance, &effect->reply);
@@ -1029,8 +1113,8 @@
                                             .lease_ns = 3 * KWF_NS_PER_S },
                              .clock = &instance->clock.clock,
                              .random = &instance->random.random });
-  step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
-  add_task (fleet, TASK_START, STORE_NS + CORE_FLEET_MS, instance);
+  core_fleet_step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
+  core_fleet_add_task (fleet, TASK_START, STORE_NS + CORE_FLEET_MS, instance);
 }
 
 void
@@ -1041,6 +1125,7 @@
   instance->disturbed_ns = fleet->now_ns;
   for (int i = 0; i < fleet->n_instances; i++)
     close_link (instance, &fleet->instances[i], true);
+  core_fleet_break_handovers (fleet, index);
   for (guint i = 0; i < fleet->requests->len; i++)
     {
       core_fleet_request_t *request = request_at (fleet, i);
@@ -1055,10 +1140,11 @@
   core_fleet_instance_t *instance = &fleet->instances[index];
   instance->frozen = true;
   instance->disturbed_ns = fleet->now_ns;
-  add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
+  core_fleet_add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from
+      = instance;
 }
 
-static void run_task (core_fleet_t *fleet, task_t *task);
+static void run_task (core_fleet_t *fleet, core_fleet_task_t *task);
 
 void
 core_fleet_thaw (core_fleet_t *fleet, int index)
@@ -1080,9 +1166,11 @@
   instance->cut = cut;
   instance->disturbed_ns = fleet->now_ns;
   if (cut)
-    add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from = instance;
+    core_fleet_add_task (fleet, TASK_LINK_DOWN, SILENCE_NS, NULL)->from
+        = instance;
   else if (fleet->cold_per_s > 0)
-    add_task (fleet, TASK_MEMBERS, LINK_RETRY_NS + FEED_NS, instance);
+    core_fleet_add_task (fleet, TASK_MEMBERS, LINK_RETRY_NS + FEED_NS,
+                         instance);
 }
 
 void
@@ -1105,7 +1193,7 @@
 
 /* The links of an instance that is still frozen or cut are closed.  */
 static void
-run_link_down (core_fleet_t *fleet, const task_t *task)
+run_link_down (core_fleet_t *fleet, const core_fleet_task_t *task)
 {
   if (task->from->alive && (task->from->frozen || task->from->cut))
     for (int i = 0; i < fleet->n_instances; i++)
@@ -1122,7 +1210,7 @@
   memset (server->told_ns, 0,
           (size_t)fleet->n_instances * sizeof *server->told_ns);
   for (int i = 0; i < fleet->n_instances; i++)
-    add_task (fleet, TASK_MEMBERS, FEED_NS, &fleet->instances[i]);
+    core_fleet_add_task (fleet, TASK_MEMBERS, FEED_NS, &fleet->instances[i]);
 }
 
 void
@@ -1148,16 +1236,16 @@
 /* Tasks.  */
 
 static void
-run_timer (core_fleet_instance_t *instance, const task_t *task)
+run_timer (core_fleet_instance_t *instance, const core_fleet_task_t *task)
 {
   if (instance->timer_ns != task->timer_ns)
     return;
   instance->timer_ns = 0;
-  step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
+  core_fleet_step (instance, &(kwf_event_t){ .type = KWF_EV_TICK });
 }
 
 static void
-run_for_instance (core_fleet_t *fleet, task_t *task)
+run_for_instance (core_fleet_t *fleet, core_fleet_task_t *task)
 {
   core_fleet_instance_t *to = task->to;
   kwf_event_t event = { 0 };
@@ -1170,12 +1258,12 @@
       event.type = KWF_EV_STORE_REPLY;
       event.store.op = task->op;
       event.store.reply = task->reply;
-      step (to, &event);
+      core_fleet_step (to, &event);
       break;
     case TASK_ROWS:
       event.type = KWF_EV_ROWS;
       event.rows = (kwf_rows_event_t){ task->row.version, &task->row, 1 };
-      step (to, &event);
+      core_fleet_step (to, &event);
       break;
     case TASK_START:
       feed_first_state (to);
@@ -1193,13 +1281,22 @@
     case TASK_REFUSED:
       run_refusal (fleet, task);
       break;
+    case TASK_UNANSWERED:
+      run_unanswered (task);
+      break;
+    case TASK_HANDOVER:
+      core_fleet_run_handover (fleet, task);
+      break;
+    case TASK_HANDED_ANSWER:
+      core_fleet_run_handed_answer (task);
+      break;
     default:
       break;
     }
 }
 
 static void
-run_task (core_fleet_t *fleet, task_t *task)
+run_task (core_fleet_t *fleet, core_fleet_task_t *task)
 {
   core_fleet_instance_t *to = task->to;
   if (task->type == TASK_LINK)
@@ -1265,6 +1362,9 @@
   fleet->requests = g_array_new (FALSE, TRUE, sizeof (core_fleet_request_t));
   fleet->tries = g_array_new (FALSE, FALSE, sizeof (guint));
   fleet->arrived = g_array_new (FALSE, FALSE, sizeof (guint));
+  fleet->roots = g_array_new (FALSE, FALSE, sizeof (kwf_handle_t));
+  fleet->handed
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (int i = 0; i < 2; i++)
     {
       fleet->sent[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
@@ -1348,6 +1448,8 @@
   g_array_free (fleet->requests, TRUE);
   g_array_free (fleet->tries, TRUE);
   g_array_free (fleet->arrived, TRUE);
+  g_array_free (fleet->roots, TRUE);
+  g_hash_table_unref (fleet->handed);
   for (int i = 0; i < 2; i++)
     {
       g_array_free (fleet->sent[i], TRUE);
--- a/test/common-core-fleet.h
+++ b/test/common-core-fleet.h
@@ -36,6 +36,15 @@
   uint64_t state;
 } core_fleet_random_t;
 
+/* The path from an instance to all backend servers.  */
+typedef enum
+{
+  CORE_FLEET_OPEN,
+  CORE_FLEET_HANGS,  /* nothing passes, in neither direction */
+  CORE_FLEET_RESETS, /* each connection is reset */
+  CORE_FLEET_REFUSES /* new connections are refused */
+} core_fleet_path_t;
+
 typedef struct
 {
   core_fleet_t *fleet;
@@ -51,6 +60,8 @@
   bool alive;
   bool frozen; /* events are kept until it is thawed */
   bool cut;    /* no path to the other instances and to the store */
+  core_fleet_path_t path;
+  int n_handed; /* requests that it got from other instances */
   GPtrArray *kept;
   int64_t timer_ns;
   int64_t disturbed_ns; /* when it was last killed, started, frozen, thawed,
@@ -108,9 +119,10 @@
   int n_tries;
   uint64_t parts[CORE_FLEET_PARTS]; /* of its prompt */
   size_t n_parts;
-  uint64_t body; /* requests with the same one are equal; 0: none is */
-  int kind;      /* for the test */
-  bool blamed;   /* ended with "request_crashes_servers" */
+  uint64_t body;     /* requests with the same one are equal; 0: none is */
+  int kind;          /* for the test */
+  bool blamed;       /* ended with "request_crashes_servers" */
+  int handed_status; /* that another instance answered; 0: none has */
 } core_fleet_request_t;
 
 struct core_fleet
@@ -135,14 +147,19 @@
      before.  */
   GArray *sent[2];
   GArray *repeats[2];
-  GArray *arrived;     /* of guint: arrivals of each handle */
-  int n_exhausted;     /* answers "retry_budget_exhausted" */
-  double quiet_part;   /* part of the requests that are for "quiet" */
-  int64_t service_ns;  /* time that a server takes for a request */
+  GArray *arrived;    /* of guint: arrivals of each handle */
+  GArray *roots;      /* of kwf_handle_t: by which those of each are counted */
+  GHashTable *handed; /* handles of requests that were handed over */
+  int n_exhausted;    /* answers "retry_budget_exhausted" */
+  double quiet_part;  /* part of the requests that are for "quiet" */
+  int64_t service_ns; /* time that a server takes for a request */
   int64_t deadline_ns; /* time that a caller waits in all */
   /* Whether an instance may take a request now; NULL: always.  What it may not
      take is refused to be tried again a second later.  */
   bool (*gate) (core_fleet_t *fleet, int instance);
+  /* Which instance gets the next request; below 0: any that is ready.  NULL:
+     always that.  */
+  int (*choose) (core_fleet_t *fleet);
   /* Sets the parts of a new request; NULL: it has none.  */
   void (*draw) (core_fleet_t *fleet, core_fleet_request_t *request);
   /* REQUEST, sent by an instance, has reached a live server.  Returns whether
--- a/test/common-daemon.c
+++ b/test/common-daemon.c
@@ -17,6 +17,16 @@
 
 #include "common-listener.h"
 
+/* Copies what follows NAME in LINE, up to a comma.  */
+static void
+copy_address (const char *line, const char *name, char *address, size_t size)
+{
+  const char *at = strstr (line, name);
+  if (at)
+    g_strlcpy (address, at + strlen (name), size);
+  address[strcspn (address, ",")] = '\0';
+}
+
 void
 test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
                         const char *routes,
@@ -52,15 +62,10 @@
   const char *args[] = { "--config", daemon->settings, NULL };
   assert_true (process_start (&daemon->process, "knapweedforkd", args));
   /* Other addresses follow on the same line.  */
-  const char *peers = strstr (daemon->process.address, "peers on ");
-  if (peers)
-    g_strlcpy (daemon->peers, peers + strlen ("peers on "),
-               sizeof daemon->peers);
-  const char *operators = strstr (daemon->process.address, "operators on ");
-  if (operators)
-    g_strlcpy (daemon->operators, operators + strlen ("operators on "),
-               sizeof daemon->operators);
-  daemon->operators[strcspn (daemon->operators, ",")] = '\0';
+  copy_address (daemon->process.address, "peers on ", daemon->peers,
+                sizeof daemon->peers);
+  copy_address (daemon->process.address, "operators on ", daemon->operators,
+                sizeof daemon->operators);
   daemon->process.address[strcspn (daemon->process.address, ",")] = '\0';
 }
 
@@ -71,11 +76,45 @@
   test_daemon_start_with (daemon, loop, routes, &(test_daemon_options_t){ 0 });
 }
 
+/* Path of the settings of the instance that was started as NUMBER.  */
+static char *
+other_settings (const test_daemon_t *daemon, int number)
+{
+  return g_strdup_printf ("%s/s%d.toml", daemon->directory, number);
+}
+
+void
+test_daemon_start_other (test_daemon_t *daemon, process_t *other)
+{
+  char *text;
+  assert_true (g_file_get_contents (daemon->settings, &text, NULL, NULL));
+  char *id = strstr (text, "\"i1\"");
+  assert_non_null (id);
+  assert_in_range (daemon->n_others, 0, TEST_OTHERS - 1);
+  char *operators = daemon->other_operators[daemon->n_others];
+  id[2] = (char)('2' + daemon->n_others++);
+  char *settings = other_settings (daemon, daemon->n_others);
+  assert_true (g_file_set_contents (settings, text, -1, NULL));
+  const char *args[] = { "--config", settings, NULL };
+  assert_true (process_start (other, "knapweedforkd", args));
+  copy_address (other->address, "operators on ", operators,
+                sizeof daemon->other_operators[0]);
+  other->address[strcspn (other->address, ",")] = '\0';
+  g_free (settings);
+  g_free (text);
+}
+
 void
 test_daemon_stop (test_daemon_t *daemon)
 {
   process_kill (&daemon->process);
   fake_store_stop (daemon->store);
+  for (int i = 1; i <= daemon->n_others; i++)
+    {
+      char *settings = other_settings (daemon, i);
+      g_unlink (settings);
+      g_free (settings);
+    }
   g_unlink (daemon->settings);
   g_rmdir (daemon->directory);
   g_free (daemon->settings);
--- a/test/common-daemon.h
+++ b/test/common-daemon.h
@@ -11,15 +11,20 @@
 #include "common-fake-store.h"
 #include "common-process.h"
 
+#define TEST_OTHERS 4
+
 typedef struct
 {
   struct ev_loop *loop;
   fake_store_t *store;
   process_t process;
-  char operators[32]; /* address for operators */
-  char peers[32];     /* address for links of other instances */
+  char operators[32];                    /* address for operators */
+  char other_operators[TEST_OTHERS][32]; /* of those that were started
+                                          later */
+  char peers[32]; /* address for links of other instances */
   char *directory;
   char *settings;
+  int n_others;
 } test_daemon_t;
 
 /* Starts a daemon whose configuration has the service "desk" and ROUTES, JSON
@@ -41,8 +46,11 @@
 void test_daemon_start_with (test_daemon_t *daemon, struct ev_loop *loop,
                              const char *routes,
                              const test_daemon_options_t *options);
+/* Starts another instance, i2 and so on, up to TEST_OTHERS, on the same store.
+ */
+void test_daemon_start_other (test_daemon_t *daemon, process_t *other);
+/* Stops DAEMON; the others have ended.  */
 void test_daemon_stop (test_daemon_t *daemon);
-
 /* Lists the server NAME of the service "desk" at ADDRESS.  */
 void test_daemon_add_server (const test_daemon_t *daemon, const char *name,
                              const char *address);
--- a/test/common-listener.c
+++ b/test/common-listener.c
@@ -1,5 +1,4 @@
-#include "common-listener.h"
-
+#include "common-cut.h"
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
@@ -116,6 +115,13 @@
     connection_free (connection);
 }
 
+static void
+set_reset_at_close (int fd)
+{
+  struct linger none = { .l_onoff = 1, .l_linger = 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+}
+
 static void
 on_connection (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -124,6 +130,13 @@
   int fd = accept4 (io->fd, NULL, NULL, SOCK_CLOEXEC | SOCK_NONBLOCK);
   if (fd < 0)
     return;
+  bool held = false;
+  if (listener->cut && !cut_accept (listener->cut, fd, &held))
+    {
+      set_reset_at_close (fd);
+      close (fd);
+      return;
+    }
   int one = 1;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   connection_t *connection = g_new0 (connection_t, 1);
@@ -132,7 +145,9 @@
   connection->in = g_string_new (NULL);
   ev_io_init (&connection->io, on_bytes, fd, EV_READ);
   connection->io.data = connection;
-  ev_io_start (loop, &connection->io);
+  connection->held = held;
+  if (!held)
+    ev_io_start (loop, &connection->io);
   g_ptr_array_add (listener->open, connection);
 }
 
@@ -242,6 +257,24 @@
   return address;
 }
 
+void
+connection_hold (connection_t *connection, bool held)
+{
+  struct ev_loop *loop = connection->listener->loop;
+  if (held)
+    ev_io_stop (loop, &connection->io);
+  else if (connection->held)
+    ev_io_start (loop, &connection->io);
+  connection->held = held;
+}
+
+void
+connection_reset (connection_t *connection)
+{
+  set_reset_at_close (connection->io.fd);
+  connection_free (connection);
+}
+
 static void
 on_time_limit (struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/test/common-listener.h
+++ b/test/common-listener.h
@@ -21,6 +21,7 @@
                    the test may count here */
   GString *in;  /* bytes received and not yet consumed */
   bool closing; /* to be closed after the callback returns */
+  bool held;    /* nothing passes: the test must not write, either */
 } connection_t;
 
 /* A whole request arrived: REQUEST is its text.  With raw listeners, REQUEST
@@ -44,6 +45,7 @@
   GPtrArray *open; /* of connection_t: the open connections */
   listener_fn_t fn;
   void *data;
+  const struct cut *cut; /* common-cut.h; NULL: none */
 };
 
 listener_t *listener_start (struct ev_loop *loop, listener_fn_t fn,
@@ -70,6 +72,12 @@
 /* Closes the connection after the callback returns.  */
 void connection_close (connection_t *connection);
 
+/* HELD: reads nothing from now on, until it is called again.  */
+void connection_hold (connection_t *connection, bool held);
+
+/* Ends the connection with a reset and frees it.  */
+void connection_reset (connection_t *connection);
+
 /* An address on 127.0.0.1 at which nothing listens.  */
 const char *unused_address (void);
 
--- a/test/test_message.c
+++ b/test/test_message.c
@@ -62,6 +62,9 @@
   { .type = KWF_MSG_FORM, .form = 2 },
   { .type = KWF_MSG_TABLES_QUERY, .tables = { .number = 3 } },
   { .type = KWF_MSG_TABLES_REPLY, .tables = { 3, INT64_MAX, 0 } },
+  { .type = KWF_MSG_REACH, .reach = { "i1", 5, true, true } },
+  { .type = KWF_MSG_REACH_QUERY, .reach_query = { 4, 250000000, names, 2 } },
+  { .type = KWF_MSG_REACH_REPLY, .reach_reply = { 4, names, 2 } },
   { .type = KWF_MSG_RESIDENCY,
     .residency = { .server = "s1",
                    .incarnation = 3,
@@ -217,6 +220,27 @@
       assert_true (a->tables.servers == b->tables.servers);
       assert_true (a->tables.own == b->tables.own);
       break;
+    case KWF_MSG_REACH:
+      assert_string_equal (a->reach.instance, b->reach.instance);
+      assert_true (a->reach.incarnation == b->reach.incarnation);
+      assert_int_equal (a->reach.stranded, b->reach.stranded);
+      assert_int_equal (a->reach.forwarded, b->reach.forwarded);
+      break;
+    case KWF_MSG_REACH_QUERY:
+      assert_true (a->reach_query.number == b->reach_query.number);
+      assert_true (a->reach_query.age_ns == b->reach_query.age_ns);
+      assert_int_equal (a->reach_query.n_servers, b->reach_query.n_servers);
+      for (size_t i = 0; i < a->reach_query.n_servers; i++)
+        assert_string_equal (a->reach_query.servers[i],
+                             b->reach_query.servers[i]);
+      break;
+    case KWF_MSG_REACH_REPLY:
+      assert_true (a->reach_reply.number == b->reach_reply.number);
+      assert_int_equal (a->reach_reply.n_servers, b->reach_reply.n_servers);
+      for (size_t i = 0; i < a->reach_reply.n_servers; i++)
+        assert_string_equal (a->reach_reply.servers[i],
+                             b->reach_reply.servers[i]);
+      break;
     case KWF_MSG_STATE_REQUEST:
       assert_true (a->state_after == b->state_after);
       break;
@@ -334,7 +358,7 @@
       = { { "a", 1, large }, { "b", 1, "0123456789" }, { "c", 1, text } };
   const kwf_message_t bad[] = {
     { .type = 0 },
-    { .type = KWF_MSG_TABLES_REPLY + 1 },
+    { .type = KWF_MSG_REACH_REPLY + 1 },
     { .type = KWF_MSG_RENEW },
     { .type = KWF_MSG_SHARE_REQUEST, .share_request = { .organisation = "" } },
     { .type = KWF_MSG_SHARE_REQUEST,
--- a/test/test_older_copy.c
+++ b/test/test_older_copy.c
@@ -8,7 +8,6 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include <glib/gstdio.h>
 #include <knapweedfork/clock.h>
 
 #include "common-daemon.h"
@@ -51,7 +50,6 @@
   struct ev_loop *loop;
   test_daemon_t daemon;
   process_t second; /* another instance on the same store */
-  char *settings;   /* of it; NULL: it was not started */
   desk_t desks[N_SERVERS];
   int n_sent;
 } fixture_t;
@@ -167,12 +165,7 @@
 tear_down (void **state)
 {
   fixture_t *fixture = *state;
-  if (fixture->settings)
-    {
-      process_kill (&fixture->second);
-      g_unlink (fixture->settings);
-      g_free (fixture->settings);
-    }
+  process_kill (&fixture->second);
   test_daemon_stop (&fixture->daemon);
   for (int i = 0; i < N_SERVERS; i++)
     listener_stop (fixture->desks[i].listener);
@@ -298,24 +291,6 @@
   assert_true (becomes (fixture, address, "r", 200, 2 * FRESH_MS + AGAIN_MS));
 }
 
-static void
-start_second (fixture_t *fixture)
-{
-  char *text;
-  assert_true (
-      g_file_get_contents (fixture->daemon.settings, &text, NULL, NULL));
-  char *id = strstr (text, "\"i1\"");
-  assert_non_null (id);
-  id[2] = '2';
-  fixture->settings
-      = g_build_filename (fixture->daemon.directory, "t.toml", NULL);
-  assert_true (g_file_set_contents (fixture->settings, text, -1, NULL));
-  g_free (text);
-  const char *args[] = { "--config", fixture->settings, NULL };
-  assert_true (process_start (&fixture->second, "knapweedforkd", args));
-  fixture->second.address[strcspn (fixture->second.address, ",")] = '\0';
-}
-
 /* Guards against an instance that starts between the return of the store and
    the operator's writing, and serves the older configuration.  */
 static void
@@ -327,7 +302,7 @@
   put_config (fixture, 5, ROUTE ("n"));
   assert_true (becomes (fixture, address, "n", 200, FRESH_MS));
   drill (fixture);
-  start_second (fixture);
+  test_daemon_start_other (&fixture->daemon, &fixture->second);
   assert_true (becomes (fixture, fixture->second.address, "n", 200,
                         (int64_t)(START_S * 1e3)));
   assert_int_equal (call_at (fixture, fixture->second.address, "r"), 404);
@@ -343,7 +318,7 @@
   put_server (fixture, 0, "draining");
   run_for (fixture->loop, (double)FRESH_MS / 1e3);
   drill (fixture);
-  start_second (fixture);
+  test_daemon_start_other (&fixture->daemon, &fixture->second);
   assert_true (becomes (fixture, fixture->second.address, "r", 200,
                         (int64_t)(START_S * 1e3)));
   run_for (fixture->loop, LINKS_S);
