Ask fewer servers while no server answers this instance

Cause: 19 to 27 questions a second, of the three instances and of the hubs that ask for them, kept the harness's servers busy (20 to 30 ms each), so that these answered nobody in time. Servers that are slow because they have too much to do would be worse off in the same way.

Change: a stranded instance asks each 500 ms, not 300; a hub asks for another one only if no server has answered it for a third of the time that the question is about. A stranded instance counts as such for 1,200 ms after the last answer elsewhere, as one that comes after one reply is told in the next.

--- a/lib/reach/reach.c
+++ b/lib/reach/reach.c
@@ -45,17 +45,20 @@
 #define HOLD_NS (1 * KWF_NS_PER_S)
 /* A stranded instance asks servers at this interval, and is back when one
    answers.  */
-#define TRIAL_NS (300 * KWF_NS_PER_MS)
+#define TRIAL_NS (500 * KWF_NS_PER_MS)
 /* At first it asks again without waiting for answers, since it may be stranded
    by mistake.  */
 #define EAGER_NS (1500 * KWF_NS_PER_MS)
 #define TRIAL_QUESTIONS 1
-/* An instance that no server has answered for HELP_NS asks up to this many for
-   another one.  */
+/* An instance that no server has answered for HELP_NS, and for one in so many
+   parts of the time that it is asked about, asks up to HELP_SERVERS for the
+   other one.  */
+#define HELP_PART 3
 #define HELP_NS (100 * KWF_NS_PER_MS)
 #define HELP_SERVERS 2
-/* If servers have answered nobody for this time, it is no longer stranded.  */
-#define LAPSE_NS (800 * KWF_NS_PER_MS)
+/* If servers have answered nobody for this time, it is no longer stranded.  An
+   answer that came after one reply is told in the next one.  */
+#define LAPSE_NS (1200 * KWF_NS_PER_MS)
 /* It repeats that it is stranded at this interval.  */
 #define TELL_NS (1 * KWF_NS_PER_S)
 
@@ -281,7 +284,7 @@
 {
   GArray *servers = list_servers (world);
   int64_t since_ns = now (reach) - query->age_ns;
-  if (now (reach) - reach->data_ns >= HELP_NS)
+  if (now (reach) - reach->data_ns >= MAX (HELP_NS, query->age_ns / HELP_PART))
     ask_for_others (reach, world, query, servers);
   for (int pass = 0; pass < 2; pass++)
     for (guint i = 0; i < servers->len && names->len < QUERY_SERVERS; i++)
