--- a/test/soak-job.c
+++ b/test/soak-job.c
@@ -421,6 +421,7 @@
   job->by_event = g_rand_boolean (job->rand);
   arrange_times (job);
   g_ptr_array_add (backend->jobs, job);
+  job->run->disturbed = cut_has_delayed (backend->soak);
   judge_run (backend->soak, job->run);
   parts_judge_run (backend, job->run);
 }
@@ -447,6 +448,15 @@
     run->killed = run->fin_early = true;
 }
 
+void
+job_note_cut (job_t *job)
+{
+  if (!is_connection_open (job->backend->listener, job->connection,
+                           job->number)
+      || job->connection->held)
+    job_disturb (job, false);
+}
+
 /* Ends the connection: the loop then reads its end and frees it.  Where FIN
    marks no end of the answer, RST follows it at times.  */
 static void
@@ -529,6 +539,8 @@
   if (!is_connection_open (job->backend->listener, job->connection,
                            job->number))
     return true;
+  if (job->connection->held)
+    return false;
   while (now_ns >= job->next_ns)
     {
       if (run->sent == job->stop_at && run->ended_ns && job->extra)
--- a/test/soak-judge.c
+++ b/test/soak-judge.c
@@ -12,8 +12,8 @@
 #define MOST_REPORTS 12
 
 static const char *const rule_names[N_RULES]
-    = { "MIXED", "ORDER", "UNASKED", "TWICE", "REFUSED",   "BUDGET",
-        "LOST",  "GONE",  "CONFIG",  "DRAIN", "EVACUATED", "COLD" };
+    = { "MIXED", "ORDER",  "UNASKED", "TWICE",     "REFUSED", "BUDGET", "LOST",
+        "GONE",  "CONFIG", "DRAIN",   "EVACUATED", "COLD",    "RECOVER" };
 
 static const char *const end_names[] = { "nothing yet", "whole", "broken off",
                                          "left by the caller", "unreadable" };
@@ -127,6 +127,11 @@
   if (soak->has_versions)
     g_print ("; streams taken up %d, of them %d with status 200",
              soak->n_taken_up, soak->n_went_on);
+  if (soak->has_cuts)
+    g_print ("; first tries at instances cut off from servers %d, served %d, "
+             "elsewhere %d, %d",
+             soak->n_cut_tries, soak->n_cut_served, soak->n_other_tries,
+             soak->n_other_served);
   g_print ("; longest tick %d ms;", (int)(soak->max_lag_ns / KWF_NS_PER_MS));
   for (int i = 0; i < N_RULES; i++)
     g_print (" %s %d", rule_names[i], soak->broken[i]);
--- a/test/soak-plan.c
+++ b/test/soak-plan.c
@@ -12,6 +12,8 @@
 /* Mean time between the starts of two series, and within a series.  */
 #define SERIES_S 0.9
 #define WITHIN_S 0.15
+/* The same beside partitions, whose rule needs instances in touch.  */
+#define CALM_SERIES_S 4.0
 #define SERIES_MOST 6
 #define SILENT_MS 1500
 #define TIMEOUT_MS 4000
@@ -40,7 +42,7 @@
         "kill",         "stop",         "hup",          "hup-all",
         "config",       "odd-entry",    "server-kill",  "server-freeze",
         "server-leave", "service-fail", "store-silent", "evacuate",
-        "readmit",      "cold-centre",  "drill" };
+        "readmit",      "cold-centre",  "drill",        "cut" };
 
 const char *
 act_name (act_t act)
@@ -69,7 +71,8 @@
   soak->plan = g_array_new (FALSE, FALSE, sizeof (action_t));
   double end_s = soak->seconds - CALM_S;
   double at_s = WARM_UP_S;
-  while ((at_s += g_rand_double_range (rand, 0, 2 * SERIES_S)) < end_s)
+  double series_s = soak->has_cuts ? CALM_SERIES_S : SERIES_S;
+  while ((at_s += g_rand_double_range (rand, 0, 2 * series_s)) < end_s)
     {
       int n = g_rand_int_range (rand, 0, 3)
                   ? 1
@@ -90,6 +93,7 @@
     }
   g_rand_free (rand);
   drills_plan (soak);
+  cuts_plan (soak);
   parts_plan (soak);
 }
 
@@ -257,6 +261,9 @@
     case ACT_DRILL:
       drill_begin (soak, action->value);
       break;
+    case ACT_CUT:
+      cut_start (soak, action->target, action->value);
+      break;
     case ACT_COLD_CENTRE:
       parts_restart_centre (soak, action->target, action->value);
       break;
@@ -279,6 +286,7 @@
       soak->store_calm_ns = now_ns;
     }
   drills_tick (soak, now_ns);
+  cuts_tick (soak, now_ns);
   if (!soak->is_calm && at_s >= soak->seconds - CALM_S)
     {
       soak->is_calm = true;
--- a/test/soak-rules.c
+++ b/test/soak-rules.c
@@ -327,6 +327,7 @@
   judge_lost (soak, requests);
   judge_lost_by_config (soak, requests);
   judge_gone (soak, requests);
+  judge_cuts (soak, requests);
   count_figures (soak, requests);
   g_list_free (requests);
 }
--- a/test/soak-server.c
+++ b/test/soak-server.c
@@ -105,6 +105,7 @@
   parts_start_server (backend);
   backend->listener
       = listener_start_at (backend->soak->loop, backend->port, serve, backend);
+  cut_join (backend);
   put_entry (backend);
 }
 
@@ -170,8 +171,11 @@
   const GPtrArray *open = backend->listener->open;
   for (guint i = 0; i <= open->len; i++)
     {
+      const connection_t *connection = i < open->len ? open->pdata[i] : NULL;
       ev_io *io = i < open->len ? &((connection_t *)open->pdata[i])->io
                                 : &backend->listener->io;
+      if (connection && connection->held)
+        continue;
       if (reading)
         ev_io_start (loop, io);
       else
@@ -179,6 +183,13 @@
     }
 }
 
+void
+backend_read_if_thawed (const backend_t *backend)
+{
+  if (backend->thaw_ns)
+    set_reading (backend, false);
+}
+
 void
 backend_freeze (backend_t *backend, unsigned value)
 {
--- a/test/soak.h
+++ b/test/soak.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common-cut.h"
 #include "common-fake-store.h"
 #include "common-listener.h"
 #include "common-process.h"
@@ -267,6 +268,7 @@
   RULE_DRAIN,
   RULE_EVACUATED,
   RULE_COLD,
+  RULE_RECOVER,
   N_RULES
 } rule_t;
 
@@ -292,6 +294,7 @@
   ACT_READMIT,
   ACT_COLD_CENTRE,
   ACT_DRILL,
+  ACT_CUT,
   N_ACTS
 } act_t;
 
@@ -303,6 +306,15 @@
   unsigned value;
 } action_t;
 
+/* A partition between instances and all servers.  */
+typedef struct
+{
+  int first; /* of the instances, which follow one another */
+  int n;
+  int64_t began_ns;
+  int64_t end_ns;
+} partition_t;
+
 struct soak
 {
   struct ev_loop *loop;
@@ -340,6 +352,10 @@
   bool has_preemption;
   bool has_versions;
   bool has_drills;
+  bool has_cuts;
+  bool is_cut;  /* by the last of these: */
+  GArray *cuts; /* of partition_t */
+  cut_t cut;
   int64_t copied_ns;       /* when the store's copy was made */
   bool restores;           /* the store comes back from it */
   int64_t config_again_ns; /* when the operator writes again; 0: never */
@@ -376,7 +392,11 @@
   int n_bad_ended;       /* processes of servers that ended under them */
   int n_bad_late;        /* those that came too late */
   int64_t bad_fifth_ns;  /* when the fifth process ended */
-  int calm_requests;     /* sent in the last part */
+  int n_cut_tries;       /* first tries at instances that were cut off */
+  int n_cut_served;
+  int n_other_tries; /* at the others meanwhile */
+  int n_other_served;
+  int calm_requests; /* sent in the last part */
   int calm_successes;
 };
 
@@ -425,6 +445,8 @@
 void backends_start (soak_t *soak);
 void backends_tick (soak_t *soak, int64_t now_ns);
 void backends_stop (soak_t *soak);
+/* A partition has ended; a frozen server reads later.  */
+void backend_read_if_thawed (const backend_t *backend);
 void backend_kill (backend_t *backend, unsigned value);
 void backend_freeze (backend_t *backend, unsigned value);
 void backend_leave (backend_t *backend, unsigned value);
@@ -449,6 +471,17 @@
 /* Makes REQUEST take STREAM up, if there is one.  */
 void stream_take_up (soak_t *soak, request_t *request, stream_t *stream);
 
+/* soak-cut.c  */
+void cuts_draw (soak_t *soak);
+void cuts_plan (soak_t *soak);
+void cuts_tick (soak_t *soak, int64_t now_ns);
+void cut_start (soak_t *soak, unsigned target, unsigned value);
+/* Cuts BACKEND off as well, if there is a partition.  */
+void cut_join (const backend_t *backend);
+/* Whether a request that is read now may have been held back by one.  */
+bool cut_has_delayed (const soak_t *soak);
+void judge_cuts (soak_t *soak, const GList *requests);
+
 /* soak-job.c: the work of a server on one request.  */
 typedef struct job job_t;
 void job_start (backend_t *backend, connection_t *connection,
@@ -457,6 +490,8 @@
 bool job_tick (job_t *job, int64_t now_ns);
 /* The server was killed or frozen at work.  */
 void job_disturb (job_t *job, bool killed);
+/* The same if a partition has cut its connection.  */
+void job_note_cut (job_t *job);
 void job_free (void *job);
 /* Value of header NAME in TEXT, "" if it is missing.  */
 void header_copy (const char *text, const char *name, char *value,
--- a/test/test_soak.c
+++ b/test/test_soak.c
@@ -104,6 +104,7 @@
   soak->start_ns = soak_now_ns ();
   parts_draw (soak);
   drills_draw (soak);
+  cuts_draw (soak);
   plan_make (soak);
   config_put (soak);
   backends_start (soak);
@@ -148,6 +149,7 @@
     remove_directory (soak->directory);
   g_clear_pointer (&soak->gone_keys, g_ptr_array_unref);
   g_array_free (soak->plan, TRUE);
+  g_array_free (soak->cuts, TRUE);
   g_array_free (soak->arrivals, TRUE);
   g_hash_table_destroy (soak->requests);
   ev_loop_destroy (soak->loop);
