--- a/include/knapweedfork/effect.h
+++ b/include/knapweedfork/effect.h
@@ -68,8 +68,9 @@
   bool stream;         /* the answer is to be a stream of events */
   bool keep_unsafe;    /* may go over a kept connection also if it is not
                           repeatable */
-  int handed_attempts; /* to another instance, SERVER, as its caller sent it,
-which may make so many attempts; 0: to a server */
+  int handed_attempts; /* SERVER is another instance, which gets the request as
+                          its caller sent it and may make so many attempts;
+                          0: it is a server */
   const char *organisation; /* "" on routes without a key */
 } kwf_attempt_start_t;
 
--- a/include/knapweedfork/event.h
+++ b/include/knapweedfork/event.h
@@ -16,12 +16,11 @@
 
 typedef enum
 {
-  KWF_EV_TICK = 1,    /* the time of KWF_FX_TIMER has come; harmless at any
-                         time */
-  KWF_EV_STORE_REPLY, /* result of KWF_FX_STORE */
-  KWF_EV_MEMBERS,
-  /* result of KWF_FX_MEMBERS, or a new membership
-     list */
+  KWF_EV_TICK = 1,       /* the time of KWF_FX_TIMER has come; harmless at any
+                            time */
+  KWF_EV_STORE_REPLY,    /* result of KWF_FX_STORE */
+  KWF_EV_MEMBERS,        /* result of KWF_FX_MEMBERS, or a new membership
+                            list */
   KWF_EV_REPORT,         /* result of KWF_FX_PROBE */
   KWF_EV_ANSWERED,       /* result of KWF_FX_ASK */
   KWF_EV_PEER_UP,        /* link established and authenticated */
@@ -72,9 +71,9 @@
   bool stream;
   bool resuming;         /* ROUTED: continues a stream that broke off */
   int handed_attempts;   /* ROUTED: another instance sent it and allows so many
-attempts; 0: it is from its caller */
+                            attempts; 0: it is from its caller */
   const char *resumes;   /* id of the request that got its first event; NULL:
-                              not told */
+                            not told */
   bool has_token_counts; /* ROUTED: the caller gave prompt_tokens and
                             max_tokens */
   int64_t prompt_tokens;
--- a/lib/admit.c
+++ b/lib/admit.c
@@ -184,9 +184,8 @@
     demand_add_tokens (core->demand, request->model, request->adapter,
                        request->charged
                            * series_demand_weight (request->series));
-  int64_t now_ns = kwf_now_ns (
-      core->options
-          .clock); /* The instance that handed it over may have counted it.  */
+  int64_t now_ns = kwf_now_ns (core->options.clock);
+  /* The instance that handed it over may have counted it.  */
   if (!request->handed_over)
     retry_budget_count_request (core->retries, request->service);
   budget_count_request (&core->waits.preempts, now_ns);
--- a/lib/core-state.h
+++ b/lib/core-state.h
@@ -21,7 +21,6 @@
 #include "fleet-load.h"
 #include "metric.h"
 #include "origin/origin.h"
-#include "stranded.h"
 #include "pacing.h"
 #include "permit.h"
 #include "placement.h"
@@ -30,6 +29,7 @@
 #include "retry-budget.h"
 #include "session.h"
 #include "share.h"
+#include "stranded.h"
 
 /* Kinds of requests with separate hedge delays.  */
 typedef enum
--- a/lib/election.c
+++ b/lib/election.c
@@ -459,9 +459,9 @@
   if (election->stopping || !session_revision (session))
     return;
   if (!election->version && !election->op)
-    election->base_era = revision_era (session_revision (
-        session)); /* In a small fleet all instances are hubs.  This one may
-have become the leader then, and be no hub of the larger fleet.  */
+    election->base_era = revision_era (session_revision (session));
+  /* In a small fleet all instances are hubs.  This one may have become the
+     leader then, and be no hub of the larger fleet.  */
   if (election->is_leader && !election->op
       && (election->unable || !session_is_hub (session, election->instance)))
     write_row (election, "", effects);
--- a/lib/handover.c
+++ b/lib/handover.c
@@ -12,9 +12,10 @@
 #include <xxhash.h>
 
 #include "error-code.h"
-#include "promise.h"
 #include "evacuation/home.h"
+#include "promise.h"
 #include "stranded.h"
+
 #define HTTP_MISDIRECTED 421
 /* Handles of handovers have this bit, and those of attempts do not.  */
 #define HANDOVER_BIT ((kwf_handle_t)1 << 63)
--- a/lib/reach/reach.h
+++ b/lib/reach/reach.h
@@ -1,10 +1,10 @@
-/* reach.h - whether this instance reaches the backend servers.   An instance
+/* reach.h - whether this instance reaches the backend servers.  An instance
    whose connections to all servers fail sees the same as one whose servers
    have all failed.  The others know which of the two it is: they get answers
    from the same servers, or they do not.  So an instance that is in doubt asks
    some servers on new connections, and the other instances which servers
-   answer them; then it asks these.  If none answers, and one of them has
-   answered another instance since it was asked here, this instance is
+   answer them; then it asks these.  If none answers here, and after each of
+   two questions one of them has answered another instance, this instance is
    stranded.  It then asks now and then until a server answers again.
 
    What leads to doubt: no byte from any server while some have open requests,
@@ -59,15 +59,16 @@
 typedef struct
 {
   /* Appends reach_server_t of all servers that may be asked.  */
-  void (*list_servers) (reach_world_t *world,
-                        GArray *servers); /* Asks a server something on a
-connection of its own; reach_handle_answer with ASKED_NS follows.  */
+  void (*list_servers) (reach_world_t *world, GArray *servers);
+  /* Asks a server something on a connection of its own; reach_handle_answer
+     with ASKED_NS follows.  */
   void (*ask_server) (reach_world_t *world, const char *id, int64_t asked_ns);
   /* Sends MESSAGE, of type REACH_QUERY, to the linked hubs.  */
   void (*ask_hubs) (reach_world_t *world, const kwf_message_t *message);
   /* The state has become STRANDED, or is no more, or is repeated.  */
   void (*tell) (reach_world_t *world, bool stranded);
 } reach_world_ops_t;
+
 struct reach_world
 {
   const reach_world_ops_t *ops;
--- a/lib/stranded.c
+++ b/lib/stranded.c
@@ -164,6 +164,7 @@
   kwf_effects_add (world->effects, KWF_FX_ASK)->probe
       = (kwf_probe_t){ server->id, server->address, asked_ns };
 }
+
 static const char *const *
 copy_names (const char *const *names, size_t n, kwf_effects_t *effects)
 {
--- a/test/common-listener.c
+++ b/test/common-listener.c
@@ -1,14 +1,17 @@
-#include "common-cut.h"
+#include "common-listener.h"
+
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "common-cut.h"
+
 static int
 bind_local (int *port)
 {
