Keep a refused take-up from being used after it was freed

What callers saw: nothing yet; an instance that refused a take-up wrote into the freed request, and could crash or damage another one.

Cause: takeup_find_origin set and returned a field of the request after the functions that it calls may have refused, and so freed, it.

Change: each case returns what its function returned.

--- a/lib/takeup.c
+++ b/lib/takeup.c
@@ -111,17 +111,17 @@
                         &request->origin))
     {
     case ORIGIN_RECORDED:
-      request->has_origin = true;
       break;
     case ORIGIN_ONLY:
-      request->has_origin
-          = goes_on_at_only_version (core, request, now_ns, effects);
+      if (!goes_on_at_only_version (core, request, now_ns, effects))
+        return false;
       break;
-    case ORIGIN_UNKNOWN:
+    default:
       wait_for_record (core, request, now_ns, effects);
-      break;
+      return false;
     }
-  return request->has_origin;
+  request->has_origin = true;
+  return true;
 }
 
 static bool
--- a/test/origin-fleet.c
+++ b/test/origin-fleet.c
@@ -478,7 +478,7 @@
 taker_of (fleet_t *fleet, stream_t *stream)
 {
   bool waits
-      = stream->arrived_ns
+      = stream->arrived_ns && stream->taker >= 0
         && fleet->instances[stream->taker].process == stream->taker_process;
   if (waits)
     return stream->taker;
