Leave a hanging request at its server if no repeat of it is left

What callers saw: at a stranded instance, requests that hung at servers were cancelled there to be handed over, and if the retry budget allowed no repeat they were left without an attempt until their deadline.

Cause: handover_open_requests cancelled the attempt before handover_start asked the budget. Found by reading the diff.

Change: the repeat is taken first; hand_over is what follows.

--- a/lib/handover.c
+++ b/lib/handover.c
@@ -129,35 +129,31 @@
   request->charged = 0;
 }
 
-bool
-handover_start (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
+static void
+hand_over (kwf_core_t *core, request_t *request,
+           const session_member_t *member, kwf_effects_t *effects)
 {
-  session_member_t member;
-  if (!stranded_is_self (core) || request->attempt
-      || !may_run_elsewhere (core, request)
-      || !choose_instance (core, request, &member)
-      || !take_repeat (core, request))
-    return false;
   wait_remove_request (core, request, false);
   give_tokens_back (core, request);
   request->state = REQUEST_HANDED_OVER;
   request->queued_since_ns = 0;
   request->handover = HANDOVER_BIT | ++core->n_handovers;
-  request->handed_to = XXH3_64bits (member.instance, strlen (member.instance));
+  request->handed_to
+      = XXH3_64bits (member->instance, strlen (member->instance));
   request->n_handovers++;
   request_set_action (core, request, 0);
   kwf_effects_log (effects, 263, KWF_LOG_INFO, request->id,
                    "handed over to instance=%s delivered=%" G_GINT64_FORMAT
                    " ran=%d",
-                   member.instance, request->delivered, request->n_ran);
+                   member->instance, request->delivered, request->n_ran);
   /* Until its answer says otherwise, it may have run there.  */
   request->n_ran++;
   kwf_effect_t *effect = kwf_effects_add (effects, KWF_FX_ATTEMPT_START);
   effect->start = (kwf_attempt_start_t){
     .request = request->handle,
     .attempt = request->handover,
-    .server = kwf_effects_strdup (effects, member.instance),
-    .address = kwf_effects_strdup (effects, member.caller_address),
+    .server = kwf_effects_strdup (effects, member->instance),
+    .address = kwf_effects_strdup (effects, member->caller_address),
     .deadline_ns = request->deadline_ns,
     .resume_from = request->delivered,
     .priority = request->priority,
@@ -167,6 +163,18 @@
     .organisation = "",
     .handed_attempts = request->max_attempts - request->n_arrived,
   };
+}
+
+bool
+handover_start (kwf_core_t *core, request_t *request, kwf_effects_t *effects)
+{
+  session_member_t member;
+  if (!stranded_is_self (core) || request->attempt
+      || !may_run_elsewhere (core, request)
+      || !choose_instance (core, request, &member)
+      || !take_repeat (core, request))
+    return false;
+  hand_over (core, request, &member, effects);
   return true;
 }
 
@@ -353,13 +361,14 @@
       if ((!queued && !hangs (request, now_ns))
           || handover_refuse (core, request, effects)
           || !may_run_elsewhere (core, request)
-          || !choose_instance (core, request, &member))
+          || !choose_instance (core, request, &member)
+          || !take_repeat (core, request))
         continue;
       if (request->hedge)
         attempt_cancel (core, request->hedge, effects);
       if (request->attempt)
         attempt_cancel (core, request->attempt, effects);
-      handover_start (core, request, effects);
+      hand_over (core, request, &member, effects);
     }
   g_list_free (open);
 }
--- a/test/test_stranded.c
+++ b/test/test_stranded.c
@@ -14,6 +14,7 @@
 /* A fleet.  */
 
 /* Time in which the instances link up and divide the rates.  */
+#define N_READS 40
 #define SETTLED_NS (8 * KWF_NS_PER_S)
 /* From this time after the begin of a cut on, the users' rule holds.  */
 #define CONTACT_NS (3 * KWF_NS_PER_S)
@@ -408,6 +409,42 @@
   g_array_unref (starts);
 }
 
+/* Guards against a request that is taken from its server though the budget
+   allows no repeat of it.  */
+static void
+request_without_a_repeat_is_cancelled (void **state)
+{
+  core_world_t *world = *state;
+  kwf_handle_t attempts[N_READS] = { 0 };
+  int n_sent = 0;
+  for (kwf_handle_t i = 0; i < N_READS; i++)
+    {
+      core_world_request (world, 1 + i, "/read/x", NULL);
+      const kwf_effect_t *effect
+          = core_world_effect (world, KWF_FX_ATTEMPT_START);
+      attempts[i] = effect ? effect->start.attempt : 0;
+      n_sent += effect != NULL;
+    }
+  GArray *starts = strand (world);
+  int n_answered = 0;
+  for (kwf_handle_t i = 0; i < N_READS; i++)
+    if (attempts[i])
+      {
+        end_call (world, 1 + i, attempts[i], 200);
+        n_answered += core_world_effect (world, KWF_FX_FORWARD_END) != NULL;
+      }
+  int n_moved = 0;
+  for (guint i = 0; i < starts->len; i++)
+    n_moved
+        += attempts[g_array_index (starts, kwf_attempt_start_t, i).request - 1]
+           != 0;
+  g_array_unref (starts);
+  print_message ("%d sent, %d handed over, %d answered\n", n_sent, n_moved,
+                 n_answered);
+  assert_in_range (n_answered, 1, n_sent);
+  assert_int_equal (n_moved + n_answered, n_sent);
+}
+
 /* Guards against an answer that promises that a call has not run, while the
    instance that got it may still run it.  */
 static void
@@ -521,6 +558,8 @@
                                      core_world_teardown),
     cmocka_unit_test_setup_teardown (request_is_handed_on, set_up,
                                      core_world_teardown),
+    cmocka_unit_test_setup_teardown (request_without_a_repeat_is_cancelled,
+                                     set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (promise_forgets_the_other_instance,
                                      set_up, core_world_teardown),
     cmocka_unit_test_setup_teardown (promise_forgets_the_first_attempt, set_up,
